Lay out the workspace, the records and messages, and the interfaces

Cause: nothing existed. The libraries' interfaces come first so that parts can be built side by side. Ruled out: sidecars that read ledger shards (bytes per node), witness lists per grant (records grow with grants).

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+LIBS := $(wildcard libs/*)
+SOURCES := $(wildcard libs/*/src) tests
+STAMP := $(VENV)/.installed
+
+.PHONY: install test lint format demo bench capacity fuzz clean
+
+$(STAMP): requirements.txt requirements-dev.txt $(wildcard libs/*/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements-dev.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(foreach lib,$(LIBS),-e $(lib))
+	touch $@
+
+install: $(STAMP)
+
+test: install
+	$(BIN)/python -m pytest
+
+lint: install
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/ruff check $(SOURCES)
+	$(BIN)/mypy $(SOURCES)
+
+format: install
+	$(BIN)/ruff format $(SOURCES)
+	$(BIN)/ruff check --fix $(SOURCES)
+
+demo: install
+	$(BIN)/clementinebend-bench demo
+
+bench: install
+	$(BIN)/clementinebend-bench run
+
+capacity: install
+	$(BIN)/clementinebend-bench capacity
+
+fuzz: install
+	CLEMENTINEBEND_FUZZ=1 $(BIN)/python -m pytest tests/unit -k stateful -p no:randomly
+
+clean:
+	rm -rf build $(VENV)
--- /dev/null
+++ b/libs/admission/src/clementinebend_admission/__init__.py
@@ -0,0 +1,3 @@
+"""Pure admission: fairness, deadlines, retry budgets."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/libs/entry/src/clementinebend_entry/__init__.py
@@ -0,0 +1,3 @@
+"""The process that callers reach."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/libs/ledger/src/clementinebend_ledger/__init__.py
@@ -0,0 +1,3 @@
+"""Pure replay and holder decisions for budgets, bills and claims."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/libs/operator_cli/src/clementinebend_operator_cli/__init__.py
@@ -0,0 +1,3 @@
+"""The command line for operators."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/libs/records/src/clementinebend_records/codec.py
@@ -0,0 +1,70 @@
+"""Encoding of records and messages: ``[schema version, tag, fields...]``.
+
+A reader fills fields that an older writer left out with their defaults, and
+drops fields that a newer writer added, so schema versions live side by side.
+Source: msgpack specification; msgspec converts and checks the types.
+"""
+
+from collections.abc import Sequence
+from typing import Any, NamedTuple, cast
+
+from msgpack import packb, unpackb
+from msgspec import ValidationError, convert
+
+from clementinebend_records.identifiers import Incarnation
+from clementinebend_records.messages import MESSAGE_TYPES, Message
+from clementinebend_records.records import RECORD_TYPES, Batch, Record
+
+SCHEMA_VERSION = 2
+"""The newest schema of declarations and records that this code can read."""
+
+_RECORD_TAGS = {kind: tag for tag, kind in enumerate(RECORD_TYPES)}
+_MESSAGE_TAGS = {kind: tag for tag, kind in enumerate(MESSAGE_TYPES)}
+
+
+class Unreadable(NamedTuple):
+    """Bytes that this version cannot read, and why; an outcome, not an error."""
+
+    reason: str
+
+
+def encode_batch(batch: Batch) -> bytes:
+    """Return the bytes of one append."""
+    records = [[_RECORD_TAGS[type(record)], *record] for record in batch.records]
+    return cast(bytes, packb([SCHEMA_VERSION, batch.writer, batch.sequence, records]))
+
+
+def decode_batch(data: bytes) -> Batch | Unreadable:
+    """Return the batch in one append, or why it cannot be read."""
+    try:
+        fields = unpackb(data)
+        _, writer, sequence, rows = fields
+        records = tuple(_record(row) for row in rows)
+        return Batch(Incarnation(convert(writer, str)), convert(sequence, int), records)
+    except (ValueError, TypeError, IndexError, ValidationError) as error:
+        return Unreadable(f"cannot read record batch: {error}")
+
+
+def encode_message(message: Message) -> bytes:
+    """Return the bytes of one message."""
+    return cast(bytes, packb([_MESSAGE_TAGS[type(message)], *message]))
+
+
+def decode_message(fields: Any) -> Message | Unreadable:
+    """Return the message in an unpacked msgpack array, or why it is none."""
+    try:
+        return cast(Message, _convert(MESSAGE_TYPES, fields))
+    except (ValueError, TypeError, IndexError, ValidationError) as error:
+        return Unreadable(f"cannot read message: {error}")
+
+
+def _record(row: Sequence[Any]) -> Record:
+    return cast(Record, _convert(RECORD_TYPES, row))
+
+
+def _convert(kinds: tuple[type[Any], ...], row: Sequence[Any]) -> Any:
+    tag, *fields = row
+    if tag < 0:
+        raise ValueError(f"negative tag {tag}")
+    kind = kinds[tag]
+    return convert(fields[: len(kind._fields)], kind)
--- /dev/null
+++ b/libs/sidecar/src/clementinebend_sidecar/__init__.py
@@ -0,0 +1,3 @@
+"""The process beside each endpoint."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/libs/standins/src/clementinebend_standins/__init__.py
@@ -0,0 +1,3 @@
+"""Small stand-ins of the platform for tests and the demo."""
+
+__version__ = "0.1.0"
