--- a/libs/records/src/clementinebend_records/streams.py
+++ b/libs/records/src/clementinebend_records/streams.py
@@ -8,6 +8,9 @@
 CONFIGURATION_STREAM = "configuration"
 """Operators' publications and schema activations."""
 
+FENCING_STREAM = "fencing"
+"""Claims to the right of ordering engines; an offset is a fencing number."""
+
 
 def ledger_stream(budget: str, shards: int) -> str:
     """Return the stream that carries grants and bills of ``budget``."""
