--- /dev/null
+++ b/libs/entry/src/clementinebend_entry/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The console script of the entry."""
