--- /dev/null
+++ b/libs/admission/src/clementinebend_admission/queue.py
@@ -0,0 +1,323 @@
+"""Admission: run now, wait in the team's queue, or refuse at once.
+
+Fairness between teams is by virtual token counters (see ``teams``), order
+within a team by priority. A request that cannot start before its deadline is
+refused at the door. All is decided in memory: ``(state, event, now)`` gives
+``(state, outcomes)``, and the state handed in is consumed.
+"""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from clementinebend_admission.estimates import (
+    ServiceMeasure,
+    add_sample,
+    expected_wait,
+    retry_after_ms,
+)
+from clementinebend_admission.models import (
+    Admitted,
+    Arrival,
+    Capacity,
+    Queued,
+    Refused,
+    Verdict,
+)
+from clementinebend_admission.teams import (
+    TeamState,
+    charge,
+    enqueue,
+    head,
+    learn_use,
+    leave,
+    lift,
+    new_team,
+    next_team,
+    tokens_ahead,
+)
+from clementinebend_records.reasons import NotRun
+
+__all__ = [
+    "AdmissionState",
+    "Admitted",
+    "Arrival",
+    "Queued",
+    "Refused",
+    "arrive",
+    "cancel",
+    "empty_admission",
+    "expire",
+    "finish",
+    "set_capacity",
+]
+
+DEFAULT_SLOTS = 64
+DEFAULT_QUEUE_LIMIT = 1024
+
+
+class Running(NamedTuple):
+    """A request that holds capacity, and what its team was charged for it."""
+
+    arrival: Arrival
+    started_at: float
+    charged: float
+
+
+class AdmissionState(NamedTuple):
+    """All that admission knows.
+
+    ``backlogged`` holds the teams with requests waiting, ``owners`` the team of
+    each waiting request, ``overdue`` the requests that waited past their
+    deadline and are still to be refused by ``expire``, and ``floor`` the
+    counter of the last team whose queue became empty. Waiting requests number
+    at most twice ``queue_limit``.
+    """
+
+    capacity: Capacity
+    queue_limit: int
+    teams: dict[str, TeamState]
+    backlogged: dict[str, None]
+    owners: dict[str, str]
+    overdue: dict[str, Arrival]
+    running: dict[str, Running]
+    running_tokens: int = 0
+    measure: ServiceMeasure = ServiceMeasure()
+    floor: float = 0.0
+    sequence: int = 0
+    clock: float = 0.0
+
+
+def empty_admission(
+    slots: int = DEFAULT_SLOTS,
+    tokens: int | None = None,
+    queue_limit: int = DEFAULT_QUEUE_LIMIT,
+) -> AdmissionState:
+    """Return admission before the first request."""
+    return AdmissionState(Capacity(slots, tokens), queue_limit, {}, {}, {}, {}, {})
+
+
+def arrive(
+    state: AdmissionState, arrival: Arrival, now: float
+) -> tuple[AdmissionState, Verdict]:
+    """Give a new request its verdict; ``Queued`` is followed by another one."""
+    if _is_known(state, arrival.request):
+        raise ValueError(f"request {arrival.request!r} has arrived before")
+    _next_waiting(state, now)
+    state = _enter(state, arrival.team, arrival.weight, now)
+    if arrival.deadline <= now:
+        return state, Refused(
+            NotRun.DEADLINE, _retry_after(state, arrival, 0.0), arrival.request
+        )
+    if _goes_next(state, arrival):
+        return _start(state, arrival, now), Admitted(arrival.request)
+    return _queue_or_refuse(state, arrival, now)
+
+
+def finish(
+    state: AdmissionState, request: str, tokens: int, now: float
+) -> tuple[AdmissionState, tuple[Admitted, ...]]:
+    """Take the end of a running request that cost ``tokens``; start others."""
+    state = state._replace(clock=now)
+    running = state.running.pop(request, None)
+    if running is None:
+        return state, ()
+    arrival = running.arrival
+    team = state.teams[arrival.team]
+    team = charge(team, tokens - running.charged)
+    team = learn_use(team, arrival.tokens, tokens)
+    state.teams[arrival.team] = team._replace(running=team.running - 1)
+    state = state._replace(
+        running_tokens=state.running_tokens - arrival.tokens,
+        measure=add_sample(state.measure, now - running.started_at, arrival.tokens),
+    )
+    return _start_waiting(state, now)
+
+
+def cancel(
+    state: AdmissionState, request: str, now: float
+) -> tuple[AdmissionState, tuple[Admitted, ...]]:
+    """Take away a request that nobody waits for and that did not run."""
+    state = state._replace(clock=now)
+    running = state.running.pop(request, None)
+    if running is None:
+        state.overdue.pop(request, None)
+        _remove(state, request)
+        return state, ()
+    arrival = running.arrival
+    team = charge(state.teams[arrival.team], -running.charged)
+    state.teams[arrival.team] = team._replace(running=team.running - 1)
+    state = state._replace(running_tokens=state.running_tokens - arrival.tokens)
+    return _start_waiting(state, now)
+
+
+def expire(
+    state: AdmissionState, now: float
+) -> tuple[AdmissionState, tuple[Refused, ...]]:
+    """Refuse the waiting requests whose deadline has passed."""
+    state = state._replace(clock=now)
+    late = [arrival for arrival in _waiting(state) if arrival.deadline <= now]
+    for arrival in late:
+        _set_overdue(state, arrival)
+    refused = tuple(
+        Refused(NotRun.DEADLINE, _retry_after(state, arrival, 0.0), arrival.request)
+        for arrival in state.overdue.values()
+    )
+    state.overdue.clear()
+    return state, refused
+
+
+def set_capacity(
+    state: AdmissionState, slots: int, tokens: int | None = None
+) -> tuple[AdmissionState, tuple[Admitted, ...]]:
+    """Change what may run at one time; more of it starts waiting requests."""
+    state = state._replace(capacity=Capacity(slots, tokens))
+    return _start_waiting(state, state.clock)
+
+
+def waiting_count(state: AdmissionState) -> int:
+    """Return how many requests wait."""
+    return len(state.owners)
+
+
+def _enter(
+    state: AdmissionState, name: str, weight: float, now: float
+) -> AdmissionState:
+    """Return the state with the team known, and lifted if it was idle."""
+    team = state.teams.get(name) or new_team(weight, state.floor)
+    if name not in state.backlogged:
+        counters = (state.teams[other].counter for other in state.backlogged)
+        team = lift(team, min(counters, default=state.floor))
+    state.teams[name] = team._replace(weight=new_team(weight, 0.0).weight)
+    return state._replace(clock=now)
+
+
+def _goes_next(state: AdmissionState, arrival: Arrival) -> bool:
+    """Tell whether the request runs at once and passes over nobody."""
+    if not _fits(state, arrival):
+        return False
+    rivals = (state.teams[name].counter for name in state.backlogged)
+    least = min(rivals, default=float("inf"))
+    return (
+        arrival.team not in state.backlogged
+        and state.teams[arrival.team].counter < least
+    )
+
+
+def _fits(state: AdmissionState, arrival: Arrival) -> bool:
+    capacity = state.capacity
+    if len(state.running) >= capacity.slots:
+        return False
+    if capacity.tokens is None or not state.running:
+        return True
+    return state.running_tokens + arrival.tokens <= capacity.tokens
+
+
+def _queue_or_refuse(
+    state: AdmissionState, arrival: Arrival, now: float
+) -> tuple[AdmissionState, Verdict]:
+    wait = _wait(state, arrival)
+    remaining = arrival.deadline - now
+    if wait >= remaining:
+        after = _retry_after(state, arrival, remaining)
+        return state, Refused(NotRun.DEADLINE, after, arrival.request)
+    if _queue_is_full(state, arrival):
+        after = _retry_after(state, arrival, wait / 2)
+        return state, Refused(NotRun.OVERLOADED, after, arrival.request)
+    team = enqueue(state.teams[arrival.team], arrival, state.sequence)
+    state.teams[arrival.team] = team
+    state.backlogged[arrival.team] = None
+    state.owners[arrival.request] = arrival.team
+    state = state._replace(sequence=state.sequence + 1)
+    return state, Queued(arrival.request, wait)
+
+
+def _queue_is_full(state: AdmissionState, arrival: Arrival) -> bool:
+    """Tell whether the queue is full for this team.
+
+    A full queue still takes a team's requests up to its share by weight, so a
+    team that fills the queue cannot shut out the others.
+    """
+    if len(state.owners) < state.queue_limit:
+        return False
+    own = state.teams[arrival.team]
+    names = {arrival.team, *state.backlogged}
+    weights = sum(state.teams[name].weight for name in names)
+    return len(own.waiting) >= state.queue_limit * own.weight / weights
+
+
+def _wait(state: AdmissionState, arrival: Arrival) -> float:
+    ahead = tokens_ahead(state.teams, state.backlogged, arrival)
+    return expected_wait(state.capacity, state.measure, ahead)
+
+
+def _retry_after(state: AdmissionState, arrival: Arrival, tolerated: float) -> int:
+    """Return when the wait will have come down to what the caller tolerates."""
+    return retry_after_ms(max(0.0, _wait(state, arrival) - tolerated), arrival.request)
+
+
+def _is_known(state: AdmissionState, request: str) -> bool:
+    return (
+        request in state.owners or request in state.running or request in state.overdue
+    )
+
+
+def _start(state: AdmissionState, arrival: Arrival, now: float) -> AdmissionState:
+    team = state.teams[arrival.team]
+    charged = arrival.tokens * team.used_share
+    team = charge(team, charged)
+    state.teams[arrival.team] = team._replace(running=team.running + 1)
+    state.running[arrival.request] = Running(arrival, now, charged)
+    floor = state.floor if team.waiting else max(state.floor, team.counter)
+    return state._replace(
+        running_tokens=state.running_tokens + arrival.tokens, floor=floor
+    )
+
+
+def _start_waiting(
+    state: AdmissionState, now: float
+) -> tuple[AdmissionState, tuple[Admitted, ...]]:
+    """Start waiting requests in order while capacity is free.
+
+    Those past their deadline are left for ``expire`` to refuse.
+    """
+    admitted = []
+    while (arrival := _next_waiting(state, now)) is not None and _fits(state, arrival):
+        _remove(state, arrival.request)
+        state = _start(state, arrival, now)
+        admitted.append(Admitted(arrival.request))
+    return state, tuple(admitted)
+
+
+def _next_waiting(state: AdmissionState, now: float) -> Arrival | None:
+    """Return the request whose turn it is, setting overdue ones aside."""
+    while (name := next_team(state.teams, state.backlogged)) is not None:
+        arrival = head(state.teams[name])
+        if arrival is None:
+            raise ValueError(f"team {name!r} is backlogged with nothing waiting")
+        if arrival.deadline > now:
+            return arrival
+        _set_overdue(state, arrival)
+    return None
+
+
+def _set_overdue(state: AdmissionState, arrival: Arrival) -> None:
+    _remove(state, arrival.request)
+    state.overdue[arrival.request] = arrival
+
+
+def _remove(state: AdmissionState, request: str) -> None:
+    name = state.owners.pop(request, None)
+    if name is None:
+        return
+    team = leave(state.teams[name], request)
+    state.teams[name] = team
+    if not team.waiting:
+        del state.backlogged[name]
+
+
+def _waiting(state: AdmissionState) -> Iterator[Arrival]:
+    return (
+        arrival
+        for name in state.backlogged
+        for arrival in state.teams[name].waiting.values()
+    )
--- /dev/null
+++ b/libs/routing/src/clementinebend_routing/choice.py
@@ -0,0 +1,299 @@
+"""Choice of the endpoint with the least expected time to first token.
+
+The score of an endpoint is its expected wait plus the prefill of the prompt
+tokens it has not cached, plus a cost for another availability zone. It is
+worked out for ``d`` endpoints drawn at random and for those that hold the
+longest prefix. The draw keeps routers that share a lagging view from sending
+to the same endpoint. Sources: Mitzenmacher, "The Power of Two Choices in
+Randomized Load Balancing" (2001); Wydrowski et al., "Load is not what you
+should balance: Introducing Prequal" (NSDI 2024).
+
+All functions take ``now`` in monotonic seconds; the state handed in is
+consumed. The draw is deterministic from the seed in the state.
+"""
+
+from collections.abc import Iterable, Sequence
+from itertools import chain
+from random import Random
+from typing import NamedTuple
+
+from clementinebend_records.messages import CacheEvent, LoadReport
+from clementinebend_routing.endpoints import (
+    Candidate,
+    EndpointState,
+    add_report,
+    add_run,
+    end_run,
+    expected_wait,
+    new_endpoint,
+    prefill_time,
+)
+from clementinebend_routing.outliers import ejection_allowed, is_ejected, on_result
+from clementinebend_routing.prefix import (
+    apply_event,
+    apply_snapshot,
+    cached_blocks,
+    remember_dispatch,
+)
+from clementinebend_routing.slow_start import started_share
+
+__all__ = [
+    "Candidate",
+    "Choice",
+    "NoChoice",
+    "RoutingState",
+    "Wanted",
+    "choose",
+    "empty_routing",
+    "on_cache_event",
+    "on_cache_snapshot",
+    "on_dispatch",
+    "on_finish",
+    "on_load_report",
+    "set_endpoints",
+    "stale_maps",
+]
+
+DRAWN = 4
+"""Endpoints drawn at random for each choice."""
+
+PREFIX_HOLDERS = 2
+"""Endpoints with the longest cached prefix that are scored beside them."""
+
+OTHER_ZONE_COST = 0.002
+"""Seconds that another availability zone adds."""
+
+UNAVAILABLE_RETRY_MS = 1_000
+"""Told when no endpoint is known that will come back by itself."""
+
+
+class Wanted(NamedTuple):
+    """What a request needs; ``tokens`` is the length of its prompt.
+
+    An empty ``model`` is a plain service. ``prefix_blocks`` are the names of
+    the prompt's blocks from its start; ``exclude`` are endpoints not to use.
+    """
+
+    service: str
+    model: str
+    zone: str
+    prefix_blocks: tuple[str, ...]
+    tokens: int
+    exclude: frozenset[str] = frozenset()
+
+
+class Choice(NamedTuple):
+    """The endpoint to use, and what was expected of it.
+
+    Hand ``uncached`` on to ``on_dispatch``.
+    """
+
+    endpoint: str
+    expected_seconds: float = 0.0
+    uncached: int = 0
+
+
+class NoChoice(NamedTuple):
+    """No endpoint can take the request now."""
+
+    retry_after_ms: int
+
+
+class RoutingState(NamedTuple):
+    """All that one router knows of its endpoints; ``names`` are by service."""
+
+    random: Random
+    endpoints: dict[str, EndpointState]
+    names: dict[str, tuple[str, ...]]
+
+
+class Scored(NamedTuple):
+    """An endpoint's expected time to first token, least first."""
+
+    seconds: float
+    tie: float
+    endpoint: str
+    uncached: int
+
+
+def empty_routing(seed: int) -> RoutingState:
+    """Return a router that knows no endpoint yet."""
+    return RoutingState(Random(seed), {}, {})
+
+
+def set_endpoints(
+    state: RoutingState, candidates: Iterable[Candidate], now: float
+) -> RoutingState:
+    """Replace the endpoints; what is known of those that stay is kept."""
+    endpoints = {
+        candidate.endpoint: _with_candidate(state, candidate, now)
+        for candidate in candidates
+    }
+    services = sorted({item.candidate.service for item in endpoints.values()})
+    names = {
+        service: tuple(
+            name
+            for name, item in sorted(endpoints.items())
+            if item.candidate.service == service
+        )
+        for service in services
+    }
+    return state._replace(endpoints=endpoints, names=names)
+
+
+def choose(
+    state: RoutingState, wanted: Wanted, now: float
+) -> tuple[RoutingState, Choice | NoChoice]:
+    """Choose an endpoint; call ``on_dispatch`` at once when it is used.
+
+    A leaving, unusable or excluded endpoint is never chosen; an ejected one
+    only when all others are out.
+    """
+    fit = _fit(state, wanted)
+    open_names = [
+        name for name in fit if not is_ejected(state.endpoints[name].health, now)
+    ]
+    names = open_names or fit
+    if not names:
+        return state, NoChoice(UNAVAILABLE_RETRY_MS)
+    cached = {
+        name: cached_blocks(state.endpoints[name].prefix, wanted.prefix_blocks, now)
+        for name in names
+    }
+    others = _mean_others(state, names)
+    best = min(
+        _score(state, name, wanted, cached[name], others, now)
+        for name in _considered(state, names, cached)
+    )
+    chosen = state.endpoints[best.endpoint]
+    remember_dispatch(chosen.prefix, wanted.prefix_blocks, now)
+    return state, Choice(best.endpoint, best.seconds, best.uncached)
+
+
+def on_dispatch(
+    state: RoutingState, endpoint: str, run: str, now: float, uncached: int = 0
+) -> RoutingState:
+    """Count a run that was sent to ``endpoint``."""
+    known = state.endpoints.get(endpoint)
+    if known is not None:
+        state.endpoints[endpoint] = add_run(known, run, uncached, now)
+    return state
+
+
+def on_finish(
+    state: RoutingState, endpoint: str, run: str, ok: bool, latency: float, now: float
+) -> RoutingState:
+    """Take the end of a run; ``ok`` is false when the endpoint is to blame."""
+    known = state.endpoints.get(endpoint)
+    if known is None:
+        return state
+    ended = end_run(known, run, ok, latency)
+    allowed = _may_eject(state, known.candidate.service, now)
+    health = on_result(ended.health, ok, allowed, now)
+    back_at = max(ended.started_at, health.ejected_until)
+    state.endpoints[endpoint] = ended._replace(health=health, started_at=back_at)
+    return state
+
+
+def on_load_report(state: RoutingState, report: LoadReport, now: float) -> RoutingState:
+    """Take a load report; one of a new incarnation starts the endpoint anew."""
+    known = state.endpoints.get(report.endpoint)
+    if known is not None:
+        state.endpoints[report.endpoint] = add_report(known, report, now)
+    return state
+
+
+def on_cache_event(state: RoutingState, event: CacheEvent, now: float) -> RoutingState:
+    """Take a cache event; see ``stale_maps`` for what to do after a gap."""
+    known = state.endpoints.get(event.endpoint)
+    if known is not None:
+        prefix = apply_event(known.prefix, event.sequence, event.stored, event.evicted)
+        state.endpoints[event.endpoint] = known._replace(prefix=prefix)
+    return state
+
+
+def on_cache_snapshot(
+    state: RoutingState, endpoint: str, sequence: int, blocks: Iterable[str]
+) -> RoutingState:
+    """Take the whole content of an endpoint's cache as of event ``sequence``."""
+    known = state.endpoints.get(endpoint)
+    if known is not None:
+        prefix = apply_snapshot(known.prefix, sequence, blocks)
+        state.endpoints[endpoint] = known._replace(prefix=prefix)
+    return state
+
+
+def stale_maps(state: RoutingState) -> tuple[str, ...]:
+    """Return the endpoints whose cache map has gaps and needs a resync."""
+    return tuple(
+        name for name, item in state.endpoints.items() if item.prefix.distrusted
+    )
+
+
+def _with_candidate(
+    state: RoutingState, candidate: Candidate, now: float
+) -> EndpointState:
+    known = state.endpoints.get(candidate.endpoint)
+    if known is None:
+        return new_endpoint(candidate, now)
+    return known._replace(candidate=candidate)
+
+
+def _fit(state: RoutingState, wanted: Wanted) -> list[str]:
+    return [
+        name
+        for name in state.names.get(wanted.service, ())
+        if name not in wanted.exclude and _serves(state.endpoints[name], wanted.model)
+    ]
+
+
+def _serves(endpoint: EndpointState, model: str) -> bool:
+    report = endpoint.report
+    if not endpoint.candidate.usable or (report is not None and report.leaving):
+        return False
+    if not model or model in endpoint.candidate.models:
+        return True
+    return report is not None and model in report.models
+
+
+def _mean_others(state: RoutingState, names: Sequence[str]) -> float:
+    others = [
+        state.endpoints[name].others
+        for name in names
+        if state.endpoints[name].report is not None
+    ]
+    return sum(others) / len(others) if others else 0.0
+
+
+def _considered(
+    state: RoutingState, names: Sequence[str], cached: dict[str, int]
+) -> tuple[str, ...]:
+    drawn = state.random.sample(names, min(DRAWN, len(names)))
+    holders = sorted(names, key=lambda name: -cached[name])[:PREFIX_HOLDERS]
+    cached_at = (name for name in holders if cached[name])
+    return tuple(dict.fromkeys(chain(drawn, cached_at)))
+
+
+def _score(
+    state: RoutingState,
+    name: str,
+    wanted: Wanted,
+    cached: int,
+    mean_others: float,
+    now: float,
+) -> Scored:
+    endpoint = state.endpoints[name]
+    blocks = max(1, len(wanted.prefix_blocks))
+    uncached = round(wanted.tokens * (1 - cached / blocks))
+    seconds = expected_wait(endpoint, mean_others, now)
+    seconds += prefill_time(endpoint, uncached)
+    seconds /= started_share(endpoint.started_at, now)
+    if endpoint.candidate.zone != wanted.zone:
+        seconds += OTHER_ZONE_COST
+    return Scored(seconds, state.random.random(), name, uncached)
+
+
+def _may_eject(state: RoutingState, service: str, now: float) -> bool:
+    names = state.names.get(service, ())
+    ejected = sum(is_ejected(state.endpoints[name].health, now) for name in names)
+    return ejection_allowed(ejected, len(names))
--- /dev/null
+++ b/libs/routing/src/clementinebend_routing/slow_start.py
@@ -0,0 +1,17 @@
+"""Slow start: a new endpoint gets its share of requests step by step.
+
+An endpoint that has just come (or come back from ejection) has empty caches
+and an empty queue, so all routers would send to it at once.
+"""
+
+SLOW_START_SECONDS = 10.0
+"""How long an endpoint counts as new."""
+
+FIRST_SHARE = 0.1
+"""Share of its capacity that an endpoint has at the start."""
+
+
+def started_share(started_at: float, now: float) -> float:
+    """Return the share of its capacity, above 0 and up to 1, to use now."""
+    share = (now - started_at) / SLOW_START_SECONDS
+    return min(1.0, max(FIRST_SHARE, share))
--- /dev/null
+++ b/tests/unit/routing/test_choice.py
@@ -0,0 +1,109 @@
+"""The choice of an endpoint: load, prefixes, zones, and what is never chosen."""
+
+from clementinebend_records.identifiers import Incarnation
+from clementinebend_records.messages import CacheEvent, LoadReport
+from clementinebend_routing.choice import (
+    Candidate,
+    Choice,
+    NoChoice,
+    RoutingState,
+    Wanted,
+    choose,
+    empty_routing,
+    on_cache_event,
+    on_cache_snapshot,
+    on_dispatch,
+    on_finish,
+    on_load_report,
+    set_endpoints,
+    stale_maps,
+)
+
+WANTED = Wanted("shared", "m", "a", (), 256)
+LATE = 100.0
+
+
+def router(*zones: str) -> RoutingState:
+    candidates = tuple(
+        Candidate(f"e{number}", "shared", zone, ("m",), True)
+        for number, zone in enumerate(zones)
+    )
+    return set_endpoints(empty_routing(1), candidates, 0.0)
+
+
+def report(endpoint: str, running: int, **changes: object) -> LoadReport:
+    fields = LoadReport(endpoint, Incarnation("i#1"), 1, running, 0, 8, False, 10.0)
+    return fields._replace(**changes)  # type: ignore[arg-type]
+
+
+def chosen(state: RoutingState, wanted: Wanted = WANTED) -> str | None:
+    _, outcome = choose(state, wanted, LATE)
+    return outcome.endpoint if isinstance(outcome, Choice) else None
+
+
+def test_prefers_the_less_loaded_then_the_own_zone() -> None:
+    state = router("a", "a", "b")
+    state = on_load_report(state, report("e0", 8), LATE)
+    state = on_load_report(state, report("e1", 2), LATE)
+    state = on_load_report(state, report("e2", 2), LATE)
+    assert chosen(state) == "e1"
+
+
+def test_own_dispatches_since_the_report_count() -> None:
+    state = router("a", "a")
+    for name, running in (("e0", 2), ("e1", 4)):
+        state = on_load_report(state, report(name, running), LATE)
+    for number in range(8):
+        state = on_dispatch(state, "e0", f"r{number}", LATE)
+    assert chosen(state) == "e1"
+
+
+def test_goes_where_the_prefix_is_unless_the_wait_there_is_longer() -> None:
+    state = router("a", "a", "a")
+    blocks = tuple(f"b{number}" for number in range(100))
+    state = on_cache_event(state, CacheEvent("e2", 1, blocks, ()), LATE)
+    wanted = WANTED._replace(prefix_blocks=blocks, tokens=2560)
+    assert chosen(state, wanted) == "e2"
+    for name, running in (("e0", 0), ("e1", 0), ("e2", 30)):
+        state = on_load_report(state, report(name, running), LATE)
+    assert chosen(state, wanted) != "e2"
+
+
+def test_a_gap_in_cache_events_drops_the_map_until_a_resync() -> None:
+    state = router("a", "a")
+    state = on_cache_event(state, CacheEvent("e1", 1, ("x",), ()), LATE)
+    assert stale_maps(state) == ()
+    state = on_cache_event(state, CacheEvent("e1", 3, ("y",), ()), LATE)
+    assert stale_maps(state) == ("e1",)
+    assert list(state.endpoints["e1"].prefix.stored) == ["y"]
+    state = on_cache_snapshot(state, "e1", 3, ("x", "y"))
+    assert stale_maps(state) == ()
+    state = on_cache_event(state, CacheEvent("e1", 4, (), ("x",)), LATE)
+    assert list(state.endpoints["e1"].prefix.stored) == ["y"]
+
+
+def test_leaving_excluded_and_foreign_endpoints_are_never_chosen() -> None:
+    state = router("a", "a")
+    state = on_load_report(state, report("e0", 0, leaving=True), LATE)
+    assert chosen(state) == "e1"
+    excluded = WANTED._replace(exclude=frozenset({"e1"}))
+    assert isinstance(choose(state, excluded, LATE)[1], NoChoice)
+    assert chosen(state, WANTED._replace(model="other")) is None
+
+
+def test_failures_eject_a_bounded_share_and_time_brings_it_back() -> None:
+    state = router(*"aaaaaaaaa")
+    for name in state.endpoints:
+        for number in range(4):
+            state = on_dispatch(state, name, f"{name}{number}", LATE)
+            state = on_finish(state, name, f"{name}{number}", False, 0.1, LATE)
+    choices = {chosen(state) for _ in range(300)}
+    assert choices == {f"e{number}" for number in range(3, 9)}
+    _, later = choose(state, WANTED, LATE + 1000)
+    assert isinstance(later, Choice)
+
+
+def test_the_same_seed_gives_the_same_choices() -> None:
+    first = [chosen(router(*"abcabc")) for _ in range(5)]
+    second = [chosen(router(*"abcabc")) for _ in range(5)]
+    assert first == second
