Read, check and replay declarations in two schema versions

Cause: every process needs the same declarations from the same stream. Before: only the typed models stood. After: documents are loaded, checked with all errors at once, compared, and replayed with one winner on each base. Ruled out: checking only what changed, since a cross reference may break elsewhere.

--- /dev/null
+++ b/libs/declarations/src/clementinebend_declarations/bounds.py
@@ -0,0 +1,43 @@
+"""Small checks that the checks of all sections are made of."""
+
+from collections.abc import Hashable, Iterable, Iterator
+from math import isfinite
+from re import compile as compile_pattern
+
+from clementinebend_declarations.exceptions import DeclarationError
+
+NAME_PATTERN = compile_pattern(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+NAME_ALLOWED = "1 to 63 letters, digits, '.', '_' or '-', the first a letter or digit"
+
+Path = tuple[str, ...]
+
+
+def fault(path: Path, problem: str, allowed: str) -> DeclarationError:
+    """Return an error whose file is not known yet."""
+    return DeclarationError(path, problem, allowed)
+
+
+def check_name(path: Path, name: str | None = None) -> Iterator[DeclarationError]:
+    """Yield an error unless ``name``, or the last key of the path, is a name."""
+    found = path[-1] if name is None else name
+    if not NAME_PATTERN.fullmatch(found):
+        yield fault(path, f"is {found!r}", NAME_ALLOWED)
+
+
+def check_range(
+    path: Path, value: float, lowest: float, highest: float
+) -> Iterator[DeclarationError]:
+    """Yield an error unless ``value`` is a finite number within the bounds."""
+    if not isfinite(value) or not lowest <= value <= highest:
+        yield fault(path, f"is {value}", f"a number from {lowest} to {highest}")
+
+
+def check_unique(
+    entries: Iterable[tuple[Path, Hashable]], allowed: str
+) -> Iterator[DeclarationError]:
+    """Yield an error for each value that stands at an earlier path already."""
+    first: dict[Hashable, Path] = {}
+    for path, value in entries:
+        earlier = first.setdefault(value, path)
+        if earlier != path:
+            yield fault(path, f"repeats {'.'.join(earlier)}", allowed)
--- /dev/null
+++ b/libs/declarations/src/clementinebend_declarations/checkpoints.py
@@ -0,0 +1,128 @@
+"""Checkpoints of the configuration: a whole state that proves itself.
+
+The digest is that of a summary, which names the digest of the document; both
+are checked before a checkpoint is used.
+"""
+
+from json import JSONDecodeError, loads
+from typing import Any
+
+from expression import Error, Ok, Result
+from msgspec import ValidationError, convert
+
+from clementinebend_declarations.deltas import document_digest
+from clementinebend_declarations.documents import check_document
+from clementinebend_declarations.exceptions import CheckpointError
+from clementinebend_declarations.models import Configuration, Declarations
+from clementinebend_declarations.plain import canonical, canonical_digest, is_plain
+from clementinebend_declarations.state import AuditEntry, ConfigurationState
+from clementinebend_records.codec import SCHEMA_VERSION
+from clementinebend_records.records import Checkpoint
+from clementinebend_records.streams import CONFIGURATION_STREAM
+
+DOCUMENT = "document"
+SUMMARY = "summary"
+
+
+def configuration_digest(state: ConfigurationState) -> str:
+    """Return the digest of a state: equal on all nodes at equal offsets."""
+    return canonical_digest(_summary(state))
+
+
+def configuration_checkpoint(state: ConfigurationState) -> Checkpoint:
+    """Return a checkpoint of a state, for the stream or for a peer."""
+    digest = configuration_digest(state)
+    data = configuration_bytes(state)
+    return Checkpoint(CONFIGURATION_STREAM, state.offset, digest, data)
+
+
+def restore_configuration(
+    checkpoint: Checkpoint, current: ConfigurationState | None = None
+) -> ConfigurationState:
+    """Return the state in a checkpoint, or ``current`` if that is as new.
+
+    Raises ``CheckpointError`` if the checkpoint is damaged. The state may have
+    a schema activated that this node cannot read: replay tells it so.
+    """
+    match configuration_from_bytes(checkpoint.state):
+        case Result(tag="ok", ok=restored):
+            digest = configuration_digest(restored)
+        case Result(error=reason):
+            raise CheckpointError(f"checkpoint at {checkpoint.offset}: {reason}")
+    if (restored.offset, digest) != (checkpoint.offset, checkpoint.digest):
+        place = f"checkpoint at {checkpoint.offset}"
+        raise CheckpointError(f"{place}: the state has another offset or digest")
+    return restored if current is None else newest(current, restored)
+
+
+def newest(
+    current: ConfigurationState, other: ConfigurationState
+) -> ConfigurationState:
+    """Return the state that has replayed more of the stream."""
+    return other if other.offset > current.offset else current
+
+
+def configuration_bytes(state: ConfigurationState) -> bytes:
+    """Return the encoding of a state."""
+    return canonical({SUMMARY: _summary(state), DOCUMENT: state.document}).encode()
+
+
+def configuration_from_bytes(data: bytes) -> Result[ConfigurationState, str]:
+    """Return the state in an encoding that another node made, or its fault."""
+    try:
+        value = loads(data)
+        summary, document = value[SUMMARY], value[DOCUMENT]
+        state = _state(summary, document)
+    except (JSONDecodeError, UnicodeDecodeError, ValidationError) as error:
+        return Error(f"it cannot be read ({error})")
+    except (KeyError, TypeError, ValueError, RecursionError) as error:
+        return Error(f"it has another shape ({error})")
+    if document_digest(document) != state.configuration.digest:
+        return Error("the document has another digest")
+    return Ok(state)
+
+
+def _summary(state: ConfigurationState) -> dict[str, Any]:
+    configuration = state.configuration
+    return {
+        "revision": configuration.revision,
+        "activated_schema": configuration.activated_schema,
+        "schema_version": configuration.schema_version,
+        "digest": configuration.digest,
+        "offset": state.offset,
+        "sequences": [list(item) for item in state.sequences.items()],
+        "audit": [list(entry) for entry in state.audit],
+    }
+
+
+def _state(summary: dict[str, Any], document: Any) -> ConfigurationState:
+    if not isinstance(document, dict) or not is_plain(document):
+        raise ValueError("the document is no plain mapping")
+    schema_version = convert(summary["schema_version"], int)
+    configuration = Configuration(
+        revision=convert(summary["revision"], int),
+        activated_schema=convert(summary["activated_schema"], int),
+        schema_version=schema_version,
+        digest=convert(summary["digest"], str),
+        declarations=_declarations(document, schema_version),
+    )
+    return ConfigurationState(
+        configuration=configuration,
+        document=document,
+        offset=convert(summary["offset"], int),
+        sequences=dict(convert(summary["sequences"], tuple[tuple[str, int], ...])),
+        audit=convert(summary["audit"], tuple[AuditEntry, ...]),
+        digests={},
+    )
+
+
+def _declarations(document: dict[str, Any], schema_version: int) -> Declarations:
+    """Return the declarations, or none of a schema that is too new."""
+    if schema_version > SCHEMA_VERSION:
+        return Declarations()
+    match check_document(document):
+        case Result(tag="ok", ok=declarations):
+            return declarations
+        case Result(error=errors):
+            raise ValueError("; ".join(str(error) for error in errors))
+    raise AssertionError("a result is ok or an error")
--- /dev/null
+++ b/libs/declarations/src/clementinebend_declarations/checks.py
@@ -0,0 +1,148 @@
+"""Checks of declarations that are well formed: bounds and cross references.
+
+Replay rejects a publication by these rules, so every node must have the same
+ones: a rule may be added or changed only with a new schema version.
+"""
+
+from collections.abc import Iterator
+from itertools import chain
+
+from clementinebend_declarations.bounds import (
+    check_name,
+    check_range,
+    check_unique,
+    fault,
+)
+from clementinebend_declarations.check_services import check_endpoints, check_services
+from clementinebend_declarations.exceptions import DeclarationError
+from clementinebend_declarations.models import Budget, Declarations, Limits
+
+MAX_WEIGHT = 1_000.0
+MIN_WEIGHT = 0.001
+MAX_TOP_UP_TOKENS = 1_000_000_000_000_000
+MAX_BODY_BYTES = 64 * 1_048_576
+MAX_DEADLINE_MS = 3_600_000
+KEY_DIGEST_LENGTH = 64
+HEX_DIGITS = frozenset("0123456789abcdef")
+ANY_TEAM = "*"
+
+Errors = Iterator[DeclarationError]
+
+
+def check_declarations(declarations: Declarations) -> tuple[DeclarationError, ...]:
+    """Return all errors in declarations whose shape is right."""
+    return tuple(
+        chain(
+            _check_teams(declarations),
+            _check_budgets(declarations),
+            check_services(declarations),
+            check_endpoints(declarations),
+            _check_rules(declarations),
+            _check_limits(declarations.limits),
+        )
+    )
+
+
+def _check_teams(declarations: Declarations) -> Errors:
+    for name, team in declarations.teams.items():
+        path = ("teams", name)
+        yield from check_name(path)
+        yield from check_range((*path, "weight"), team.weight, MIN_WEIGHT, MAX_WEIGHT)
+        for index, digest in enumerate(team.key_digests):
+            yield from _check_key_digest((*path, "key_digests", str(index)), digest)
+    yield from check_unique(
+        (
+            (("teams", name, "key_digests", str(index)), digest)
+            for name, team in declarations.teams.items()
+            for index, digest in enumerate(team.key_digests)
+        ),
+        "a key that no other team shows",
+    )
+
+
+def _check_key_digest(path: tuple[str, ...], digest: str) -> Errors:
+    if len(digest) != KEY_DIGEST_LENGTH or not HEX_DIGITS.issuperset(digest):
+        allowed = f"the SHA-256 of the key: {KEY_DIGEST_LENGTH} digits 0-9 and a-f"
+        yield fault(path, f"is {digest!r}", allowed)
+
+
+def _check_budgets(declarations: Declarations) -> Errors:
+    for name, budget in declarations.budgets.items():
+        path = ("budgets", name)
+        yield from check_name(path)
+        yield from _check_payers(path, budget, declarations)
+        for index, top_up in enumerate(budget.top_ups):
+            place = (*path, "top_ups", str(index))
+            yield from check_name((*place, "id"), top_up.id)
+            tokens = (*place, "tokens")
+            yield from check_range(tokens, top_up.tokens, 1, MAX_TOP_UP_TOKENS)
+    yield from check_unique(_top_up_ids(declarations), "an id used once only")
+    yield from check_unique(
+        _paid_services(declarations), "one budget of a team for each service"
+    )
+
+
+def _check_payers(
+    path: tuple[str, ...], budget: Budget, declarations: Declarations
+) -> Errors:
+    if budget.team not in declarations.teams:
+        place = (*path, "team")
+        yield fault(place, f"is {budget.team!r}", "the name of a declared team")
+    if not budget.services:
+        place = (*path, "services")
+        yield fault(place, "is empty", "at least one declared service")
+    for index, service in enumerate(budget.services):
+        if service not in declarations.services:
+            place = (*path, "services", str(index))
+            yield fault(place, f"is {service!r}", "the name of a declared service")
+
+
+def _top_up_ids(
+    declarations: Declarations,
+) -> Iterator[tuple[tuple[str, ...], str]]:
+    for name, budget in declarations.budgets.items():
+        for index, top_up in enumerate(budget.top_ups):
+            yield ("budgets", name, "top_ups", str(index), "id"), top_up.id
+
+
+def _paid_services(
+    declarations: Declarations,
+) -> Iterator[tuple[tuple[str, ...], tuple[str, str]]]:
+    for name, budget in declarations.budgets.items():
+        for index, service in enumerate(budget.services):
+            path = ("budgets", name, "services", str(index))
+            yield path, (budget.team, service)
+
+
+def _check_rules(declarations: Declarations) -> Errors:
+    for index, rule in enumerate(declarations.routing_rules):
+        path = ("routing_rules", str(index))
+        if rule.team != ANY_TEAM and rule.team not in declarations.teams:
+            allowed = f"a declared team, or {ANY_TEAM!r} for any"
+            yield fault((*path, "team"), f"is {rule.team!r}", allowed)
+        service = declarations.services.get(rule.service)
+        if service is None:
+            allowed = "the name of a declared service"
+            yield fault((*path, "service"), f"is {rule.service!r}", allowed)
+        elif rule.model not in service.models:
+            allowed = f"a model of the service {rule.service!r}"
+            yield fault((*path, "model"), f"is {rule.model!r}", allowed)
+    yield from check_unique(
+        (
+            (("routing_rules", str(index)), (rule.team, rule.model))
+            for index, rule in enumerate(declarations.routing_rules)
+        ),
+        "one rule for each team and model",
+    )
+
+
+def _check_limits(limits: Limits) -> Errors:
+    bounds = {
+        "max_body_bytes": (1, MAX_BODY_BYTES),
+        "max_deadline_ms": (1, MAX_DEADLINE_MS),
+        "default_deadline_ms": (1, limits.max_deadline_ms),
+        "retry_budget_ratio": (0, 1),
+    }
+    for field, (lowest, highest) in bounds.items():
+        value = getattr(limits, field)
+        yield from check_range(("limits", field), value, lowest, highest)
--- /dev/null
+++ b/libs/declarations/src/clementinebend_declarations/publications.py
@@ -0,0 +1,116 @@
+"""Whether a publication or a schema activation may come into force.
+
+Every node must judge alike, so this depends on the state and the record only.
+"""
+
+from typing import Any, NamedTuple
+
+from expression import Error, Ok, Result
+
+from clementinebend_declarations.deltas import (
+    Document,
+    apply_changes,
+    document_digest,
+)
+from clementinebend_declarations.documents import check_document
+from clementinebend_declarations.models import Configuration, Declarations
+from clementinebend_declarations.plain import is_plain
+from clementinebend_declarations.schemas import FIRST_SCHEMA, VERSION_KEY
+from clementinebend_records.records import Change, Publication, SchemaActivation
+
+SHOWN_ERRORS = 5
+"""Errors of a document that a rejection tells of."""
+
+
+class Accepted(NamedTuple):
+    """The document and declarations that a publication brings into force."""
+
+    document: Document
+    declarations: Declarations
+
+
+def judge_publication(
+    configuration: Configuration, document: Document, publication: Publication
+) -> Result[Accepted, str]:
+    """Return what comes into force, or why the publication is rejected.
+
+    The caller has compared the base revision already.
+    """
+    version = publication.schema_version
+    if not FIRST_SCHEMA <= version <= configuration.activated_schema:
+        return Error(
+            f"schema {version} is not activated; "
+            f"{configuration.activated_schema} is the newest that is"
+        )
+    if not all(is_plain(change.value) for change in publication.changes):
+        return Error("a change holds a value that not every node reads alike")
+    changed = apply_changes(document, publication.changes)
+    fault = _document_fault(changed, publication)
+    if fault:
+        return Error(fault)
+    return _judge_document(configuration.declarations, changed)
+
+
+def judge_activation(
+    configuration: Configuration, activation: SchemaActivation
+) -> Result[int, str]:
+    """Return the schema to activate, or why the activation is rejected."""
+    version = activation.schema_version
+    following = configuration.activated_schema + 1
+    if version == following:
+        return Ok(version)
+    return Error(f"schema {version} cannot be activated; {following} is the next")
+
+
+def shown_paths(changes: tuple[Change, ...], count: int) -> tuple[str, ...]:
+    """Return the key paths of the first ``count`` changes."""
+    return tuple(".".join(change.path) for change in changes[:count])
+
+
+def _document_fault(document: Document, publication: Publication) -> str:
+    if not is_plain(document):
+        return "the changed document is nested too deep"
+    if document_digest(document) != publication.digest:
+        return "the changed document does not give the digest of the publication"
+    written = document.get(VERSION_KEY, FIRST_SCHEMA)
+    if type(written) is not int or written != publication.schema_version:
+        return f"the changed document is of schema {written!r}"
+    return ""
+
+
+def _judge_document(
+    in_force: Declarations, document: dict[str, Any]
+) -> Result[Accepted, str]:
+    match check_document(document):
+        case Result(tag="ok", ok=declarations):
+            fault = _top_up_fault(in_force, declarations)
+            return Error(fault) if fault else Ok(Accepted(document, declarations))
+        case Result(error=errors):
+            shown = "; ".join(str(error) for error in errors[:SHOWN_ERRORS])
+            return Error(f"{len(errors)} errors: {shown}")
+    raise AssertionError("a result is ok or an error")
+
+
+def _top_up_fault(old: Declarations, new: Declarations) -> str:
+    """Return why the top-ups in force do not stay as they are, or nothing."""
+    kept = _top_ups(new)
+    changed = (
+        (budget, identifier)
+        for (budget, identifier), tokens in _top_ups(old).items()
+        if kept.get((budget, identifier)) != tokens
+    )
+    budget, identifier = next(changed, ("", ""))
+    if not identifier:
+        return ""
+    return (
+        f"the top-up {identifier!r} of the budget {budget!r} is in force: "
+        "it may neither change nor go"
+    )
+
+
+def _top_ups(declarations: Declarations) -> dict[tuple[str, str], int]:
+    return {
+        (name, top_up.id): top_up.tokens
+        for name, budget in declarations.budgets.items()
+        for top_up in budget.top_ups
+    }
--- /dev/null
+++ b/libs/declarations/src/clementinebend_declarations/replay.py
@@ -0,0 +1,236 @@
+"""Replay of the configuration stream: the same state on every node.
+
+The revision rises by one with each publication or activation that is
+accepted, and never goes down.
+"""
+
+from functools import singledispatch
+from itertools import islice
+from typing import Any
+
+from expression import Result
+
+from clementinebend_declarations.checkpoints import (
+    configuration_checkpoint,
+    configuration_digest,
+    restore_configuration,
+)
+from clementinebend_declarations.publications import (
+    Accepted,
+    judge_activation,
+    judge_publication,
+    shown_paths,
+)
+from clementinebend_declarations.state import (
+    Activated,
+    AuditEntry,
+    AuditResult,
+    ConfigurationOutcome,
+    ConfigurationState,
+    Conflict,
+    Diverged,
+    Published,
+    Rejected,
+    Unreadable,
+    configuration_of,
+    empty_configuration,
+)
+from clementinebend_records.codec import SCHEMA_VERSION
+from clementinebend_records.identifiers import name_of
+from clementinebend_records.records import (
+    Batch,
+    Checkpoint,
+    Publication,
+    SchemaActivation,
+)
+
+__all__ = [
+    "configuration_checkpoint",
+    "configuration_digest",
+    "configuration_of",
+    "empty_configuration",
+    "replay_configuration",
+    "restore_configuration",
+]
+
+MAX_WRITERS = 1024
+"""Writers whose last sequence is kept; older ones are forgotten.
+
+A repeat of a forgotten writer is a conflict, since its base is long past.
+"""
+
+MAX_AUDIT_ENTRIES = 100
+MAX_DIGESTS = 64
+MAX_TEXT = 200
+SHOWN_PATHS = 10
+
+Step = tuple[ConfigurationState, tuple[ConfigurationOutcome, ...]]
+
+
+def replay_configuration(
+    state: ConfigurationState, offset: int, batch: Batch, readable: int = SCHEMA_VERSION
+) -> Step:
+    """Apply the batch at ``offset`` and return what became of its records.
+
+    A node that reads schemas up to ``readable`` stands still at the first
+    activation above it, and is told so with every batch.
+    """
+    activated = state.configuration.activated_schema
+    if activated > readable:
+        return state, (Unreadable(activated),)
+    if offset <= state.offset:
+        return state, ()
+    state = state._replace(offset=offset)
+    if batch.sequence <= state.sequences.get(batch.writer, 0):
+        return _with_digest(state), ()
+    state = state._replace(sequences=_sequences(state.sequences, batch))
+    state, outcomes = _apply_batch(state, batch)
+    activated = state.configuration.activated_schema
+    if activated > readable:
+        outcomes = (*outcomes, Unreadable(activated))
+    return _with_digest(state), outcomes
+
+
+def _apply_batch(state: ConfigurationState, batch: Batch) -> Step:
+    """Apply records in order; after an activation none more of this batch.
+
+    So a node that stands still at an activation has the same state there as
+    all the others.
+    """
+    activated = state.configuration.activated_schema
+    outcomes: list[ConfigurationOutcome] = []
+    for record in batch.records:
+        if state.configuration.activated_schema != activated:
+            reason = "an activation must be the last record of its batch"
+            outcomes.append(Rejected(reason, state.offset, name_of(batch.writer)))
+            break
+        state, more = _apply(record, state)
+        outcomes.extend(more)
+    return state, tuple(outcomes)
+
+
+@singledispatch
+def _apply(record: Any, state: ConfigurationState) -> Step:
+    """Return the state after one record; other streams' records do nothing."""
+    return state, ()
+
+
+@_apply.register
+def _(record: Publication, state: ConfigurationState) -> Step:
+    configuration = state.configuration
+    if record.base_revision != configuration.revision:
+        return _conflict(record, state)
+    match judge_publication(configuration, state.document, record):
+        case Result(tag="ok", ok=accepted):
+            return _publish(record, state, accepted)
+        case Result(error=reason):
+            return _reject(record, state, reason)
+    raise AssertionError("a result is ok or an error")
+
+
+@_apply.register
+def _(record: SchemaActivation, state: ConfigurationState) -> Step:
+    configuration = state.configuration
+    if record.base_revision != configuration.revision:
+        return _conflict(record, state)
+    match judge_activation(configuration, record):
+        case Result(tag="ok", ok=version):
+            return _activate(record, state, version)
+        case Result(error=reason):
+            return _reject(record, state, reason)
+    raise AssertionError("a result is ok or an error")
+
+
+@_apply.register
+def _(record: Checkpoint, state: ConfigurationState) -> Step:
+    expected = state.digests.get(record.offset, record.digest)
+    if expected == record.digest:
+        return state, ()
+    return state, (Diverged(record.offset, expected, record.digest),)
+
+
+def _publish(
+    record: Publication, state: ConfigurationState, accepted: Accepted
+) -> Step:
+    configuration = state.configuration._replace(
+        revision=record.base_revision + 1,
+        schema_version=record.schema_version,
+        digest=record.digest,
+        declarations=accepted.declarations,
+    )
+    state = state._replace(configuration=configuration, document=accepted.document)
+    state = _audited(record, state, AuditResult.PUBLISHED)
+    outcome = Published(configuration.revision, state.offset, record.author)
+    return state, (outcome,)
+
+
+def _activate(
+    record: SchemaActivation, state: ConfigurationState, version: int
+) -> Step:
+    configuration = state.configuration._replace(
+        revision=record.base_revision + 1, activated_schema=version
+    )
+    state = state._replace(configuration=configuration)
+    state = _audited(record, state, AuditResult.ACTIVATED)
+    revision = configuration.revision
+    return state, (Activated(version, revision, state.offset, record.author),)
+
+
+def _conflict(
+    record: Publication | SchemaActivation, state: ConfigurationState
+) -> Step:
+    revision = state.configuration.revision
+    outcome = Conflict(record.base_revision, revision, state.offset, record.author)
+    return _audited(record, state, AuditResult.CONFLICT), (outcome,)
+
+
+def _reject(
+    record: Publication | SchemaActivation, state: ConfigurationState, reason: str
+) -> Step:
+    outcome = Rejected(reason, state.offset, record.author)
+    return _audited(record, state, AuditResult.REJECTED, reason), (outcome,)
+
+
+def _audited(
+    record: Publication | SchemaActivation,
+    state: ConfigurationState,
+    result: AuditResult,
+    reason: str = "",
+) -> ConfigurationState:
+    entry = AuditEntry(
+        offset=state.offset,
+        author=record.author[:MAX_TEXT],
+        published_at=record.published_at[:MAX_TEXT],
+        source=_source(record)[:MAX_TEXT],
+        base_revision=record.base_revision,
+        revision=state.configuration.revision,
+        schema_version=record.schema_version,
+        result=result,
+        reason=reason[:MAX_TEXT],
+        paths=_audited_paths(record),
+    )
+    return state._replace(audit=(*state.audit, entry)[-MAX_AUDIT_ENTRIES:])
+
+
+def _source(record: Publication | SchemaActivation) -> str:
+    return record.source if isinstance(record, Publication) else ""
+
+
+def _audited_paths(record: Publication | SchemaActivation) -> tuple[str, ...]:
+    if isinstance(record, SchemaActivation):
+        return ()
+    paths = shown_paths(record.changes, SHOWN_PATHS)
+    return tuple(path[:MAX_TEXT] for path in paths)
+
+
+def _sequences(sequences: dict[str, int], batch: Batch) -> dict[str, int]:
+    kept = {name: last for name, last in sequences.items() if name != batch.writer}
+    kept[batch.writer] = batch.sequence
+    surplus = max(0, len(kept) - MAX_WRITERS)
+    return dict(islice(kept.items(), surplus, None))
+
+
+def _with_digest(state: ConfigurationState) -> ConfigurationState:
+    digests = state.digests | {state.offset: configuration_digest(state)}
+    surplus = max(0, len(digests) - MAX_DIGESTS)
+    return state._replace(digests=dict(islice(digests.items(), surplus, None)))
