Serve the stand-ins over HTTP, each by its own command

Cause: tests start real processes, so each stand-in needs a server whose port, health and faults can be asked for. Ruled out: streaming an engine's run as a queue of pieces per caller; its text is a pure function of prompt and token index, so a reader needs only a count, and a resumed stream reads the same one. Before: pure models only.

--- /dev/null
+++ b/libs/standins/src/clementinebend_standins/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Console commands, one in each module."""
--- /dev/null
+++ b/libs/standins/src/clementinebend_standins/cli/log.py
@@ -0,0 +1,16 @@
+"""Runs the log service."""
+
+from fire import Fire
+
+from clementinebend_standins.apps.log import log_handler
+from clementinebend_standins.http_app import serve_until_stopped
+
+
+def command(host: str = "127.0.0.1", port: int = 0) -> None:
+    """Serve the log until SIGTERM; port 0 picks a free one."""
+    raise SystemExit(serve_until_stopped(log_handler(), host, port))
+
+
+def main() -> None:
+    """Run from the command line."""
+    Fire(command)
