--- /dev/null
+++ b/libs/sidecar/src/clementinebend_sidecar/endpoint/__init__.py
@@ -0,0 +1,1 @@
+"""What is asked of the endpoint, and what its answers mean."""
--- /dev/null
+++ b/tests/unit/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the sidecar's pure parts."""
