--- /dev/null
+++ b/libs/transport/src/clementinebend_transport/channel.py
@@ -0,0 +1,194 @@
+"""The bytes of one TCP connection, with bounded buffers in both directions.
+
+What is posted within one iteration of the event loop leaves in one write.
+asyncio sets ``TCP_NODELAY`` on every TCP connection, so nothing waits for an
+acknowledgement.
+"""
+
+from asyncio import (
+    BaseTransport,
+    Event,
+    Handle,
+    Protocol,
+    Transport,
+    get_running_loop,
+    timeout,
+)
+from collections.abc import Callable
+from socket import SO_LINGER, SOL_SOCKET
+from struct import pack
+from typing import cast
+
+from clementinebend_transport.exceptions import SlowReaderError
+
+READ_BUFFER_BYTES = 128 * 1024
+WRITE_BUFFER_BYTES = 64 * 1024
+
+RESET_ON_CLOSE = pack("ii", 1, 0)
+"""The ``struct linger`` that makes close send a reset; source: socket(7)."""
+
+
+class Channel(Protocol):
+    """One end of a connection; used by one reading task at a time."""
+
+    def __init__(self, on_connected: Callable[["Channel"], None] | None = None) -> None:
+        self.on_connected = on_connected
+        self.on_end: Callable[[], object] | None = None
+        self.received: list[bytes] = []
+        self.received_bytes = 0
+        self.outgoing: list[bytes] = []
+        self.outgoing_bytes = 0
+        self.flushing: Handle | None = None
+        self.discarding = False
+        self.overrun = False
+        self.ended = False
+        self.failure: Exception | None = None
+        self.readable = Event()
+        self.writable = Event()
+        self.writable.set()
+        self.lost = Event()
+        self.transport: Transport
+
+    # Called by asyncio.
+
+    def connection_made(self, transport: BaseTransport) -> None:
+        """Take over a new connection."""
+        self.transport = cast(Transport, transport)
+        self.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        if self.on_connected is not None:
+            self.on_connected(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Keep bytes until they are read; above the limit stop receiving."""
+        if self.discarding:
+            return
+        self.received.append(data)
+        self.received_bytes += len(data)
+        self.readable.set()
+        if self.received_bytes <= READ_BUFFER_BYTES:
+            return
+        if self.on_end is None:
+            self.transport.pause_reading()
+        else:
+            self._overrun()
+
+    def eof_received(self) -> bool:
+        """Take the other side's end as the connection's end."""
+        self._end()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Release everyone who waits on this connection."""
+        self.failure = exc
+        self.lost.set()
+        self.writable.set()
+        self._end()
+
+    def pause_writing(self) -> None:
+        """Make writers wait."""
+        self.writable.clear()
+
+    def resume_writing(self) -> None:
+        """Let writers go on."""
+        self.writable.set()
+
+    # Called by the owner.
+
+    async def read(self) -> bytes:
+        """Return the bytes that have come, at least one; none at the end."""
+        while not self.received and not self.ended:
+            self.readable.clear()
+            await self.readable.wait()
+        data = self.received[0] if len(self.received) == 1 else b"".join(self.received)
+        self.received.clear()
+        if self.received_bytes > READ_BUFFER_BYTES and not self.ended:
+            self.transport.resume_reading()
+        self.received_bytes = 0
+        return data
+
+    def post(self, data: bytes) -> None:
+        """Send ``data`` at the end of this iteration of the event loop."""
+        self.outgoing.append(data)
+        self.outgoing_bytes += len(data)
+        if self.flushing is None:
+            self.flushing = get_running_loop().call_soon(self.flush)
+
+    def flush(self) -> None:
+        """Hand everything posted to the socket, in one write."""
+        if self.flushing is not None:
+            self.flushing.cancel()
+            self.flushing = None
+        if self.outgoing and not self.transport.is_closing():
+            self.transport.writelines(self.outgoing)
+        self.outgoing.clear()
+        self.outgoing_bytes = 0
+
+    async def drain(self, limit: float | None = None) -> bool:
+        """Wait until more may be posted; return whether it still can be sent.
+
+        Raises ``SlowReaderError`` if the other side takes nothing for ``limit``
+        seconds.
+        """
+        if self.outgoing_bytes >= WRITE_BUFFER_BYTES:
+            self.flush()
+        if not self.writable.is_set():
+            await self._wait_writable(limit)
+        return not self.transport.is_closing()
+
+    def unsent_bytes(self) -> int:
+        """Return how many bytes wait to be taken by the socket."""
+        return self.outgoing_bytes + self.transport.get_write_buffer_size()
+
+    def is_quiet(self) -> bool:
+        """Return whether nothing was received, and nothing waits to be sent."""
+        return not (self.received or self.ended or self.unsent_bytes())
+
+    def discard(self) -> None:
+        """Drop everything that was received and all that will be."""
+        self.discarding = True
+        if self.received_bytes > READ_BUFFER_BYTES and not self.ended:
+            self.transport.resume_reading()
+        self.received.clear()
+        self.received_bytes = 0
+
+    async def close(self, limit: float) -> None:
+        """Send what was posted and close; after ``limit`` seconds, drop it."""
+        self.flush()
+        self.transport.close()
+        try:
+            async with timeout(limit):
+                await self.lost.wait()
+        except TimeoutError:
+            self.transport.abort()
+
+    def abort(self) -> None:
+        """Close at once; what is buffered is dropped."""
+        self.outgoing.clear()
+        self.outgoing_bytes = 0
+        self.transport.abort()
+
+    def reset(self) -> None:
+        """Close at once so that the other side sees a reset, not an end."""
+        socket = self.transport.get_extra_info("socket")
+        if socket is not None and not self.lost.is_set():
+            socket.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
+        self.abort()
+
+    async def _wait_writable(self, limit: float | None) -> None:
+        try:
+            async with timeout(limit):
+                await self.writable.wait()
+        except TimeoutError:
+            raise SlowReaderError(f"nothing could be sent for {limit} s") from None
+
+    def _overrun(self) -> None:
+        self.overrun = True
+        self.discard()
+
+    def _end(self) -> None:
+        if self.ended:
+            return
+        self.ended = True
+        self.readable.set()
+        if self.on_end is not None:
+            self.on_end()
--- /dev/null
+++ b/libs/transport/src/clementinebend_transport/client_connection.py
@@ -0,0 +1,166 @@
+"""One HTTP connection to a server, and the answer that comes over it.
+
+Source: RFC 9112; parsing by ``h11``.
+"""
+
+from asyncio import get_running_loop
+from collections.abc import AsyncIterator, Callable
+from select import POLLIN, poll
+from typing import NamedTuple
+
+from h11 import (
+    CLIENT,
+    DONE,
+    NEED_DATA,
+    Data,
+    EndOfMessage,
+    InformationalResponse,
+    LocalProtocolError,
+    RemoteProtocolError,
+)
+from h11 import Connection as Parser
+from h11 import Event as HttpEvent
+from h11 import Request as HttpRequest
+from h11 import Response as HttpResponse
+
+from clementinebend_transport.channel import Channel
+from clementinebend_transport.exceptions import TruncatedAnswer
+
+MAX_ANSWER_HEADER_BYTES = 64 * 1024
+
+
+class Address(NamedTuple):
+    """Where a server listens."""
+
+    host: str
+    port: int
+
+
+class ClientConnection:
+    """A connection to ``address``; it carries one request at a time."""
+
+    def __init__(self, channel: Channel, address: Address) -> None:
+        self.channel = channel
+        self.address = address
+        self.parser = Parser(CLIENT, max_incomplete_event_size=MAX_ANSWER_HEADER_BYTES)
+        self.idle_since = 0.0
+
+    def is_fresh(self) -> bool:
+        """Return whether an idle connection may carry another request.
+
+        Bytes that nobody asked for, or an end that the event loop has not
+        seen yet, make it useless.
+        """
+        transport = self.channel.transport
+        if transport.is_closing() or not self.channel.is_quiet():
+            return False
+        poller = poll()
+        poller.register(transport.get_extra_info("socket").fileno(), POLLIN)
+        return not poller.poll(0)
+
+    def send(self, request: HttpRequest, body: bytes) -> None:
+        """Send a whole request."""
+        self._post(request)
+        if body:
+            self._post(Data(data=body))
+        self._post(EndOfMessage())
+        self.channel.flush()
+
+    async def read_head(self) -> HttpResponse:
+        """Return the final head of the answer.
+
+        Raises ``TruncatedAnswer`` if there is none.
+        """
+        while isinstance(event := await self._next_event(), InformationalResponse):
+            continue
+        if isinstance(event, HttpResponse):
+            return event
+        raise TruncatedAnswer("the connection ended before an answer")
+
+    async def read_piece(self) -> bytes | None:
+        """Return the next piece of the answer's body; ``None`` at its end.
+
+        Raises ``TruncatedAnswer`` if the body is not whole.
+        """
+        event = await self._next_event()
+        if isinstance(event, Data):
+            return bytes(event.data)
+        if isinstance(event, EndOfMessage) and self.channel.failure is None:
+            return None
+        raise TruncatedAnswer("the connection ended before the answer was whole")
+
+    def is_reusable(self) -> bool:
+        """Return whether the exchange left the connection in order."""
+        are_done = all(state is DONE for state in self.parser.states.values())
+        return are_done and self.channel.is_quiet() and not self.parser.trailing_data[0]
+
+    def next_exchange(self, now: float) -> None:
+        """Make ready for another request; the connection is idle from ``now``."""
+        self.parser.start_next_cycle()
+        self.idle_since = now
+
+    def abort(self) -> None:
+        """Close at once."""
+        self.channel.abort()
+
+    def _post(self, event: HttpEvent) -> None:
+        for data in self.parser.send_with_data_passthrough(event) or ():
+            self.channel.post(data)
+
+    async def _next_event(self) -> object:
+        try:
+            while (event := self.parser.next_event()) is NEED_DATA:
+                self.parser.receive_data(await self.channel.read())
+        except (RemoteProtocolError, LocalProtocolError) as error:
+            raise TruncatedAnswer(f"the answer is not whole: {error}") from error
+        return event
+
+
+class AnswerChunks(AsyncIterator[bytes]):
+    """The body of an open answer, piece by piece as it comes."""
+
+    def __init__(
+        self,
+        connection: ClientConnection,
+        release: Callable[[ClientConnection], None],
+        drop: Callable[[ClientConnection], None],
+    ) -> None:
+        self.connection = connection
+        self.release = release
+        self.drop = drop
+        self.is_ended = False
+
+    async def __anext__(self) -> bytes:
+        """Return the next piece.
+
+        Raises ``TruncatedAnswer`` if the body ends before it is whole.
+        """
+        if self.is_ended:
+            raise StopAsyncIteration
+        try:
+            piece = await self.connection.read_piece()
+        except TruncatedAnswer:
+            self.close()
+            raise
+        if piece is not None:
+            return piece
+        self.is_ended = True
+        self.release(self.connection)
+        raise StopAsyncIteration
+
+    async def aclose(self) -> None:
+        """Stop reading; see ``close``."""
+        self.close()
+
+    def close(self) -> None:
+        """Stop reading: unless the body has ended, the connection is closed."""
+        if not self.is_ended:
+            self.is_ended = True
+            self.drop(self.connection)
+
+
+async def connect(address: Address) -> ClientConnection:
+    """Open a connection; raises ``OSError`` if that fails."""
+    loop = get_running_loop()
+    _, channel = await loop.create_connection(Channel, *address)
+    return ClientConnection(channel, address)
--- /dev/null
+++ b/libs/transport/src/clementinebend_transport/http_client.py
@@ -0,0 +1,247 @@
+"""An HTTP/1.1 client that reuses connections and never repeats a request.
+
+Failures are values that tell whether any byte of the request could have gone
+out; the caller decides on retries.
+"""
+
+from asyncio import get_running_loop, timeout_at
+from collections import defaultdict, deque
+from collections.abc import AsyncIterator, Callable, Iterable
+from typing import NamedTuple
+from urllib.parse import urlsplit
+
+from expression import Error, Ok, Result
+from h11 import LocalProtocolError
+from h11 import Request as HttpRequest
+from h11 import Response as HttpResponse
+
+from clementinebend_transport.client_connection import (
+    Address,
+    AnswerChunks,
+    ClientConnection,
+    connect,
+)
+from clementinebend_transport.exceptions import TruncatedAnswer
+
+__all__ = ["Answer", "HttpClient", "HttpFailure", "OpenAnswer", "TruncatedAnswer"]
+
+DEFAULT_PORT = 80
+MAX_IDLE_PER_HOST = 64
+MAX_IDLE_SECONDS = 30.0
+"""Idle connections older than this are closed, before most servers do."""
+
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+"""The largest body of a whole answer."""
+
+
+class Answer(NamedTuple):
+    """A whole answer; names of ``headers`` are in lower case."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class OpenAnswer(NamedTuple):
+    """An answer whose body is still to come.
+
+    ``chunks`` raises ``TruncatedAnswer`` if the body ends before it is whole.
+    Whoever does not read it to its end calls ``close``, which closes the
+    connection.
+    """
+
+    status: int
+    headers: dict[str, str]
+    chunks: AsyncIterator[bytes]
+    close: Callable[[], None]
+
+
+class HttpFailure(NamedTuple):
+    """No whole answer; ``sent`` false proves that no byte of the request left."""
+
+    sent: bool
+    message: str
+
+
+class _Target(NamedTuple):
+    """A request that is ready to go, and where to."""
+
+    address: Address
+    request: HttpRequest
+
+
+class HttpClient:
+    """Connections to any number of servers, kept open for reuse."""
+
+    def __init__(self) -> None:
+        self.idle: defaultdict[Address, deque[ClientConnection]] = defaultdict(deque)
+        self.busy: set[ClientConnection] = set()
+        self.is_closed = False
+
+    async def request(
+        self,
+        method: str,
+        url: str,
+        headers: Iterable[tuple[str, str]] = (),
+        body: bytes = b"",
+        timeout: float = 10.0,
+    ) -> Result[Answer, HttpFailure]:
+        """Send a request and return the whole answer, within ``timeout`` seconds."""
+        deadline = get_running_loop().time() + timeout
+        opened = await self.open(method, url, headers, body, timeout)
+        if opened.is_error():
+            return Error(opened.error)
+        answer = opened.ok
+        try:
+            async with timeout_at(deadline):
+                whole = await _read_whole(answer.chunks)
+        except TimeoutError:
+            return Error(HttpFailure(True, f"{method} {url}: the answer took too long"))
+        except TruncatedAnswer as error:
+            return Error(HttpFailure(True, f"{method} {url}: {error}"))
+        finally:
+            answer.close()
+        return Ok(Answer(answer.status, answer.headers, whole))
+
+    async def open(
+        self,
+        method: str,
+        url: str,
+        headers: Iterable[tuple[str, str]] = (),
+        body: bytes = b"",
+        timeout: float = 10.0,
+    ) -> Result[OpenAnswer, HttpFailure]:
+        """Send a request and return the answer as soon as its head has come.
+
+        ``timeout`` (seconds) ends with the head: the body has no limit.
+        """
+        deadline = get_running_loop().time() + timeout
+        target = _target(method, url, headers, body)
+        if isinstance(target, str):
+            return Error(HttpFailure(False, f"{method} {url}: {target}"))
+        connection = await self._connection(target.address, deadline)
+        if isinstance(connection, str):
+            return Error(HttpFailure(False, f"{method} {url}: {connection}"))
+        exchanged = await self._exchange(connection, target.request, body, deadline)
+        return exchanged.map_error(
+            lambda failure: HttpFailure(
+                failure.sent, f"{method} {url}: {failure.message}"
+            )
+        )
+
+    async def close(self) -> None:
+        """Close all connections; open answers are cut off."""
+        self.is_closed = True
+        for connection in (*self.busy, *_all(self.idle.values())):
+            connection.abort()
+        self.busy.clear()
+        self.idle.clear()
+
+    async def _exchange(
+        self,
+        connection: ClientConnection,
+        request: HttpRequest,
+        body: bytes,
+        deadline: float,
+    ) -> Result[OpenAnswer, HttpFailure]:
+        self.busy.add(connection)
+        head: HttpResponse | None = None
+        try:
+            async with timeout_at(deadline):
+                connection.send(request, body)
+                head = await connection.read_head()
+        except TimeoutError:
+            return Error(HttpFailure(True, "no answer in time"))
+        except TruncatedAnswer as error:
+            return Error(HttpFailure(True, str(error)))
+        finally:
+            if head is None:
+                self._drop(connection)
+        chunks = AnswerChunks(connection, self._release, self._drop)
+        return Ok(OpenAnswer(head.status_code, _headers(head), chunks, chunks.close))
+
+    async def _connection(
+        self, address: Address, deadline: float
+    ) -> ClientConnection | str:
+        """Return a fresh idle connection or a new one, or why there is none."""
+        if self.is_closed:
+            return "the client is closed"
+        connection = self._take_idle(address)
+        if connection is not None:
+            return connection
+        try:
+            async with timeout_at(deadline):
+                return await connect(address)
+        except TimeoutError:
+            return "no connection in time"
+        except OSError as error:
+            return f"cannot connect: {error}"
+
+    def _take_idle(self, address: Address) -> ClientConnection | None:
+        oldest_use = get_running_loop().time() - MAX_IDLE_SECONDS
+        idle = self.idle.get(address)
+        while idle:
+            connection = idle.pop()
+            if connection.idle_since >= oldest_use and connection.is_fresh():
+                return connection
+            connection.abort()
+        self.idle.pop(address, None)
+        return None
+
+    def _release(self, connection: ClientConnection) -> None:
+        """Keep a connection whose answer is whole, for the next request."""
+        self.busy.discard(connection)
+        idle = self.idle[connection.address]
+        if self.is_closed or not connection.is_reusable():
+            connection.abort()
+            return
+        if len(idle) >= MAX_IDLE_PER_HOST:
+            idle.popleft().abort()
+        connection.next_exchange(get_running_loop().time())
+        idle.append(connection)
+
+    def _drop(self, connection: ClientConnection) -> None:
+        self.busy.discard(connection)
+        connection.abort()
+
+
+def _target(
+    method: str, url: str, headers: Iterable[tuple[str, str]], body: bytes
+) -> _Target | str:
+    """Return the request to send, or why it cannot be sent."""
+    try:
+        parts = urlsplit(url)
+        port = parts.port or DEFAULT_PORT
+        host = parts.hostname
+        path = parts._replace(scheme="", netloc="", fragment="").geturl() or "/"
+        framing = (
+            ("host", parts.netloc.rpartition("@")[2]),
+            ("content-length", str(len(body))),
+        )
+        request = HttpRequest(method=method, target=path, headers=[*framing, *headers])
+    except (ValueError, LocalProtocolError) as error:
+        return f"not a valid request: {error}"
+    if parts.scheme != "http" or host is None:
+        return "only URLs of the form http://host:port/path are supported"
+    return _Target(Address(host, port), request)
+
+
+async def _read_whole(chunks: AsyncIterator[bytes]) -> bytes:
+    pieces: list[bytes] = []
+    size = 0
+    async for piece in chunks:
+        size += len(piece)
+        if size > MAX_ANSWER_BYTES:
+            raise TruncatedAnswer(f"the answer is larger than {MAX_ANSWER_BYTES} bytes")
+        pieces.append(piece)
+    return b"".join(pieces)
+
+
+def _headers(head: HttpResponse) -> dict[str, str]:
+    return {
+        name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers
+    }
+
+
+def _all(groups: Iterable[Iterable[ClientConnection]]) -> Iterable[ClientConnection]:
+    return (connection for group in groups for connection in group)
--- /dev/null
+++ b/libs/transport/src/clementinebend_transport/http_server.py
@@ -0,0 +1,170 @@
+"""An HTTP/1.1 server that ends in order.
+
+Each connection is owned by one task; see ``http_connection``.
+"""
+
+from asyncio import (
+    Server,
+    Task,
+    create_task,
+    current_task,
+    get_running_loop,
+    sleep,
+    wait,
+)
+from logging import getLogger
+
+from clementinebend_transport.channel import Channel
+from clementinebend_transport.http_connection import (
+    DRAIN_GRACE_SECONDS,
+    HttpConnection,
+    linger,
+)
+from clementinebend_transport.http_types import (
+    Handler,
+    Request,
+    Response,
+    ServerLimits,
+    error_response,
+)
+from clementinebend_transport.metrics import counter
+
+__all__ = [
+    "Handler",
+    "HttpServer",
+    "Request",
+    "Response",
+    "ServerLimits",
+    "error_response",
+    "serve_http",
+]
+
+logger = getLogger(__name__)
+
+BACKLOG = 1024
+"""Connections that the kernel holds for us before we accept them."""
+
+ACCEPT_PASSES = 3
+"""Event loop iterations in which connections already made are accepted."""
+
+DEFAULT_LIMITS = ServerLimits()
+
+TOO_MANY_BODY = (
+    b'{"error":{"type":"not_run","reason":"overloaded",'
+    b'"message":"too many connections; retry later"}}'
+)
+TOO_MANY = (
+    b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\nretry-after: 1\r\n"
+    b"content-type: application/json\r\ncontent-length: %d\r\n\r\n%b"
+) % (len(TOO_MANY_BODY), TOO_MANY_BODY)
+"""The answer on a connection above the limit, before anything is read."""
+
+_refused = counter(
+    "clementinebend_http_connections_refused_total",
+    "Connections refused because there were too many.",
+)
+
+
+class HttpServer:
+    """A listening server; ``drain`` ends it in order, ``close`` at once."""
+
+    def __init__(self, handler: Handler, limits: ServerLimits) -> None:
+        self.handler = handler
+        self.limits = limits
+        self.host = ""
+        self.port = 0
+        self.listener: Server | None = None
+        self.connections: dict[Task[None], HttpConnection] = {}
+        self.refusals: set[Task[None]] = set()
+        self.is_draining = False
+
+    async def drain(self, timeout: float) -> bool:
+        """Stop accepting, and let requests in progress end whole.
+
+        Waits at most ``timeout`` seconds; returns whether all ended.
+        """
+        for _ in range(ACCEPT_PASSES):
+            await sleep(0)
+        self.is_draining = True
+        self._stop_listening()
+        for connection in self.connections.values():
+            connection.is_draining = True
+        grace = min(DRAIN_GRACE_SECONDS, timeout / 2)
+        get_running_loop().call_later(grace, self._close_idle)
+        tasks = tuple(self.connections)
+        pending = (await wait(tasks, timeout=timeout))[1] if tasks else ()
+        return not pending
+
+    async def close(self) -> None:
+        """Stop at once: requests in progress are cancelled and cut off."""
+        self._stop_listening()
+        tasks = (*self.connections, *self.refusals)
+        for connection in self.connections.values():
+            connection.channel.abort()
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            await wait(tasks)
+
+    def _stop_listening(self) -> None:
+        if self.listener is not None:
+            self.listener.close()
+            self.listener = None
+
+    def _close_idle(self) -> None:
+        for connection in self.connections.values():
+            if connection.is_idle and connection.channel.is_quiet():
+                connection.channel.transport.close()
+
+    def _on_connected(self, channel: Channel) -> None:
+        if len(self.connections) >= self.limits.max_connections:
+            self._refuse(channel)
+            return
+        connection = HttpConnection(channel, self.handler, self.limits)
+        connection.is_draining = self.is_draining
+        task = create_task(_serve(connection))
+        self.connections[task] = connection
+        task.add_done_callback(self._on_done)
+
+    def _on_done(self, task: Task[None]) -> None:
+        del self.connections[task]
+        if not task.cancelled() and task.exception() is not None:
+            logger.error("connection failed", exc_info=task.exception())
+
+    def _refuse(self, channel: Channel) -> None:
+        _refused.inc()
+        if len(self.refusals) >= self.limits.max_connections:
+            channel.abort()
+            return
+        task = create_task(_send_refusal(channel))
+        self.refusals.add(task)
+        task.add_done_callback(self.refusals.discard)
+
+
+async def serve_http(
+    handler: Handler, host: str, port: int, limits: ServerLimits = DEFAULT_LIMITS
+) -> HttpServer:
+    """Listen on ``host`` and ``port`` (0: a free one) and answer by ``handler``.
+
+    Raises ``OSError`` if the address cannot be bound.
+    """
+    server = HttpServer(handler, limits)
+    loop = get_running_loop()
+    listener = await loop.create_server(
+        lambda: Channel(server._on_connected), host, port, backlog=BACKLOG
+    )
+    server.listener = listener
+    server.host, server.port = listener.sockets[0].getsockname()[:2]
+    return server
+
+
+async def _serve(connection: HttpConnection) -> None:
+    task = current_task()
+    assert task is not None
+    await connection.serve(task)
+
+
+async def _send_refusal(channel: Channel) -> None:
+    channel.post(TOO_MANY)
+    await linger(channel)
+    channel.abort()
