--- /dev/null
+++ b/libs/platform_client/src/clementinebend_platform_client/exceptions.py
@@ -0,0 +1,70 @@
+"""Errors that stop the process, and failures that are handed back as values."""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+
+class BrokenInvariantError(Exception):
+    """Two facts contradict each other; going on could do harm.
+
+    The message names the stream and tells the operator what to look at.
+    """
+
+
+class PostRefusal(StrEnum):
+    """Why records were not logged."""
+
+    QUEUE_FULL = "queue_full"
+    TOO_LARGE = "too_large"
+    CLOSED = "closed"
+    NOT_READ_BACK = "not_read_back"
+
+
+class PostFailed(NamedTuple):
+    """Records that were not read back from the log.
+
+    With ``maybe_done`` they were sent, so they may be on the log all the
+    same; without it they never left this process.
+    """
+
+    reason: PostRefusal
+    maybe_done: bool
+    message: str
+
+
+class CoverageLost(NamedTuple):
+    """No checkpoint covers what the log has trimmed of a stream.
+
+    A reader cannot know the state of the stream and stays unready until
+    another reader, which still has that state, appends a checkpoint.
+    ``oldest`` is the first offset kept and ``end`` the next one expected.
+    """
+
+    stream: str
+    oldest: int
+    end: int
+
+
+class NewerSchema(NamedTuple):
+    """A batch was written under a schema that this version cannot read.
+
+    The reader stops before ``offset`` and this node must leave service.
+    """
+
+    stream: str
+    offset: int
+    schema_version: int
+
+
+class CallFailed(NamedTuple):
+    """A call to the platform or to an endpoint gave no usable answer.
+
+    ``sent`` is false only if it is proved that the call was not executed.
+    ``status`` is 0 if there was no answer at all; ``retry_after`` is in
+    seconds, 0 if the other side named no time.
+    """
+
+    sent: bool
+    message: str
+    status: int = 0
+    retry_after: float = 0.0
--- /dev/null
+++ b/tests/unit/platform_client/test_streams.py
@@ -0,0 +1,180 @@
+"""A writer and a tail together, over the log's faults."""
+
+from asyncio import Condition, gather
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack
+from itertools import count
+
+import pytest
+
+from clementinebend_platform_client.checkpoint_policy import CheckpointPolicy
+from clementinebend_platform_client.tail import StreamTail, TailSettings
+from clementinebend_platform_client.writer import StreamWriter
+from clementinebend_platform_client.writer_core import WriterSettings
+from clementinebend_records.identifiers import Incarnation
+from clementinebend_records.records import Batch, Checkpoint
+from tests.lib.fake_log import FakeLog
+from tests.lib.replica import Replica, top_up
+
+STREAM = "ledger-0"
+FAST = WriterSettings(
+    appends_per_second=1000.0,
+    share=1.0,
+    longest_interval=0.01,
+    first_backoff=0.001,
+    longest_backoff=0.01,
+    read_back_patience=1000.0,
+)
+NO_CHECKPOINTS = CheckpointPolicy(every=10**9, age=10**9, retention_margin=0.0)
+EAGER = CheckpointPolicy(every=4, stagger=0.0, urgent_stagger=0.0)
+
+
+class Node:
+    """One process: a writer, a tail and the state they serve."""
+
+    def __init__(
+        self,
+        log: FakeLog,
+        name: str,
+        policy: CheckpointPolicy = NO_CHECKPOINTS,
+        writer_settings: WriterSettings = FAST,
+    ) -> None:
+        client = log.client(name)
+        self.replica = Replica(STREAM)
+        self.outcomes: list[object] = []
+        self.errors: list[BaseException] = []
+        self.changed = Condition()
+        self.writer = StreamWriter(
+            client, STREAM, Incarnation(name), writer_settings, self.errors.append
+        )
+        self.tail = StreamTail(
+            client,
+            STREAM,
+            self.on_batch,
+            self.on_restore,
+            make_checkpoint=self.replica.checkpoint,
+            writer=self.writer,
+            on_outcome=self.outcomes.append,
+            settings=TailSettings(
+                limit=3,
+                wait=0.01,
+                first_backoff=0.001,
+                longest_backoff=0.01,
+                policy=policy,
+            ),
+            on_broken=self.errors.append,
+        )
+
+    def on_batch(self, offset: int, batch: Batch) -> None:
+        self.replica.on_batch(offset, batch)
+        self.writer.on_read(offset, batch)
+
+    def on_restore(self, checkpoint: Checkpoint) -> None:
+        self.replica.restore(checkpoint)
+        last = self.replica.sequences.get(self.writer.writer, 0)
+        self.writer.on_restored(checkpoint.offset, last)
+
+    async def post(self, name: str) -> int:
+        outcome = await self.writer.post((top_up(name),))
+        assert outcome.is_ok(), outcome
+        return outcome.ok
+
+    async def stop(self) -> None:
+        await self.writer.close(0.0)
+        await self.tail.close()
+
+
+class Fleet:
+    """Nodes on one log, all stopped at the end of a test."""
+
+    def __init__(self) -> None:
+        self.log = FakeLog()
+        self.stack = AsyncExitStack()
+        self.names = count()
+
+    def node(
+        self,
+        policy: CheckpointPolicy = NO_CHECKPOINTS,
+        writer_settings: WriterSettings = FAST,
+    ) -> Node:
+        node = Node(self.log, f"n{next(self.names)}", policy, writer_settings)
+        self.stack.push_async_callback(node.stop)
+        return node
+
+    async def until(self, condition: Callable[[], bool]) -> None:
+        """Wait until ``condition`` holds; it is looked at with each call."""
+        await self.log.wait_until(condition)
+
+    async def caught_up(self, node: Node) -> None:
+        """Wait until the node is ready at the log's end."""
+        end = self.log.stream(STREAM).end
+        await self.until(lambda: node.tail.ready.is_set() and position(node) >= end)
+
+
+def position(node: Node) -> int:
+    return node.tail.state.position
+
+
+@pytest.fixture
+async def fleet() -> AsyncIterator[Fleet]:
+    fleet = Fleet()
+    async with fleet.stack:
+        yield fleet
+
+
+async def test_post_resolves_when_read_back_not_when_acknowledged(
+    fleet: Fleet,
+) -> None:
+    node = fleet.node()
+    await fleet.log.set(deaf=True)
+    future = node.writer.post((top_up("a"),))
+    await fleet.until(lambda: fleet.log.stream(STREAM).end == 1)
+    await fleet.until(lambda: node.writer.failing_since is None)
+    assert not future.done()
+    await fleet.log.set(deaf=False)
+    outcome = await future
+    assert outcome.ok == 0
+    assert node.replica.applied == ["a"]
+    assert node.writer.delay > 0
+
+
+async def test_lost_answers_are_applied_once(fleet: Fleet) -> None:
+    node, other = fleet.node(), fleet.node()
+    await fleet.log.set(deaf=True, lose_answers=3)
+    future = node.writer.post((top_up("a"),))
+    await fleet.until(lambda: fleet.log.lose_answers == 0)
+    await fleet.log.set(deaf=False)
+    assert (await future).is_ok()
+    await node.post("b")
+    await fleet.caught_up(node)
+    await fleet.caught_up(other)
+    assert len(fleet.log.batches(STREAM)) > len(node.replica.applied)
+    assert node.replica.applied == other.replica.applied == ["a", "b"]
+
+
+async def test_a_lost_answer_that_was_read_back_is_not_appended_again(
+    fleet: Fleet,
+) -> None:
+    node = fleet.node(writer_settings=FAST._replace(first_backoff=1000.0))
+    await fleet.log.set(lose_answers=1)
+    assert await node.post("a") == 0
+    assert await node.post("b") == 1
+    assert fleet.log.appends[STREAM] == 2
+
+
+async def test_two_writers_with_repeats_keep_their_own_order(fleet: Fleet) -> None:
+    nodes = [fleet.node(), fleet.node()]
+    await fleet.log.set(lose_answers=10)
+    names = [[f"{node.writer.writer}-{i}" for i in range(20)] for node in nodes]
+    posts = [
+        node.post(name) for node, own in zip(nodes, names, strict=True) for name in own
+    ]
+    await gather(*posts)
+    cold = fleet.node()
+    for node in (*nodes, cold):
+        await fleet.caught_up(node)
+    for node in nodes:
+        applied = node.replica.applied
+        assert [name for name in applied if name in names[0]] == names[0]
+        assert [name for name in applied if name in names[1]] == names[1]
+        assert applied == cold.replica.applied
