Prove replay of the configuration against racing operators

Cause: one winner on each base is promised on every node. Before: only single cases were tried. After: a stateful test of three operators and five readers of both schemas over a log with lost answers, repeats and checkpoints agrees with a plain loop over the log.

--- /dev/null
+++ b/tests/unit/declarations/test_stateful_replay.py
@@ -0,0 +1,305 @@
+"""Racing operators over a log that loses answers, against a simple oracle."""
+
+from collections.abc import Callable
+from copy import deepcopy
+from os import environ
+from typing import Any, NamedTuple
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from clementinebend_declarations.replay import (
+    configuration_checkpoint,
+    configuration_digest,
+    configuration_of,
+    empty_configuration,
+    replay_configuration,
+    restore_configuration,
+)
+from clementinebend_declarations.state import (
+    Activated,
+    ConfigurationState,
+    Conflict,
+    Diverged,
+    Published,
+    Rejected,
+    Unreadable,
+    document_of,
+)
+from clementinebend_records.codec import decode_batch, encode_batch
+from clementinebend_records.identifiers import Incarnation
+from clementinebend_records.records import Batch, Publication, Record
+from tests.unit.declarations.samples import activation, document, publication
+
+FUZZ = environ.get("CLEMENTINEBEND_FUZZ") == "1"
+READABLE = (2, 2, 2, 1, 1)
+"""The newest schema that each reader can read; the first are operators'."""
+
+OPERATORS = 3
+STEPS = 50
+
+operators = st.integers(0, OPERATORS - 1)
+readers = st.integers(0, len(READABLE) - 1)
+
+
+class Pending(NamedTuple):
+    """A batch that its operator has not read back yet."""
+
+    batch: Batch
+    valid: bool
+
+
+class Entry(NamedTuple):
+    """What the oracle needs to know of one append."""
+
+    batch: Batch
+    valid: bool
+
+
+class Oracle(NamedTuple):
+    """Revision, activated schema and winners by a plain loop over the log."""
+
+    revision: int
+    activated: int
+    winners: dict[int, int]
+
+
+def oracle(log: list[Entry]) -> Oracle:
+    """Accept each batch once, on its base only, and only if it is valid."""
+    seen: set[tuple[str, int]] = set()
+    state = Oracle(0, 1, {})
+    for offset, (batch, valid) in enumerate(log):
+        identity = (batch.writer, batch.sequence)
+        record: Any = batch.records[0]
+        is_new = identity not in seen
+        seen.add(identity)
+        base = getattr(record, "base_revision", None)
+        if not (is_new and valid and base == state.revision):
+            continue
+        activated = state.activated
+        if not isinstance(record, Publication):
+            activated = record.schema_version
+        revision = state.revision + 1
+        state = Oracle(revision, activated, state.winners | {revision: offset})
+    return state
+
+
+def add_team(changed: dict[str, Any], number: int) -> bool:
+    changed.setdefault("teams", {})[f"team-{number}"] = {"key_digests": []}
+    return True
+
+
+def add_top_up(changed: dict[str, Any], number: int) -> bool:
+    top_up = {"id": f"top-{number}", "tokens": 1 + number}
+    budget = changed["budgets"]["kosice-lookups"]
+    budget["top_ups"] = [*budget["top_ups"], top_up]
+    return True
+
+
+def change_top_up(changed: dict[str, Any], number: int) -> bool:
+    changed["budgets"]["kosice-lookups"]["top_ups"][0]["tokens"] += 1 + number
+    return False
+
+
+def break_reference(changed: dict[str, Any], number: int) -> bool:
+    changed["endpoints"]["engine-1"]["service"] = f"none-{number}"
+    return False
+
+
+EDITS: tuple[Callable[[dict[str, Any], int], bool], ...] = (
+    add_team,
+    add_team,
+    add_top_up,
+    change_top_up,
+    break_reference,
+)
+
+
+class Race(RuleBasedStateMachine):
+    """Operators publish from what they have read; readers read at will."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.log: list[Entry] = []
+        self.states: list[ConfigurationState] = [
+            empty_configuration() for _ in READABLE
+        ]
+        self.lives = [0] * OPERATORS
+        self.sequences = [0] * OPERATORS
+        self.pending: list[Pending | None] = [None] * OPERATORS
+        self.digests: dict[int, str] = {}
+        self.winners: dict[int, int] = {}
+        self.numbers = 0
+
+    def append(self, entry: Entry) -> None:
+        decoded = decode_batch(encode_batch(entry.batch))
+        assert isinstance(decoded, Batch)
+        self.log.append(Entry(decoded, entry.valid))
+
+    def post(self, operator: int, record: Record, valid: bool, arrives: bool) -> None:
+        writer = Incarnation(f"operator-{operator}#{self.lives[operator]}")
+        self.sequences[operator] += 1
+        batch = Batch(writer, self.sequences[operator], (record,))
+        self.pending[operator] = Pending(batch, valid)
+        if arrives:
+            self.append(Entry(batch, valid))
+
+    @rule(
+        operator=operators,
+        edit=st.sampled_from(EDITS),
+        upgrade=st.booleans(),
+        wrong_digest=st.integers(0, 9),
+        arrives=st.booleans(),
+    )
+    def publish(
+        self, operator: int, edit: Any, upgrade: bool, wrong_digest: int, arrives: bool
+    ) -> None:
+        """Publish an edit; the answer, and perhaps the append, are lost."""
+        if self.pending[operator]:
+            return
+        state = self.states[operator]
+        changed = deepcopy(document_of(state)) or document()
+        activated = configuration_of(state).activated_schema
+        self.numbers += 1
+        valid = edit(changed, self.numbers)
+        is_first = not document_of(state)
+        if is_first and edit is change_top_up:
+            valid = True
+        if upgrade and changed.get("schema_version", 1) == 1:
+            changed["schema_version"] = 2
+            valid = valid and activated > 1
+        record = publication(state, changed)
+        if not wrong_digest:
+            record, valid = record._replace(digest="0" * 24), False
+        self.post(operator, record, valid, arrives)
+
+    @rule(operator=operators, skip=st.integers(0, 3), arrives=st.booleans())
+    def activate(self, operator: int, skip: int, arrives: bool) -> None:
+        """Raise the schema, sometimes to one that cannot follow."""
+        if self.pending[operator]:
+            return
+        state = self.states[operator]
+        activated = configuration_of(state).activated_schema
+        version = 2 if skip else activated + 2
+        valid = version == activated + 1
+        self.post(operator, activation(state, version), valid, arrives)
+
+    @rule(operator=operators)
+    def append_again(self, operator: int) -> None:
+        """Append the same batch again, since no answer came."""
+        pending = self.pending[operator]
+        if pending:
+            self.append(Entry(pending.batch, pending.valid))
+
+    @rule(operator=operators)
+    def restart(self, operator: int) -> None:
+        """Lose the operator's shell; its batch may turn up all the same."""
+        self.pending[operator] = None
+        self.lives[operator] += 1
+        self.sequences[operator] = 0
+
+    @rule(position=st.integers(0, 200))
+    @precondition(lambda self: self.log)
+    def duplicate(self, position: int) -> None:
+        """Let the log deliver an older append once more."""
+        self.log.append(self.log[position % len(self.log)])
+
+    @rule(reader=readers, count=st.integers(1, 8))
+    def read(self, reader: int, count: int) -> None:
+        """Read on, and look at every outcome."""
+        for _ in range(count):
+            self.read_one(reader)
+
+    def read_one(self, reader: int) -> None:
+        before = self.states[reader]
+        offset = before.offset + 1
+        if offset >= len(self.log):
+            return
+        batch = self.log[offset].batch
+        after, outcomes = replay_configuration(before, offset, batch, READABLE[reader])
+        old, new = configuration_of(before), configuration_of(after)
+        assert old.revision <= new.revision <= old.revision + 1
+        for outcome in outcomes:
+            self.check_outcome(outcome, after)
+        if after.offset == offset:
+            digest = configuration_digest(after)
+            assert self.digests.setdefault(offset, digest) == digest
+        else:
+            assert after == before and READABLE[reader] < new.activated_schema
+        self.states[reader] = after
+        self.take_read_back(reader)
+
+    def check_outcome(self, outcome: Any, after: ConfigurationState) -> None:
+        assert not isinstance(outcome, Diverged)
+        if isinstance(outcome, Published | Activated):
+            offset = self.winners.setdefault(outcome.revision, outcome.offset)
+            assert offset == outcome.offset
+        if isinstance(outcome, Unreadable):
+            assert outcome.version == configuration_of(after).activated_schema
+        if isinstance(outcome, Conflict | Rejected):
+            assert outcome.offset not in self.winners.values()
+
+    def take_read_back(self, reader: int) -> None:
+        pending = self.pending[reader] if reader < OPERATORS else None
+        if pending:
+            last = self.states[reader].sequences.get(pending.batch.writer, 0)
+            if last >= pending.batch.sequence:
+                self.pending[reader] = None
+
+    @rule(source=readers, reader=readers)
+    def restore(self, source: int, reader: int) -> None:
+        """Hand a checkpoint to another reader, which may be ahead of it."""
+        checkpoint = configuration_checkpoint(self.states[source])
+        before = self.states[reader]
+        after = restore_configuration(checkpoint, before)
+        assert after.offset == max(before.offset, checkpoint.offset)
+        assert configuration_of(after).revision >= configuration_of(before).revision
+        self.states[reader] = after
+        self.take_read_back(reader)
+
+    @rule(source=readers, reader=readers)
+    def start_cold(self, source: int, reader: int) -> None:
+        """Replace a reader by one that has the checkpoint alone."""
+        if source == reader or self.states[source].offset < self.states[reader].offset:
+            return
+        checkpoint = configuration_checkpoint(self.states[source])
+        self.states[reader] = restore_configuration(checkpoint)
+
+    @rule(reader=readers)
+    def append_checkpoint(self, reader: int) -> None:
+        """Append a checkpoint, which every reader compares with its own."""
+        checkpoint = configuration_checkpoint(self.states[reader])
+        self.numbers += 1
+        writer = Incarnation(f"node-{reader}#{self.numbers}")
+        self.append(Entry(Batch(writer, 1, (checkpoint,)), False))
+
+    @invariant()
+    def winners_are_the_oracles(self) -> None:
+        """Compare the winners seen so far with the plain loop's."""
+        expected = oracle(self.log).winners
+        assert self.winners.items() <= expected.items()
+
+    def teardown(self) -> None:
+        """Let everyone read to the end, and compare with the oracle."""
+        for reader in range(len(READABLE)):
+            for _ in self.log:
+                self.read_one(reader)
+        expected = oracle(self.log)
+        for state, readable in zip(self.states, READABLE, strict=True):
+            configuration = configuration_of(state)
+            if readable < expected.activated:
+                assert configuration.activated_schema > readable
+                continue
+            assert configuration.revision == expected.revision
+            assert configuration.activated_schema == expected.activated
+            assert state.offset == len(self.log) - 1
+
+
+TestRace = Race.TestCase
+TestRace.settings = settings(
+    max_examples=1_500 if FUZZ else 80,
+    stateful_step_count=STEPS,
+    derandomize=not FUZZ,
+    deadline=None,
+)
