Split reading from answering; end a planned stop without losing accepts

Cause: one module read, answered and refused; and closing a listener drops connections that asyncio has accepted but not set up. Ruled out: closing first and waiting after, which loses just these. After: http_reader, http_connection and http_events; the listener closes after its accepted connections are set up.

--- a/libs/transport/src/clementinebend_transport/client_connection.py
+++ b/libs/transport/src/clementinebend_transport/client_connection.py
@@ -10,8 +10,6 @@
 
 from h11 import (
     CLIENT,
-    DONE,
-    NEED_DATA,
     Data,
     EndOfMessage,
     InformationalResponse,
@@ -19,12 +17,12 @@
     RemoteProtocolError,
 )
 from h11 import Connection as Parser
-from h11 import Event as HttpEvent
 from h11 import Request as HttpRequest
 from h11 import Response as HttpResponse
 
 from clementinebend_transport.channel import Channel
 from clementinebend_transport.exceptions import TruncatedAnswer
+from clementinebend_transport.http_events import is_cycle_done, next_event, post_event
 
 MAX_ANSWER_HEADER_BYTES = 64 * 1024
 
@@ -60,10 +58,9 @@
 
     def send(self, request: HttpRequest, body: bytes) -> None:
         """Send a whole request."""
-        self._post(request)
-        if body:
-            self._post(Data(data=body))
-        self._post(EndOfMessage())
+        data = (Data(data=body),) if body else ()
+        for event in (request, *data, EndOfMessage()):
+            post_event(self.parser, self.channel, event)
         self.channel.flush()
 
     async def read_head(self) -> HttpResponse:
@@ -85,14 +82,14 @@
         event = await self._next_event()
         if isinstance(event, Data):
             return bytes(event.data)
-        if isinstance(event, EndOfMessage) and self.channel.failure is None:
+        if isinstance(event, EndOfMessage):
             return None
         raise TruncatedAnswer("the connection ended before the answer was whole")
 
     def is_reusable(self) -> bool:
         """Return whether the exchange left the connection in order."""
-        are_done = all(state is DONE for state in self.parser.states.values())
-        return are_done and self.channel.is_quiet() and not self.parser.trailing_data[0]
+        is_clean = self.channel.is_quiet() and not self.parser.trailing_data[0]
+        return is_clean and is_cycle_done(self.parser)
 
     def next_exchange(self, now: float) -> None:
         """Make ready for another request; the connection is idle from ``now``."""
@@ -103,17 +100,11 @@
         """Close at once."""
         self.channel.abort()
 
-    def _post(self, event: HttpEvent) -> None:
-        for data in self.parser.send_with_data_passthrough(event) or ():
-            self.channel.post(data)
-
     async def _next_event(self) -> object:
         try:
-            while (event := self.parser.next_event()) is NEED_DATA:
-                self.parser.receive_data(await self.channel.read())
+            return await next_event(self.parser, self.channel)
         except (RemoteProtocolError, LocalProtocolError) as error:
             raise TruncatedAnswer(f"the answer is not whole: {error}") from error
-        return event
 
 
 class AnswerChunks(AsyncIterator[bytes]):
--- a/libs/transport/src/clementinebend_transport/http_client.py
+++ b/libs/transport/src/clementinebend_transport/http_client.py
@@ -22,6 +22,7 @@
     connect,
 )
 from clementinebend_transport.exceptions import TruncatedAnswer
+from clementinebend_transport.http_events import headers_by_name
 
 __all__ = ["Answer", "HttpClient", "HttpFailure", "OpenAnswer", "TruncatedAnswer"]
 
@@ -158,7 +159,11 @@
             if head is None:
                 self._drop(connection)
         chunks = AnswerChunks(connection, self._release, self._drop)
-        return Ok(OpenAnswer(head.status_code, _headers(head), chunks, chunks.close))
+        return Ok(
+            OpenAnswer(
+                head.status_code, headers_by_name(head.headers), chunks, chunks.close
+            )
+        )
 
     async def _connection(
         self, address: Address, deadline: float
@@ -237,11 +242,5 @@
     return b"".join(pieces)
 
 
-def _headers(head: HttpResponse) -> dict[str, str]:
-    return {
-        name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers
-    }
-
-
 def _all(groups: Iterable[Iterable[ClientConnection]]) -> Iterable[ClientConnection]:
     return (connection for group in groups for connection in group)
--- a/libs/transport/src/clementinebend_transport/http_connection.py
+++ b/libs/transport/src/clementinebend_transport/http_connection.py
@@ -2,32 +2,26 @@
 
 The connection's task runs the handler. While it does, the caller's leaving
 cancels the task, and with it the handler or the body's iterator.
-Source: RFC 9112; parsing by ``h11``.
 """
 
-from asyncio import Task, timeout
+from asyncio import CancelledError, Task, timeout
 from collections.abc import AsyncIterator
 from contextlib import suppress
 from logging import getLogger
-from typing import NamedTuple
-
-from h11 import (
-    DONE,
-    NEED_DATA,
-    SERVER,
-    ConnectionClosed,
-    Data,
-    EndOfMessage,
-    InformationalResponse,
-    RemoteProtocolError,
-)
+
+from h11 import SERVER, Data, EndOfMessage
 from h11 import Connection as Parser
 from h11 import Event as HttpEvent
-from h11 import Request as HttpRequest
 from h11 import Response as HttpResponse
 
 from clementinebend_transport.channel import WRITE_BUFFER_BYTES, Channel
 from clementinebend_transport.exceptions import AnswerCutError, SlowReaderError
+from clementinebend_transport.http_events import is_cycle_done, post_event
+from clementinebend_transport.http_reader import (
+    ConnectionEnd,
+    Refusal,
+    RequestReader,
+)
 from clementinebend_transport.http_types import (
     Handler,
     Request,
@@ -47,7 +41,7 @@
 """How long a quiet connection stays open in a planned stop, for a request that
 is on its way."""
 
-CLOSE_HEADER = ("connection", "close")
+CLOSE_HEADER = (b"connection", b"close")
 BODILESS_STATUSES = frozenset((204, 304))
 FRAMING = frozenset(("content-length", "transfer-encoding", "connection"))
 """Headers that are the connection's own business."""
@@ -68,16 +62,7 @@
     "Connections closed because the caller did not take its answer.",
 )
 
-
-class Refusal(NamedTuple):
-    """A request that cannot be read, and the status that says so."""
-
-    status: int
-    message: str
-
-
-class ConnectionEnd(NamedTuple):
-    """The caller sent no further request."""
+Framing = tuple[tuple[bytes, bytes], ...]
 
 
 class HttpConnection:
@@ -90,23 +75,30 @@
         self.handler = handler
         self.limits = limits
         self.parser = Parser(SERVER, max_incomplete_event_size=limits.max_header_bytes)
+        self.reader = RequestReader(channel, self.parser, limits)
         self.idle_limit = min(limits.idle_timeout, limits.header_timeout)
-        self.is_idle = True
         self.is_draining = False
 
+    def is_idle(self) -> bool:
+        """Return whether no part of a request is here and no answer is going out."""
+        return self.reader.is_idle and self.channel.is_quiet()
+
     async def serve(self, task: Task[None]) -> None:
-        """Answer requests until the connection ends; ``task`` is the caller's."""
+        """Answer requests until the connection ends; ``task`` runs this."""
         try:
             while await self._serve_one(task):
                 self.parser.start_next_cycle()
                 self.idle_limit = self.limits.idle_timeout
+        except SlowReaderError:
+            _slow.inc()
+            self.channel.abort()
         finally:
-            self.channel.on_end = None
             await self.channel.close(self.limits.write_timeout)
 
     async def _serve_one(self, task: Task[None]) -> bool:
         """Answer the next request; return whether another may follow."""
-        request = await self._read_request()
+        idle_limit = DRAIN_GRACE_SECONDS if self.is_draining else self.idle_limit
+        request = await self.reader.read(idle_limit)
         if isinstance(request, ConnectionEnd):
             return False
         if isinstance(request, Refusal):
@@ -117,118 +109,45 @@
             return False
         return await self._answer_while_present(request, task) and self._may_go_on()
 
+    def _may_go_on(self) -> bool:
+        is_open = not self.channel.ended and not self.channel.overrun
+        return is_open and is_cycle_done(self.parser)
+
+    async def _refuse(self, refusal: Refusal) -> None:
+        """Answer an unreadable request and let the caller read the answer."""
+        response = error_response(refusal.status, "bad_request", refusal.message)
+        self.is_draining = True
+        await self._send_response("GET", response)
+        await linger(self.channel)
+
     async def _answer_while_present(self, request: Request, task: Task[None]) -> bool:
         """Answer; the caller's leaving cancels ``task``."""
         self.channel.on_end = task.cancel
         try:
-            return await self._answer(request)
+            response = await self._ask_handler(request, task)
+            return await self._send_response(request.method, response)
         finally:
             self.channel.on_end = None
             if self.channel.ended:
                 _abandoned.inc()
 
-    def _may_go_on(self) -> bool:
-        states = self.parser.states.values()
-        is_done = all(state is DONE for state in states)
-        return is_done and not self.channel.ended and not self.channel.overrun
-
-    # Reading.
-
-    async def _read_request(self) -> Request | Refusal | ConnectionEnd:
-        if not await self._wait_for_first_byte():
-            return ConnectionEnd()
-        try:
-            return await self._read_parts()
-        except RemoteProtocolError as error:
-            if self.channel.ended:
-                return ConnectionEnd()
-            return Refusal(error.error_status_hint, str(error))
-
-    async def _wait_for_first_byte(self) -> bool:
-        self.is_idle = True
-        with suppress(TimeoutError):
-            if not self.parser.trailing_data[0]:
-                async with timeout(self._idle_limit()):
-                    self.parser.receive_data(await self.channel.read())
-        self.is_idle = False
-        return bool(self.parser.trailing_data[0])
-
-    def _idle_limit(self) -> float:
-        return DRAIN_GRACE_SECONDS if self.is_draining else self.idle_limit
-
-    async def _read_parts(self) -> Request | Refusal | ConnectionEnd:
+    async def _ask_handler(self, request: Request, task: Task[None]) -> Response:
         try:
-            async with timeout(self.limits.header_timeout):
-                head = await self._next_event()
-        except TimeoutError:
-            return Refusal(408, "the request's headers took too long")
-        if not isinstance(head, HttpRequest):
-            return ConnectionEnd()
-        refusal = self._check_head(head)
-        if refusal is not None:
-            return refusal
-        if self.parser.they_are_waiting_for_100_continue:
-            self._send(InformationalResponse(status_code=100, headers=[]))
-        try:
-            async with timeout(self.limits.body_timeout):
-                body = await self._read_body()
-        except TimeoutError:
-            return Refusal(408, "the request's body took too long")
-        return _request(head, body) if isinstance(body, bytes) else body
-
-    def _check_head(self, head: HttpRequest) -> Refusal | None:
-        size = sum(len(name) + len(value) for name, value in head.headers)
-        if size + len(head.target) > self.limits.max_header_bytes:
-            limit = self.limits.max_header_bytes
-            return Refusal(431, f"the headers are larger than {limit} bytes")
-        if head.method == b"CONNECT":
-            return Refusal(400, "CONNECT is not supported")
-        length = dict(head.headers.raw_items()).get(b"content-length", b"0")
-        return self._check_size(int(length)) if length.isdigit() else None
-
-    def _check_size(self, size: int) -> Refusal | None:
-        limit = self.limits.max_body_bytes
-        if size <= limit:
-            return None
-        return Refusal(413, f"the body is larger than {limit} bytes")
-
-    async def _read_body(self) -> bytes | Refusal:
-        pieces: list[bytes] = []
-        size = 0
-        while isinstance(event := await self._next_event(), Data):
-            size += len(event.data)
-            refusal = self._check_size(size)
-            if refusal is not None:
-                return refusal
-            pieces.append(bytes(event.data))
-        return b"".join(pieces)
-
-    async def _next_event(self) -> HttpEvent:
-        while (event := self.parser.next_event()) is NEED_DATA:
-            self.parser.receive_data(await self.channel.read())
-        return event if isinstance(event, HttpEvent) else ConnectionClosed()
-
-    # Answering.
-
-    async def _answer(self, request: Request) -> bool:
-        """Send the handler's answer; return whether it went out whole."""
-        try:
-            response = await self.handler(request)
+            return await self.handler(request)
+        except CancelledError:
+            if task.cancelling():
+                raise
+            logger.exception("handler cancelled itself")
         except Exception:
             logger.exception("handler failed", extra={"target": request.target})
-            response = error_response(500, "internal_error", "the handler failed")
-        try:
-            return await self._send_response(request.method, response)
-        except SlowReaderError:
-            _slow.inc()
-            self.channel.abort()
-            return False
+        return error_response(500, "internal_error", "the request could not be handled")
 
     async def _send_response(self, method: str, response: Response) -> bool:
+        """Send an answer; return whether it went out whole."""
         body = response.body
         if not isinstance(body, bytes):
             return await self._send_stream(method, response, body)
-        self._send_head(response, (("content-length", str(len(body))),))
+        self._send_head(response, ((b"content-length", b"%d" % len(body)),))
         if _has_body(method, response.status):
             await self._send_bytes(body)
         self._send(EndOfMessage())
@@ -244,7 +163,7 @@
         self, method: str, response: Response, body: AsyncIterator[bytes]
     ) -> bool:
         try:
-            self._send_head(response, (("transfer-encoding", "chunked"),))
+            self._send_head(response, ((b"transfer-encoding", b"chunked"),))
             if _has_body(method, response.status) and not await self._send_pieces(body):
                 return False
         finally:
@@ -276,27 +195,21 @@
         if self.parser.their_http_version == b"1.0":
             self.channel.reset()
 
-    def _send_head(
-        self, response: Response, framing: tuple[tuple[str, str], ...]
-    ) -> None:
+    def _send_head(self, response: Response, framing: Framing) -> None:
         _answered.labels(response.status).inc()
         is_last = self.is_draining or self.channel.overrun
-        closing = (CLOSE_HEADER,) if is_last else ()
-        own = (pair for pair in response.headers if pair[0].lower() not in FRAMING)
+        own = (
+            (name.encode("latin-1"), value.encode("latin-1", "replace"))
+            for name, value in response.headers
+            if name.lower() not in FRAMING
+        )
         framing = () if response.status in BODILESS_STATUSES else framing
+        closing = (CLOSE_HEADER,) if is_last else ()
         headers = [*own, *framing, *closing]
         self._send(HttpResponse(status_code=response.status, headers=headers))
 
     def _send(self, event: HttpEvent) -> None:
-        for data in self.parser.send_with_data_passthrough(event) or ():
-            self.channel.post(data)
-
-    async def _refuse(self, refusal: Refusal) -> None:
-        """Answer an unreadable request and let the caller read the answer."""
-        response = error_response(refusal.status, "bad_request", refusal.message)
-        self.is_draining = True
-        await self._send_response("GET", response)
-        await linger(self.channel)
+        post_event(self.parser, self.channel, event)
 
 
 async def linger(channel: Channel) -> None:
@@ -318,11 +231,3 @@
 
 def _has_body(method: str, status: int) -> bool:
     return method != "HEAD" and status not in BODILESS_STATUSES
-
-
-def _request(head: HttpRequest, body: bytes) -> Request:
-    headers: dict[str, str] = {}
-    for raw_name, raw_value in head.headers:
-        name, value = raw_name.decode("latin-1"), raw_value.decode("latin-1")
-        headers[name] = f"{headers[name]}, {value}" if name in headers else value
-    return Request(head.method.decode(), head.target.decode("latin-1"), headers, body)
--- /dev/null
+++ b/libs/transport/src/clementinebend_transport/http_events.py
@@ -0,0 +1,43 @@
+"""What both sides of an HTTP connection do with ``h11`` and a channel."""
+
+from collections.abc import Iterable
+
+from h11 import DONE, NEED_DATA, Connection, Event
+
+from clementinebend_transport.channel import Channel
+from clementinebend_transport.exceptions import TruncatedAnswer
+
+
+def post_event(parser: Connection, channel: Channel, event: Event) -> None:
+    """Send the bytes of ``event``."""
+    for data in parser.send_with_data_passthrough(event) or ():
+        channel.post(data)
+
+
+async def next_event(parser: Connection, channel: Channel) -> object:
+    """Return the next event, or a state of the parser that ends the reading.
+
+    Raises ``h11.RemoteProtocolError`` on wrong input, and ``TruncatedAnswer``
+    if the connection failed, which is no proper end of a body without length.
+    """
+    while (event := parser.next_event()) is NEED_DATA:
+        data = await channel.read()
+        if not data and channel.failure is not None:
+            raise TruncatedAnswer(f"the connection failed: {channel.failure}")
+        parser.receive_data(data)
+    return event
+
+
+def is_cycle_done(parser: Connection) -> bool:
+    """Return whether the connection may carry another request."""
+    return all(state is DONE for state in parser.states.values())
+
+
+def headers_by_name(pairs: Iterable[tuple[bytes, bytes]]) -> dict[str, str]:
+    """Return headers by lower-case name; values of a repeated one are joined."""
+    headers: dict[str, str] = {}
+    for raw_name, raw_value in pairs:
+        name = raw_name.decode("latin-1").lower()
+        value = raw_value.decode("latin-1")
+        headers[name] = f"{headers[name]}, {value}" if name in headers else value
+    return headers
--- /dev/null
+++ b/libs/transport/src/clementinebend_transport/http_reader.py
@@ -0,0 +1,120 @@
+"""Reading of requests, within limits of size and time.
+
+Source: RFC 9112; parsing by ``h11``.
+"""
+
+from asyncio import timeout
+from contextlib import suppress
+from typing import NamedTuple
+
+from h11 import Connection as Parser
+from h11 import Data, InformationalResponse, RemoteProtocolError
+from h11 import Request as HttpRequest
+
+from clementinebend_transport.channel import Channel
+from clementinebend_transport.exceptions import TruncatedAnswer
+from clementinebend_transport.http_events import (
+    headers_by_name,
+    next_event,
+    post_event,
+)
+from clementinebend_transport.http_types import Request, ServerLimits
+
+
+class Refusal(NamedTuple):
+    """A request that cannot be read, and the status that says so."""
+
+    status: int
+    message: str
+
+
+class ConnectionEnd(NamedTuple):
+    """The caller sent no further request."""
+
+
+class RequestReader:
+    """Reads one request after another from a caller's connection."""
+
+    def __init__(self, channel: Channel, parser: Parser, limits: ServerLimits) -> None:
+        self.channel = channel
+        self.parser = parser
+        self.limits = limits
+        self.is_idle = True
+
+    async def read(self, idle_limit: float) -> Request | Refusal | ConnectionEnd:
+        """Return the next request, if it begins within ``idle_limit`` seconds."""
+        if not await self._wait_for_first_byte(idle_limit):
+            return ConnectionEnd()
+        try:
+            return await self._read_parts()
+        except TruncatedAnswer:
+            return ConnectionEnd()
+        except RemoteProtocolError as error:
+            if self.channel.ended:
+                return ConnectionEnd()
+            return Refusal(error.error_status_hint, str(error))
+
+    async def _wait_for_first_byte(self, idle_limit: float) -> bool:
+        self.is_idle = True
+        with suppress(TimeoutError):
+            if not self.parser.trailing_data[0]:
+                async with timeout(idle_limit):
+                    self.parser.receive_data(await self.channel.read())
+        self.is_idle = False
+        return bool(self.parser.trailing_data[0])
+
+    async def _read_parts(self) -> Request | Refusal | ConnectionEnd:
+        try:
+            async with timeout(self.limits.header_timeout):
+                head = await next_event(self.parser, self.channel)
+        except TimeoutError:
+            return Refusal(408, "the request's headers took too long")
+        if not isinstance(head, HttpRequest):
+            return ConnectionEnd()
+        refusal = self._check_head(head)
+        if refusal is not None:
+            return refusal
+        if self.parser.they_are_waiting_for_100_continue:
+            go_on = InformationalResponse(status_code=100, headers=[])
+            post_event(self.parser, self.channel, go_on)
+        try:
+            async with timeout(self.limits.body_timeout):
+                body = await self._read_body()
+        except TimeoutError:
+            return Refusal(408, "the request's body took too long")
+        return _request(head, body) if isinstance(body, bytes) else body
+
+    def _check_head(self, head: HttpRequest) -> Refusal | None:
+        size = sum(len(name) + len(value) for name, value in head.headers)
+        limit = self.limits.max_header_bytes
+        if size + len(head.target) > limit:
+            return Refusal(431, f"the headers are larger than {limit} bytes")
+        if head.method == b"CONNECT":
+            return Refusal(400, "CONNECT is not supported")
+        length = dict(head.headers).get(b"content-length", b"0")
+        return self._check_size(int(length))
+
+    def _check_size(self, size: int) -> Refusal | None:
+        limit = self.limits.max_body_bytes
+        if size <= limit:
+            return None
+        return Refusal(413, f"the body is larger than {limit} bytes")
+
+    async def _read_body(self) -> bytes | Refusal:
+        pieces: list[bytes] = []
+        size = 0
+        while isinstance(event := await self._next_event(), Data):
+            size += len(event.data)
+            refusal = self._check_size(size)
+            if refusal is not None:
+                return refusal
+            pieces.append(bytes(event.data))
+        return b"".join(pieces)
+
+    async def _next_event(self) -> object:
+        return await next_event(self.parser, self.channel)
+
+
+def _request(head: HttpRequest, body: bytes) -> Request:
+    headers = headers_by_name(head.headers)
+    return Request(head.method.decode(), head.target.decode("latin-1"), headers, body)
--- a/libs/transport/src/clementinebend_transport/http_server.py
+++ b/libs/transport/src/clementinebend_transport/http_server.py
@@ -44,8 +44,8 @@
 BACKLOG = 1024
 """Connections that the kernel holds for us before we accept them."""
 
-ACCEPT_PASSES = 3
-"""Event loop iterations in which connections already made are accepted."""
+ACCEPT_PASSES = 4
+"""Event loop iterations that a connection takes from its accept to its task."""
 
 DEFAULT_LIMITS = ServerLimits()
 
@@ -83,21 +83,21 @@
 
         Waits at most ``timeout`` seconds; returns whether all ended.
         """
-        for _ in range(ACCEPT_PASSES):
-            await sleep(0)
+        loop = get_running_loop()
+        deadline = loop.time() + timeout
+        await self._stop_listening()
         self.is_draining = True
-        self._stop_listening()
         for connection in self.connections.values():
             connection.is_draining = True
         grace = min(DRAIN_GRACE_SECONDS, timeout / 2)
-        get_running_loop().call_later(grace, self._close_idle)
-        tasks = tuple(self.connections)
-        pending = (await wait(tasks, timeout=timeout))[1] if tasks else ()
-        return not pending
+        loop.call_later(grace, self._close_idle)
+        while self.connections and loop.time() < deadline:
+            await wait(tuple(self.connections), timeout=deadline - loop.time())
+        return not self.connections
 
     async def close(self) -> None:
         """Stop at once: requests in progress are cancelled and cut off."""
-        self._stop_listening()
+        await self._stop_listening()
         tasks = (*self.connections, *self.refusals)
         for connection in self.connections.values():
             connection.channel.abort()
@@ -106,14 +106,24 @@
         if tasks:
             await wait(tasks)
 
-    def _stop_listening(self) -> None:
-        if self.listener is not None:
-            self.listener.close()
-            self.listener = None
+    async def _stop_listening(self) -> None:
+        """Take in the connections that are already made, and no more.
+
+        The listener is closed only after its accepted connections are set up:
+        asyncio drops those that are half set up then.
+        """
+        if self.listener is None:
+            return
+        listener, self.listener = self.listener, None
+        await _pass_loop()
+        for socket in listener.sockets:
+            get_running_loop().remove_reader(socket.fileno())
+        await _pass_loop()
+        listener.close()
 
     def _close_idle(self) -> None:
         for connection in self.connections.values():
-            if connection.is_idle and connection.channel.is_quiet():
+            if connection.is_idle():
                 connection.channel.transport.close()
 
     def _on_connected(self, channel: Channel) -> None:
@@ -158,6 +168,11 @@
     return server
 
 
+async def _pass_loop() -> None:
+    for _ in range(ACCEPT_PASSES):
+        await sleep(0)
+
+
 async def _serve(connection: HttpConnection) -> None:
     task = current_task()
     assert task is not None
--- a/libs/transport/src/clementinebend_transport/message_stream.py
+++ b/libs/transport/src/clementinebend_transport/message_stream.py
@@ -35,6 +35,9 @@
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 """The largest message, and the most that is kept of an unfinished one."""
 
+MAX_ITEMS = 1024 * 1024
+"""The most items in an array or map: room for them is made before they come."""
+
 INBOX_BYTES = 4 * 1024 * 1024
 """Received bytes not yet taken by the owner, above which reading pauses."""
 
@@ -71,7 +74,11 @@
 
     def __init__(self, on_connected: Callable[[Channel], None] | None = None) -> None:
         super().__init__(on_connected)
-        self.unpacker = Unpacker(max_buffer_size=MAX_MESSAGE_BYTES)
+        self.unpacker = Unpacker(
+            max_buffer_size=MAX_MESSAGE_BYTES,
+            max_array_len=MAX_ITEMS,
+            max_map_len=MAX_ITEMS,
+        )
         self.inbox: deque[Message] = deque()
         self.inbox_bytes = 0
         self.fed_bytes = 0
--- a/libs/transport/src/clementinebend_transport/metrics.py
+++ b/libs/transport/src/clementinebend_transport/metrics.py
@@ -12,11 +12,14 @@
     Counter,
     Gauge,
     Histogram,
+    disable_created_metrics,
     generate_latest,
 )
 
 from clementinebend_transport.http_types import Response
 
+disable_created_metrics()  # type: ignore[no-untyped-call]
+
 METRIC_PREFIX = "clementinebend_"
 
 registry = CollectorRegistry()
--- a/libs/transport/src/clementinebend_transport/settings.py
+++ b/libs/transport/src/clementinebend_transport/settings.py
@@ -17,6 +17,9 @@
 
 T = TypeVar("T")
 
+MERGE_TAG = "tag:yaml.org,2002:merge"
+"""The tag of the key ``<<``; source: YAML merge key type."""
+
 
 class _UniqueKeyLoader(SafeLoader):
     """Refuses a mapping in which a key stands twice."""
@@ -24,8 +27,12 @@
     def construct_mapping(
         self, node: MappingNode, deep: bool = False
     ) -> dict[Hashable, Any]:
-        keys = [self.construct_object(key, deep=True) for key, _ in node.value]
-        repeated = [key for key in keys if keys.count(key) > 1 and key != "<<"]
+        keys = [
+            self.construct_object(key, deep=True)
+            for key, _ in node.value
+            if key.tag != MERGE_TAG
+        ]
+        repeated = [key for key in keys if keys.count(key) > 1]
         if repeated:
             raise ConstructorError(
                 None, None, f"the key {repeated[0]!r} stands twice", node.start_mark
