--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -9,6 +9,7 @@
 from json import loads
 from os import environ, kill
 from pathlib import Path
+from random import randrange
 from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
 from socket import AF_INET, SOCK_STREAM, socket
 from subprocess import Popen
@@ -24,6 +25,11 @@
 POLL_INTERVAL = 0.02
 PROBE_TIMEOUT = 2.0
 LOCALHOST = "127.0.0.1"
+FIRST_PORT = 12_000
+LAST_PORT = 32_000
+PORT_TRIES = 1000
+
+_given_ports: set[int] = set()
 SCRIPTS = Path(executable).parent
 """Where the console scripts of the environment that runs the tests are."""
 
@@ -56,11 +62,13 @@
 
 
 def free_port() -> int:
-    """Return a TCP port on loopback that nobody listens on now."""
-    with socket(AF_INET, SOCK_STREAM) as probe:
-        probe.bind((LOCALHOST, 0))
-        port: int = probe.getsockname()[1]
-        return port
+    """Return a TCP port on loopback that nobody listens on now.
+
+    It is below those that the kernel gives to connections, so that none of
+    these can take it before its listener does.
+    """
+    ports = (randrange(FIRST_PORT, LAST_PORT) for _ in range(PORT_TRIES))
+    return next(port for port in ports if _take_port(port))
 
 
 async def wait_until(
@@ -97,7 +105,6 @@
             process = await _with_printed_port(process)
         else:
             process = process._replace(port=_port_of(ready_url))
-        self.started[-1] = process
         await _wait_ready(process, ready_url.format(port=process.port))
         return process
 
@@ -198,6 +205,18 @@
         await client.close()
 
 
+def _take_port(port: int) -> bool:
+    if port in _given_ports:
+        return False
+    with socket(AF_INET, SOCK_STREAM) as probe:
+        try:
+            probe.bind((LOCALHOST, port))
+        except OSError:
+            return False
+    _given_ports.add(port)
+    return True
+
+
 def _check_alive(process: RunningProcess) -> None:
     code = process.handle.poll()
     if code is not None:
