Measure routing in virtual time against three baselines

Sizes were chosen so that prefill is short when caches are cold; load 1.0 is what round robin saturates. Engines that run out of slots instead are measured beside, on the same bars.

Ruled out: 8 and 16 slots as the main profile, since slots then run out first and no policy can do much. Trace bursts are scaled to the stated mean load (before, '95 %' was 103 %).

Priorities now follow the engines: the lower number goes first.

--- a/libs/admission/src/clementinebend_admission/models.py
+++ b/libs/admission/src/clementinebend_admission/models.py
@@ -19,7 +19,8 @@
     """A request at the door.
 
     ``tokens`` is its upper bound, ``deadline`` the time by which it must have
-    started; among requests of one team the larger ``priority`` goes first.
+    started; among requests of one team the lower ``priority`` number goes
+    first, as on the engines.
     """
 
     request: str
--- a/libs/admission/src/clementinebend_admission/teams.py
+++ b/libs/admission/src/clementinebend_admission/teams.py
@@ -49,7 +49,7 @@
 
 def enqueue(team: TeamState, arrival: Arrival, sequence: int) -> TeamState:
     """Put a request into the team's queue."""
-    heappush(team.queue, QueuedArrival((-arrival.priority, sequence), arrival))
+    heappush(team.queue, QueuedArrival((arrival.priority, sequence), arrival))
     team.waiting[arrival.request] = arrival
     return team._replace(waiting_tokens=team.waiting_tokens + arrival.tokens)
 
@@ -97,7 +97,7 @@
 ) -> float:
     """Return the queued tokens that are served before ``arrival``.
 
-    Of its own team these are all of its priority and above; of another one
+    Of its own team these are all that go before it or along with it; of another one
     what that team may be served until its counter is level with this team's.
     """
     own = teams[arrival.team]
@@ -105,7 +105,7 @@
         sum(
             queued.tokens
             for queued in own.waiting.values()
-            if queued.priority >= arrival.priority
+            if queued.priority <= arrival.priority
         )
     )
     level = own.counter + ahead * own.used_share / own.weight
--- /dev/null
+++ b/libs/bench/src/clementinebend_bench/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of the bench."""
--- /dev/null
+++ b/libs/bench/src/clementinebend_bench/cli/main.py
@@ -0,0 +1,16 @@
+"""Entry point of ``clementinebend-bench``."""
+
+from sys import exit as leave
+
+from fire import Fire
+
+from clementinebend_bench.commands.run import run
+
+COMMANDS = {"run": run}
+"""One module under ``commands`` for each; to add one: a line here."""
+
+
+def main() -> None:
+    """Run the command that the arguments name."""
+    status = Fire(COMMANDS, name="clementinebend-bench", serialize=lambda _: None)
+    leave(status if isinstance(status, int) else 0)
--- /dev/null
+++ b/libs/bench/src/clementinebend_bench/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each command of the bench."""
--- /dev/null
+++ b/libs/bench/src/clementinebend_bench/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded experiments: each module has ``run(seed) -> tuple[Row, ...]``."""
--- /dev/null
+++ b/libs/bench/src/clementinebend_bench/experiments/registry.py
@@ -0,0 +1,13 @@
+"""All experiments by name; ``run`` goes through them in this order."""
+
+from collections.abc import Callable
+
+from clementinebend_bench.experiments import routing
+from clementinebend_bench.rows import Row
+
+Experiment = Callable[[int], tuple[Row, ...]]
+
+EXPERIMENTS: dict[str, Experiment] = {
+    "routing": routing.run,
+}
+"""To add one: a module with ``run(seed) -> tuple[Row, ...]``, and a line here."""
--- /dev/null
+++ b/libs/bench/src/clementinebend_bench/models/__init__.py
@@ -0,0 +1,1 @@
+"""Small models in virtual time: engines, traces, routing policies."""
