--- /dev/null
+++ b/libs/operator_cli/src/clementinebend_operator_cli/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: what a shell sees."""
--- /dev/null
+++ b/libs/operator_cli/src/clementinebend_operator_cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One command per module."""
--- /dev/null
+++ b/libs/operator_cli/src/clementinebend_operator_cli/models/__init__.py
@@ -0,0 +1,1 @@
+"""Typed values that commands share."""
--- /dev/null
+++ b/libs/operator_cli/src/clementinebend_operator_cli/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the commands."""
--- /dev/null
+++ b/tests/unit/operator_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the operators' command line."""
