--- /dev/null
+++ b/libs/entry/src/clementinebend_entry/admission_gate.py
@@ -0,0 +1,105 @@
+"""The owner of the admission state: lets requests in, by team and priority."""
+
+from asyncio import Event, Future, get_running_loop, sleep
+from collections.abc import Iterable
+
+from clementinebend_admission.queue import (
+    Admitted,
+    Arrival,
+    Queued,
+    Refused,
+    arrive,
+    cancel,
+    empty_admission,
+    expire,
+    finish,
+    set_capacity,
+)
+from clementinebend_admission.retries import empty_retries, may_retry, on_request
+from clementinebend_entry.calls import Call
+from clementinebend_entry.outcomes import Refusal
+from clementinebend_records.identifiers import RunId
+
+EXPIRY_TICK_S = 0.05
+
+Verdict = Admitted | Refused
+
+
+class AdmissionGate:
+    """Owns the queues and the retry budgets."""
+
+    def __init__(self, retry_ratio: float) -> None:
+        self.loop = get_running_loop()
+        self.state = empty_admission()
+        self.retries = empty_retries(retry_ratio)
+        self.waiting: dict[str, Future[Verdict]] = {}
+        self.arrived = Event()
+
+    async def run(self) -> None:
+        """Refuse in time those whose deadline passes while they wait."""
+        while True:
+            await self.arrived.wait()
+            await sleep(EXPIRY_TICK_S)
+            self.expire()
+
+    async def enter(self, request: RunId, call: Call) -> Refusal | None:
+        """Wait until a call may run; return why it may not, if so."""
+        arrival = Arrival(
+            request, call.team, call.weight, call.priority, call.amount, call.deadline
+        )
+        now = self.loop.time()
+        self.retries = on_request(self.retries, call.team, now)
+        self.state, verdict = arrive(self.state, arrival, now)
+        if isinstance(verdict, Queued):
+            verdict = await self.wait(request)
+        if isinstance(verdict, Admitted):
+            return None
+        return Refusal(verdict.reason, verdict.retry_after_ms)
+
+    async def wait(self, request: RunId) -> Verdict:
+        """Wait for the turn of a queued request."""
+        reply: Future[Verdict] = self.loop.create_future()
+        self.waiting[request] = reply
+        self.arrived.set()
+        try:
+            return await reply
+        except BaseException:
+            self.leave_unrun(request)
+            raise
+        finally:
+            self.waiting.pop(request, None)
+            if not self.waiting:
+                self.arrived.clear()
+
+    def leave(self, request: RunId, tokens: int) -> None:
+        """Take the end of a call that ran and cost ``tokens``."""
+        self.state, admitted = finish(self.state, request, tokens, self.loop.time())
+        self.reply(admitted)
+
+    def leave_unrun(self, request: RunId) -> None:
+        """Take the end of a call that did not run."""
+        self.state, admitted = cancel(self.state, request, self.loop.time())
+        self.reply(admitted)
+
+    def may_retry(self, team: str) -> bool:
+        """Return whether a further attempt is within the retry budget."""
+        self.retries, allowed = may_retry(self.retries, team, self.loop.time())
+        return allowed
+
+    def set_slots(self, slots: int) -> None:
+        """Set how many calls may run at one time."""
+        if slots != self.state.capacity.slots:
+            self.state, admitted = set_capacity(self.state, slots)
+            self.reply(admitted)
+
+    def expire(self) -> None:
+        """Refuse those whose deadline has passed."""
+        self.state, refused = expire(self.state, self.loop.time())
+        self.reply(refused)
+
+    def reply(self, verdicts: Iterable[Verdict]) -> None:
+        """Wake those whose verdict has come."""
+        for verdict in verdicts:
+            reply = self.waiting.get(verdict.request)
+            if reply is not None and not reply.done():
+                reply.set_result(verdict)
--- /dev/null
+++ b/libs/entry/src/clementinebend_entry/answer_output.py
@@ -0,0 +1,76 @@
+"""Puts an answer together and passes on what the caller may have already."""
+
+from asyncio import Queue
+
+from clementinebend_entry.answer_state import (
+    FIRST_ERROR_STATUS,
+    Broken,
+    empty_answer,
+    has_begun,
+    last_part,
+    take_chunk,
+    take_end,
+    take_head,
+    tell_again,
+)
+from clementinebend_entry.pieces import Begun, Part, Piece, Whole
+from clementinebend_records.messages import RunChunk, RunEnd, RunHead
+
+
+class AnswerOutput:
+    """One answer on its way; ``broken`` says why it cannot be completed."""
+
+    def __init__(self, stream: bool) -> None:
+        self.answer = empty_answer(stream)
+        self.pieces: Queue[Piece] = Queue()
+        self.broken = ""
+        self.is_announced = False
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the caller may have got a part of the answer."""
+        return self.is_announced or has_begun(self.answer)
+
+    def tell_again(self) -> None:
+        """Expect the answer from its start."""
+        self.answer = tell_again(self.answer)
+
+    def head(self, head: RunHead) -> None:
+        """Take status and content type."""
+        self.answer, broken = take_head(self.answer, head)
+        self.note(broken)
+
+    def chunk(self, chunk: RunChunk) -> None:
+        """Take the next piece, unless the answer is broken."""
+        if self.broken:
+            return
+        self.answer, result = take_chunk(self.answer, chunk)
+        if isinstance(result, Broken):
+            self.note(result)
+        elif result.data:
+            self.announce()
+            self.pieces.put_nowait(Part(result.data))
+
+    def end(self, end: RunEnd) -> None:
+        """Check that the answer is whole."""
+        if not self.broken:
+            self.answer, broken = take_end(self.answer, end)
+            self.note(broken)
+
+    def release(self) -> None:
+        """Let the caller have what was held back: the end of the answer."""
+        answer = self.answer
+        whole = Whole(answer.status, answer.content_type, last_part(answer))
+        self.pieces.put_nowait(whole)
+
+    def announce(self) -> None:
+        """Let the caller have the head of a streamed answer, once."""
+        answer = self.answer
+        if not self.is_announced and answer.status < FIRST_ERROR_STATUS:
+            self.is_announced = True
+            self.pieces.put_nowait(Begun(answer.status, answer.content_type))
+
+    def note(self, broken: Broken | None) -> None:
+        """Remember why the answer cannot be completed."""
+        if broken is not None and not self.broken:
+            self.broken = broken.message
--- /dev/null
+++ b/libs/entry/src/clementinebend_entry/budget_waits.py
@@ -0,0 +1,77 @@
+"""Whether a request that found no grant waits or is refused; pure.
+
+Near the end of a budget the upper bounds of runs in progress, not their
+costs, are what fills it. So a request waits while something may still free
+enough: settlements, grants that others hold, top-ups that are declared.
+"""
+
+from asyncio import Future
+from typing import NamedTuple
+
+from clementinebend_entry.outcomes import Refusal
+from clementinebend_ledger.replay import BudgetSummary
+from clementinebend_records.identifiers import GrantId, Incarnation, RunId
+from clementinebend_records.reasons import NotRun
+
+EXHAUSTED_RETRY_MS = 60_000
+UNAVAILABLE_RETRY_MS = 2_000
+BUSY_RETRY_MS = 1_000
+BUSY_STATUS = 429
+LOG_PATIENCE_S = 1.0
+"""How long the log may fail before requests that need it are refused."""
+
+
+class Reservation(NamedTuple):
+    """Tokens set aside for a run: part of one grant of one holder."""
+
+    run: RunId
+    budget: str
+    grant: GrantId
+    holder: Incarnation
+    amount: int
+
+
+class Waiter(NamedTuple):
+    """A request that needs ``amount`` tokens by ``deadline`` (loop seconds)."""
+
+    run: RunId
+    budget: str
+    amount: int
+    deadline: float
+    reply: "Future[Reservation | Refusal]"
+
+
+class BudgetView(NamedTuple):
+    """What is known of a budget and of the log when a waiter is judged.
+
+    ``declared`` are tokens of top-ups that the ledger does not have yet;
+    ``failing_for`` is how long the log has not answered, in seconds.
+    ``settling`` says that own runs in progress will likely free enough.
+    """
+
+    summary: BudgetSummary
+    declared: int
+    failing_for: float
+    settling: bool
+
+
+def judge_waiter(waiter: Waiter, view: BudgetView, now: float) -> Refusal | None:
+    """Return why a request is given up on, or None while it is to wait."""
+    if view.settling and now < waiter.deadline:
+        return None
+    if view.failing_for > LOG_PATIENCE_S:
+        message = "no grant is at hand and the platform's log cannot be reached"
+        return Refusal(NotRun.BUDGET_UNAVAILABLE, UNAVAILABLE_RETRY_MS, message)
+    if waiter.amount > remaining(view):
+        return Refusal(NotRun.BUDGET_EXHAUSTED, EXHAUSTED_RETRY_MS)
+    if now >= waiter.deadline:
+        message = "all of the budget that remains is reserved"
+        return Refusal(NotRun.BUDGET_UNAVAILABLE, BUSY_RETRY_MS, message, BUSY_STATUS)
+    return None
+
+
+def remaining(view: BudgetView) -> int:
+    """Return the most that could ever become free without a new top-up."""
+    summary = view.summary
+    spent = summary.billed + summary.held + summary.shortfall
+    return summary.topped_up + view.declared - spent
--- /dev/null
+++ b/libs/entry/src/clementinebend_entry/claimed_calls.py
@@ -0,0 +1,81 @@
+"""One call that may run at most once, from its claim to its record."""
+
+from json import dumps
+
+from clementinebend_entry.answers import JSON, error_of
+from clementinebend_entry.calls import Call
+from clementinebend_entry.claims import ClaimsDesk
+from clementinebend_entry.metrics import ATTACHMENTS
+from clementinebend_entry.outcomes import Failed, Refusal, Unknown
+from clementinebend_entry.pieces import Whole
+from clementinebend_ledger.claims import ClaimConflict, ClaimLost, ClaimWon
+from clementinebend_records.identifiers import RunId
+from clementinebend_records.reasons import NotRun
+
+BAD_GATEWAY = 502
+LOG_RETRY_MS = 2_000
+
+
+class ClaimedCall:
+    """What is known of a call's claim; for idempotent calls nothing is done."""
+
+    def __init__(self, desk: ClaimsDesk, call: Call) -> None:
+        self.desk = desk
+        self.call = call
+        self.run: RunId | None = None
+        self.is_won = False
+
+    def recorded(self) -> Whole | Refusal | None:
+        """Return the recorded answer of an earlier call of this key, if any."""
+        view = self.desk.claim_of(self.call.key)
+        if view is None:
+            return None
+        if view.body_digest != self.call.body_digest:
+            return Refusal(NotRun.KEY_CONFLICT, 0)
+        if view.answer is None:
+            return None
+        ATTACHMENTS.labels("recorded").inc()
+        return Whole(*view.answer)
+
+    async def win(self, run: RunId) -> Refusal | Unknown | Whole | None:
+        """Claim the call for a run; None if the claim is won."""
+        key = self.call.key
+        if not self.desk.can_claim(key):
+            return Refusal(NotRun.LOG_UNAVAILABLE, LOG_RETRY_MS)
+        self.run = run
+        verdict = await self.desk.claim(
+            key, self.call.body_digest, run, self.call.deadline
+        )
+        match verdict:
+            case ClaimWon():
+                self.is_won = True
+                return None
+            case ClaimLost():
+                self.run = None
+                return self.recorded() or self.unknown()
+            case ClaimConflict():
+                self.run = None
+                return Refusal(NotRun.KEY_CONFLICT, 0)
+            case _:
+                return Refusal(NotRun.LOG_UNAVAILABLE, LOG_RETRY_MS)
+
+    def unknown(self) -> Unknown:
+        """Return what a retry is told while the claimant's run has no record."""
+        return Unknown("an earlier call of this key may have run")
+
+    def record(self, status: int, content_type: str, body: bytes) -> None:
+        """Record the answer for retries."""
+        if self.is_won and self.run is not None:
+            self.desk.record(self.call.key, self.run, status, content_type, body)
+
+    def record_failure(self, message: str) -> None:
+        """Record that the call ran and failed."""
+        body = dumps({"error": error_of(Failed(message))}).encode()
+        self.record(BAD_GATEWAY, JSON, body)
+
+    def void(self) -> None:
+        """Free the key: the call did not run, and the claim cannot win later."""
+        if self.run is not None:
+            self.desk.void(self.call.key, self.run)
+            self.run = None
+            self.is_won = False
--- /dev/null
+++ b/libs/entry/src/clementinebend_entry/claims.py
@@ -0,0 +1,146 @@
+"""The owner of this entry's view of the claims shards.
+
+A claim counts once it is read back as the first of its key. While the log
+cannot be reached no call is claimed, so none runs.
+"""
+
+from asyncio import Future, get_running_loop, timeout_at
+from collections.abc import Callable
+
+from clementinebend_entry.metrics import CLAIMS
+from clementinebend_entry.shard import LogSettings
+from clementinebend_ledger.claims import (
+    ClaimConflict,
+    ClaimLost,
+    ClaimRefused,
+    ClaimsOutcome,
+    ClaimsState,
+    ClaimView,
+    ClaimWon,
+    claim_of,
+    empty_claims,
+    replay_claims,
+)
+from clementinebend_platform_client.tail import StreamTail
+from clementinebend_platform_client.writer import StreamWriter
+from clementinebend_records.identifiers import Incarnation, RequestKey, RunId
+from clementinebend_records.records import (
+    Batch,
+    Checkpoint,
+    Claim,
+    ClaimOutcome,
+    ClaimVoid,
+    Record,
+)
+from clementinebend_records.streams import claims_stream, claims_streams
+
+ClaimVerdict = ClaimWon | ClaimLost | ClaimConflict | ClaimRefused
+Tell = Callable[[ClaimsOutcome], None]
+
+
+class ClaimsShard:
+    """Replays one claims stream; create it inside a running loop."""
+
+    def __init__(self, stream: str, log: LogSettings, tell: Tell) -> None:
+        self.tell = tell
+        self.state: ClaimsState = empty_claims()
+        self.writer = StreamWriter(log.client, stream, log.writer, log.post)
+        self.tail = StreamTail(
+            log.client,
+            stream,
+            self.on_batch,
+            self.on_restore,
+            writer=self.writer,
+            settings=log.tail,
+        )
+
+    def on_batch(self, offset: int, batch: Batch) -> None:
+        """Replay the next batch."""
+        self.writer.on_read(offset, batch)
+        self.state, outcomes = replay_claims(self.state, offset, batch)
+        for outcome in outcomes:
+            self.tell(outcome)
+
+    def on_restore(self, checkpoint: Checkpoint) -> None:
+        """Go on from a checkpoint."""
+        raise NotImplementedError
+
+
+class ClaimsDesk:
+    """Claims calls and records their outcomes."""
+
+    def __init__(self, claimant: Incarnation, shards: int, log: LogSettings) -> None:
+        self.claimant = claimant
+        self.shard_count = shards
+        self.waiting: dict[RunId, Future[ClaimVerdict]] = {}
+        self.shards = {
+            stream: ClaimsShard(stream, log, self.on_outcome)
+            for stream in claims_streams(shards)
+        }
+
+    def shard_for(self, key: RequestKey) -> ClaimsShard:
+        """Return the shard that a key belongs to."""
+        return self.shards[claims_stream(key, self.shard_count)]
+
+    def can_claim(self, key: RequestKey) -> bool:
+        """Return whether the log answers, so that a claim is worth trying."""
+        shard = self.shard_for(key)
+        is_heard = shard.tail.ready.is_set() and not shard.tail.failures
+        return is_heard and shard.writer.failing_since is None
+
+    def claim_of(self, key: RequestKey) -> ClaimView | None:
+        """Return the claim that stands, as far as this entry has read."""
+        return claim_of(self.shard_for(key).state, key)
+
+    async def claim(
+        self, key: RequestKey, body_digest: str, run: RunId, deadline: float
+    ) -> ClaimVerdict | None:
+        """Claim a call; None if the claim is not read back by the deadline."""
+        verdict: Future[ClaimVerdict] = get_running_loop().create_future()
+        self.waiting[run] = verdict
+        self.post(key, Claim(key, body_digest, self.claimant, run))
+        try:
+            async with timeout_at(deadline):
+                answer = await verdict
+        except TimeoutError:
+            CLAIMS.labels("not_read_back").inc()
+            return None
+        finally:
+            del self.waiting[run]
+        CLAIMS.labels(type(answer).__name__).inc()
+        return answer
+
+    def on_outcome(self, outcome: ClaimsOutcome) -> None:
+        """Wake the one who waits for the verdict on its claim."""
+        if isinstance(outcome, ClaimWon | ClaimLost | ClaimConflict | ClaimRefused):
+            verdict = self.waiting.get(outcome.run)
+            if verdict is not None and not verdict.done():
+                verdict.set_result(outcome)
+
+    def void(self, key: RequestKey, run: RunId) -> None:
+        """Free the key of a call that did not run and never will."""
+        self.post(key, ClaimVoid(key, run, self.claimant))
+
+    def record(
+        self, key: RequestKey, run: RunId, status: int, content_type: str, body: bytes
+    ) -> None:
+        """Record the answer that every retry is to get."""
+        self.post(key, ClaimOutcome(key, run, status, content_type, body))
+
+    def post(self, key: RequestKey, record: Record) -> None:
+        """Post one record to the shard of its key."""
+        self.shard_for(key).writer.post((record,))
+
+    @property
+    def is_flushed(self) -> bool:
+        """Whether all that was posted has been read back."""
+        return not any(
+            shard.writer.state.in_flight or shard.writer.state.queue
+            for shard in self.shards.values()
+        )
+
+    async def close(self, patience: float) -> None:
+        """Flush for up to ``patience`` seconds, then stop."""
+        for shard in self.shards.values():
+            await shard.writer.close(patience)
+            await shard.tail.close()
--- /dev/null
+++ b/libs/entry/src/clementinebend_entry/closer.py
@@ -0,0 +1,197 @@
+"""The task that closes dead holders and collects what their witnesses know."""
+
+from asyncio import get_running_loop, sleep
+from collections.abc import Iterable
+from itertools import groupby
+from logging import getLogger
+
+from clementinebend_entry.closing import (
+    NOTICE_INTERVAL_S,
+    Entries,
+    Notice,
+    gone_peers,
+    holders_to_close,
+    open_notices,
+    turn_delay,
+)
+from clementinebend_entry.ledger import Ledger
+from clementinebend_entry.message_link import MessageLink
+from clementinebend_entry.metrics import CLOSES
+from clementinebend_entry.peer_pool import PeerPool
+from clementinebend_entry.reach import Reach
+from clementinebend_entry.receipts import ReceiptDesk
+from clementinebend_entry.shard import Shard
+from clementinebend_entry.sidecar_pool import SidecarPool
+from clementinebend_ledger.replay import LedgerState
+from clementinebend_ledger.state import WitnessStatus
+from clementinebend_records.identifiers import Incarnation, name_of
+from clementinebend_records.messages import CloseNotice, CloseReply, Receipt
+from clementinebend_records.records import (
+    Bill,
+    CloseAck,
+    HolderClose,
+    Record,
+    Settle,
+)
+from clementinebend_records.streams import ledger_stream
+
+logger = getLogger(__name__)
+
+
+class Closer:
+    """Acts on what the ledger shards show; its records repeat harmlessly."""
+
+    def __init__(
+        self,
+        ledger: Ledger,
+        sidecars: SidecarPool,
+        peers: PeerPool,
+        receipts: ReceiptDesk,
+        reach: Reach,
+    ) -> None:
+        self.ledger = ledger
+        self.sidecars = sidecars
+        self.peers = peers
+        self.receipts = receipts
+        self.reach = reach
+        self.loop = get_running_loop()
+        self.first_seen: dict[tuple[str, Incarnation], float] = {}
+        self.posted: set[tuple[str, Incarnation]] = set()
+        self.acked: set[tuple[str, Incarnation, Incarnation]] = set()
+
+    async def run(self) -> None:
+        """Look at all shards again and again."""
+        while True:
+            await sleep(NOTICE_INTERVAL_S)
+            entries = self.entries()
+            for shard in self.ledger.shards.values():
+                if shard.is_ready:
+                    self.look(shard, entries)
+
+    def entries(self) -> Entries:
+        """Return what is seen of the other entries now."""
+        now = self.loop.time()
+        return Entries(
+            self.ledger.name,
+            self.ledger.incarnation,
+            self.peers.live(),
+            self.reach.silent_for(now),
+        )
+
+    def look(self, shard: Shard, entries: Entries) -> None:
+        """Close what is to be closed in a shard, and ask its witnesses."""
+        patience = self.reach.patience()
+        for holder in holders_to_close(shard.state, entries, patience):
+            self.close(shard, holder)
+        notices = [
+            notice
+            for notice in open_notices(shard.state)
+            if self.is_turn(shard, notice.holder, entries)
+        ]
+        current = {
+            name: link.peer.incarnation
+            for name, link in self.peers.links.items()
+            if link.up.is_set() and link.peer is not None
+        }
+        for witness in gone_peers(notices, current, shard.state):
+            self.close(shard, witness)
+        for notice in notices:
+            self.ask(shard, notice)
+
+    def is_turn(self, shard: Shard, holder: Incarnation, entries: Entries) -> bool:
+        """Return whether this entry is to look after a closed holder by now."""
+        if name_of(holder) == entries.name:
+            return True
+        now = self.loop.time()
+        since = self.first_seen.setdefault((shard.stream, holder), now)
+        return now - since >= turn_delay(holder, entries)
+
+    def close(self, shard: Shard, holder: Incarnation) -> None:
+        """Append the close of a holder, once."""
+        if (shard.stream, holder) in self.posted:
+            return
+        self.posted.add((shard.stream, holder))
+        logger.info("%s: closing holder %s", shard.stream, holder)
+        CLOSES.labels("close").inc()
+        self.reach.on_close(name_of(holder))
+        self.ledger.post(shard, (HolderClose(holder, self.ledger.incarnation),))
+
+    def ask(self, shard: Shard, notice: Notice) -> None:
+        """Send a notice to a witness, or note that it is lost."""
+        message = CloseNotice(shard.stream, shard.state.offset, notice.holder)
+        name = name_of(notice.witness)
+        link = self.link_to(name, notice.is_sidecar)
+        if link is None or not link.up.is_set() or link.peer is None:
+            return
+        if link.peer.incarnation == notice.witness:
+            link.post(message)
+        elif notice.is_sidecar:
+            self.acknowledge(shard, notice, (), lost=True)
+
+    def link_to(self, name: str, is_sidecar: bool) -> MessageLink | None:
+        """Return the link to a witness."""
+        return self.sidecars.link_to(name) if is_sidecar else self.peers.links.get(name)
+
+    def on_reply(self, reply: CloseReply) -> None:
+        """Bill what a witness knows, and log that it refuses the holder."""
+        if reply.pending:
+            return
+        for shard in self.ledger.shards.values():
+            status = witness_status(shard.state, reply.holder, reply.witness)
+            if status == WitnessStatus.OPEN:
+                notice = Notice(reply.holder, reply.witness, True)
+                mine = [each for each in reply.receipts if self.is_of(each, shard)]
+                self.acknowledge(shard, notice, mine)
+
+    def acknowledge(
+        self,
+        shard: Shard,
+        notice: Notice,
+        receipts: Iterable[Receipt],
+        lost: bool = False,
+    ) -> None:
+        """Append receipts and acknowledgement in one batch, once."""
+        subject = (shard.stream, notice.holder, notice.witness)
+        if subject in self.acked:
+            return
+        self.acked.add(subject)
+        CLOSES.labels("lost" if lost else "acknowledged").inc()
+        known = tuple(receipts)
+        for receipt in known:
+            self.receipts.expect(receipt.key, receipt.run, receipt.endpoint)
+        ack = CloseAck(notice.holder, notice.witness, lost)
+        self.ledger.post(shard, (*settles_of(known), ack))
+
+    def is_of(self, receipt: Receipt, shard: Shard) -> bool:
+        """Return whether a receipt's budget belongs to a shard."""
+        stream = ledger_stream(receipt.budget, self.ledger.shard_count)
+        return stream == shard.stream
+
+
+def settles_of(receipts: Iterable[Receipt]) -> tuple[Record, ...]:
+    """Return the bills of receipts, by budget."""
+    ordered = sorted(receipts, key=budget_of)
+    return tuple(
+        Settle(budget, tuple(map(bill_of, group)))
+        for budget, group in groupby(ordered, key=budget_of)
+    )
+
+
+def budget_of(receipt: Receipt) -> str:
+    """Return the budget that a receipt is charged to."""
+    return receipt.budget
+
+
+def bill_of(receipt: Receipt) -> Bill:
+    """Return the bill of a receipt."""
+    return Bill(receipt.key, receipt.run, receipt.grant, receipt.amount)
+
+
+def witness_status(
+    state: LedgerState, holder: Incarnation, witness: Incarnation
+) -> int | None:
+    """Return what the log knows of a witness of a closed holder."""
+    entry = state.holders.get(holder)
+    if entry is None or not entry["closed"]:
+        return None
+    return (entry["sidecars"] | entry["peers"]).get(witness)
--- /dev/null
+++ b/libs/entry/src/clementinebend_entry/closing.py
@@ -0,0 +1,98 @@
+"""Which holders to close, and which witnesses to ask; pure.
+
+A predecessor of this entry's own incarnation is closed at once. A holder of
+another entry is closed when that entry has been out of reach for a while and
+wrote nothing to the log since. A live holder that is closed by mistake goes
+on as a new incarnation, so each close doubles the patience with its entry.
+Entries act one after another, in rendezvous order.
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from clementinebend_membership.rendezvous import rendezvous
+
+from clementinebend_ledger.replay import LedgerState
+from clementinebend_ledger.state import WitnessStatus
+from clementinebend_records.identifiers import Incarnation, name_of
+
+STAGGER_S = 2.0
+NOTICE_INTERVAL_S = 0.25
+
+
+class Entries(NamedTuple):
+    """What this entry sees of the others.
+
+    ``out_of_reach`` is how long each unreachable entry has been silent, both
+    directly and on the log, in seconds; ``live`` are those in reach.
+    """
+
+    name: str
+    incarnation: Incarnation
+    live: tuple[str, ...]
+    out_of_reach: Mapping[str, float]
+
+
+class Notice(NamedTuple):
+    """A witness of a closed holder that has not acknowledged the close."""
+
+    holder: Incarnation
+    witness: Incarnation
+    is_sidecar: bool
+
+
+def holders_to_close(
+    state: LedgerState, entries: Entries, patience: Mapping[str, float]
+) -> tuple[Incarnation, ...]:
+    """Return the holders that this entry is to close now."""
+    open_holders = (
+        holder for holder, entry in state.holders.items() if not entry["closed"]
+    )
+    return tuple(
+        holder for holder in open_holders if _is_due(holder, entries, patience)
+    )
+
+
+def open_notices(state: LedgerState) -> tuple[Notice, ...]:
+    """Return the witnesses of closed holders that are still to be asked."""
+    return tuple(
+        Notice(holder, witness, is_sidecar)
+        for holder, entry in state.holders.items()
+        if entry["closed"]
+        for is_sidecar, witnesses in (
+            (True, entry["sidecars"]),
+            (False, entry["peers"]),
+        )
+        for witness, status in witnesses.items()
+        if status == WitnessStatus.OPEN
+    )
+
+
+def gone_peers(
+    notices: Iterable[Notice], peers: Mapping[str, Incarnation], state: LedgerState
+) -> tuple[Incarnation, ...]:
+    """Return peer witnesses that have been replaced and are not closed yet."""
+    witnesses = {notice.witness for notice in notices if not notice.is_sidecar}
+    return tuple(
+        witness
+        for witness in sorted(witnesses)
+        if peers.get(name_of(witness), witness) != witness
+        and not state.holders.get(witness, {"closed": False})["closed"]
+    )
+
+
+def turn_delay(subject: str, entries: Entries) -> float:
+    """Return for how many seconds this entry leaves a subject to others."""
+    names = sorted({entries.name, *entries.live})
+    return STAGGER_S * rendezvous(subject, names, len(names)).index(entries.name)
+
+
+def _is_due(
+    holder: Incarnation, entries: Entries, patience: Mapping[str, float]
+) -> bool:
+    name = name_of(holder)
+    if name == entries.name:
+        return holder != entries.incarnation
+    silent = entries.out_of_reach.get(name, 0.0)
+    limit = patience.get(name)
+    return limit is not None and silent >= limit + turn_delay(holder, entries)
--- /dev/null
+++ b/libs/entry/src/clementinebend_entry/configuration.py
@@ -0,0 +1,158 @@
+"""The owner of the configuration in force: from the log, or from a peer.
+
+A node's revision never goes down: a state is replaced only by one that has
+replayed more of the stream.
+"""
+
+from asyncio import sleep
+from collections.abc import Awaitable, Callable
+from logging import getLogger
+
+from expression import Result
+
+from clementinebend_declarations.checkpoints import (
+    configuration_bytes,
+    configuration_from_bytes,
+    newest,
+)
+from clementinebend_declarations.models import Configuration
+from clementinebend_declarations.replay import (
+    configuration_checkpoint,
+    configuration_of,
+    empty_configuration,
+    replay_configuration,
+    restore_configuration,
+)
+from clementinebend_declarations.state import (
+    ConfigurationOutcome,
+    ConfigurationState,
+    Diverged,
+    Unreadable,
+)
+from clementinebend_entry.exceptions import BrokenInvariant
+from clementinebend_entry.lookup import Directory, directory_of
+from clementinebend_entry.metrics import REVISION
+from clementinebend_entry.shard import LogSettings
+from clementinebend_platform_client.tail import StreamTail, TailOutcome
+from clementinebend_platform_client.writer import StreamWriter
+from clementinebend_records.messages import RevisionGive
+from clementinebend_records.records import Batch, Checkpoint
+from clementinebend_records.streams import CONFIGURATION_STREAM
+
+logger = getLogger(__name__)
+
+PEER_INTERVAL_S = 0.5
+"""How often peers are asked while the log cannot be reached."""
+
+AskPeers = Callable[[], Awaitable[tuple[RevisionGive, ...]]]
+
+
+class ConfigurationKeeper:
+    """Replays the configuration stream; create it inside a running loop."""
+
+    def __init__(
+        self,
+        log: LogSettings,
+        readable: int,
+        on_change: Callable[[Directory], None],
+        on_unreadable: Callable[[], None],
+    ) -> None:
+        self.readable = readable
+        self.on_change = on_change
+        self.on_unreadable = on_unreadable
+        self.state: ConfigurationState = empty_configuration()
+        self.directory = directory_of(self.configuration)
+        self.writer = StreamWriter(
+            log.client, CONFIGURATION_STREAM, log.writer, log.post
+        )
+        self.tail = StreamTail(
+            log.client,
+            CONFIGURATION_STREAM,
+            self.on_batch,
+            self.on_restore,
+            lambda: configuration_checkpoint(self.state),
+            self.writer,
+            self.on_outcome,
+            log.tail,
+        )
+
+    @property
+    def configuration(self) -> Configuration:
+        """What is in force."""
+        return configuration_of(self.state)
+
+    @property
+    def revision(self) -> int:
+        """The revision in force; 0 before the first."""
+        return self.configuration.revision
+
+    @property
+    def is_known(self) -> bool:
+        """Whether there is anything to serve by."""
+        return self.revision > 0
+
+    def on_batch(self, offset: int, batch: Batch) -> None:
+        """Replay the next batch."""
+        self.writer.on_read(offset, batch)
+        state, outcomes = replay_configuration(self.state, offset, batch, self.readable)
+        self.replace(state)
+        for outcome in outcomes:
+            self.check(outcome)
+
+    def on_restore(self, checkpoint: Checkpoint) -> None:
+        """Go on from a checkpoint, unless what is known is as new."""
+        self.replace(restore_configuration(checkpoint, self.state))
+        last = self.state.sequences.get(self.writer.writer, 0)
+        self.writer.on_restored(checkpoint.offset, last)
+
+    def on_outcome(self, outcome: TailOutcome) -> None:
+        """Leave if the stream has records of a newer schema."""
+        if type(outcome).__name__ == "NewerSchema":
+            self.on_unreadable()
+
+    def check(self, outcome: ConfigurationOutcome) -> None:
+        """Leave if an activated schema cannot be read; stop if states differ."""
+        if isinstance(outcome, Unreadable):
+            self.on_unreadable()
+        if isinstance(outcome, Diverged):
+            raise BrokenInvariant(f"configuration checkpoints differ: {outcome}")
+
+    def replace(self, state: ConfigurationState) -> None:
+        """Put a state in force that has replayed more of the stream."""
+        before = self.revision
+        self.state = state
+        if self.revision < before:
+            raise BrokenInvariant(f"revision went down from {before}")
+        if self.revision == before:
+            return
+        self.directory = directory_of(self.configuration)
+        REVISION.set(self.revision)
+        logger.info("revision %d is in force", self.revision)
+        self.on_change(self.directory)
+
+    def take(self, give: RevisionGive) -> None:
+        """Take the configuration of a peer, if it is newer."""
+        match configuration_from_bytes(give.state):
+            case Result(tag="ok", ok=state):
+                is_readable = state.configuration.activated_schema <= self.readable
+                if is_readable and state.configuration.revision > self.revision:
+                    self.replace(newest(self.state, state))
+            case Result(error=reason):
+                logger.warning("a peer's configuration is unusable: %s", reason)
+
+    def give(self, question: int) -> RevisionGive:
+        """Return the configuration in force, for a peer."""
+        return RevisionGive(question, self.revision, configuration_bytes(self.state))
+
+    async def ask_peers(self, ask: AskPeers) -> None:
+        """Ask peers while the log does not give the configuration."""
+        while not self.tail.ready.is_set():
+            if self.tail.failures:
+                for give in await ask():
+                    self.take(give)
+            await sleep(PEER_INTERVAL_S)
+
+    async def close(self, patience: float) -> None:
+        """Stop reading and writing."""
+        await self.writer.close(patience)
+        await self.tail.close()
--- /dev/null
+++ b/libs/entry/src/clementinebend_entry/execution.py
@@ -0,0 +1,368 @@
+"""One request from admission to its bill, apart from the caller's connection.
+
+The caller may leave at any time; what was dispatched is followed to its end
+and billed all the same. Further attempts are made only if the earlier one is
+proved not run, or the work is idempotent, within the retry budget and the
+deadline.
+"""
+
+from asyncio import Task
+from functools import singledispatchmethod
+from time import monotonic
+from typing import Any
+
+from clementinebend_declarations.models import ServiceKind
+from clementinebend_entry.answer_output import AnswerOutput
+from clementinebend_entry.attachment import Attached, attach
+from clementinebend_entry.budget_waits import Reservation
+from clementinebend_entry.calls import Call
+from clementinebend_entry.claimed_calls import ClaimedCall
+from clementinebend_entry.following import Follower
+from clementinebend_entry.ledger_events import Finished, Withdrawn
+from clementinebend_entry.lost_runs import (
+    LostRun,
+    bill,
+    release_lost,
+    resolve_lost,
+    trouble_of,
+)
+from clementinebend_entry.metrics import RETRIES, RUNS
+from clementinebend_entry.outcomes import Failed, Refusal, Trouble, Unknown
+from clementinebend_entry.pieces import Whole
+from clementinebend_entry.pointer_desk import Standing
+from clementinebend_entry.run_opening import run_start
+from clementinebend_entry.run_results import (
+    RunBroke,
+    RunNotRun,
+    RunResult,
+    RunUncertain,
+    RunWhole,
+    SidecarGone,
+    SidecarUnreachable,
+)
+from clementinebend_entry.services import Services
+from clementinebend_entry.sidecar_link import SidecarLink
+from clementinebend_records.identifiers import RunId, new_run_id
+from clementinebend_records.messages import RunCancel, Ticket
+from clementinebend_records.reasons import NotRun
+from clementinebend_routing.choice import Choice, NoChoice
+
+LINK_PATIENCE_S = 2.0
+"""How long idempotent work waits for its sidecar's link before it runs again."""
+
+FINAL_REFUSALS = frozenset((NotRun.KEY_CONFLICT, NotRun.CANCELLED))
+"""Refusals that another endpoint would not change."""
+
+
+class Execution:
+    """Runs one call; ``output`` holds what its caller is to get."""
+
+    def __init__(self, services: Services, call: Call) -> None:
+        self.services = services
+        self.call = call
+        self.output = AnswerOutput(call.stream)
+        self.request = new_run_id()
+        self.run_id: RunId = self.request
+        self.reservation: Reservation | None = None
+        self.follower: Follower | None = None
+        self.lost: list[LostRun] = []
+        self.exclude: frozenset[str] = frozenset()
+        self.refusal: Refusal | None = None
+        self.claim = ClaimedCall(services.claims, call)
+        self.dispatched = False
+        self.abandoned = False
+        self.ended = False
+        self.tokens = 0
+        self.task: Task[None] | None = None
+
+    async def run(self) -> None:
+        """Take the call through admission and its attempts."""
+        gate = self.services.gate
+        refusal = await gate.enter(self.request, self.call)
+        if refusal is not None:
+            self.tell(refusal)
+            return
+        try:
+            while not self.ended:
+                await self.attempt()
+        finally:
+            self.withdraw()
+            if not self.dispatched:
+                self.claim.void()
+            if self.tokens:
+                gate.leave(self.request, self.tokens)
+            else:
+                gate.leave_unrun(self.request)
+
+    def abandon(self) -> None:
+        """Take in that the caller does not wait any more."""
+        self.abandoned = True
+        if not self.dispatched:
+            if self.task is not None:
+                self.task.cancel()
+            return
+        may_stop = self.call.kind is ServiceKind.MODEL and not self.call.has_key
+        if may_stop and self.follower is not None:
+            self.follower.link.post(RunCancel(self.follower.run))
+
+    # One attempt.
+
+    async def attempt(self) -> None:
+        """Choose an endpoint, reserve, and dispatch; then take the result."""
+        if await self.is_answered():
+            return
+        chosen = self.services.router.choose(self.call, self.exclude)
+        if isinstance(chosen, NoChoice):
+            refusal = Refusal(NotRun.NO_ENDPOINT, chosen.retry_after_ms)
+            self.give_up(self.refusal or refusal)
+            return
+        if not await self.reserve():
+            return
+        link, choice = chosen
+        ticket = self.ticket(link)
+        if ticket is None:
+            return
+        standing = await self.place_pointer(choice.endpoint)
+        if standing is not None:
+            await self.join(standing)
+            return
+        if await self.is_claimed():
+            await self.dispatch(link, choice, ticket)
+
+    async def reserve(self) -> bool:
+        """Set tokens aside, unless that is done."""
+        if self.reservation is not None:
+            return True
+        call = self.call
+        answer = await self.services.ledger.reserve(
+            self.run_id, call.budget, call.amount, call.deadline
+        )
+        if isinstance(answer, Refusal):
+            self.give_up(answer)
+            return False
+        self.reservation = answer
+        return True
+
+    def ticket(self, link: SidecarLink) -> Ticket | None:
+        """Return the ticket for a sidecar, or None if it changed meanwhile."""
+        reservation, peer = self.reservation, link.peer
+        ledger = self.services.ledger
+        if reservation is None or peer is None:
+            return None
+        if reservation.holder != ledger.incarnation:
+            self.withdraw()
+            return None
+        if not ledger.is_witness(self.call.budget, peer.incarnation):
+            return None
+        return Ticket(
+            reservation.budget,
+            reservation.grant,
+            reservation.holder,
+            peer.incarnation,
+            reservation.amount,
+        )
+
+    async def place_pointer(self, endpoint: str) -> Standing | None:
+        """Point others to this run; return an earlier run's pointer, if any."""
+        if not self.call.has_key:
+            return None
+        return await self.services.pointers.put(self.call, self.run_id, endpoint)
+
+    async def is_answered(self) -> bool:
+        """Answer a retry of a claimed call from its record, if there is one."""
+        if self.call.idempotent or self.claim.is_won:
+            return False
+        piece = self.claim.recorded()
+        if piece is not None:
+            self.end(piece)
+        return piece is not None
+
+    async def is_claimed(self) -> bool:
+        """Win the claim of a call that may run at most once."""
+        if self.call.idempotent or self.claim.is_won:
+            return True
+        trouble = await self.claim.win(self.run_id)
+        if trouble is None:
+            return True
+        if isinstance(trouble, Refusal):
+            self.give_up(trouble)
+        else:
+            self.withdraw()
+            self.drop_pointer()
+            self.end(trouble)
+        return False
+
+    async def join(self, standing: Standing) -> None:
+        """Relay the answer of the run that the key has already.
+
+        A pointer to a run that gives no answer is dropped, and the call goes
+        on by itself; whether it may still run is then for its claim to say.
+        """
+        self.withdraw()
+        if standing.body_digest != self.call.body_digest:
+            self.end(Refusal(NotRun.KEY_CONFLICT, 0))
+            return
+        self.dispatched = True
+        attached = await attach(self.services, self.call, standing, self.output)
+        self.dispatched = isinstance(attached, Attached)
+        if isinstance(attached, Attached):
+            self.follower = attached.follower
+            await self.take_joined(attached.result, standing)
+        else:
+            self.services.pointers.drop(self.call.key, standing.run)
+
+    async def take_joined(self, result: RunResult, standing: Standing) -> None:
+        """Take the result of a run that another request began."""
+        is_final = isinstance(result, RunWhole) or (
+            isinstance(result, RunNotRun) and result.reason in FINAL_REFUSALS
+        )
+        if is_final or not self.call.idempotent or not self.may_try_again("joined"):
+            await self.take(result)
+        else:
+            self.services.pointers.drop(self.call.key, standing.run)
+
+    async def dispatch(self, link: SidecarLink, choice: Choice, ticket: Ticket) -> None:
+        """Send the run to its sidecar and follow it to its end."""
+        call, router = self.call, self.services.router
+        start = run_start(call, self.run_id, ticket)
+        self.follower = Follower(
+            link, ticket.sidecar, start, call.deadline, self.output
+        )
+        self.dispatched = True
+        began = monotonic()
+        router.on_start(choice, self.run_id)
+        result = await self.follower.follow(self.link_patience())
+        ok = isinstance(result, RunWhole)
+        router.on_end(choice.endpoint, self.run_id, ok, monotonic() - began)
+        RUNS.labels(type(result).__name__).inc()
+        await self.take(result)
+
+    def link_patience(self) -> float:
+        """Return for how long a broken link is waited for, in seconds."""
+        left = max(0.0, self.call.deadline - monotonic())
+        return min(LINK_PATIENCE_S, left / 2) if self.call.idempotent else left
+
+    # Results.
+
+    @singledispatchmethod
+    async def take(self, result: Any) -> None:
+        """Take the result of a run: end, or leave it to the next attempt."""
+        raise TypeError(f"no run result: {result!r}")
+
+    @take.register
+    async def _(self, result: RunWhole) -> None:
+        services = self.services
+        self.settle(result)
+        release_lost(services, self.lost)
+        self.lost.clear()
+        if self.output.broken:
+            self.end(Failed(self.output.broken))
+            return
+        zone = self.zone_of_sidecar()
+        if await services.receipts.make_safe(result.receipt, self.call, zone):
+            answer = self.output.answer
+            self.claim.record(answer.status, answer.content_type, bytes(answer.body))
+            self.ended = True
+            self.output.release()
+        else:
+            self.end(Unknown("the receipt could not be made safe in time"))
+
+    @take.register
+    async def _(self, result: RunNotRun) -> None:
+        self.drop_pointer()
+        self.refusal = Refusal(result.reason, result.retry_after_ms)
+        if result.reason is NotRun.HOLDER_CLOSED:
+            self.withdraw()
+        if result.reason in FINAL_REFUSALS or not self.may_try_again("not_run"):
+            self.give_up(self.refusal)
+
+    @take.register
+    async def _(self, result: RunBroke) -> None:
+        self.drop_pointer()
+        if self.call.idempotent and self.may_try_again("failed"):
+            self.lose(result)
+            return
+        self.settle(result)
+        self.claim.record_failure(result.message)
+        self.end(Failed(result.message))
+
+    @take.register(RunUncertain)
+    @take.register(SidecarGone)
+    @take.register(SidecarUnreachable)
+    async def _(self, result: RunUncertain | SidecarGone | SidecarUnreachable) -> None:
+        self.drop_pointer()
+        self.lose(result)
+        if self.call.idempotent and self.may_try_again("lost"):
+            return
+        self.end(Unknown("the endpoint's answer was lost"))
+
+    def lose(self, result: RunResult) -> None:
+        """Keep a run whose cost the key may still have to bear."""
+        if self.reservation is not None and self.follower is not None:
+            key = self.call.key
+            self.lost.append(LostRun(key, self.reservation, self.follower, result))
+            self.run_id = new_run_id()
+        self.reservation = None
+
+    def settle(self, result: RunWhole | RunBroke) -> None:
+        """Bill the key with a run's receipt."""
+        reservation, follower = self.reservation, self.follower
+        self.tokens = max(1, result.receipt.amount)
+        self.reservation = None
+        if reservation is not None and follower is not None:
+            lost = LostRun(self.call.key, reservation, follower, result)
+            bill(self.services, lost, result.receipt)
+            return
+        receipt = result.receipt
+        self.services.receipts.expect(receipt.key, receipt.run, receipt.endpoint)
+        self.services.ledger.take(Finished(receipt))
+
+    def may_try_again(self, cause: str) -> bool:
+        """Return whether another attempt is allowed; it is then counted."""
+        if self.follower is not None:
+            endpoint = self.follower.link.address.endpoint
+            self.exclude = self.exclude | {endpoint}
+        if self.abandoned or monotonic() >= self.call.deadline:
+            return False
+        if not self.services.gate.may_retry(self.call.team):
+            return False
+        RETRIES.labels(cause).inc()
+        return True
+
+    def zone_of_sidecar(self) -> str:
+        """Return the availability zone of the sidecar that executed the run."""
+        peer = self.follower.link.peer if self.follower is not None else None
+        return self.services.router.zone if peer is None else peer.zone
+
+    # Ends.
+
+    def give_up(self, refusal: Refusal) -> None:
+        """End a call that is proved not run, or whose last attempt is."""
+        self.withdraw()
+        if self.lost:
+            self.end(trouble_of(self.lost))
+            return
+        self.claim.void()
+        self.end(refusal)
+
+    def end(self, outcome: Trouble | Whole) -> None:
+        """End without a whole answer of a run of this execution."""
+        resolve_lost(self.services, self.lost)
+        self.lost.clear()
+        self.ended = True
+        self.tell(outcome)
+
+    def tell(self, outcome: Trouble | Whole) -> None:
+        """Hand the outcome to the one who answers the caller."""
+        self.output.pieces.put_nowait(outcome)
+
+    def withdraw(self) -> None:
+        """Free the reservation of a run that did not take place."""
+        if self.reservation is not None:
+            self.services.ledger.take(Withdrawn(self.reservation.run))
+            self.reservation = None
+
+    def drop_pointer(self) -> None:
+        """Remove the pointer to a run that gives no answer."""
+        if self.call.has_key:
+            self.services.pointers.drop(self.call.key, self.run_id)
--- /dev/null
+++ b/libs/entry/src/clementinebend_entry/fleet.py
@@ -0,0 +1,258 @@
+"""All owners of state in one entry, and who is told what by whom."""
+
+from asyncio import Event, Task, get_running_loop, sleep
+from collections.abc import Coroutine, Iterator
+from functools import singledispatchmethod
+from hashlib import blake2b
+from typing import Any
+
+from clementinebend_entry.admission_gate import AdmissionGate
+from clementinebend_entry.claims import ClaimsDesk
+from clementinebend_entry.closer import Closer
+from clementinebend_entry.configuration import ConfigurationKeeper
+from clementinebend_entry.ledger import Ledger
+from clementinebend_entry.ledger_events import PartReceived, WitnessesSeen
+from clementinebend_entry.lender import Lender
+from clementinebend_entry.lookup import Directory
+from clementinebend_entry.peer_pool import PeerPool, entry_hello
+from clementinebend_entry.pointer_desk import PointerDesk
+from clementinebend_entry.reach import Reach
+from clementinebend_entry.receipt_keeper import ReceiptKeeper
+from clementinebend_entry.receipts import ReceiptDesk
+from clementinebend_entry.router import Router
+from clementinebend_entry.services import Services
+from clementinebend_entry.settings import EntrySettings
+from clementinebend_entry.shard import LogSettings
+from clementinebend_entry.sidecar_link import LinkDown, LinkUp
+from clementinebend_entry.sidecar_pool import SidecarPool
+from clementinebend_platform_client.log_client import http_log_client
+from clementinebend_records.identifiers import Incarnation, RunId
+from clementinebend_records.messages import (
+    CacheEvent,
+    CloseReply,
+    Hello,
+    LoadReport,
+    Receipt,
+    ReceiptsLogged,
+    TransferGive,
+)
+from clementinebend_records.records import Bill
+from clementinebend_transport.http_client import HttpClient
+
+KEEPER_INTERVAL_S = 5.0
+CLOSE_PATIENCE_S = 1.0
+SEED_BYTES = 4
+
+
+class Fleet:
+    """Builds the owners; create it inside a running loop."""
+
+    def __init__(
+        self, settings: EntrySettings, incarnation: Incarnation, stop: Event
+    ) -> None:
+        self.settings = settings
+        self.stop = stop
+        self.loop = get_running_loop()
+        self.http = HttpClient()
+        self.tasks: set[Task[None]] = set()
+        client = http_log_client(settings.log_url, self.http, settings.name)
+        log = LogSettings(client, incarnation)
+        names = tuple(peer.name for peer in settings.peers)
+        self.reach = Reach(names, settings.suspect_after_s, self.loop.time())
+        self.ledger = Ledger(
+            settings.name, incarnation, settings.ledger_shards, log, self
+        )
+        self.claims = ClaimsDesk(incarnation, settings.claims_shards, log)
+        self.configuration = ConfigurationKeeper(
+            log, settings.schema_version, self.on_configuration, stop.set
+        )
+        self.keeper = ReceiptKeeper(settings.kept_receipts, self.ledger.post_foreign)
+        self.kept_by: dict[RunId, str] = {}
+        self.receipts = ReceiptDesk(
+            settings.zone, self.post_logged, self.keep_at_peer, self.on_forgotten
+        )
+        self.pool = SidecarPool(
+            settings.name, settings.subset_size, self.hello, self.on_sidecar_news
+        )
+        self.router = Router(
+            settings.zone, seed_of(incarnation), self.pool, self.ledger.is_witness
+        )
+        limits = self.configuration.configuration.declarations.limits
+        self.gate = AdmissionGate(limits.retry_budget_ratio)
+        self.peers = PeerPool(settings, self.hello, self.on_peer_news)
+        self.pointers = PointerDesk(settings.name, settings.kept_pointers, self.peers)
+        self.lender = Lender(self.ledger)
+        self.closer = Closer(
+            self.ledger, self.pool, self.peers, self.receipts, self.reach
+        )
+        self.services = Services(
+            self.gate,
+            self.router,
+            self.pool,
+            self.ledger,
+            self.claims,
+            self.pointers,
+            self.receipts,
+            self.watch,
+        )
+
+    def jobs(self) -> Iterator[tuple[str, Coroutine[Any, Any, None]]]:
+        """Return what runs until the process ends."""
+        yield "ledger", self.ledger.run()
+        yield "admission", self.gate.run()
+        yield "closer", self.closer.run()
+        yield "kept receipts", self.look_after_receipts()
+        yield "configuration", self.configuration.ask_peers(self.peers.ask_revisions)
+
+    def watch(self, task: "Task[None]") -> None:
+        """Keep a task that a planned stop waits for."""
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def hello(self) -> Hello:
+        """Return what this entry says of itself."""
+        return entry_hello(
+            self.settings,
+            self.ledger.incarnation,
+            self.configuration.revision,
+            self.stop.is_set(),
+        )
+
+    def directory(self) -> Directory:
+        """Return the declarations in force, indexed."""
+        return self.configuration.directory
+
+    # What the ledger shows.
+
+    def on_written(self, writer: Incarnation, now: float) -> None:
+        """Take in that an entry wrote to the log."""
+        self.reach.on_written(writer, now)
+
+    def on_logged(self, bill: Bill) -> None:
+        """Take in that a request key is billed."""
+        self.receipts.on_logged(bill)
+        self.keeper.on_logged(bill)
+
+    def on_closed(self, holder: Incarnation) -> None:
+        """Take in that a holder is closed."""
+        self.keeper.bill_holder(holder)
+
+    def on_rotated(self) -> None:
+        """Take in that this entry is a new holder."""
+        self.peers.greet_again()
+
+    # What the configuration shows.
+
+    def on_configuration(self, directory: Directory) -> None:
+        """Put a new revision in force."""
+        declarations = directory.declarations
+        self.ledger.declarations = declarations
+        self.pool.configure(declarations)
+        self.router.configure(declarations)
+
+    # What links tell.
+
+    @singledispatchmethod
+    def on_sidecar_news(self, news: Any) -> None:
+        """Take news of a sidecar."""
+        raise TypeError(f"no news of a sidecar: {news!r}")
+
+    @on_sidecar_news.register(LinkUp)
+    @on_sidecar_news.register(LinkDown)
+    def _(self, news: LinkUp | LinkDown) -> None:
+        self.see_witnesses()
+        self.router.refresh()
+        self.gate.set_slots(self.slots())
+        self.receipts.tell_sidecars()
+
+    @on_sidecar_news.register
+    def _(self, news: LoadReport) -> None:
+        self.router.on_report(news)
+
+    @on_sidecar_news.register
+    def _(self, news: CacheEvent) -> None:
+        self.router.on_cache_event(news)
+
+    @on_sidecar_news.register
+    def _(self, news: CloseReply) -> None:
+        self.closer.on_reply(news)
+
+    @singledispatchmethod
+    def on_peer_news(self, news: Any) -> None:
+        """Take news of a peer."""
+        raise TypeError(f"no news of a peer: {news!r}")
+
+    @on_peer_news.register
+    def _(self, news: LinkUp) -> None:
+        self.reach.on_up(news.name, self.loop.time())
+        self.see_witnesses()
+
+    @on_peer_news.register
+    def _(self, news: LinkDown) -> None:
+        self.reach.on_down(news.name, self.loop.time())
+        self.see_witnesses()
+
+    @on_peer_news.register
+    def _(self, news: CloseReply) -> None:
+        self.closer.on_reply(news)
+
+    @on_peer_news.register
+    def _(self, news: TransferGive) -> None:
+        if news.amount:
+            self.ledger.take(PartReceived(news))
+
+    def see_witnesses(self) -> None:
+        """Tell the ledger whom it may put in its scope."""
+        self.ledger.entries = self.peers.live()
+        seen = WitnessesSeen(self.pool.incarnations(), self.peers.witnesses())
+        self.ledger.take(seen)
+
+    def slots(self) -> int:
+        """Return how many calls this entry runs at one time."""
+        reachable = sum(1 for _ in self.pool.reachable())
+        return max(1, reachable) * self.settings.slots_per_endpoint
+
+    # Receipts.
+
+    def post_logged(self, endpoint: str, logged: ReceiptsLogged) -> bool:
+        """Tell a sidecar which receipts are on the log."""
+        link = self.pool.links.get(endpoint)
+        return link is not None and link.post(logged)
+
+    async def keep_at_peer(self, receipt: Receipt) -> bool:
+        """Have a peer of another zone keep a receipt."""
+        allowed = frozenset(
+            witness
+            for witness in self.peers.witnesses()
+            if self.ledger.is_witness(receipt.budget, witness)
+        )
+        name = await self.peers.keep_receipt(receipt, allowed)
+        if name is not None:
+            self.kept_by[receipt.run] = name
+        return name is not None
+
+    def on_forgotten(self, run: RunId) -> None:
+        """Tell the peer that keeps a receipt that it is on the log."""
+        name = self.kept_by.pop(run, None)
+        if name is not None:
+            self.peers.tell_logged(name, ReceiptsLogged((run,)))
+
+    async def look_after_receipts(self) -> None:
+        """Bill receipts whose holders stay silent."""
+        while True:
+            await sleep(KEEPER_INTERVAL_S)
+            self.keeper.bill_forgotten()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.pool.close()
+        await self.peers.close()
+        await self.configuration.close(CLOSE_PATIENCE_S)
+        await self.http.close()
+
+
+def seed_of(incarnation: Incarnation) -> int:
+    """Return the seed of this entry's draws."""
+    return int.from_bytes(
+        blake2b(incarnation.encode(), digest_size=SEED_BYTES).digest()
+    )
--- /dev/null
+++ b/libs/entry/src/clementinebend_entry/following.py
@@ -0,0 +1,153 @@
+"""Follows one run at one sidecar to its end, over connections that may break.
+
+The opening message is sent again over each new connection. A ``RunStart`` of
+a run that the sidecar knows attaches to it, one that it has never seen starts
+it once, and with no time left it is refused and remembered as refused. So
+repeating it is safe for any call, and settles whether the run took place.
+"""
+
+from asyncio import Queue, timeout
+from functools import singledispatchmethod
+from time import monotonic
+from typing import Any
+
+from clementinebend_entry.answer_output import AnswerOutput
+from clementinebend_entry.metrics import ATTACHMENTS
+from clementinebend_entry.run_events import LinkLost, RunEvent
+from clementinebend_entry.run_results import (
+    RunBroke,
+    RunNotRun,
+    RunResult,
+    RunUncertain,
+    RunWhole,
+    SidecarGone,
+    SidecarUnreachable,
+)
+from clementinebend_entry.sidecar_link import SidecarLink
+from clementinebend_records.identifiers import Incarnation, RunId
+from clementinebend_records.messages import (
+    RunAccepted,
+    RunAttach,
+    RunChunk,
+    RunEnd,
+    RunFailed,
+    RunHead,
+    RunRefused,
+    RunStart,
+)
+from clementinebend_records.reasons import NotRun
+
+MILLISECONDS = 1000
+UNKNOWN_REASON = NotRun.CANCELLED
+"""Stands for a reason that only a newer sidecar knows."""
+
+Opening = RunStart | RunAttach
+
+
+class Follower:
+    """Follows a run that ``opening`` starts or attaches to.
+
+    ``patience`` bounds each time without a connection, in seconds; None waits
+    for as long as it takes. ``deadline`` is in monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        link: SidecarLink,
+        incarnation: Incarnation,
+        opening: Opening,
+        deadline: float,
+        output: AnswerOutput,
+    ) -> None:
+        self.link = link
+        self.incarnation = incarnation
+        self.opening = opening
+        self.deadline = deadline
+        self.output = output
+
+    @property
+    def run(self) -> RunId:
+        """The id under which the sidecar tells of the run."""
+        if isinstance(self.opening, RunStart):
+            return self.opening.run
+        return self.opening.attachment
+
+    async def follow(self, patience: float | None) -> RunResult:
+        """Open the run and take its messages until it has ended."""
+        events = self.link.open_run(self.run)
+        try:
+            self.open()
+            return await self.take_all(events, patience)
+        finally:
+            self.link.close_run(self.run)
+
+    async def take_all(
+        self, events: "Queue[RunEvent]", patience: float | None
+    ) -> RunResult:
+        """Take messages until one of them ends the run."""
+        while True:
+            event = await events.get()
+            result = self.take(event)
+            if isinstance(event, LinkLost):
+                result = await self.reopen(patience)
+            if result is not None:
+                return result
+
+    async def reopen(self, patience: float | None) -> RunResult | None:
+        """Wait for a new connection and open the run again there."""
+        try:
+            async with timeout(patience):
+                await self.link.up.wait()
+        except TimeoutError:
+            return SidecarUnreachable()
+        peer = self.link.peer
+        if peer is None or peer.incarnation != self.incarnation:
+            return SidecarGone()
+        ATTACHMENTS.labels("link_lost").inc()
+        self.output.tell_again()
+        self.open()
+        return None
+
+    def open(self) -> None:
+        """Send the opening message with the time that is left."""
+        opening = self.opening
+        if isinstance(opening, RunStart):
+            left = max(0, int((self.deadline - monotonic()) * MILLISECONDS))
+            opening = opening._replace(deadline_ms=left)
+        self.link.post(opening)
+
+    @singledispatchmethod
+    def take(self, event: Any) -> RunResult | None:
+        """Take one event; return the result if it ends the run."""
+        return None
+
+    @take.register
+    def _(self, event: RunAccepted) -> RunResult | None:
+        return None
+
+    @take.register
+    def _(self, event: RunHead) -> RunResult | None:
+        self.output.head(event)
+        return None
+
+    @take.register
+    def _(self, event: RunChunk) -> RunResult | None:
+        self.output.chunk(event)
+        return None
+
+    @take.register
+    def _(self, event: RunEnd) -> RunResult | None:
+        self.output.end(event)
+        return RunWhole(event.receipt)
+
+    @take.register
+    def _(self, event: RunFailed) -> RunResult | None:
+        if event.receipt is None:
+            return RunUncertain(event.message)
+        return RunBroke(event.message, event.receipt)
+
+    @take.register
+    def _(self, event: RunRefused) -> RunResult | None:
+        known = set(NotRun)
+        reason = NotRun(event.reason) if event.reason in known else UNKNOWN_REASON
+        return RunNotRun(reason, event.retry_after_ms)
--- /dev/null
+++ b/libs/entry/src/clementinebend_entry/handler.py
@@ -0,0 +1,87 @@
+"""The callers' side: health, readiness, metrics, and calls."""
+
+from asyncio import create_task
+from collections.abc import Callable
+from time import monotonic
+from typing import Protocol
+
+from expression import Result
+
+from clementinebend_entry.answers import answer_of, json_response
+from clementinebend_entry.calls import Call, parse_call
+from clementinebend_entry.execution import Execution
+from clementinebend_entry.lookup import Directory
+from clementinebend_entry.metrics import IN_PROGRESS
+from clementinebend_entry.outcomes import BadRequest, Refusal
+from clementinebend_entry.responder import count_trouble, respond
+from clementinebend_entry.services import Services
+from clementinebend_records.reasons import NotRun
+from clementinebend_transport.http_server import Request, Response
+from clementinebend_transport.metrics import render_metrics
+
+OK = 200
+UNAVAILABLE = 503
+TOO_LARGE = 413
+NOT_READY_RETRY_MS = 1_000
+OWN_PATHS = ("/healthz", "/readyz", "/metrics")
+
+
+class Readiness(Protocol):
+    """Who knows what this entry still lacks."""
+
+    def for_calls(self) -> tuple[str, ...]:
+        """Return what a call would lack."""
+
+    def for_balancer(self) -> tuple[str, ...]:
+        """Return why the balancer should send no callers here."""
+
+
+class Handler:
+    """Answers requests by the declarations in force."""
+
+    def __init__(
+        self,
+        services: Services,
+        directory: Callable[[], Directory],
+        readiness: Readiness,
+    ) -> None:
+        self.services = services
+        self.directory = directory
+        self.readiness = readiness
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one request."""
+        path = request.target.partition("?")[0]
+        if path in OWN_PATHS:
+            return self.own_page(path)
+        if self.readiness.for_calls():
+            return self.refuse(Refusal(NotRun.NOT_READY, NOT_READY_RETRY_MS))
+        directory = self.directory()
+        if len(request.body) > directory.declarations.limits.max_body_bytes:
+            return self.refuse(BadRequest(TOO_LARGE, "body", "is too large"))
+        match parse_call(request, directory, monotonic()):
+            case Result(tag="ok", ok=call):
+                return await self.execute(call)
+            case Result(error=trouble):
+                return self.refuse(trouble)
+
+    async def execute(self, call: Call) -> Response:
+        """Run a call and answer its caller."""
+        execution = Execution(self.services, call)
+        execution.task = create_task(execution.run(), name=f"call {call.key}")
+        self.services.watch(execution.task)
+        IN_PROGRESS.inc()
+        return await respond(execution, IN_PROGRESS.dec)
+
+    def refuse(self, trouble: BadRequest | Refusal) -> Response:
+        """Answer a request that is not run."""
+        count_trouble(trouble)
+        return answer_of(trouble)
+
+    def own_page(self, path: str) -> Response:
+        """Return a page about this process."""
+        if path == "/metrics":
+            return render_metrics()
+        missing = self.readiness.for_balancer() if path == "/readyz" else ()
+        status = UNAVAILABLE if missing else OK
+        return json_response(status, {"ok": not missing, "missing": list(missing)})
--- /dev/null
+++ b/libs/entry/src/clementinebend_entry/headers.py
@@ -0,0 +1,76 @@
+"""Headers that callers send: key, deadline, priority and budget."""
+
+from typing import NamedTuple
+
+from expression import Error, Ok, Result
+
+from clementinebend_declarations.models import Limits
+from clementinebend_entry.outcomes import BadRequest
+
+BEARER = "bearer "
+DEFAULT_PRIORITY = 5
+HIGHEST_PRIORITY = 9
+LONGEST_KEY = 255
+UNAUTHORIZED = 401
+INVALID = 400
+DIGITS_MAX = 12
+
+
+class CallHeaders(NamedTuple):
+    """What the headers of a request say.
+
+    ``deadline_ms`` counts from arrival; a larger one than the fleet allows
+    is lowered to that. ``idempotency_key`` and ``budget`` are empty if absent.
+    """
+
+    bearer: str
+    idempotency_key: str
+    deadline_ms: int
+    priority: int
+    budget: str
+
+
+def parse_headers(
+    headers: dict[str, str], limits: Limits
+) -> Result[CallHeaders, BadRequest]:
+    """Return what the headers say, or which one is wrong."""
+    bearer = _bearer(headers.get("authorization", ""))
+    if not bearer:
+        message = "send the team's key as 'Authorization: Bearer KEY'"
+        return Error(BadRequest(UNAUTHORIZED, "authorization", message))
+    deadline = _whole_number(headers, "x-deadline-ms", limits.default_deadline_ms)
+    if deadline is None or deadline < 1:
+        message = "must be a whole number of milliseconds above 0"
+        return Error(BadRequest(INVALID, "x-deadline-ms", message))
+    priority = _whole_number(headers, "x-priority", DEFAULT_PRIORITY)
+    if priority is None or priority > HIGHEST_PRIORITY:
+        message = f"must be a whole number from 0 to {HIGHEST_PRIORITY}"
+        return Error(BadRequest(INVALID, "x-priority", message))
+    key = headers.get("idempotency-key", "")
+    if len(key) > LONGEST_KEY:
+        message = f"must have at most {LONGEST_KEY} characters"
+        return Error(BadRequest(INVALID, "idempotency-key", message))
+    return Ok(
+        CallHeaders(
+            bearer,
+            key,
+            min(deadline, limits.max_deadline_ms),
+            priority,
+            headers.get("x-budget", ""),
+        )
+    )
+
+
+def _bearer(value: str) -> str:
+    if not value.lower().startswith(BEARER):
+        return ""
+    return value[len(BEARER) :].strip()
+
+
+def _whole_number(headers: dict[str, str], name: str, default: int) -> int | None:
+    if name not in headers:
+        return default
+    text = headers[name].strip()
+    if not (text.isascii() and text.isdigit() and len(text) <= DIGITS_MAX):
+        return None
+    return int(text)
--- /dev/null
+++ b/libs/entry/src/clementinebend_entry/ledger_outcomes.py
@@ -0,0 +1,56 @@
+"""Counting of what replay reports, and the bills among it."""
+
+from collections.abc import Container
+from functools import singledispatch
+from typing import Any
+
+from clementinebend_entry.metrics import BILLS, GRANTS, TOKENS_BILLED
+from clementinebend_ledger.outcomes import (
+    Billed,
+    BillRepeated,
+    BillUnfunded,
+    GrantAccepted,
+    GrantRefused,
+    LedgerOutcome,
+)
+from clementinebend_records.identifiers import Incarnation
+from clementinebend_records.records import Bill
+
+
+@singledispatch
+def logged_bill(outcome: Any) -> Bill | None:
+    """Return the bill whose key is on the log now, if the outcome is of one."""
+    return None
+
+
+@logged_bill.register
+def _(outcome: Billed) -> Bill | None:
+    return outcome.bill
+
+
+@logged_bill.register
+def _(outcome: BillRepeated) -> Bill | None:
+    return outcome.bill
+
+
+@logged_bill.register
+def _(outcome: BillUnfunded) -> Bill | None:
+    return outcome.bill
+
+
+def count_outcome(outcome: LedgerOutcome, mine: Container[Incarnation]) -> None:
+    """Count an outcome if it is of this entry's records."""
+    if isinstance(outcome, GrantAccepted) and outcome.holder in mine:
+        GRANTS.labels("accepted").inc()
+    elif isinstance(outcome, GrantRefused) and outcome.holder in mine:
+        GRANTS.labels(outcome.reason).inc()
+    elif isinstance(outcome, Billed) and _holder_of(outcome.bill) in mine:
+        BILLS.labels("held" if outcome.bill.held else "billed").inc()
+        TOKENS_BILLED.inc(outcome.bill.amount)
+    elif isinstance(outcome, BillRepeated) and _holder_of(outcome.bill) in mine:
+        BILLS.labels("repeated").inc()
+
+
+def _holder_of(bill: Bill) -> Incarnation:
+    """Return the holder in a grant's name: ``incarnation/number``."""
+    return Incarnation(bill.grant.rpartition("/")[0])
--- /dev/null
+++ b/libs/entry/src/clementinebend_entry/lender.py
@@ -0,0 +1,44 @@
+"""Passes parts of this entry's grants to peers on its side of a cut."""
+
+from clementinebend_entry.ledger import Ledger
+from clementinebend_ledger.holder import give, refuse_sender
+from clementinebend_records.identifiers import GrantId, Incarnation, new_run_id
+from clementinebend_records.messages import TransferAsk, TransferGive
+from clementinebend_records.streams import ledger_stream
+
+
+class Lender:
+    """Answers peers that ask for tokens."""
+
+    def __init__(self, ledger: Ledger) -> None:
+        self.ledger = ledger
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """The holder that this entry is now."""
+        return self.ledger.incarnation
+
+    def lend(self, ask: TransferAsk, receiver: Incarnation) -> TransferGive:
+        """Pass a part of a grant, as far as one has free tokens."""
+        ledger = self.ledger
+        transfer = GrantId(f"{ledger.incarnation}/t{new_run_id()}")
+        stream = ledger_stream(ask.budget, ledger.shard_count)
+        ledger.holder, message = give(
+            ledger.holder,
+            ask.budget,
+            transfer,
+            receiver,
+            ask.amount,
+            stream,
+            ask.question,
+        )
+        ledger.dirty.set()
+        return message
+
+    def refuse(self, stream: str, holder: Incarnation) -> None:
+        """Take no more parts from a closed holder; log those taken."""
+        ledger = self.ledger
+        shard = ledger.shards.get(stream)
+        ledger.holder, records = refuse_sender(ledger.holder, holder)
+        if shard is not None:
+            ledger.post(shard, records)
--- /dev/null
+++ b/libs/entry/src/clementinebend_entry/message_link.py
@@ -0,0 +1,112 @@
+"""A connection to another process, kept up; it owns its socket."""
+
+from asyncio import Event, sleep, timeout
+from collections.abc import Callable
+
+from expression import Result
+
+from clementinebend_entry.backoff import connect_delay
+from clementinebend_records.messages import Hello, Message
+from clementinebend_transport.message_stream import MessageStream, connect_messages
+
+CONNECT_TIMEOUT_S = 2.0
+HELLO_TIMEOUT_S = 5.0
+
+MakeHello = Callable[[], Hello]
+
+
+class MessageLink:
+    """Connects to one process for as long as its task runs.
+
+    ``peer`` is what the other side said last, also after the connection has
+    ended; ``up`` is set while there is one. A connection on which nothing
+    comes for ``silence`` seconds is given up; None waits for ever.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        port: int,
+        hello: MakeHello,
+        silence: float | None = None,
+    ) -> None:
+        self.name = name
+        self.host = host
+        self.port = port
+        self.own_hello = hello
+        self.silence = silence
+        self.stream: MessageStream | None = None
+        self.peer: Hello | None = None
+        self.up = Event()
+
+    async def run(self) -> None:
+        """Connect, and connect again, for ever."""
+        failures = 0
+        while True:
+            if await self.connect():
+                failures = 0
+                await self.receive_all()
+                self.lose()
+            failures += 1
+            await sleep(connect_delay(failures, self.name))
+
+    async def connect(self) -> bool:
+        """Open the connection and exchange ``Hello``; return whether it is up."""
+        answer = await connect_messages(self.host, self.port, CONNECT_TIMEOUT_S)
+        match answer:
+            case Result(tag="ok", ok=stream):
+                return await self.greet(stream)
+            case _:
+                return False
+
+    async def greet(self, stream: MessageStream) -> bool:
+        """Exchange ``Hello`` on a new connection."""
+        stream.post(self.own_hello())
+        try:
+            async with timeout(HELLO_TIMEOUT_S):
+                hello = await stream.receive()
+        except TimeoutError:
+            hello = None
+        if not isinstance(hello, Hello):
+            await stream.close()
+            return False
+        self.stream = stream
+        self.greeted(hello)
+        return True
+
+    async def receive_all(self) -> None:
+        """Take messages until the connection ends."""
+        stream = self.stream
+        while stream is not None:
+            try:
+                async with timeout(self.silence):
+                    message = await stream.receive()
+            except TimeoutError:
+                message = None
+            if message is None:
+                await stream.close()
+                return
+            self.take(message)
+
+    def greeted(self, hello: Hello) -> None:
+        """Take the other side's ``Hello``."""
+        self.peer = hello
+        self.up.set()
+
+    def lose(self) -> None:
+        """Take the end of the connection."""
+        self.stream = None
+        self.up.clear()
+
+    def post(self, message: Message) -> bool:
+        """Send without waiting; false if the connection is down."""
+        if self.stream is None or self.stream.is_closed:
+            return False
+        self.stream.post(message)
+        return True
+
+    def take(self, message: Message) -> None:
+        """Take one message."""
+        if isinstance(message, Hello):
+            self.greeted(message)
--- /dev/null
+++ b/libs/entry/src/clementinebend_entry/peer_link.py
@@ -0,0 +1,106 @@
+"""The connection to one peer entry: questions, each with one answer."""
+
+from asyncio import Future, get_running_loop, timeout
+from collections.abc import Callable
+from functools import singledispatch
+from itertools import count
+from typing import Any
+
+from clementinebend_entry.message_link import MakeHello, MessageLink
+from clementinebend_entry.settings import Peer
+from clementinebend_entry.sidecar_link import LinkDown, LinkUp
+from clementinebend_records.messages import (
+    CloseReply,
+    Hello,
+    Message,
+    PointerPut,
+    PointerReply,
+    ReceiptKeep,
+    ReceiptKept,
+    RevisionAsk,
+    RevisionGive,
+    TransferAsk,
+    TransferGive,
+)
+
+Question = PointerPut | ReceiptKeep | RevisionAsk | TransferAsk
+Answer = PointerReply | ReceiptKept | RevisionGive | TransferGive
+PeerNews = LinkUp | LinkDown | CloseReply | TransferGive
+Tell = Callable[[PeerNews], None]
+
+
+class PeerLink(MessageLink):
+    """Connects to one peer and matches answers with questions.
+
+    A part of a grant that comes too late for its question is still passed on
+    to ``tell``: the sender has subtracted it.
+    """
+
+    def __init__(self, peer: Peer, hello: MakeHello, tell: Tell) -> None:
+        super().__init__(peer.name, peer.host, peer.port, hello)
+        self.zone = peer.zone
+        self.tell = tell
+        self.questions = count(1)
+        self.waiting: dict[int, Future[Answer | None]] = {}
+
+    def greeted(self, hello: Hello) -> None:
+        """Take the peer's ``Hello``."""
+        super().greeted(hello)
+        self.tell(LinkUp(self.name, hello))
+
+    def lose(self) -> None:
+        """Give all questions up."""
+        super().lose()
+        for answer in self.waiting.values():
+            if not answer.done():
+                answer.set_result(None)
+        self.tell(LinkDown(self.name))
+
+    async def ask(self, question: Question, patience: float) -> Answer | None:
+        """Send a question; None if no answer comes within ``patience`` seconds."""
+        number = next(self.questions)
+        if not self.post(question._replace(question=number)):
+            return None
+        answer: Future[Answer | None] = get_running_loop().create_future()
+        self.waiting[number] = answer
+        try:
+            async with timeout(patience):
+                return await answer
+        except TimeoutError:
+            return None
+        finally:
+            del self.waiting[number]
+
+    def answer(self, answer: Answer) -> None:
+        """Take the answer to a question."""
+        waiting = self.waiting.get(answer.question)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(answer)
+
+    def take(self, message: Message) -> None:
+        """Take one message; those that are no answers have no effect."""
+        super().take(message)
+        _take(message, self)
+
+
+@singledispatch
+def _take(message: Any, link: PeerLink) -> None:
+    return None
+
+
+@_take.register(PointerReply)
+@_take.register(ReceiptKept)
+@_take.register(RevisionGive)
+def _(message: PointerReply | ReceiptKept | RevisionGive, link: PeerLink) -> None:
+    link.answer(message)
+
+
+@_take.register
+def _(message: TransferGive, link: PeerLink) -> None:
+    link.tell(message)
+    link.answer(message)
+
+
+@_take.register
+def _(message: CloseReply, link: PeerLink) -> None:
+    link.tell(message)
--- /dev/null
+++ b/libs/entry/src/clementinebend_entry/peer_pool.py
@@ -0,0 +1,160 @@
+"""The links to all peer entries, and what is asked of them."""
+
+from asyncio import Task, create_task, gather
+from collections.abc import Mapping
+from itertools import chain
+
+from clementinebend_membership.rendezvous import rendezvous
+
+from clementinebend_entry.calls import MILLISECONDS
+from clementinebend_entry.message_link import MakeHello
+from clementinebend_entry.metrics import LINKS
+from clementinebend_entry.peer_link import PeerLink, PeerNews, Tell
+from clementinebend_entry.settings import EntrySettings
+from clementinebend_entry.sidecar_link import LinkDown, LinkUp
+from clementinebend_records.identifiers import Incarnation
+from clementinebend_records.messages import (
+    Hello,
+    PointerDrop,
+    PointerPut,
+    PointerReply,
+    Receipt,
+    ReceiptKeep,
+    ReceiptKept,
+    ReceiptsLogged,
+    RevisionAsk,
+    RevisionGive,
+)
+
+KEEPERS = 4
+"""Peers of other zones that may keep this entry's receipts."""
+
+LENDERS = 4
+"""Peers of the own zone that may pass parts of grants."""
+
+KEEPER_TRIES = 2
+REVISION_PATIENCE_S = 2.0
+
+
+class PeerPool:
+    """Owns the links; ``tell`` hears all their news."""
+
+    def __init__(self, settings: EntrySettings, hello: MakeHello, tell: Tell) -> None:
+        self.settings = settings
+        self.hello = hello
+        self.tell = tell
+        self.links = {
+            peer.name: PeerLink(peer, hello, self.news)
+            for peer in settings.peers
+            if peer.name != settings.name
+        }
+        self.tasks: list[Task[None]] = [
+            create_task(link.run(), name=f"peer {name}")
+            for name, link in self.links.items()
+        ]
+
+    def news(self, news: PeerNews) -> None:
+        """Pass on what a link tells."""
+        if isinstance(news, LinkUp | LinkDown):
+            LINKS.labels("peer").set(len(self.live()))
+        self.tell(news)
+
+    def zones(self) -> Mapping[str, str]:
+        """Return the availability zones of all entries by name."""
+        own = {self.settings.name: self.settings.zone}
+        return own | {name: link.zone for name, link in self.links.items()}
+
+    def live(self) -> tuple[str, ...]:
+        """Return the peers that can be reached now."""
+        return tuple(name for name, link in self.links.items() if link.up.is_set())
+
+    def witnesses(self) -> tuple[Incarnation, ...]:
+        """Return the peers that may keep receipts or pass parts of grants."""
+        names = chain(self.keepers(), self.lenders())
+        hellos = (self.links[name].peer for name in names if name in self.live())
+        return tuple(hello.incarnation for hello in hellos if hello is not None)
+
+    def keepers(self) -> tuple[str, ...]:
+        """Return the peers of other zones that may keep receipts."""
+        zone = self.settings.zone
+        others = [name for name, link in self.links.items() if link.zone != zone]
+        return rendezvous(self.settings.name, others, KEEPERS)
+
+    def lenders(self) -> tuple[str, ...]:
+        """Return the peers of the own zone that may pass parts of grants."""
+        zone = self.settings.zone
+        others = [name for name, link in self.links.items() if link.zone == zone]
+        return rendezvous(self.settings.name, others, LENDERS)
+
+    def greet_again(self) -> None:
+        """Tell all peers of a new incarnation."""
+        for link in self.links.values():
+            link.post(self.hello())
+
+    # Pointers.
+
+    async def ask_pointer(self, name: str, put: PointerPut) -> PointerReply | None:
+        """Ask a pointer host; None if it does not answer in a short time."""
+        patience = self.settings.pointer_timeout_ms / MILLISECONDS
+        answer = await self.links[name].ask(put, patience)
+        return answer if isinstance(answer, PointerReply) else None
+
+    def drop_pointer(self, name: str, drop: PointerDrop) -> None:
+        """Have a peer remove a pointer."""
+        self.links[name].post(drop)
+
+    # Receipts.
+
+    async def keep_receipt(
+        self, receipt: Receipt, allowed: frozenset[Incarnation]
+    ) -> str | None:
+        """Have a peer of another zone keep a receipt; return its name."""
+        patience = self.settings.receipt_timeout_ms / MILLISECONDS
+        names = [name for name in self.keepers() if self.is_allowed(name, allowed)]
+        for name in rendezvous(receipt.key, names, KEEPER_TRIES):
+            answer = await self.links[name].ask(ReceiptKeep(0, receipt), patience)
+            if isinstance(answer, ReceiptKept):
+                return name
+        return None
+
+    def is_allowed(self, name: str, allowed: frozenset[Incarnation]) -> bool:
+        """Return whether a peer is up and one of the allowed incarnations."""
+        peer = self.links[name].peer
+        is_up = self.links[name].up.is_set()
+        return is_up and peer is not None and peer.incarnation in allowed
+
+    def tell_logged(self, name: str, logged: ReceiptsLogged) -> None:
+        """Tell a peer which receipts need no more keeping."""
+        self.links[name].post(logged)
+
+    # Configuration.
+
+    async def ask_revisions(self) -> tuple[RevisionGive, ...]:
+        """Ask all peers that can be reached for their configuration."""
+        links = [link for link in self.links.values() if link.up.is_set()]
+        asked = (link.ask(RevisionAsk(0), REVISION_PATIENCE_S) for link in links)
+        answers = await gather(*asked)
+        return tuple(answer for answer in answers if isinstance(answer, RevisionGive))
+
+    async def close(self) -> None:
+        """Close all links."""
+        for task in self.tasks:
+            task.cancel()
+        await gather(*self.tasks, return_exceptions=True)
+        streams = [link.stream for link in self.links.values() if link.stream]
+        await gather(*(stream.close() for stream in streams))
+
+
+def entry_hello(
+    settings: EntrySettings, incarnation: Incarnation, revision: int, leaving: bool
+) -> Hello:
+    """Return this entry's ``Hello``."""
+    return Hello(
+        "entry",
+        settings.name,
+        incarnation,
+        settings.zone,
+        settings.schema_version,
+        revision,
+        leaving,
+    )
--- /dev/null
+++ b/libs/entry/src/clementinebend_entry/posting.py
@@ -0,0 +1,48 @@
+"""Records that the log's writer did not take: the holder plans them again."""
+
+from collections.abc import Iterable
+from functools import singledispatch
+from typing import Any
+
+from clementinebend_ledger.holder import HolderState
+from clementinebend_records.records import GrantRequest, Record, Scope, Settle
+
+
+def forget_post(
+    holder: HolderState, stream: str, records: Iterable[Record]
+) -> HolderState:
+    """Undo the marks that say that these records are on their way.
+
+    A return of tokens is not undone: they stay with the grant until its
+    holder is closed, which costs refusals and never overspend.
+    """
+    for record in records:
+        _forget(record, holder, stream)
+    return holder
+
+
+@singledispatch
+def _forget(record: Any, holder: HolderState, stream: str) -> None:
+    return None
+
+
+@_forget.register
+def _(record: Settle, holder: HolderState, stream: str) -> None:
+    for bill in record.bills:
+        unlogged = holder.bills.get(bill.run)
+        if unlogged is not None:
+            holder.bills[bill.run] = unlogged._replace(sent=False)
+
+
+@_forget.register
+def _(record: GrantRequest, holder: HolderState, stream: str) -> None:
+    use = holder.budgets.get(record.budget)
+    if use is not None:
+        use["requested"].pop(record.grant, None)
+
+
+@_forget.register
+def _(record: Scope, holder: HolderState, stream: str) -> None:
+    asked = holder.widening.get(stream, {})
+    for witness in (*record.sidecars, *record.peers):
+        asked.pop(witness, None)
--- /dev/null
+++ b/libs/entry/src/clementinebend_entry/receipt_keeper.py
@@ -0,0 +1,76 @@
+"""Keeps receipts for peers of other zones until they are logged.
+
+A receipt whose holder stays silent is billed by its keeper after a while:
+any witness may log a bill, and replay bills a key once.
+"""
+
+from collections.abc import Callable, Iterable
+from time import monotonic
+
+from clementinebend_entry.kept_receipts import (
+    close_receipts,
+    empty_receipts,
+    forget_receipts,
+    keep_receipt,
+)
+from clementinebend_records.identifiers import Incarnation, RunId
+from clementinebend_records.messages import Receipt
+from clementinebend_records.records import Bill
+
+PATIENCE_S = 60.0
+"""How long a receipt may stay unlogged before its keeper bills it."""
+
+
+class ReceiptKeeper:
+    """Owns the receipts kept here; ``bill`` appends one to the log."""
+
+    def __init__(self, bound: int, bill: Callable[[Receipt], None]) -> None:
+        self.store = empty_receipts(bound)
+        self.bill = bill
+        self.kept_at: dict[RunId, float] = {}
+
+    def keep(self, receipt: Receipt) -> bool:
+        """Keep a receipt; false if there is no room or its holder is closed."""
+        self.store, is_kept = keep_receipt(self.store, receipt)
+        if is_kept:
+            self.kept_at.setdefault(receipt.run, monotonic())
+        return is_kept
+
+    def forget(self, runs: Iterable[RunId]) -> None:
+        """Forget receipts whose bills are on the log."""
+        for run in runs:
+            self.kept_at.pop(run, None)
+            self.store = forget_receipts(self.store, (run,))
+
+    def on_logged(self, bill: Bill) -> None:
+        """Forget a receipt whose bill was read on the log."""
+        if bill.run in self.kept_at:
+            self.forget((bill.run,))
+
+    def close(self, holder: Incarnation) -> tuple[Receipt, ...]:
+        """Keep no more for a closed holder; return what is known under it."""
+        self.store, receipts = close_receipts(self.store, holder)
+        return receipts
+
+    def bill_holder(self, holder: Incarnation) -> None:
+        """Bill what is kept for a holder that the log shows closed.
+
+        Its closer may ask for an earlier incarnation of this entry, and get no
+        answer; what is kept here must not be lost by that.
+        """
+        for receipt in tuple(self.store.receipts.values()):
+            if receipt.holder == holder:
+                self.bill(receipt)
+
+    def bill_all(self) -> None:
+        """Bill everything that is kept: this entry leaves."""
+        for receipt in tuple(self.store.receipts.values()):
+            self.bill(receipt)
+
+    def bill_forgotten(self) -> None:
+        """Bill the receipts that have waited too long."""
+        oldest = monotonic() - PATIENCE_S
+        late = [run for run, kept_at in self.kept_at.items() if kept_at < oldest]
+        for run in late:
+            self.kept_at[run] = monotonic()
+            self.bill(self.store.receipts[run])
--- /dev/null
+++ b/libs/entry/src/clementinebend_entry/receipts.py
@@ -0,0 +1,93 @@
+"""Makes receipts safe before the last frame, and tells when they are logged.
+
+A receipt is safe on the log, or in two availability zones: with the sidecar
+and this entry if these differ, else with a peer entry of another zone. The
+declarations choose for each team whether two hosts of one zone will do while
+no other zone can be reached; a loss of both then costs one bill.
+"""
+
+from asyncio import FIRST_COMPLETED, Future, create_task, get_running_loop, wait
+from collections import defaultdict
+from collections.abc import Awaitable, Callable
+from time import monotonic
+
+from clementinebend_declarations.models import ReceiptSafety
+from clementinebend_entry.calls import Call
+from clementinebend_entry.metrics import RECEIPTS_SAFE
+from clementinebend_records.identifiers import RequestKey, RunId
+from clementinebend_records.messages import Receipt, ReceiptsLogged
+from clementinebend_records.records import Bill
+
+PostToSidecar = Callable[[str, ReceiptsLogged], bool]
+KeepAtPeer = Callable[[Receipt], Awaitable[bool]]
+OnForget = Callable[[RunId], None]
+
+
+class ReceiptDesk:
+    """Knows which receipts wait for their bill to be read back."""
+
+    def __init__(
+        self, zone: str, post: PostToSidecar, keep: KeepAtPeer, forget: OnForget
+    ) -> None:
+        self.zone = zone
+        self.post = post
+        self.keep = keep
+        self.forget = forget
+        self.waiting: defaultdict[RequestKey, list[tuple[RunId, str]]]
+        self.waiting = defaultdict(list)
+        self.logged: dict[RequestKey, Future[None]] = {}
+        self.untold: defaultdict[str, list[RunId]] = defaultdict(list)
+
+    def expect(self, key: RequestKey, run: RunId, endpoint: str) -> None:
+        """Remember who keeps the receipt of a run until its key is billed."""
+        self.waiting[key].append((run, endpoint))
+
+    def on_logged(self, bill: Bill) -> None:
+        """Take in that a key is billed on the log."""
+        future = self.logged.pop(bill.key, None)
+        if future is not None and not future.done():
+            future.set_result(None)
+        for run, endpoint in self.waiting.pop(bill.key, ()):
+            self.untold[endpoint].append(run)
+            self.forget(run)
+        if self.untold:
+            get_running_loop().call_soon(self.tell_sidecars)
+
+    def tell_sidecars(self) -> None:
+        """Tell sidecars which receipts need no more keeping."""
+        for endpoint, runs in tuple(self.untold.items()):
+            if self.post(endpoint, ReceiptsLogged(tuple(runs))):
+                del self.untold[endpoint]
+
+    async def make_safe(self, receipt: Receipt, call: Call, zone: str) -> bool:
+        """Return once a receipt is safe; false if that cannot be had in time."""
+        if zone != self.zone:
+            return _count("zones")
+        logged = self.logged_future(receipt.key)
+        kept = create_task(_as_task(self.keep(receipt)))
+        await wait((logged, kept), return_when=FIRST_COMPLETED)
+        if kept.done() and kept.result():
+            return _count("peer")
+        if logged.done():
+            kept.cancel()
+            return _count("log")
+        if call.receipt_safety is ReceiptSafety.TWO_HOSTS:
+            return _count("hosts")
+        left = max(0.0, call.deadline - monotonic())
+        await wait((logged,), timeout=left)
+        return _count("log") if logged.done() else False
+
+    def logged_future(self, key: RequestKey) -> Future[None]:
+        """Return the future of a key's bill being read back."""
+        if key not in self.logged:
+            self.logged[key] = get_running_loop().create_future()
+        return self.logged[key]
+
+
+async def _as_task(keeping: Awaitable[bool]) -> bool:
+    return await keeping
+
+
+def _count(place: str) -> bool:
+    RECEIPTS_SAFE.labels(place).inc()
+    return True
--- /dev/null
+++ b/libs/entry/src/clementinebend_entry/responder.py
@@ -0,0 +1,115 @@
+"""Answers one caller from the pieces of an execution.
+
+A caller is answered at its deadline at the latest. One that leaves is not
+waited for: what was not dispatched is withdrawn, what was is billed.
+"""
+
+from asyncio import timeout_at
+from collections.abc import AsyncIterator, Callable
+
+from clementinebend_entry.answers import answer_of, last_event
+from clementinebend_entry.exceptions import AnswerCutOff
+from clementinebend_entry.execution import Execution
+from clementinebend_entry.metrics import ABANDONED, REQUESTS
+from clementinebend_entry.outcomes import (
+    BadRequest,
+    Failed,
+    Refusal,
+    Trouble,
+    Unknown,
+)
+from clementinebend_entry.pieces import Begun, Part, Piece, Whole
+from clementinebend_records.reasons import NotRun, Outcome
+from clementinebend_transport.http_server import Response
+
+DEADLINE_RETRY_MS = 1_000
+
+OnEnd = Callable[[], None]
+
+
+async def respond(execution: Execution, on_end: OnEnd) -> Response:
+    """Return the answer to a call; ``on_end`` is told when it has ended."""
+    try:
+        piece = await next_piece(execution)
+    except BaseException:
+        leave(execution)
+        on_end()
+        raise
+    if isinstance(piece, Begun):
+        headers = (("content-type", piece.content_type), ("cache-control", "no-store"))
+        return Response(piece.status, headers, stream(execution, on_end))
+    on_end()
+    if isinstance(piece, Whole):
+        count(Outcome.WHOLE)
+        return Response(
+            piece.status, (("content-type", piece.content_type),), piece.data
+        )
+    assert not isinstance(piece, Part), "a part came before its head"
+    count_trouble(piece)
+    return answer_of(piece)
+
+
+async def stream(execution: Execution, on_end: OnEnd) -> AsyncIterator[bytes]:
+    """Yield a streamed answer; raise if it cannot be completed."""
+    is_ended = False
+    try:
+        while not is_ended:
+            piece = await next_piece(execution)
+            is_ended = not isinstance(piece, Begun | Part)
+            if isinstance(piece, Part):
+                yield piece.data
+            elif isinstance(piece, Whole):
+                count(Outcome.WHOLE)
+                yield piece.data
+            elif not isinstance(piece, Begun):
+                count_trouble(piece)
+                yield last_event(piece)
+                raise AnswerCutOff(type(piece).__name__)
+    finally:
+        if not is_ended:
+            leave(execution)
+        on_end()
+
+
+async def next_piece(execution: Execution) -> Piece:
+    """Return the next piece, or what is to be said at the deadline."""
+    try:
+        async with timeout_at(execution.call.deadline):
+            return await execution.output.pieces.get()
+    except TimeoutError:
+        return at_deadline(execution)
+
+
+def at_deadline(execution: Execution) -> Piece:
+    """Return the outcome of a call whose deadline has passed."""
+    pieces = execution.output.pieces
+    if not pieces.empty():
+        return pieces.get_nowait()
+    execution.abandon()
+    if execution.dispatched:
+        return Unknown("the deadline passed while the request ran")
+    return Refusal(NotRun.DEADLINE, DEADLINE_RETRY_MS)
+
+
+def leave(execution: Execution) -> None:
+    """Take in that the caller has left."""
+    ABANDONED.inc()
+    execution.abandon()
+
+
+def count_trouble(trouble: Trouble) -> None:
+    """Count an outcome other than a whole answer."""
+    match trouble:
+        case Refusal():
+            count(Outcome.NOT_RUN, trouble.reason)
+        case Failed():
+            count(Outcome.FAILED)
+        case Unknown():
+            count(Outcome.UNKNOWN)
+        case BadRequest():
+            REQUESTS.labels("bad_request", trouble.field).inc()
+
+
+def count(outcome: Outcome, reason: str = "") -> None:
+    """Count an answered request."""
+    REQUESTS.labels(outcome, reason).inc()
