Test the command line: races, faults of the log, and wrong input

Cause: an operator's script must tell a conflict from a silent log. Before: only publishing was tested. After: every command, as processes too, against a log that loses answers and goes out; wrong lines run nothing. Ruled out: printing through streams bound at import, which tests cannot see.

--- a/libs/operator_cli/src/clementinebend_operator_cli/commands/audit.py
+++ b/libs/operator_cli/src/clementinebend_operator_cli/commands/audit.py
@@ -55,11 +55,12 @@
     count = whole_number(limit, "--limit", lowest=1)
     if count.is_error():
         return Error(count.error)
-    action = partial(_audit, with_ledger=is_true(ledger), limit=count.ok)
+    action = partial(audit_streams, with_ledger=is_true(ledger), limit=count.ok)
     return await with_operator(settings, "", action)
 
 
-async def _audit(operator: Operator, with_ledger: bool, limit: int) -> Outcome:
+async def audit_streams(operator: Operator, with_ledger: bool, limit: int) -> Outcome:
+    """Read the audit out of the streams."""
     read = await read_stream(operator, configuration_replica())
     if read.is_error():
         return Error(read.error)
--- a/libs/operator_cli/src/clementinebend_operator_cli/commands/budget_resolve.py
+++ b/libs/operator_cli/src/clementinebend_operator_cli/commands/budget_resolve.py
@@ -36,10 +36,11 @@
     if tokens.is_error():
         return Error(tokens.error)
     record = HoldResolve(budget, subject, tokens.ok, author)
-    return await with_operator(settings, author, partial(_resolve, record=record))
+    return await with_operator(settings, author, partial(resolve_hold, record=record))
 
 
-async def _resolve(operator: Operator, record: HoldResolve) -> Outcome:
+async def resolve_hold(operator: Operator, record: HoldResolve) -> Outcome:
+    """Log a decision on a hold, signed by the operator."""
     unsigned = require_author(operator)
     if unsigned:
         return Error(unsigned)
--- a/libs/operator_cli/src/clementinebend_operator_cli/commands/budget_show.py
+++ b/libs/operator_cli/src/clementinebend_operator_cli/commands/budget_show.py
@@ -37,10 +37,11 @@
         settings: Settings file; else CLEMENTINEBEND_SETTINGS.
 
     """
-    return await with_operator(settings, "", partial(_show, name=name))
+    return await with_operator(settings, "", partial(show_budgets, name=name))
 
 
-async def _show(operator: Operator, name: str) -> Outcome:
+async def show_budgets(operator: Operator, name: str) -> Outcome:
+    """Return the accounts of one budget, or of all."""
     read = await read_stream(operator, configuration_replica())
     if read.is_error():
         return Error(read.error)
--- a/libs/operator_cli/src/clementinebend_operator_cli/commands/close.py
+++ b/libs/operator_cli/src/clementinebend_operator_cli/commands/close.py
@@ -33,11 +33,12 @@
     """
     if not holder:
         return Error(invalid_input("HOLDER is empty; give an incarnation"))
-    action = partial(_close, holder=Incarnation(holder))
+    action = partial(close_holder, holder=Incarnation(holder))
     return await with_operator(settings, "", action)
 
 
-async def _close(operator: Operator, holder: Incarnation) -> Outcome:
+async def close_holder(operator: Operator, holder: Incarnation) -> Outcome:
+    """Close a holder in each ledger shard that knows it."""
     results: dict[str, str] = {}
     open_holders: set[Incarnation] = set()
     for stream in ledger_streams(operator.settings.ledger_shards):
--- a/libs/operator_cli/src/clementinebend_operator_cli/commands/status.py
+++ b/libs/operator_cli/src/clementinebend_operator_cli/commands/status.py
@@ -42,10 +42,11 @@
         settings: Settings file; else CLEMENTINEBEND_SETTINGS.
 
     """
-    return await with_operator(settings, "", _status)
+    return await with_operator(settings, "", ask_entries)
 
 
-async def _status(operator: Operator) -> Outcome:
+async def ask_entries(operator: Operator) -> Outcome:
+    """Ask all entries at once."""
     urls = operator.settings.entries
     if not urls:
         return Error(invalid_input("no entries: list their URLs in the settings"))
--- a/libs/operator_cli/src/clementinebend_operator_cli/utils/arguments.py
+++ b/libs/operator_cli/src/clementinebend_operator_cli/utils/arguments.py
@@ -4,6 +4,9 @@
 
 from clementinebend_operator_cli.exceptions import CommandError, invalid_input
 
+MAX_DIGITS = 18
+"""Digits of the largest number that fits 64 bits in any case."""
+
 FALSE_WORDS = frozenset(("", "0", "false", "no"))
 
 
@@ -18,7 +21,8 @@
     """Return an argument as a whole number that is not below ``lowest``."""
     text = str(value)
     digits = text.removeprefix("-")
-    is_number = digits.isascii() and digits.isdigit()
+    is_short = len(digits) <= MAX_DIGITS
+    is_number = is_short and digits.isascii() and digits.isdigit()
     if is_number and int(text) >= lowest:
         return Ok(int(text))
     message = f"{name} is {text!r}; allowed: a whole number from {lowest}"
