Fuzz the ledger against an oracle

Cause: the promises span holders, sidecars, peers and a log that loses, delays and repeats appends; examples alone do not reach the combinations. Ruled out: a cluster simulator; small fakes at the interfaces do. After: a stateful machine with perfect knowledge of what ran.

--- /dev/null
+++ b/tests/unit/ledger/fuzz_entry.py
@@ -0,0 +1,222 @@
+"""A fake entry: a holder, a reader and a writer of the ledger stream."""
+
+from collections import deque
+from collections.abc import Iterable
+from itertools import groupby
+
+from clementinebend_ledger.holder import (
+    budget_seen,
+    cancel,
+    close_cleanly,
+    empty_holder,
+    give,
+    has_witness,
+    on_outcome,
+    plan,
+    receive,
+    refuse_sender,
+    reserve,
+    resume,
+    settle,
+    widen,
+)
+from clementinebend_ledger.holder_state import Reserved
+from clementinebend_ledger.outcomes import Billed, BillRepeated
+from clementinebend_ledger.replay import (
+    budget_summary,
+    empty_ledger,
+    ledger_checkpoint,
+    ledger_digest,
+    replay,
+    restore_ledger,
+)
+from clementinebend_records.identifiers import (
+    GrantId,
+    Incarnation,
+    RequestKey,
+    RunId,
+)
+from clementinebend_records.messages import Receipt, Ticket, TransferGive
+from clementinebend_records.records import (
+    Batch,
+    Bill,
+    CloseAck,
+    HolderClose,
+    Record,
+    Settle,
+)
+from tests.unit.ledger.fuzz_world import FakeLog, FakeSidecar, Start
+
+
+class FakeEntry:
+    """One incarnation of an entry."""
+
+    def __init__(self, incarnation: Incarnation, log: FakeLog) -> None:
+        self.incarnation = incarnation
+        self.log = log
+        self.holder = empty_holder(incarnation)
+        self.state = empty_ledger()
+        self.position = 0
+        self.alive = True
+        self.paused = False
+        self.cut = False
+        self.left = False
+        self.sequence = 0
+        self.queue: deque[Batch] = deque()
+        self.flights: dict[RunId, Start] = {}
+        self.kept: dict[RunId, Receipt] = {}
+        self.now = 0.0
+
+    def post(self, records: Iterable[Record]) -> None:
+        """Queue one batch; it is appended until it is read back."""
+        rows = tuple(records)
+        if rows:
+            self.sequence += 1
+            self.queue.append(Batch(self.incarnation, self.sequence, rows))
+
+    def write(self, delayed: bool = False) -> None:
+        """Append the first batch that has not been read back."""
+        if not self.queue or self.log.outage or self.cut:
+            return
+        if delayed:
+            self.log.on_their_way.append(self.queue[0])
+        else:
+            self.log.append(self.queue[0])
+
+    def read(self, limit: int = 1000) -> None:
+        """Read the stream on, from a checkpoint where it was trimmed."""
+        if self.log.outage or self.cut:
+            return
+        if self.position < self.log.oldest:
+            self._restore()
+        end = min(len(self.log.batches), self.position + limit)
+        for offset in range(self.position, end):
+            self._read_batch(offset, self.log.batches[offset])
+        self.position = max(self.position, end)
+        self._drop_read_back()
+        for budget in self.holder.budgets:
+            summary = budget_summary(self.state, budget)
+            self.holder = budget_seen(self.holder, budget, summary)
+
+    def plan(self, log_delay: float) -> None:
+        """Queue what the holder plans, time moving on."""
+        self.now += 1.0
+        self.holder, rows = plan(self.holder, self.now, log_delay)
+        self.post(record for budget in rows.values() for record in budget)
+
+    def widen(
+        self, sidecars: tuple[Incarnation, ...], peers: tuple[Incarnation, ...]
+    ) -> None:
+        """Queue new witnesses."""
+        self.holder, scopes = widen(self.holder, sidecars, peers)
+        self.post(scopes)
+
+    def submit(
+        self,
+        run: RunId,
+        key: RequestKey,
+        budget: str,
+        amount: int,
+        sidecar: Incarnation,
+    ) -> Start | None:
+        """Reserve for a run and make its ticket, if its witness is in force."""
+        if not has_witness(self.holder, "", sidecar):
+            return None
+        self.holder, outcome = reserve(self.holder, budget, run, amount, self.now)
+        if not isinstance(outcome, Reserved):
+            return None
+        ticket = Ticket(budget, outcome.grant, self.incarnation, sidecar, amount)
+        self.flights[run] = Start(run, key, ticket)
+        return self.flights[run]
+
+    def ended(self, run: RunId, amount: int, held: bool = False) -> None:
+        """Settle a run with its receipt, or hold all of it without one."""
+        start = self.flights.pop(run)
+        self.holder, _ = settle(self.holder, run, start.key, amount, held)
+
+    def refused(self, run: RunId) -> None:
+        """Take back the reservation of a run that is proved not run."""
+        del self.flights[run]
+        self.holder = cancel(self.holder, run)
+
+    def give_up_waiting(self) -> None:
+        """Forget the runs that found no grant."""
+        for run in list(self.holder.waiting):
+            self.holder = cancel(self.holder, run)
+
+    def give(
+        self, budget: str, transfer: GrantId, receiver: Incarnation, amount: int
+    ) -> TransferGive:
+        """Pass a part of a grant to a peer."""
+        self.holder, message = give(self.holder, budget, transfer, receiver, amount)
+        return message
+
+    def receive(self, message: TransferGive) -> None:
+        """Take a part from a peer."""
+        self.holder = receive(self.holder, message)
+
+    def leave(self) -> None:
+        """Stop as planned, once nothing is in flight."""
+        self.holder, records = close_cleanly(self.holder)
+        self.post(records)
+        self.left = True
+
+    def close(self, victim: Incarnation) -> None:
+        """Believe a holder dead."""
+        self.post([HolderClose(victim, self.incarnation)])
+
+    def notice_sidecar(self, victim: Incarnation, sidecar: FakeSidecar) -> None:
+        """Have a sidecar refuse a closed holder and log what it knows."""
+        if not sidecar.alive:
+            ack = CloseAck(victim, sidecar.incarnation, lost=True)
+            self.post([ack])
+            return
+        receipts = sidecar.close(victim)
+        if receipts is not None:
+            ack = CloseAck(victim, sidecar.incarnation)
+            self.post([*settles_of(receipts), ack])
+
+    def notice(self, victim: Incarnation) -> None:
+        """Acknowledge a closed holder as its peer, in one batch."""
+        self.holder, transfers = refuse_sender(self.holder, victim)
+        receipts = [item for item in self.kept.values() if item.holder == victim]
+        ack = CloseAck(victim, self.incarnation)
+        self.post([*transfers, *settles_of(receipts), ack])
+
+    def checkpoint(self) -> None:
+        """Queue a checkpoint of all that was read."""
+        if self.state.offset >= 0:
+            self.post([ledger_checkpoint(self.state, "ledger-0")])
+
+    def _restore(self) -> None:
+        checkpoint = self.log.checkpoint()
+        self.state = restore_ledger(checkpoint)
+        self.position = checkpoint.offset + 1
+        self.holder = resume(self.holder, self.state)
+
+    def _read_batch(self, offset: int, batch: Batch) -> None:
+        self.state, outcomes = replay(self.state, offset, batch)
+        assert ledger_digest(self.state) == self.log.oracle.digests[offset]
+        for outcome in outcomes:
+            self.holder = on_outcome(self.holder, outcome, self.now)
+            if isinstance(outcome, Billed | BillRepeated):
+                self.kept.pop(outcome.bill.run, None)
+
+    def _drop_read_back(self) -> None:
+        last = self.state.sequences.get(self.incarnation, 0)
+        while self.queue and self.queue[0].sequence <= last:
+            self.queue.popleft()
+
+
+def settles_of(receipts: Iterable[Receipt]) -> list[Settle]:
+    """Return the records that bill receipts, one for each budget."""
+    ordered = sorted(receipts, key=lambda receipt: receipt.budget)
+    groups = groupby(ordered, key=lambda receipt: receipt.budget)
+    return [
+        Settle(budget, tuple(_bill_of(receipt) for receipt in group))
+        for budget, group in groups
+    ]
+
+
+def _bill_of(receipt: Receipt) -> Bill:
+    return Bill(receipt.key, receipt.run, receipt.grant, receipt.amount)
--- /dev/null
+++ b/tests/unit/ledger/fuzz_oracle.py
@@ -0,0 +1,120 @@
+"""The oracle of the ledger fuzzing: perfect knowledge of what ran.
+
+It replays every append the moment it takes effect, and knows every execution,
+so it can say at each step whether the ledger's promises hold.
+"""
+
+from collections import Counter
+from typing import NamedTuple
+
+from clementinebend_ledger.outcomes import Billed, BillUnfunded, OverrunDetected
+from clementinebend_ledger.replay import (
+    LedgerState,
+    budget_summary,
+    empty_ledger,
+    ledger_digest,
+    replay,
+)
+from clementinebend_records.identifiers import GrantId, RequestKey, RunId
+from clementinebend_records.records import Batch, Bill, HoldResolve
+
+
+class Request(NamedTuple):
+    """What one key costs, whichever run executes it."""
+
+    budget: str
+    cost: int
+
+
+class Execution(NamedTuple):
+    """A run that spent tokens."""
+
+    key: RequestKey
+    grant: GrantId
+
+
+class Oracle:
+    """All requests, executions and bills, and the state at each offset."""
+
+    def __init__(self) -> None:
+        self.state: LedgerState = empty_ledger()
+        self.digests: list[str] = []
+        self.requests: dict[RequestKey, Request] = {}
+        self.executions: dict[RunId, Execution] = {}
+        self.refused: set[RunId] = set()
+        self.bills: list[Bill] = []
+        self.overruns = 0
+        self.resolved: dict[RequestKey, int] = {}
+        self.sidecars_lost = 0
+
+    def on_append(self, offset: int, batch: Batch) -> None:
+        """Replay an append and keep what it billed."""
+        self.state, outcomes = replay(self.state, offset, batch)
+        self.digests.append(ledger_digest(self.state))
+        funded = [outcome for outcome in outcomes if isinstance(outcome, Billed)]
+        unfunded = [item for item in outcomes if isinstance(item, BillUnfunded)]
+        self.bills += [item.bill for item in funded + unfunded]
+        self.overruns += sum(isinstance(item, OverrunDetected) for item in outcomes)
+        resolves = [row for row in batch.records if isinstance(row, HoldResolve)]
+        self.resolved |= {RequestKey(row.subject): row.charge for row in resolves}
+
+    def holds(self) -> set[str]:
+        """Return all keys and grants with a hold."""
+        return {
+            name for entry in self.state.budgets.values() for name in entry["holds"]
+        }
+
+    def executed(self, budget: str) -> set[RequestKey]:
+        """Return the keys of a budget that ran, in part or whole."""
+        keys = {execution.key for execution in self.executions.values()}
+        return {key for key in keys if self.requests[key].budget == budget}
+
+    def covered_by_hold(self) -> set[RequestKey]:
+        """Return the keys whose cost a hold covers."""
+        holds = self.holds()
+        runs = self.executions.values()
+        by_grant = {run.key for run in runs if run.grant in holds}
+        return by_grant | {key for key in self.requests if key in holds}
+
+    def check(self) -> None:
+        """Check what holds at every step."""
+        assert not self.overruns
+        covered = self.covered_by_hold()
+        for budget in self.state.budgets:
+            accounts = budget_summary(self.state, budget)
+            assert min(accounts) >= 0
+            executed = self.executed(budget)
+            spent = sum(self.requests[key].cost for key in executed)
+            assert spent <= accounts.topped_up
+            bare = sum(self.requests[key].cost for key in executed - covered)
+            assert bare + accounts.held <= accounts.topped_up
+            assert accounts.billed <= spent + self.charged(budget)
+        for bill in self.bills:
+            assert bill.run not in self.refused
+        known = [bill for bill in self.bills if not bill.held]
+        assert all(bill.run in self.executions for bill in known)
+        assert all(bill.amount == self.requests[bill.key].cost for bill in known)
+        counts = Counter(bill.key for bill in known)
+        assert all(count == 1 for count in counts.values())
+
+    def charged(self, budget: str) -> int:
+        """Return what operators charged for holds of a budget's keys."""
+        charges = self.resolved.items()
+        return sum(n for key, n in charges if self.requests[key].budget == budget)
+
+    def check_quiet(self) -> None:
+        """Check what holds once all is healed, closed and acknowledged."""
+        self.check()
+        assert not self.state.grants
+        assert not self.state.holders
+        covered = self.covered_by_hold() | set(self.resolved)
+        billed = {bill.key for bill in self.bills if not bill.held}
+        for budget in self.state.budgets:
+            accounts = budget_summary(self.state, budget)
+            executed = self.executed(budget)
+            assert executed - billed <= covered
+            costs = sum(self.requests[key].cost for key in executed & billed)
+            assert accounts.billed == costs + self.charged(budget)
+            assert accounts.shortfall == 0
+            if not self.sidecars_lost:
+                assert accounts.held == 0
