Test streams through lost answers, retention and restarts

Cause: the tail's start from a checkpoint and the writer's retries had no failure tests. Ruled out: timed tests; all wait on the fake log's condition, and the cores run in a state machine without a clock.

--- a/tests/unit/platform_client/test_streams.py
+++ b/tests/unit/platform_client/test_streams.py
@@ -6,8 +6,15 @@
 from itertools import count
 
 import pytest
+from msgpack import packb
 
 from clementinebend_platform_client.checkpoint_policy import CheckpointPolicy
+from clementinebend_platform_client.exceptions import (
+    BrokenInvariantError,
+    CoverageLost,
+    NewerSchema,
+    PostRefusal,
+)
 from clementinebend_platform_client.tail import StreamTail, TailSettings
 from clementinebend_platform_client.writer import StreamWriter
 from clementinebend_platform_client.writer_core import WriterSettings
@@ -178,3 +185,141 @@
         assert [name for name in applied if name in names[0]] == names[0]
         assert [name for name in applied if name in names[1]] == names[1]
         assert applied == cold.replica.applied
+
+
+async def test_cold_reader_starts_from_nothing_but_the_log(fleet: Fleet) -> None:
+    await fleet.log.set(retain=8)
+    warm = fleet.node(EAGER)
+    names = [f"r{i}" for i in range(40)]
+    for name in names:
+        await warm.post(name)
+    assert fleet.log.stream(STREAM).oldest > 0
+    cold = fleet.node()
+    await fleet.caught_up(cold)
+    assert cold.replica.restored == 1
+    assert cold.replica.applied == names
+    assert cold.replica.sequences.items() >= {(warm.writer.writer, 40)}
+
+
+async def test_retention_runs_out_during_a_long_outage(fleet: Fleet) -> None:
+    warm = fleet.node(EAGER._replace(every=10**9))
+    for name in "abc":
+        await warm.post(name)
+    await fleet.log.set(outage=True)
+    pending = warm.writer.post((top_up("d"),))
+    await fleet.log.trim(STREAM, fleet.log.stream(STREAM).end)
+    await fleet.log.set(outage=False, cut={"n0"})
+    cold = fleet.node()
+    await fleet.until(lambda: bool(cold.outcomes))
+    assert cold.outcomes == [CoverageLost(STREAM, 3, 3)]
+    assert not cold.tail.ready.is_set()
+    assert cold.replica.applied == []
+    await fleet.log.set(cut=set())
+    assert (await pending).is_ok()
+    await fleet.caught_up(cold)
+    assert cold.replica.applied == list("abcd")
+
+
+async def test_a_lagging_reader_overtaken_by_retention_takes_a_checkpoint(
+    fleet: Fleet,
+) -> None:
+    await fleet.log.set(retain=8)
+    warm, lagging = fleet.node(EAGER), fleet.node()
+    await warm.post("a")
+    await fleet.caught_up(lagging)
+    await fleet.log.set(cut={"n1"})
+    pending = lagging.writer.post((top_up("late"),))
+    for i in range(30):
+        await warm.post(f"r{i}")
+    await fleet.log.set(cut=set())
+    assert (await pending).is_ok()
+    await fleet.caught_up(warm)
+    await fleet.caught_up(lagging)
+    assert lagging.replica.restored >= 1
+    assert lagging.replica.applied == warm.replica.applied
+    assert len(lagging.replica.applied) == 32
+
+
+async def test_a_checkpoint_that_lost_the_race_with_retention_is_not_used(
+    fleet: Fleet,
+) -> None:
+    source, full = Replica(STREAM), Replica(STREAM)
+    for i in range(10):
+        batch = Batch(Incarnation("w"), i + 1, (top_up(f"r{i}"),))
+        offset = fleet.log.put(STREAM, batch)
+        full.on_batch(offset, batch)
+        if offset <= 3:
+            source.on_batch(offset, batch)
+    early = Batch(Incarnation("c"), 1, (source.checkpoint(),))
+    fleet.log.put(STREAM, early)
+    await fleet.log.trim(STREAM, 5)
+    cold = fleet.node()
+    await fleet.until(lambda: bool(cold.outcomes))
+    assert cold.outcomes == [CoverageLost(STREAM, 5, 11)]
+    assert cold.replica.applied == []
+    fleet.log.put(STREAM, Batch(Incarnation("c"), 2, (full.checkpoint(),)))
+    await fleet.caught_up(cold)
+    assert cold.replica.applied == full.applied
+    assert cold.replica.sequences == {"w": 10, "c": 2}
+
+
+async def test_different_digests_at_one_offset_are_a_broken_invariant(
+    fleet: Fleet,
+) -> None:
+    node = fleet.node(NO_CHECKPOINTS._replace(every=2))
+    await node.post("a")
+    await node.post("b")
+    wrong = Checkpoint(STREAM, 1, "other", b"")
+    fleet.log.put(STREAM, Batch(Incarnation("w"), 1, (wrong,)))
+    await gather(node.tail.task, return_exceptions=True)
+    assert [type(error) for error in node.errors] == [BrokenInvariantError]
+    assert STREAM in str(node.errors[0])
+
+
+async def test_newer_schema_halts_the_reader_and_garbage_does_not(
+    fleet: Fleet,
+) -> None:
+    node = fleet.node()
+    fleet.log.put_bytes(STREAM, b"\xc1 no msgpack")
+    assert await node.post("a") == 1
+    fleet.log.put_bytes(STREAM, packb([99, "w", 1, [[999]]]))
+    fleet.log.put(STREAM, Batch(Incarnation("w"), 2, (top_up("after"),)))
+    await node.tail.task
+    assert node.outcomes == [NewerSchema(STREAM, 2, 99)]
+    assert not node.tail.ready.is_set()
+    assert node.replica.applied == ["a"]
+
+
+async def test_full_queue_is_a_failure_value_and_loses_nothing_queued(
+    fleet: Fleet,
+) -> None:
+    size = 60
+    node = fleet.node(writer_settings=FAST._replace(queue_bytes=3 * size))
+    await fleet.log.set(outage=True)
+    posts = [node.writer.post((top_up(f"r{i}"),)) for i in range(20)]
+    await fleet.until(lambda: node.writer.failing_since is not None)
+    await fleet.log.set(outage=False)
+    outcomes = await gather(*posts)
+    kept = [f"r{i}" for i, outcome in enumerate(outcomes) if outcome.is_ok()]
+    refused = [outcome.error for outcome in outcomes if outcome.is_error()]
+    assert kept
+    assert {(error.reason, error.maybe_done) for error in refused} == {
+        (PostRefusal.QUEUE_FULL, False)
+    }
+    assert node.replica.applied == kept
+
+
+async def test_close_flushes_and_tells_what_it_could_not(fleet: Fleet) -> None:
+    node, other = fleet.node(), fleet.node()
+    posts = [node.writer.post((top_up(f"r{i}"),)) for i in range(5)]
+    await node.writer.close(60.0)
+    assert all(post.result().is_ok() for post in posts)
+    late = await node.writer.post((top_up("late"),))
+    assert late.error.reason is PostRefusal.CLOSED
+    await fleet.log.set(outage=True)
+    sent = other.writer.post((top_up("sent"),))
+    await fleet.until(lambda: other.writer.failing_since is not None)
+    queued = other.writer.post((top_up("queued"),))
+    await other.writer.close(0.0)
+    assert sent.result().error.maybe_done
+    assert not queued.result().error.maybe_done
