--- a/libs/platform_client/src/clementinebend_platform_client/exceptions.py
+++ b/libs/platform_client/src/clementinebend_platform_client/exceptions.py
@@ -20,6 +20,14 @@
     NOT_READ_BACK = "not_read_back"
 
 
+ADVICE: dict[PostRefusal, str] = {
+    PostRefusal.QUEUE_FULL: "too many wait for the log; try again when it answers",
+    PostRefusal.TOO_LARGE: "more bytes than one append may hold; post fewer",
+    PostRefusal.CLOSED: "this writer is closed",
+    PostRefusal.NOT_READ_BACK: "the process stopped before they were read back",
+}
+
+
 class PostFailed(NamedTuple):
     """Records that were not read back from the log.
 
@@ -32,6 +40,12 @@
     message: str
 
 
+def post_failed(stream: str, reason: PostRefusal, maybe_done: bool) -> PostFailed:
+    """Return the failure of a post to ``stream``, in words for its owner."""
+    message = f"records for stream {stream!r} not logged: {ADVICE[reason]}"
+    return PostFailed(reason, maybe_done, message)
+
+
 class CoverageLost(NamedTuple):
     """No checkpoint covers what the log has trimmed of a stream.
 
--- a/libs/platform_client/src/clementinebend_platform_client/tail.py
+++ b/libs/platform_client/src/clementinebend_platform_client/tail.py
@@ -22,11 +22,17 @@
 from clementinebend_platform_client.schedule import backoff
 from clementinebend_platform_client.supervision import OnBroken, stop_process, watch
 from clementinebend_platform_client.tail_core import (
+    Phase,
+    advance_tail,
+    candidate_due_at,
+    is_ready,
+    new_tail,
+)
+from clementinebend_platform_client.tail_events import (
     Apply,
     CheckpointSettled,
     CheckpointTaken,
     PageRead,
-    Phase,
     PostCheckpoint,
     Report,
     Restore,
@@ -35,10 +41,6 @@
     TailEvent,
     TakeCheckpoint,
     TrimmedSeen,
-    advance_tail,
-    candidate_due_at,
-    is_ready,
-    new_tail,
 )
 from clementinebend_platform_client.writer import StreamWriter
 from clementinebend_records.records import Batch, Checkpoint
--- a/libs/platform_client/src/clementinebend_platform_client/writer.py
+++ b/libs/platform_client/src/clementinebend_platform_client/writer.py
@@ -27,6 +27,14 @@
 from clementinebend_platform_client.log_client import LogClient, LogFailure
 from clementinebend_platform_client.supervision import OnBroken, stop_process, watch
 from clementinebend_platform_client.writer_core import (
+    WriterSettings,
+    advance_writer,
+    delay_of,
+    is_idle,
+    new_writer,
+    wake_at,
+)
+from clementinebend_platform_client.writer_events import (
     Abandoned,
     Acknowledged,
     Append,
@@ -40,12 +48,6 @@
     Ticked,
     WriterEffect,
     WriterEvent,
-    WriterSettings,
-    advance_writer,
-    delay_of,
-    is_idle,
-    new_writer,
-    wake_at,
 )
 from clementinebend_records.identifiers import Incarnation
 from clementinebend_records.records import Batch, Record
--- a/libs/platform_client/src/clementinebend_platform_client/writer_core.py
+++ b/libs/platform_client/src/clementinebend_platform_client/writer_core.py
@@ -12,9 +12,23 @@
 from itertools import islice
 from typing import NamedTuple
 
-from clementinebend_platform_client.exceptions import PostFailed, PostRefusal
-from clementinebend_platform_client.log_client import LogFailure
+from clementinebend_platform_client.exceptions import PostRefusal, post_failed
 from clementinebend_platform_client.schedule import backoff
+from clementinebend_platform_client.writer_events import (
+    Abandoned,
+    Acknowledged,
+    Append,
+    AppendFailed,
+    Closing,
+    Posted,
+    ReadBack,
+    Refuse,
+    Resolve,
+    Restored,
+    Ticked,
+    WriterEffect,
+    WriterEvent,
+)
 from clementinebend_records.codec import encode_batch
 from clementinebend_records.identifiers import Incarnation
 from clementinebend_records.records import Batch, Record
@@ -88,90 +102,6 @@
     closing: bool = False
 
 
-class Posted(NamedTuple):
-    """The owner wants ``records`` logged; ``ticket`` names its future."""
-
-    ticket: int
-    records: tuple[Record, ...]
-
-
-class Acknowledged(NamedTuple):
-    """The log acknowledged an append after ``latency`` seconds."""
-
-    sequence: int
-    latency: float
-
-
-class AppendFailed(NamedTuple):
-    """The log gave no acknowledgement of an append."""
-
-    sequence: int
-    failure: LogFailure
-
-
-class ReadBack(NamedTuple):
-    """The tail read a batch of this writer at ``offset``."""
-
-    sequence: int
-    offset: int
-
-
-class Restored(NamedTuple):
-    """Replay went on from a checkpoint after ``offset``.
-
-    The checkpoint holds this writer's batches up to ``sequence``.
-    """
-
-    sequence: int
-    offset: int
-
-
-class Ticked(NamedTuple):
-    """Time has passed."""
-
-
-class Closing(NamedTuple):
-    """No more posts: send what is queued without waiting for company."""
-
-
-class Abandoned(NamedTuple):
-    """The time for closing is over."""
-
-
-WriterEvent = (
-    Posted
-    | Acknowledged
-    | AppendFailed
-    | ReadBack
-    | Restored
-    | Ticked
-    | Closing
-    | Abandoned
-)
-
-
-class Append(NamedTuple):
-    """Append ``data`` to the stream now."""
-
-    sequence: int
-    data: bytes
-
-
-class Resolve(NamedTuple):
-    """The posts of these tickets are on the log at ``offset``."""
-
-    tickets: tuple[int, ...]
-    offset: int
-
-
-class Refuse(NamedTuple):
-    """The post of this ticket failed."""
-
-    ticket: int
-    failure: PostFailed
-
-
-WriterEffect = Append | Resolve | Refuse
 Step = tuple[WriterState, tuple[WriterEffect, ...]]
 
 
@@ -231,12 +161,12 @@
 @_on.register
 def _(event: Posted, state: WriterState, now: float) -> Step:
     if state.closing:
-        return state, (_refusal(state, event.ticket, PostRefusal.CLOSED, False),)
+        return state, (_refuse(state, event.ticket, PostRefusal.CLOSED),)
     size = len(encode_batch(Batch(state.writer, 0, event.records)))
     if size > state.settings.post_bytes:
-        return state, (_refusal(state, event.ticket, PostRefusal.TOO_LARGE, False),)
+        return state, (_refuse(state, event.ticket, PostRefusal.TOO_LARGE),)
     if state.queue_bytes + size > state.settings.queue_bytes:
-        return state, (_refusal(state, event.ticket, PostRefusal.QUEUE_FULL, False),)
+        return state, (_refuse(state, event.ticket, PostRefusal.QUEUE_FULL),)
     post = Post(event.ticket, event.records, size, now)
     state.queue.append(post)
     return state._replace(queue_bytes=state.queue_bytes + size), ()
@@ -298,8 +228,8 @@
     sent = state.in_flight.posts if state.in_flight else ()
     reason = PostRefusal.NOT_READ_BACK
     refusals = (
-        *(_refusal(state, post.ticket, reason, True) for post in sent),
-        *(_refusal(state, post.ticket, reason, False) for post in state.queue),
+        *(_refuse(state, post.ticket, reason, maybe_done=True) for post in sent),
+        *(_refuse(state, post.ticket, reason) for post in state.queue),
     )
     state.queue.clear()
     emptied = state._replace(queue_bytes=0, in_flight=None, closing=True)
@@ -378,16 +308,7 @@
     return tuple(posts)
 
 
-def _refusal(
-    state: WriterState, ticket: int, reason: PostRefusal, maybe_done: bool
+def _refuse(
+    state: WriterState, ticket: int, reason: PostRefusal, maybe_done: bool = False
 ) -> Refuse:
-    message = f"records for stream {state.stream!r} not logged: {_ADVICE[reason]}"
-    return Refuse(ticket, PostFailed(reason, maybe_done, message))
-
-
-_ADVICE = {
-    PostRefusal.QUEUE_FULL: "too many wait for the log; try again when it answers",
-    PostRefusal.TOO_LARGE: "more bytes than one append may hold; post fewer",
-    PostRefusal.CLOSED: "this writer is closed",
-    PostRefusal.NOT_READ_BACK: "the process stopped before they were read back",
-}
+    return Refuse(ticket, post_failed(state.stream, reason, maybe_done))
--- a/tests/unit/platform_client/test_stateful_streams.py
+++ b/tests/unit/platform_client/test_stateful_streams.py
@@ -13,21 +13,29 @@
 from clementinebend_platform_client.checkpoint_policy import CheckpointPolicy
 from clementinebend_platform_client.log_client import LogFailure, ReadPage
 from clementinebend_platform_client.tail_core import (
+    Phase,
+    advance_tail,
+    is_ready,
+    new_tail,
+)
+from clementinebend_platform_client.tail_events import (
     Apply,
     CheckpointSettled,
     CheckpointTaken,
     PageRead,
-    Phase,
     PostCheckpoint,
     Restore,
     TailEvent,
     TakeCheckpoint,
     TrimmedSeen,
-    advance_tail,
-    is_ready,
-    new_tail,
 )
 from clementinebend_platform_client.writer_core import (
+    WriterSettings,
+    advance_writer,
+    is_idle,
+    new_writer,
+)
+from clementinebend_platform_client.writer_events import (
     Acknowledged,
     Append,
     AppendFailed,
@@ -37,10 +45,6 @@
     Restored,
     Ticked,
     WriterEvent,
-    WriterSettings,
-    advance_writer,
-    is_idle,
-    new_writer,
 )
 from clementinebend_records.codec import decode_batch
 from clementinebend_records.identifiers import Incarnation
