--- a/libs/routing/src/clementinebend_routing/choice.py
+++ b/libs/routing/src/clementinebend_routing/choice.py
@@ -14,10 +14,10 @@
 
 from collections.abc import Iterable, Sequence
 from itertools import chain
-from random import Random
 from typing import NamedTuple
 
 from clementinebend_records.messages import CacheEvent, LoadReport
+from clementinebend_routing.draws import draw_names
 from clementinebend_routing.endpoints import (
     Candidate,
     EndpointState,
@@ -28,6 +28,7 @@
     new_endpoint,
     prefill_time,
 )
+from clementinebend_routing.models import Choice, NoChoice, Wanted
 from clementinebend_routing.outliers import ejection_allowed, is_ejected, on_result
 from clementinebend_routing.prefix import (
     apply_event,
@@ -54,7 +55,7 @@
     "stale_maps",
 ]
 
-DRAWN = 4
+DRAWN = 8
 """Endpoints drawn at random for each choice."""
 
 PREFIX_HOLDERS = 2
@@ -67,58 +68,32 @@
 """Told when no endpoint is known that will come back by itself."""
 
 
-class Wanted(NamedTuple):
-    """What a request needs; ``tokens`` is the length of its prompt.
-
-    An empty ``model`` is a plain service. ``prefix_blocks`` are the names of
-    the prompt's blocks from its start; ``exclude`` are endpoints not to use.
-    """
-
-    service: str
-    model: str
-    zone: str
-    prefix_blocks: tuple[str, ...]
-    tokens: int
-    exclude: frozenset[str] = frozenset()
-
-
-class Choice(NamedTuple):
-    """The endpoint to use, and what was expected of it.
+class RoutingState(NamedTuple):
+    """All that one router knows of its endpoints.
 
-    Hand ``uncached`` on to ``on_dispatch``.
+    ``draw`` is the state of the random draws; ``names`` are by service.
     """
 
-    endpoint: str
-    expected_seconds: float = 0.0
-    uncached: int = 0
-
-
-class NoChoice(NamedTuple):
-    """No endpoint can take the request now."""
-
-    retry_after_ms: int
-
-
-class RoutingState(NamedTuple):
-    """All that one router knows of its endpoints; ``names`` are by service."""
-
-    random: Random
+    draw: int
     endpoints: dict[str, EndpointState]
     names: dict[str, tuple[str, ...]]
 
 
 class Scored(NamedTuple):
-    """An endpoint's expected time to first token, least first."""
+    """An endpoint's expected time to first token.
+
+    Of equal ones the first drawn is taken, so ``place`` stands before the name.
+    """
 
     seconds: float
-    tie: float
+    place: int
     endpoint: str
     uncached: int
 
 
 def empty_routing(seed: int) -> RoutingState:
     """Return a router that knows no endpoint yet."""
-    return RoutingState(Random(seed), {}, {})
+    return RoutingState(seed, {}, {})
 
 
 def set_endpoints(
@@ -161,9 +136,10 @@
         for name in names
     }
     others = _mean_others(state, names)
+    state, considered = _considered(state, names, cached)
     best = min(
-        _score(state, name, wanted, cached[name], others, now)
-        for name in _considered(state, names, cached)
+        _score(state, place, name, wanted, cached[name], others, now)
+        for place, name in enumerate(considered)
     )
     chosen = state.endpoints[best.endpoint]
     remember_dispatch(chosen.prefix, wanted.prefix_blocks, now)
@@ -267,15 +243,17 @@
 
 def _considered(
     state: RoutingState, names: Sequence[str], cached: dict[str, int]
-) -> tuple[str, ...]:
-    drawn = state.random.sample(names, min(DRAWN, len(names)))
+) -> tuple[RoutingState, tuple[str, ...]]:
+    draw, drawn = draw_names(state.draw, names, DRAWN)
     holders = sorted(names, key=lambda name: -cached[name])[:PREFIX_HOLDERS]
     cached_at = (name for name in holders if cached[name])
-    return tuple(dict.fromkeys(chain(drawn, cached_at)))
+    considered = dict.fromkeys(chain(drawn, cached_at))
+    return state._replace(draw=draw), tuple(considered)
 
 
 def _score(
     state: RoutingState,
+    place: int,
     name: str,
     wanted: Wanted,
     cached: int,
@@ -290,7 +268,7 @@
     seconds /= started_share(endpoint.started_at, now)
     if endpoint.candidate.zone != wanted.zone:
         seconds += OTHER_ZONE_COST
-    return Scored(seconds, state.random.random(), name, uncached)
+    return Scored(seconds, place, name, uncached)
 
 
 def _may_eject(state: RoutingState, service: str, now: float) -> bool:
--- /dev/null
+++ b/libs/routing/src/clementinebend_routing/draws.py
@@ -0,0 +1,33 @@
+"""Seeded draws as values: a generator's state goes in, the next comes out.
+
+SplitMix64 (Steele, Lea, Flood: "Fast Splittable Pseudorandom Number
+Generators", OOPSLA 2014); not for secrets.
+"""
+
+from collections.abc import Sequence
+
+MASK = (1 << 64) - 1
+INCREMENT = 0x9E3779B97F4A7C15
+FIRST_MULTIPLIER = 0xBF58476D1CE4E5B9
+SECOND_MULTIPLIER = 0x94D049BB133111EB
+
+
+def next_number(state: int) -> tuple[int, int]:
+    """Return the next state and a number of 64 random bits."""
+    state = (state + INCREMENT) & MASK
+    mixed = ((state ^ (state >> 30)) * FIRST_MULTIPLIER) & MASK
+    mixed = ((mixed ^ (mixed >> 27)) * SECOND_MULTIPLIER) & MASK
+    return state, mixed ^ (mixed >> 31)
+
+
+def draw_names(
+    state: int, names: Sequence[str], count: int
+) -> tuple[int, tuple[str, ...]]:
+    """Return the next state and ``count`` different names in random order."""
+    left = list(names)
+    count = min(count, len(left))
+    for place in range(count):
+        state, number = next_number(state)
+        other = place + number % (len(left) - place)
+        left[place], left[other] = left[other], left[place]
+    return state, tuple(left[:count])
--- a/libs/routing/src/clementinebend_routing/endpoints.py
+++ b/libs/routing/src/clementinebend_routing/endpoints.py
@@ -13,8 +13,12 @@
 from clementinebend_routing.outliers import Health
 from clementinebend_routing.prefix import PrefixMap, empty_prefix_map, forget
 
-REPORT_HALF_LIFE = 1.0
-"""Age at which half of a report's weight is gone."""
+REPORT_HALF_LIFE = 0.1
+"""Age at which half of a report's weight is gone, in seconds.
+
+Reports reach all routers alike, so a router that believes them for long sends
+where the others send: shorter is better until reports stop mattering at all.
+"""
 
 ASSUMED_REPORT_LAG = 0.25
 """Dispatches this long before a report arrives are taken as not yet in it."""
--- a/tests/unit/routing/test_choice.py
+++ b/tests/unit/routing/test_choice.py
@@ -97,13 +97,23 @@
         for number in range(4):
             state = on_dispatch(state, name, f"{name}{number}", LATE)
             state = on_finish(state, name, f"{name}{number}", False, 0.1, LATE)
-    choices = {chosen(state) for _ in range(300)}
+    choices = set()
+    for _ in range(300):
+        state, choice = choose(state, WANTED, LATE)
+        assert isinstance(choice, Choice)
+        choices.add(choice.endpoint)
     assert choices == {f"e{number}" for number in range(3, 9)}
     _, later = choose(state, WANTED, LATE + 1000)
     assert isinstance(later, Choice)
 
 
 def test_the_same_seed_gives_the_same_choices() -> None:
-    first = [chosen(router(*"abcabc")) for _ in range(5)]
-    second = [chosen(router(*"abcabc")) for _ in range(5)]
-    assert first == second
+    def choices() -> list[Choice | NoChoice]:
+        state = router(*"abcabc")
+        outcomes = []
+        for number in range(20):
+            state, outcome = choose(state, WANTED, LATE + number)
+            outcomes.append(outcome)
+        return outcomes
+
+    assert choices() == choices()
