Add membership: host view, rendezvous hashing, subsets, fencing

Cause: the host list lags, and entries, sidecars and pointers need one choice of hosts that all make alike. Ruled out: subsets by position in the list of clients (they change much when that list changes); believing a list that says live of a host that said itself that it is leaving. Before: nothing. One back end more or less changes at most one of a subset.

--- /dev/null
+++ b/libs/membership/src/clementinebend_membership/fencing.py
@@ -0,0 +1,124 @@
+"""Which sidecar incarnation may order an engine: replay of fencing claims.
+
+The newest claimant of an endpoint may order it; the offset of its claim is
+its fencing number. An engine that checks numbers refuses an older claimant.
+"""
+
+from operator import itemgetter
+from typing import NamedTuple
+
+from msgspec.json import decode, encode
+
+from clementinebend_records.identifiers import Incarnation, digest_of
+from clementinebend_records.records import Batch, Checkpoint, FencingClaim
+
+WRITERS_KEPT = 16_384
+"""Writers whose last sequence is remembered: the ones that wrote last."""
+
+
+class Standing(NamedTuple):
+    """The newest claim of an endpoint."""
+
+    number: int
+    sidecar: Incarnation
+
+
+class LastBatch(NamedTuple):
+    """The last batch of a writer that was applied, and its offset."""
+
+    sequence: int
+    offset: int
+
+
+class FencingState(NamedTuple):
+    """Claims that stand, by endpoint, as of ``offset``."""
+
+    standing: dict[str, Standing]
+    writers: dict[str, LastBatch]
+    offset: int
+
+
+class Claimed(NamedTuple):
+    """A sidecar took the right to order an endpoint."""
+
+    endpoint: str
+    sidecar: Incarnation
+    number: int
+
+
+class FencingContent(NamedTuple):
+    """The state as a checkpoint holds it, in sorted order."""
+
+    standing: tuple[tuple[str, Standing], ...]
+    writers: tuple[tuple[str, LastBatch], ...]
+    offset: int
+
+
+def empty_fencing() -> FencingState:
+    """Return the state before any record."""
+    return FencingState({}, {}, -1)
+
+
+def replay_fencing(
+    state: FencingState, offset: int, batch: Batch
+) -> tuple[FencingState, tuple[Claimed, ...]]:
+    """Apply a batch; a repeat of one applied before takes nothing."""
+    state = state._replace(offset=offset)
+    last = state.writers.get(batch.writer)
+    if last is not None and batch.sequence <= last.sequence:
+        return state, ()
+    state.writers[batch.writer] = LastBatch(batch.sequence, offset)
+    _forget_oldest(state.writers)
+    claims = tuple(
+        Claimed(record.endpoint, record.sidecar, offset)
+        for record in batch.records
+        if isinstance(record, FencingClaim)
+    )
+    for claim in claims:
+        state.standing[claim.endpoint] = Standing(offset, claim.sidecar)
+    return state, claims
+
+
+def fencing_number(state: FencingState, endpoint: str) -> int | None:
+    """Return the newest fencing number of an endpoint, None without a claim."""
+    standing = state.standing.get(endpoint)
+    return None if standing is None else standing.number
+
+
+def may_order(state: FencingState, endpoint: str, sidecar: Incarnation) -> bool:
+    """Tell whether ``sidecar`` is the newest claimant of ``endpoint``.
+
+    This alone does not stop an older claimant that has not read the newer
+    claim. An engine that checks fencing numbers refuses that one's orders. An
+    engine that ignores them is protected by a port that each sidecar binds for
+    its lifetime on the endpoint's own host: the kernel refuses a second
+    binder, so a replacement in the same slot cannot act until its predecessor,
+    paused or not, is gone.
+    """
+    standing = state.standing.get(endpoint)
+    return standing is not None and standing.sidecar == sidecar
+
+
+def fencing_checkpoint(state: FencingState, stream: str) -> Checkpoint:
+    """Return a checkpoint of the state."""
+    content = FencingContent(
+        tuple(sorted(state.standing.items())),
+        tuple(sorted(state.writers.items())),
+        state.offset,
+    )
+    encoded = encode(content)
+    return Checkpoint(stream, state.offset, digest_of(encoded), encoded)
+
+
+def restore_fencing(checkpoint: Checkpoint) -> FencingState:
+    """Return the state that a checkpoint holds."""
+    content = decode(checkpoint.state, type=FencingContent)
+    return FencingState(dict(content.standing), dict(content.writers), content.offset)
+
+
+def _forget_oldest(writers: dict[str, LastBatch]) -> None:
+    if len(writers) <= WRITERS_KEPT:
+        return
+    offsets = ((last.offset, writer) for writer, last in writers.items())
+    _, oldest = min(offsets, key=itemgetter(0))
+    del writers[oldest]
--- /dev/null
+++ b/libs/membership/src/clementinebend_membership/rendezvous.py
@@ -0,0 +1,46 @@
+"""Choice of hosts for a key that all processes make alike.
+
+Highest random weight hashing: adding or removing a name moves only the keys
+of that name. Source: Thaler and Ravishankar, "Using name-based mappings to
+increase hit rates" (1998).
+"""
+
+from collections.abc import Iterable, Mapping, Sequence
+from hashlib import blake2b
+from heapq import nsmallest
+from itertools import islice
+
+WEIGHT_BYTES = 8
+SEPARATOR = b"\0"
+
+
+def rendezvous(key: str, names: Iterable[str], count: int) -> tuple[str, ...]:
+    """Return the first ``count`` of ``names`` for ``key``, best first."""
+    ranked = nsmallest(count, ((_weight(key, name), name) for name in set(names)))
+    return tuple(name for _, name in ranked)
+
+
+def rendezvous_by_zone(
+    key: str, zone_by_name: Mapping[str, str], zones: int
+) -> tuple[str, ...]:
+    """Return the first host for ``key`` in each of its first ``zones`` zones."""
+    ranked = rendezvous(key, zone_by_name, len(zone_by_name))
+    first_by_zone: dict[str, str] = {}
+    for name in ranked:
+        first_by_zone.setdefault(zone_by_name[name], name)
+    return tuple(islice(first_by_zone.values(), zones))
+
+
+def subset(name: str, candidates: Sequence[str], size: int) -> tuple[str, ...]:
+    """Return the ``size`` back ends that the client ``name`` uses, best first.
+
+    Each back end is used by ``clients * size / len(candidates)`` clients on
+    average. A candidate that comes or goes changes at most one of the subset.
+    """
+    return rendezvous(name, candidates, size)
+
+
+def _weight(key: str, name: str) -> bytes:
+    return blake2b(
+        key.encode() + SEPARATOR + name.encode(), digest_size=WEIGHT_BYTES
+    ).digest()
--- /dev/null
+++ b/libs/membership/src/clementinebend_membership/view.py
@@ -0,0 +1,177 @@
+"""Which hosts can be used: the platform's lagging list joined with own sight.
+
+The list lags, so direct evidence that is newer than a change in the list beats
+it. Times are monotonic seconds of this process. A view decides policy only: a
+host wrongly believed dead meets refusals, never a second bill.
+"""
+
+from collections.abc import Iterable
+from enum import StrEnum
+from typing import NamedTuple, Protocol
+
+from clementinebend_records.identifiers import Incarnation
+
+EVIDENCE_SECONDS = 15.0
+"""Direct evidence older than this counts no more; the list decides then."""
+
+ABSENT_SUSPECT_SECONDS = 2.0
+"""A host absent from the list and out of reach this long is suspect."""
+
+LISTED_SUSPECT_SECONDS = 30.0
+"""A host still listed is suspect only after being out of reach this long."""
+
+FORGET_SECONDS = 3600.0
+"""A host absent from the list and not seen this long is forgotten."""
+
+LIVE = "live"
+LEAVING = "leaving"
+
+
+class Evidence(StrEnum):
+    """What this process saw of a host itself."""
+
+    REACHABLE = "reachable"
+    LEAVING = "leaving"
+    UNREACHABLE = "unreachable"
+
+
+class ListedHost(Protocol):
+    """A host as the platform lists it; ``state`` is ``live`` or ``leaving``."""
+
+    @property
+    def name(self) -> str:
+        """The host's name."""
+
+    @property
+    def address(self) -> str:
+        """Where it can be reached, ``ip:port``."""
+
+    @property
+    def zone(self) -> str:
+        """Its availability zone."""
+
+    @property
+    def state(self) -> str:
+        """``live`` or ``leaving``."""
+
+
+class HostEntry(NamedTuple):
+    """One host as listed."""
+
+    name: str
+    address: str
+    zone: str
+    state: str
+
+
+class HostView(NamedTuple):
+    """What is known of one host.
+
+    ``listed_since`` is when the list began to say ``listed`` (None: absent).
+    ``evidence`` was last seen at ``seen_at`` and began at ``evidence_since``;
+    ``left`` holds for the rest of ``incarnation``.
+    """
+
+    listed: HostEntry | None = None
+    listed_since: float = 0.0
+    incarnation: Incarnation = Incarnation("")
+    evidence: Evidence | None = None
+    evidence_since: float = 0.0
+    seen_at: float = 0.0
+    left: bool = False
+
+
+class View(NamedTuple):
+    """All hosts known, by name."""
+
+    hosts: dict[str, HostView]
+
+
+UNKNOWN = HostView()
+
+
+def empty_view() -> View:
+    """Return a view of no hosts."""
+    return View({})
+
+
+def on_host_list(view: View, hosts: Iterable[ListedHost], now: float) -> View:
+    """Take in a list just read from the platform."""
+    listed = {
+        host.name: HostEntry(host.name, host.address, host.zone, host.state)
+        for host in hosts
+    }
+    for name in {*view.hosts, *listed}:
+        known = view.hosts.get(name, UNKNOWN)
+        view.hosts[name] = _with_entry(known, listed.get(name), now)
+    forgotten = [name for name, host in view.hosts.items() if _is_over(host, now)]
+    for name in forgotten:
+        del view.hosts[name]
+    return view
+
+
+def on_direct(
+    view: View, name: str, incarnation: Incarnation, evidence: Evidence, now: float
+) -> View:
+    """Take in what this process saw of a host.
+
+    ``incarnation`` is the one that answered, or the one that no longer does.
+    """
+    known = view.hosts.get(name, UNKNOWN)
+    is_new = incarnation != known.incarnation
+    if is_new and known.incarnation and evidence is Evidence.UNREACHABLE:
+        return view
+    base = known._replace(evidence=None, left=False) if is_new else known
+    began = now if evidence is not base.evidence else base.evidence_since
+    view.hosts[name] = base._replace(
+        incarnation=incarnation,
+        evidence=evidence,
+        evidence_since=began,
+        seen_at=now,
+        left=base.left or evidence is Evidence.LEAVING,
+    )
+    return view
+
+
+def usable(view: View, name: str, now: float) -> bool:
+    """Tell whether new work may go to a host."""
+    host = view.hosts.get(name, UNKNOWN)
+    if host.left:
+        return False
+    if _is_current(host, now) and host.evidence is Evidence.UNREACHABLE:
+        return False
+    if _is_current(host, now) and host.seen_at > host.listed_since:
+        return True
+    return host.listed is not None and host.listed.state == LIVE
+
+
+def suspects(view: View, now: float) -> tuple[str, ...]:
+    """Return the hosts that have been dead long enough to close their holders."""
+    return tuple(name for name, host in view.hosts.items() if _is_suspect(host, now))
+
+
+def _with_entry(host: HostView, entry: HostEntry | None, now: float) -> HostView:
+    if _state_of(entry) == _state_of(host.listed):
+        return host._replace(listed=entry)
+    return host._replace(listed=entry, listed_since=now)
+
+
+def _state_of(entry: HostEntry | None) -> str | None:
+    return None if entry is None else entry.state
+
+
+def _is_current(host: HostView, now: float) -> bool:
+    return host.evidence is not None and now - host.seen_at < EVIDENCE_SECONDS
+
+
+def _is_suspect(host: HostView, now: float) -> bool:
+    if host.evidence is not Evidence.UNREACHABLE:
+        return False
+    limit = LISTED_SUSPECT_SECONDS if host.listed else ABSENT_SUSPECT_SECONDS
+    return now - host.evidence_since >= limit
+
+
+def _is_over(host: HostView, now: float) -> bool:
+    if host.listed is not None:
+        return False
+    return host.evidence is None or now - host.seen_at >= FORGET_SECONDS
--- /dev/null
+++ b/tests/unit/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of clementinebend_membership."""
