Judge edits of large documents in a fraction of the time, alike everywhere

Cause: a node that began with a checkpoint knew the names in another order, so it told faults in other words and its digest differed; and judging one edit at 22,000 budgets and 3,400 endpoints read every part again. Ruled out: leaving faults out of the digest, which would hide other differences. Conclusion: three new tests fail without the order; edits agree with one-by-one application.

--- a/libs/declarations/src/clementinebend_declarations/deltas.py
+++ b/libs/declarations/src/clementinebend_declarations/deltas.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Iterator, Mapping
-from functools import reduce
+from itertools import dropwhile, groupby
 from typing import Any
 
 from clementinebend_declarations.plain import canonical, canonical_digest
@@ -26,8 +26,50 @@
 
 
 def apply_changes(document: Mapping[str, Any], changes: tuple[Change, ...]) -> Document:
-    """Return a document with the edits made; the one handed in stays as is."""
-    return reduce(_apply, changes, dict(document))
+    """Return a document with the edits made; the one handed in stays as is.
+
+    Parts that no edit touches are the same objects in both.
+    """
+    changed = dict(document)
+    for key, edits in _by_first_key(changes).items():
+        for is_here, run in groupby(edits, key=_ends_here):
+            if is_here:
+                _apply_here(changed, key, tuple(run))
+            else:
+                _apply_below(changed, key, tuple(run))
+    return changed
+
+
+def _by_first_key(changes: tuple[Change, ...]) -> dict[str, list[Change]]:
+    """Group edits by where they begin; those of different keys commute."""
+    groups: dict[str, list[Change]] = {}
+    for change in changes:
+        if change.path:
+            groups.setdefault(change.path[0], []).append(change)
+    return groups
+
+
+def _ends_here(change: Change) -> bool:
+    return len(change.path) == 1
+
+
+def _apply_here(document: Document, key: str, edits: tuple[Change, ...]) -> None:
+    last = edits[-1]
+    if last.remove:
+        document.pop(key, None)
+    else:
+        document[key] = last.value
+
+
+def _apply_below(document: Document, key: str, edits: tuple[Change, ...]) -> None:
+    inner = document.get(key)
+    below = tuple(change._replace(path=change.path[1:]) for change in edits)
+    if isinstance(inner, dict):
+        document[key] = apply_changes(inner, below)
+        return
+    added = tuple(dropwhile(lambda change: change.remove, below))
+    if added:
+        document[key] = apply_changes({}, added)
 
 
 def _differences(
@@ -55,23 +97,3 @@
     if key in old:
         return isinstance(old[key], Mapping)
     return is_section and bool(new[key])
-
-
-def _apply(document: Document, change: Change) -> Document:
-    if not change.path:
-        return document
-    key, *rest = change.path
-    if rest:
-        return _apply_below(document, key, change._replace(path=tuple(rest)))
-    if change.remove:
-        return {name: value for name, value in document.items() if name != key}
-    return document | {key: change.value}
-
-
-def _apply_below(document: Document, key: str, change: Change) -> Document:
-    inner = document.get(key)
-    if isinstance(inner, dict):
-        return document | {key: _apply(inner, change)}
-    if change.remove:
-        return document
-    return document | {key: _apply({}, change)}
--- a/libs/declarations/src/clementinebend_declarations/documents.py
+++ b/libs/declarations/src/clementinebend_declarations/documents.py
@@ -20,12 +20,13 @@
 from clementinebend_declarations.exceptions import DeclarationError
 from clementinebend_declarations.models import Declarations
 from clementinebend_declarations.plain import MAX_DEPTH, is_plain
-from clementinebend_declarations.schemas import Errors, read_declarations
+from clementinebend_declarations.schemas import Errors, read_changed, read_declarations
 from clementinebend_declarations.yaml_files import read_yaml
 
 __all__ = [
     "LoadedDocument",
     "apply_changes",
+    "check_changed",
     "check_document",
     "difference",
     "document_digest",
@@ -82,13 +83,25 @@
             f"nested at most {MAX_DEPTH} deep"
         )
         return Error((DeclarationError((), problem, allowed),))
-    match read_declarations(dict(document)):
-        case Result(tag="ok", ok=declarations):
-            errors = check_declarations(declarations)
-            return Error(errors) if errors else Ok(declarations)
-        case Result(error=errors):
-            return Error(errors)
-    raise AssertionError("a result is ok or an error")
+    return _checked(read_declarations(dict(document)))
+
+
+def check_changed(
+    document: Mapping[str, Any], known: Mapping[str, Any], declarations: Declarations
+) -> Result[Declarations, Errors]:
+    """Check a plain document that was made by editing ``known``.
+
+    Gives what ``check_document`` gives, in less time; ``declarations`` are
+    those in ``known``, which was checked.
+    """
+    return _checked(read_changed(dict(document), dict(known), declarations))
+
+
+def _checked(read: Result[Declarations, Errors]) -> Result[Declarations, Errors]:
+    if read.is_error():
+        return read
+    errors = check_declarations(read.ok)
+    return Error(errors) if errors else read
 
 
 def locate(errors: Errors, files: Mapping[tuple[str, ...], str]) -> Errors:
--- a/libs/declarations/src/clementinebend_declarations/publications.py
+++ b/libs/declarations/src/clementinebend_declarations/publications.py
@@ -3,7 +3,7 @@
 Every node must judge alike, so this depends on the state and the record only.
 """
 
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from expression import Error, Ok, Result
 
@@ -12,9 +12,9 @@
     apply_changes,
     document_digest,
 )
-from clementinebend_declarations.documents import check_document
+from clementinebend_declarations.documents import check_changed
 from clementinebend_declarations.models import Configuration, Declarations
-from clementinebend_declarations.plain import is_plain
+from clementinebend_declarations.plain import MAX_DEPTH, is_plain, is_text
 from clementinebend_declarations.schemas import FIRST_SCHEMA, VERSION_KEY
 from clementinebend_records.records import Change, Publication, SchemaActivation
 
@@ -42,13 +42,13 @@
             f"schema {version} is not activated; "
             f"{configuration.activated_schema} is the newest that is"
         )
-    if not all(is_plain(change.value) for change in publication.changes):
+    if not all(map(is_plain_change, publication.changes)):
         return Error("a change holds a value that not every node reads alike")
     changed = apply_changes(document, publication.changes)
     fault = _document_fault(changed, publication)
     if fault:
         return Error(fault)
-    return _judge_document(configuration.declarations, changed)
+    return _judge_document(configuration.declarations, document, changed)
 
 
 def judge_activation(
@@ -62,14 +62,18 @@
     return Error(f"schema {version} cannot be activated; {following} is the next")
 
 
+def is_plain_change(change: Change) -> bool:
+    """Return whether a plain document stays plain with the change made."""
+    levels = MAX_DEPTH - len(change.path)
+    return all(map(is_text, change.path)) and is_plain(change.value, levels)
+
+
 def shown_paths(changes: tuple[Change, ...], count: int) -> tuple[str, ...]:
     """Return the key paths of the first ``count`` changes."""
     return tuple(".".join(change.path) for change in changes[:count])
 
 
 def _document_fault(document: Document, publication: Publication) -> str:
-    if not is_plain(document):
-        return "the changed document is nested too deep"
     if document_digest(document) != publication.digest:
         return "the changed document does not give the digest of the publication"
     written = document.get(VERSION_KEY, FIRST_SCHEMA)
@@ -79,12 +83,12 @@
 
 
 def _judge_document(
-    in_force: Declarations, document: dict[str, Any]
+    in_force: Declarations, document: Document, changed: Document
 ) -> Result[Accepted, str]:
-    match check_document(document):
+    match check_changed(changed, document, in_force):
         case Result(tag="ok", ok=declarations):
             fault = _top_up_fault(in_force, declarations)
-            return Error(fault) if fault else Ok(Accepted(document, declarations))
+            return Error(fault) if fault else Ok(Accepted(changed, declarations))
         case Result(error=errors):
             shown = "; ".join(str(error) for error in errors[:SHOWN_ERRORS])
             return Error(f"{len(errors)} errors: {shown}")
--- a/libs/declarations/src/clementinebend_declarations/schemas.py
+++ b/libs/declarations/src/clementinebend_declarations/schemas.py
@@ -15,6 +15,9 @@
 """Schema of a document that does not name one."""
 
 T = TypeVar("T")
+NAMED_SECTIONS = ("teams", "budgets", "services", "endpoints")
+"""Sections that map names to parts."""
+
 Errors = tuple[DeclarationError, ...]
 
 
@@ -39,14 +42,77 @@
     raise AssertionError("a result is ok or an error")
 
 
+def read_changed(
+    document: dict[str, Any], known: dict[str, Any], declarations: Declarations
+) -> Result[Declarations, Errors]:
+    """Return the declarations in a document that was made by editing ``known``.
+
+    ``declarations`` are those in ``known``. The result is that of
+    ``read_declarations``; parts that are the same objects in both documents
+    are not read again, since a large fleet changes a little at a time.
+    """
+    if document.get(VERSION_KEY) != known.get(VERSION_KEY):
+        return read_declarations(document)
+    edited = {
+        section: _edited_parts(section, value, known)
+        for section, value in document.items()
+    }
+    return read_declarations(edited).map(
+        lambda read: read._replace(
+            teams=_merged("teams", document, read.teams, declarations.teams),
+            budgets=_merged("budgets", document, read.budgets, declarations.budgets),
+            services=_merged(
+                "services", document, read.services, declarations.services
+            ),
+            endpoints=_merged(
+                "endpoints", document, read.endpoints, declarations.endpoints
+            ),
+        )
+    )
+
+
+def _edited_parts(section: str, value: Any, known: dict[str, Any]) -> Any:
+    before = known.get(section)
+    is_named = section in NAMED_SECTIONS and isinstance(value, dict)
+    if not is_named or not isinstance(before, dict):
+        return value
+    return {
+        name: part
+        for name, part in value.items()
+        if before.get(name, value) is not part
+    }
+
+
+def _merged(
+    section: str, document: dict[str, Any], read: dict[str, T], known: dict[str, T]
+) -> dict[str, T]:
+    names = sorted(document.get(section, {}))
+    return {name: read[name] if name in read else known[name] for name in names}
+
+
 def _read_version(body: dict[str, Any], version: int) -> Result[Declarations, Errors]:
     if version > FIRST_SCHEMA:
-        return _convert(body, Declarations)
+        return _convert(body, Declarations).map(_with_sorted_names)
     match _convert(body, DeclarationsV1):
         case Result(tag="error", error=errors):
             return Error(errors)
         case _:
-            return _convert(upgrade_v1(body), Declarations)
+            upgraded = _convert(upgrade_v1(body), Declarations)
+            return upgraded.map(_with_sorted_names)
+
+
+def _with_sorted_names(declarations: Declarations) -> Declarations:
+    """Return declarations in an order that all nodes share.
+
+    A document's own order is that of its edits, which a node that began with
+    a checkpoint does not know.
+    """
+    return declarations._replace(
+        teams=dict(sorted(declarations.teams.items())),
+        budgets=dict(sorted(declarations.budgets.items())),
+        services=dict(sorted(declarations.services.items())),
+        endpoints=dict(sorted(declarations.endpoints.items())),
+    )
 
 
 def _convert(body: dict[str, Any], kind: type[T]) -> Result[T, Errors]:
@@ -54,4 +120,4 @@
     if isinstance(converted, kind):
         return Ok(converted)
     problems = cast(tuple[MappingProblem, ...], converted)
-    return Error(tuple(DeclarationError(*problem) for problem in problems))
+    return Error(tuple(DeclarationError(*problem) for problem in sorted(problems)))
--- a/tests/unit/declarations/test_replay.py
+++ b/tests/unit/declarations/test_replay.py
@@ -110,6 +110,8 @@
         (other_schema, {"schema_version": 1}, "document is of schema 2"),
         (None, {"schema_version": 0}, "schema 0 is not activated"),
         (None, {"changes": (Change(("teams",), b"\xff"),)}, "not every node"),
+        (None, {"changes": (Change(("a",) * 9_999, 1),)}, "not every node"),
+        (None, {"changes": (Change(("\ud800",), 1),)}, "not every node"),
     ],
 )
 def test_bad_publication_is_rejected_and_changes_nothing(
@@ -229,3 +231,45 @@
     assert len(state.sequences) == MAX_WRITERS
     assert len(state.audit) == MAX_AUDIT_ENTRIES
     assert len(configuration_checkpoint(state).state) < 200_000
+
+
+def with_earlier_names(changed: dict[str, Any]) -> dict[str, Any]:
+    """Add parts whose names stand before those that are there already."""
+    budget = changed["budgets"]["kosice-lookups"]
+    changed["budgets"]["a-budget"] = budget | {
+        "services": ["booking"],
+        "top_ups": [{"id": "a", "tokens": 1}],
+    }
+    endpoint = changed["endpoints"]["engine-1"]
+    changed["endpoints"]["a-engine"] = endpoint | {"port": 9_002}
+    return changed
+
+
+def one_address(changed: dict[str, Any]) -> None:
+    for endpoint in changed["endpoints"].values():
+        endpoint["port"] = 1
+
+
+def wrong_shapes(changed: dict[str, Any]) -> None:
+    for endpoint in changed["endpoints"].values():
+        endpoint["port"] = "none"
+
+
+def all_budgets_gone(changed: dict[str, Any]) -> None:
+    del changed["budgets"]
+
+
+@pytest.mark.parametrize("edit", [one_address, wrong_shapes, all_budgets_gone])
+def test_restored_reader_tells_faults_in_the_same_words(edit: Any) -> None:
+    state = published()
+    more = publication(state, with_earlier_names(document()))
+    state, _ = replay_configuration(state, 8, batch(3, more))
+    restored = restore_configuration(configuration_checkpoint(state))
+    changed = with_earlier_names(document())
+    edit(changed)
+    record = batch(4, publication(state, changed))
+    ours, told = replay_configuration(state, 9, record)
+    theirs, _ = replay_configuration(restored, 9, record)
+    assert isinstance(told[0], Rejected)
+    assert ours.audit[-1] == theirs.audit[-1]
+    assert configuration_digest(ours) == configuration_digest(theirs)
--- a/tests/unit/declarations/test_stateful_replay.py
+++ b/tests/unit/declarations/test_stateful_replay.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
+from clementinebend_declarations.documents import check_document
 from clementinebend_declarations.replay import (
     configuration_checkpoint,
     configuration_digest,
@@ -235,6 +236,9 @@
         if isinstance(outcome, Published | Activated):
             offset = self.winners.setdefault(outcome.revision, outcome.offset)
             assert offset == outcome.offset
+        if isinstance(outcome, Published):
+            checked = check_document(document_of(after))
+            assert configuration_of(after).declarations == checked.ok
         if isinstance(outcome, Unreadable):
             assert outcome.version == configuration_of(after).activated_schema
         if isinstance(outcome, Conflict | Rejected):
