Tighten two tests that let a fault pass

Cause: trial runs on a copy with one line broken at a time: without the pause of a full inbox, and without closing an answer's iterator, all passed. Ruled out: garbage collection closing the iterator, as the test now keeps it.

--- a/tests/unit/transport/test_http_server.py
+++ b/tests/unit/transport/test_http_server.py
@@ -236,8 +236,10 @@
         finally:
             closed.set()
 
+    source = pieces()
+
     async def handler(request: Request) -> Response:
-        return Response(200, (), pieces())
+        return Response(200, (), source)
 
     async with serving(handler, HASTY) as server:
         reader, writer = await connect(server.port)
--- a/tests/unit/transport/test_message_stream.py
+++ b/tests/unit/transport/test_message_stream.py
@@ -184,7 +184,7 @@
         sender = create_task(send_all(stream))
         await until(lambda: not stream.channel.writable.is_set())
         (accepted,) = server.streams.values()
-        await until(lambda: accepted.channel.inbox_bytes > message_stream.INBOX_BYTES)
+        await until(lambda: not accepted.channel.transport.is_reading())
         assert not sender.done()
         assert accepted.channel.inbox_bytes < 2 * message_stream.INBOX_BYTES
         assert stream.channel.unsent_bytes() < 1024 * 1024
