--- a/libs/bench/src/clementinebend_bench/experiments/registry.py
+++ b/libs/bench/src/clementinebend_bench/experiments/registry.py
@@ -2,12 +2,13 @@
 
 from collections.abc import Callable
 
-from clementinebend_bench.experiments import routing
+from clementinebend_bench.experiments import fairness, routing
 from clementinebend_bench.rows import Row
 
 Experiment = Callable[[int], tuple[Row, ...]]
 
 EXPERIMENTS: dict[str, Experiment] = {
     "routing": routing.run,
+    "fairness": fairness.run,
 }
 """To add one: a module with ``run(seed) -> tuple[Row, ...]``, and a line here."""
--- a/libs/bench/src/clementinebend_bench/models/traces.py
+++ b/libs/bench/src/clementinebend_bench/models/traces.py
@@ -60,6 +60,14 @@
         return len(self.blocks) * BLOCK_TOKENS
 
 
+class Phase(NamedTuple):
+    """A time in which a team's rate is ``factor`` times a common one."""
+
+    start: float
+    length: float
+    factor: float
+
+
 def make_trace(
     deployment: Deployment,
     load: float,
@@ -83,7 +91,9 @@
 def engine_seconds(size: EngineSize, cached_share: float) -> float:
     """Return the time of an engine that a mean request takes."""
     random = Random(0)
-    samples = [(_output(random), _mean_prompt(random)) for _ in range(MEAN_SAMPLES)]
+    samples = [
+        (output_length(random), _mean_prompt(random)) for _ in range(MEAN_SAMPLES)
+    ]
     output = sum(length for length, _ in samples) / MEAN_SAMPLES
     prompt = sum(length for _, length in samples) / MEAN_SAMPLES
     prefill = prefill_seconds(size, round(prompt * (1 - cached_share)))
@@ -99,7 +109,8 @@
     return float(min(blocks, PROMPT_LIMIT_BLOCKS) * BLOCK_TOKENS)
 
 
-def _output(random: Random) -> int:
+def output_length(random: Random) -> int:
+    """Return a sample of an answer's length in tokens, with a long tail."""
     length = random.lognormvariate(log(OUTPUT_MEDIAN), OUTPUT_SIGMA)
     return max(1, min(OUTPUT_LIMIT, round(length)))
 
@@ -116,7 +127,7 @@
     random = Random(f"{seed}/{name}")
     templates = _templates(name, team, random)
     conversations: dict[int, tuple[str, ...]] = defaultdict(tuple)
-    for number, time in enumerate(_times(rate * team.share, seconds, random)):
+    for number, time in enumerate(arrival_times(rate * team.share, seconds, random)):
         blocks = _prompt(f"{name}/{number}", templates, conversations, random)
         conversations[number % CONVERSATIONS_KEPT] = blocks
         yield Request(
@@ -126,7 +137,7 @@
             team.name,
             service,
             blocks,
-            _output(random),
+            output_length(random),
         )
 
 
@@ -158,27 +169,29 @@
     return (start + tail)[:PROMPT_LIMIT_BLOCKS]
 
 
-def _times(rate: float, seconds: float, random: Random) -> Iterator[float]:
+def arrival_times(
+    rate: float, seconds: float, random: Random, bursts: bool = True
+) -> Iterator[float]:
     """Yield the times of arrivals whose rate changes between two levels.
 
-    The levels are scaled so that the mean rate over the trace is ``rate``.
+    The levels are scaled so that the mean rate over the trace is ``rate``;
+    without ``bursts`` the rate does not change.
     """
-    phases = _phases(seconds, random)
-    mean_factor = sum(length * factor for _, length, factor in phases) / seconds
-    for start, length, factor in phases:
-        phase_rate = rate * factor / mean_factor
-        time = start + random.expovariate(phase_rate)
-        while time < start + length:
+    phases = _phases(seconds, random) if bursts else [Phase(0.0, seconds, 1.0)]
+    mean_factor = sum(phase.length * phase.factor for phase in phases) / seconds
+    for phase in phases:
+        phase_rate = rate * phase.factor / mean_factor
+        time = phase.start + random.expovariate(phase_rate)
+        while time < phase.start + phase.length:
             yield time
             time += random.expovariate(phase_rate)
 
 
-def _phases(seconds: float, random: Random) -> list[tuple[float, float, float]]:
-    """Return the start, length and factor of each phase of a team's traffic."""
+def _phases(seconds: float, random: Random) -> list[Phase]:
     phases = []
     start = 0.0
     while start < seconds:
         length = min(seconds - start, random.expovariate(1 / BURST_SECONDS))
-        phases.append((start, length, random.choice(BURST_FACTORS)))
+        phases.append(Phase(start, length, random.choice(BURST_FACTORS)))
         start += length
     return phases
