--- a/libs/entry/src/clementinebend_entry/budget_waits.py
+++ b/libs/entry/src/clementinebend_entry/budget_waits.py
@@ -9,6 +9,8 @@
 from typing import NamedTuple
 
 from clementinebend_entry.outcomes import Refusal
+from clementinebend_ledger.holder import HolderState, wait_hint
+from clementinebend_ledger.holder_state import BudgetUse
 from clementinebend_ledger.replay import BudgetSummary
 from clementinebend_records.identifiers import GrantId, Incarnation, RunId
 from clementinebend_records.reasons import NotRun
@@ -70,6 +72,21 @@
     return None
 
 
+def is_settling(
+    holder: HolderState, waiter: Waiter, is_log_failing: bool, now: float
+) -> bool:
+    """Return whether what is under way will likely be enough in time.
+
+    While the log does not answer, only what this entry holds itself counts.
+    """
+    use = holder.budgets.get(waiter.budget)
+    if use is not None and is_log_failing:
+        unasked = BudgetUse(**{**use, "requested": {}, "spare": 0})
+        holder = holder._replace(budgets={waiter.budget: unasked})
+    hint = wait_hint(holder, waiter.budget, waiter.amount, now)
+    return hint.worth_waiting and now + hint.seconds < waiter.deadline
+
+
 def remaining(view: BudgetView) -> int:
     """Return the most that could ever become free without a new top-up."""
     summary = view.summary
--- a/libs/entry/src/clementinebend_entry/closer.py
+++ b/libs/entry/src/clementinebend_entry/closer.py
@@ -64,7 +64,7 @@
         while True:
             await sleep(NOTICE_INTERVAL_S)
             entries = self.entries()
-            for shard in self.ledger.shards.values():
+            for shard in self.ledger.shards.by_stream.values():
                 if shard.is_ready:
                     self.look(shard, entries)
 
@@ -114,7 +114,7 @@
         logger.info("%s: closing holder %s", shard.stream, holder)
         CLOSES.labels("close").inc()
         self.reach.on_close(name_of(holder))
-        self.ledger.post(shard, (HolderClose(holder, self.ledger.incarnation),))
+        self.ledger.shards.post(shard, (HolderClose(holder, self.ledger.incarnation),))
 
     def ask(self, shard: Shard, notice: Notice) -> None:
         """Send a notice to a witness, or note that it is lost."""
@@ -136,7 +136,7 @@
         """Bill what a witness knows, and log that it refuses the holder."""
         if reply.pending:
             return
-        for shard in self.ledger.shards.values():
+        for shard in self.ledger.shards.by_stream.values():
             status = witness_status(shard.state, reply.holder, reply.witness)
             if status == WitnessStatus.OPEN:
                 notice = Notice(reply.holder, reply.witness, True)
@@ -160,11 +160,11 @@
         for receipt in known:
             self.receipts.expect(receipt.key, receipt.run, receipt.endpoint)
         ack = CloseAck(notice.holder, notice.witness, lost)
-        self.ledger.post(shard, (*settles_of(known), ack))
+        self.ledger.shards.post(shard, (*settles_of(known), ack))
 
     def is_of(self, receipt: Receipt, shard: Shard) -> bool:
         """Return whether a receipt's budget belongs to a shard."""
-        stream = ledger_stream(receipt.budget, self.ledger.shard_count)
+        stream = ledger_stream(receipt.budget, self.ledger.shards.count)
         return stream == shard.stream
 
 
--- /dev/null
+++ b/libs/entry/src/clementinebend_entry/conclusions.py
@@ -0,0 +1,81 @@
+"""What an execution does with the result of a run: end, or try again."""
+
+from functools import singledispatch
+from typing import TYPE_CHECKING, Any
+
+from clementinebend_entry.lost_runs import release_lost
+from clementinebend_entry.outcomes import Failed, Refusal, Unknown
+from clementinebend_entry.run_results import (
+    RunBroke,
+    RunNotRun,
+    RunUncertain,
+    RunWhole,
+    SidecarGone,
+    SidecarUnreachable,
+)
+from clementinebend_records.reasons import NotRun
+
+if TYPE_CHECKING:
+    from clementinebend_entry.execution import Execution
+
+FINAL_REFUSALS = frozenset((NotRun.KEY_CONFLICT, NotRun.CANCELLED))
+"""Refusals that another endpoint would not change."""
+
+
+@singledispatch
+async def conclude(result: Any, execution: "Execution") -> None:
+    """Take the result of a run."""
+    raise TypeError(f"no run result: {result!r}")
+
+
+@conclude.register(RunWhole)
+async def _(result: RunWhole, execution: "Execution") -> None:
+    services, output = execution.services, execution.output
+    execution.settle(result)
+    release_lost(services, execution.lost)
+    execution.lost.clear()
+    if output.broken:
+        execution.end(Failed(output.broken))
+        return
+    zone = execution.zone_of_sidecar()
+    if not await services.receipts.make_safe(result.receipt, execution.call, zone):
+        execution.end(Unknown("the receipt could not be made safe in time"))
+        return
+    answer = output.answer
+    execution.claim.record(answer.status, answer.content_type, bytes(answer.body))
+    execution.ended = True
+    output.release()
+
+
+@conclude.register(RunNotRun)
+async def _(result: RunNotRun, execution: "Execution") -> None:
+    execution.drop_pointer()
+    execution.refusal = Refusal(result.reason, result.retry_after_ms)
+    if result.reason is NotRun.HOLDER_CLOSED:
+        execution.withdraw()
+    is_final = result.reason in FINAL_REFUSALS
+    if is_final or not execution.may_try_again("not_run"):
+        execution.give_up(execution.refusal)
+
+
+@conclude.register(RunBroke)
+async def _(result: RunBroke, execution: "Execution") -> None:
+    execution.drop_pointer()
+    if execution.call.idempotent and execution.may_try_again("failed"):
+        execution.lose(result)
+        return
+    execution.settle(result)
+    execution.claim.record_failure(result.message)
+    execution.end(Failed(result.message))
+
+
+@conclude.register(RunUncertain)
+@conclude.register(SidecarGone)
+@conclude.register(SidecarUnreachable)
+async def _(
+    result: RunUncertain | SidecarGone | SidecarUnreachable, execution: "Execution"
+) -> None:
+    execution.drop_pointer()
+    execution.lose(result)
+    if not (execution.call.idempotent and execution.may_try_again("lost")):
+        execution.end(Unknown("the endpoint's answer was lost"))
--- a/libs/entry/src/clementinebend_entry/execution.py
+++ b/libs/entry/src/clementinebend_entry/execution.py
@@ -7,9 +7,7 @@
 """
 
 from asyncio import Task
-from functools import singledispatchmethod
 from time import monotonic
-from typing import Any
 
 from clementinebend_declarations.models import ServiceKind
 from clementinebend_entry.answer_output import AnswerOutput
@@ -17,17 +15,17 @@
 from clementinebend_entry.budget_waits import Reservation
 from clementinebend_entry.calls import Call
 from clementinebend_entry.claimed_calls import ClaimedCall
+from clementinebend_entry.conclusions import FINAL_REFUSALS, conclude
 from clementinebend_entry.following import Follower
 from clementinebend_entry.ledger_events import Finished, Withdrawn
 from clementinebend_entry.lost_runs import (
     LostRun,
     bill,
-    release_lost,
     resolve_lost,
     trouble_of,
 )
 from clementinebend_entry.metrics import RETRIES, RUNS
-from clementinebend_entry.outcomes import Failed, Refusal, Trouble, Unknown
+from clementinebend_entry.outcomes import Refusal, Trouble
 from clementinebend_entry.pieces import Whole
 from clementinebend_entry.pointer_desk import Standing
 from clementinebend_entry.run_opening import run_start
@@ -35,10 +33,7 @@
     RunBroke,
     RunNotRun,
     RunResult,
-    RunUncertain,
     RunWhole,
-    SidecarGone,
-    SidecarUnreachable,
 )
 from clementinebend_entry.services import Services
 from clementinebend_entry.sidecar_link import SidecarLink
@@ -50,9 +45,6 @@
 LINK_PATIENCE_S = 2.0
 """How long idempotent work waits for its sidecar's link before it runs again."""
 
-FINAL_REFUSALS = frozenset((NotRun.KEY_CONFLICT, NotRun.CANCELLED))
-"""Refusals that another endpoint would not change."""
-
 
 class Execution:
     """Runs one call; ``output`` holds what its caller is to get."""
@@ -217,7 +209,7 @@
             isinstance(result, RunNotRun) and result.reason in FINAL_REFUSALS
         )
         if is_final or not self.call.idempotent or not self.may_try_again("joined"):
-            await self.take(result)
+            await conclude(result, self)
         else:
             self.services.pointers.drop(self.call.key, standing.run)
 
@@ -235,66 +227,14 @@
         ok = isinstance(result, RunWhole)
         router.on_end(choice.endpoint, self.run_id, ok, monotonic() - began)
         RUNS.labels(type(result).__name__).inc()
-        await self.take(result)
+        await conclude(result, self)
 
     def link_patience(self) -> float:
         """Return for how long a broken link is waited for, in seconds."""
         left = max(0.0, self.call.deadline - monotonic())
         return min(LINK_PATIENCE_S, left / 2) if self.call.idempotent else left
 
-    # Results.
-
-    @singledispatchmethod
-    async def take(self, result: Any) -> None:
-        """Take the result of a run: end, or leave it to the next attempt."""
-        raise TypeError(f"no run result: {result!r}")
-
-    @take.register
-    async def _(self, result: RunWhole) -> None:
-        services = self.services
-        self.settle(result)
-        release_lost(services, self.lost)
-        self.lost.clear()
-        if self.output.broken:
-            self.end(Failed(self.output.broken))
-            return
-        zone = self.zone_of_sidecar()
-        if await services.receipts.make_safe(result.receipt, self.call, zone):
-            answer = self.output.answer
-            self.claim.record(answer.status, answer.content_type, bytes(answer.body))
-            self.ended = True
-            self.output.release()
-        else:
-            self.end(Unknown("the receipt could not be made safe in time"))
-
-    @take.register
-    async def _(self, result: RunNotRun) -> None:
-        self.drop_pointer()
-        self.refusal = Refusal(result.reason, result.retry_after_ms)
-        if result.reason is NotRun.HOLDER_CLOSED:
-            self.withdraw()
-        if result.reason in FINAL_REFUSALS or not self.may_try_again("not_run"):
-            self.give_up(self.refusal)
-
-    @take.register
-    async def _(self, result: RunBroke) -> None:
-        self.drop_pointer()
-        if self.call.idempotent and self.may_try_again("failed"):
-            self.lose(result)
-            return
-        self.settle(result)
-        self.claim.record_failure(result.message)
-        self.end(Failed(result.message))
-
-    @take.register(RunUncertain)
-    @take.register(SidecarGone)
-    @take.register(SidecarUnreachable)
-    async def _(self, result: RunUncertain | SidecarGone | SidecarUnreachable) -> None:
-        self.drop_pointer()
-        self.lose(result)
-        if self.call.idempotent and self.may_try_again("lost"):
-            return
-        self.end(Unknown("the endpoint's answer was lost"))
+    # Results; see ``conclusions``.
 
     def lose(self, result: RunResult) -> None:
         """Keep a run whose cost the key may still have to bear."""
--- a/libs/entry/src/clementinebend_entry/fleet.py
+++ b/libs/entry/src/clementinebend_entry/fleet.py
@@ -146,7 +146,7 @@
     def on_configuration(self, directory: Directory) -> None:
         """Put a new revision in force."""
         declarations = directory.declarations
-        self.ledger.declarations = declarations
+        self.ledger.top_ups.declarations = declarations
         self.pool.configure(declarations)
         self.router.configure(declarations)
 
@@ -203,7 +203,7 @@
 
     def see_witnesses(self) -> None:
         """Tell the ledger whom it may put in its scope."""
-        self.ledger.entries = self.peers.live()
+        self.ledger.top_ups.entries = self.peers.live()
         seen = WitnessesSeen(self.pool.incarnations(), self.peers.witnesses())
         self.ledger.take(seen)
 
--- a/libs/entry/src/clementinebend_entry/ledger.py
+++ b/libs/entry/src/clementinebend_entry/ledger.py
@@ -7,18 +7,15 @@
 """
 
 from asyncio import Event, Future, get_running_loop, timeout
-from collections.abc import Iterable
 from functools import singledispatchmethod
 from logging import getLogger
-from typing import Protocol
 
-from expression import Result
-
-from clementinebend_declarations.models import Declarations
 from clementinebend_entry.budget_waits import (
+    LOG_PATIENCE_S,
     BudgetView,
     Reservation,
     Waiter,
+    is_settling,
     judge_waiter,
 )
 from clementinebend_entry.ledger_events import (
@@ -33,12 +30,14 @@
     Withdrawn,
     WitnessesSeen,
 )
+from clementinebend_entry.ledger_listener import LedgerListener
 from clementinebend_entry.ledger_outcomes import count_outcome, logged_bill
 from clementinebend_entry.metrics import BUDGET_REFUSALS, HELD_BILLS
 from clementinebend_entry.outcomes import Refusal
 from clementinebend_entry.posting import forget_post
-from clementinebend_entry.shard import LogSettings, Shard
-from clementinebend_entry.top_ups import due_top_ups, empty_watch, missing_top_ups
+from clementinebend_entry.shard import LogSettings
+from clementinebend_entry.shards import Shards
+from clementinebend_entry.top_ups import TopUpPoster
 from clementinebend_ledger.holder import (
     HolderState,
     Reserved,
@@ -53,16 +52,13 @@
     reserve,
     resume,
     settle,
-    wait_hint,
     widen,
 )
 from clementinebend_ledger.outcomes import HolderClosed, LedgerOutcome
 from clementinebend_ledger.replay import budget_summary
-from clementinebend_platform_client.writer import PostOutcome
 from clementinebend_records.identifiers import Incarnation, RunId, new_incarnation
 from clementinebend_records.messages import Receipt
-from clementinebend_records.records import Bill, Record, Settle, TopUp
-from clementinebend_records.streams import ledger_stream, ledger_streams
+from clementinebend_records.records import Bill, Record, Settle
 
 logger = getLogger(__name__)
 
@@ -70,22 +66,6 @@
 BUSY_TICK_S = 0.05
 
 
-class LedgerListener(Protocol):
-    """Who is told what the shards show."""
-
-    def on_written(self, writer: Incarnation, now: float) -> None:
-        """Take in that a batch of ``writer`` was read."""
-
-    def on_logged(self, bill: Bill) -> None:
-        """Take in that a request key is billed."""
-
-    def on_closed(self, holder: Incarnation) -> None:
-        """Take in that a holder is closed."""
-
-    def on_rotated(self) -> None:
-        """Take in that this entry goes on as a new holder."""
-
-
 class Ledger:
     """Owns the holder and the shards; create it inside a running loop."""
 
@@ -95,24 +75,19 @@
         incarnation: Incarnation,
         shards: int,
         log: LogSettings,
-        listener: "LedgerListener",
+        listener: LedgerListener,
     ) -> None:
         self.name = name
         self.loop = get_running_loop()
-        self.shard_count = shards
         self.listener = listener
         self.holder: HolderState = empty_holder(incarnation)
         self.retired: list[HolderState] = []
         self.waiters: dict[RunId, Waiter] = {}
         self.witnesses = WitnessesSeen((), ())
-        self.declarations = Declarations()
-        self.entries: tuple[str, ...] = ()
-        self.top_ups = empty_watch()
         self.dirty = Event()
         self.changed = Event()
-        self.shards = {
-            stream: Shard(stream, log, self.take) for stream in ledger_streams(shards)
-        }
+        self.shards = Shards(shards, log, self.take, self.take_back)
+        self.top_ups = TopUpPoster(name, self.shards)
 
     # Questions.
 
@@ -124,7 +99,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether all shards have caught up with the log."""
-        return all(shard.is_ready for shard in self.shards.values())
+        return self.shards.is_ready
 
     @property
     def is_settled(self) -> bool:
@@ -132,18 +107,15 @@
         holders = (self.holder, *self.retired)
         return not any(holder.runs or holder.bills for holder in holders)
 
-    def shard_for(self, budget: str) -> Shard:
-        """Return the shard that a budget belongs to."""
-        return self.shards[ledger_stream(budget, self.shard_count)]
-
     def is_witness(self, budget: str, witness: Incarnation) -> bool:
         """Return whether a witness may be used for runs of a budget."""
-        stream = ledger_stream(budget, self.shard_count)
+        stream = self.shards.of_budget(budget).stream
         return has_witness(self.holder, stream, witness)
 
     def is_witness_everywhere(self, witness: Incarnation) -> bool:
         """Return whether a witness may be used for runs of any budget."""
-        return all(has_witness(self.holder, name, witness) for name in self.shards)
+        streams = self.shards.by_stream
+        return all(has_witness(self.holder, name, witness) for name in streams)
 
     async def reserve(
         self, run: RunId, budget: str, amount: int, deadline: float
@@ -194,7 +166,7 @@
 
     @take.register
     def _(self, event: Restored) -> None:
-        state = self.shards[event.stream].state
+        state = self.shards.by_stream[event.stream].state
         self.holder = resume(self.holder, state, event.stream)
         self.retired = [resume(old, state, event.stream) for old in self.retired]
         if self.holder.closed:
@@ -251,7 +223,7 @@
             if not self.try_waiter(waiter):
                 self.judge(waiter, now)
         self.append_planned(now)
-        self.post_top_ups(now)
+        self.top_ups.post_due(now)
 
     # Steps.
 
@@ -283,9 +255,9 @@
 
     def widen_scope(self) -> None:
         """Ask for the witnesses that are not in the holder's scope."""
-        for stream, shard in self.shards.items():
+        for stream, shard in self.shards.by_stream.items():
             self.holder, records = widen(self.holder, *self.witnesses, stream)
-            self.post(shard, records)
+            self.shards.post(shard, records)
 
     def try_waiter(self, waiter: Waiter) -> bool:
         """Reserve for one who waits, if a grant has room."""
@@ -303,14 +275,14 @@
 
     def judge(self, waiter: Waiter, now: float) -> None:
         """Refuse one who waits if waiting is of no use."""
-        shard = self.shard_for(waiter.budget)
-        missing = missing_top_ups(self.declarations, waiter.budget, shard.state)
-        hint = wait_hint(self.holder, waiter.budget, waiter.amount, now)
+        shard = self.shards.of_budget(waiter.budget)
+        failing_for = shard.failing_for(now)
+        missing = self.top_ups.missing(waiter.budget)
         view = BudgetView(
             budget_summary(shard.state, waiter.budget),
             sum(top_up.amount for top_up in missing),
-            shard.failing_for(now),
-            hint.worth_waiting and now + hint.seconds < waiter.deadline,
+            failing_for,
+            is_settling(self.holder, waiter, failing_for > LOG_PATIENCE_S, now),
         )
         refusal = judge_waiter(waiter, view, now)
         if refusal is not None and not waiter.reply.done():
@@ -320,41 +292,23 @@
     def note_budgets(self) -> None:
         """Tell the holder the accounts of the budgets it uses."""
         for budget in tuple(self.holder.budgets):
-            summary = budget_summary(self.shard_for(budget).state, budget)
+            summary = budget_summary(self.shards.of_budget(budget).state, budget)
             self.holder = budget_seen(self.holder, budget, summary)
 
     def append_planned(self, now: float) -> None:
         """Append what the holders plan."""
-        delay = max(shard.writer.delay for shard in self.shards.values())
+        delay = self.shards.delay
         self.holder, records = plan(self.holder, now, delay)
-        self.post_by_budget(records)
+        self.shards.post_by_budget(records)
         for index, holder in enumerate(self.retired):
             self.retired[index], records = plan(holder, now, delay)
-            self.post_by_budget(records)
+            self.shards.post_by_budget(records)
         self.retired = [
             holder
             for holder in self.retired
             if holder.runs or holder.bills or holder.transfers
         ]
 
-    def post_top_ups(self, now: float) -> None:
-        """Post declared top-ups that the ledger still does not have."""
-        missing = [
-            top_up
-            for budget in self.declarations.budgets
-            if self.shard_for(budget).is_ready
-            for top_up in self.missing(budget)
-        ]
-        self.top_ups, due = due_top_ups(
-            self.top_ups, missing, self.name, self.entries, now
-        )
-        for top_up in due:
-            self.post(self.shard_for(top_up.budget), (top_up,))
-
-    def missing(self, budget: str) -> tuple[TopUp, ...]:
-        """Return the declared top-ups of a budget that are not applied."""
-        return missing_top_ups(self.declarations, budget, self.shard_for(budget).state)
-
     def holder_of(self, run: RunId) -> HolderState | None:
         """Return the own holder under which a run is reserved."""
         holders = (self.holder, *self.retired)
@@ -363,31 +317,13 @@
     def post_foreign(self, receipt: Receipt) -> None:
         """Bill a run that another entry's holder reserved for."""
         bill = Bill(receipt.key, receipt.run, receipt.grant, receipt.amount)
-        self.post(self.shard_for(receipt.budget), (Settle(receipt.budget, (bill,)),))
-
-    def post_by_budget(self, records: dict[str, tuple[Record, ...]]) -> None:
-        """Post planned records to the shards of their budgets."""
-        for budget, rows in records.items():
-            self.post(self.shard_for(budget), rows)
-
-    def post(self, shard: Shard, records: Iterable[Record]) -> None:
-        """Post records; if the writer takes no more they are planned again."""
-        rows = tuple(records)
-        if not rows:
-            return
-        future = shard.writer.post(rows)
-        future.add_done_callback(lambda done: self.check_post(shard.stream, rows, done))
-
-    def check_post(
-        self, stream: str, rows: tuple[Record, ...], done: "Future[PostOutcome]"
-    ) -> None:
-        """Take back what was not logged."""
-        if done.cancelled():
-            return
-        match done.result():
-            case Result(tag="error"):
-                for holder in (self.holder, *self.retired):
-                    forget_post(holder, stream, rows)
+        shard = self.shards.of_budget(receipt.budget)
+        self.shards.post(shard, (Settle(receipt.budget, (bill,)),))
+
+    def take_back(self, stream: str, records: tuple[Record, ...]) -> None:
+        """Take back what the log's writer did not take."""
+        for holder in (self.holder, *self.retired):
+            forget_post(holder, stream, records)
 
     # Planned stop.
 
@@ -402,11 +338,7 @@
         is_clean = self.is_settled
         if is_clean:
             self.holder, records = close_cleanly(self.holder)
-            for shard in self.shards.values():
+            for shard in self.shards.by_stream.values():
                 shard.writer.post(records)
-        for shard in self.shards.values():
-            await shard.close(patience)
-        return is_clean and not any(
-            shard.writer.state.in_flight or shard.writer.state.queue
-            for shard in self.shards.values()
-        )
+        await self.shards.close(patience)
+        return is_clean and self.shards.is_flushed
--- a/libs/entry/src/clementinebend_entry/lender.py
+++ b/libs/entry/src/clementinebend_entry/lender.py
@@ -4,7 +4,6 @@
 from clementinebend_ledger.holder import give, refuse_sender
 from clementinebend_records.identifiers import GrantId, Incarnation, new_run_id
 from clementinebend_records.messages import TransferAsk, TransferGive
-from clementinebend_records.streams import ledger_stream
 
 
 class Lender:
@@ -22,7 +21,7 @@
         """Pass a part of a grant, as far as one has free tokens."""
         ledger = self.ledger
         transfer = GrantId(f"{ledger.incarnation}/t{new_run_id()}")
-        stream = ledger_stream(ask.budget, ledger.shard_count)
+        stream = ledger.shards.of_budget(ask.budget).stream
         ledger.holder, message = give(
             ledger.holder,
             ask.budget,
@@ -38,7 +37,7 @@
     def refuse(self, stream: str, holder: Incarnation) -> None:
         """Take no more parts from a closed holder; log those taken."""
         ledger = self.ledger
-        shard = ledger.shards.get(stream)
+        shard = ledger.shards.by_stream.get(stream)
         ledger.holder, records = refuse_sender(ledger.holder, holder)
         if shard is not None:
-            ledger.post(shard, records)
+            ledger.shards.post(shard, records)
--- a/libs/entry/src/clementinebend_entry/top_ups.py
+++ b/libs/entry/src/clementinebend_entry/top_ups.py
@@ -11,6 +11,7 @@
 
 from clementinebend_declarations.models import Declarations
 from clementinebend_entry.metrics import TOP_UPS_REPOSTED
+from clementinebend_entry.shards import Shards
 from clementinebend_ledger.replay import LedgerState
 from clementinebend_records.records import TopUp
 
@@ -65,6 +66,34 @@
         delay = FIRST_DELAY_S + STAGGER_S * order.index(name)
         if subject not in watch.posted and now - since >= delay:
             watch.posted.add(subject)
-            TOP_UPS_REPOSTED.inc()
             due.append(top_up._replace(author=name))
     return watch, tuple(due)
+
+
+class TopUpPoster:
+    """Posts the top-ups that are due; ``entries`` are the others in reach."""
+
+    def __init__(self, name: str, shards: Shards) -> None:
+        self.name = name
+        self.shards = shards
+        self.declarations = Declarations()
+        self.entries: tuple[str, ...] = ()
+        self.watch = empty_watch()
+
+    def missing(self, budget: str) -> tuple[TopUp, ...]:
+        """Return the declared top-ups of a budget that are not applied."""
+        state = self.shards.of_budget(budget).state
+        return missing_top_ups(self.declarations, budget, state)
+
+    def post_due(self, now: float) -> None:
+        """Post what the ledger still does not have."""
+        missing = [
+            top_up
+            for budget in self.declarations.budgets
+            if self.shards.of_budget(budget).is_ready
+            for top_up in self.missing(budget)
+        ]
+        self.watch, due = due_top_ups(self.watch, missing, self.name, self.entries, now)
+        for top_up in due:
+            TOP_UPS_REPOSTED.inc()
+            self.shards.post(self.shards.of_budget(top_up.budget), (top_up,))
--- /dev/null
+++ b/tests/unit/entry/test_ledger.py
@@ -0,0 +1,261 @@
+"""The ledger task against the platform's log in memory."""
+
+from asyncio import Task, create_task, gather, wait_for
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+from clementinebend_declarations.models import (
+    Budget,
+    Declarations,
+    TopUpDeclaration,
+)
+from clementinebend_entry.budget_waits import Reservation
+from clementinebend_entry.ledger import Ledger
+from clementinebend_entry.ledger_events import (
+    Finished,
+    Unproved,
+    Withdrawn,
+    WitnessesSeen,
+)
+from clementinebend_entry.outcomes import Refusal
+from clementinebend_entry.shard import LogSettings
+from clementinebend_ledger.replay import budget_summary, empty_ledger, replay
+from clementinebend_ledger.state import LedgerState
+from clementinebend_records.identifiers import (
+    GrantId,
+    Incarnation,
+    RequestKey,
+    RunId,
+    new_incarnation,
+)
+from clementinebend_records.messages import Receipt
+from clementinebend_records.reasons import NotRun
+from clementinebend_records.records import (
+    Batch,
+    Bill,
+    GrantRequest,
+    HolderClose,
+    Record,
+    TopUp,
+)
+from tests.lib.fake_log import FakeLog
+
+STREAM = "ledger-0"
+BUDGET = "desk-2026"
+OPERATOR = Incarnation("operator#1")
+SIDECAR = Incarnation("engine-1#a")
+LONG = 60.0
+"""Seconds; only a test that fails reaches it."""
+
+
+class Listener:
+    """Remembers what the ledger tells."""
+
+    def __init__(self) -> None:
+        self.logged: list[Bill] = []
+        self.closed: list[Incarnation] = []
+        self.rotations = 0
+
+    def on_written(self, writer: Incarnation, now: float) -> None:
+        pass
+
+    def on_logged(self, bill: Bill) -> None:
+        self.logged.append(bill)
+
+    def on_closed(self, holder: Incarnation) -> None:
+        self.closed.append(holder)
+
+    def on_rotated(self) -> None:
+        self.rotations += 1
+
+
+class Bench:
+    """One entry's ledger over a log in memory."""
+
+    def __init__(self, log: FakeLog) -> None:
+        self.log = log
+        self.listener = Listener()
+        incarnation = new_incarnation("entry-1")
+        settings = LogSettings(log.client("entry-1"), incarnation)
+        self.ledger = Ledger("entry-1", incarnation, 1, settings, self.listener)
+        self.sequence = 0
+
+    async def write(self, *records: Record) -> None:
+        """Append a batch as an operator."""
+        self.sequence += 1
+        self.log.put(STREAM, Batch(OPERATOR, self.sequence, records))
+        await self.log.wake()
+
+    async def until(self, condition: Callable[[LedgerState], bool]) -> LedgerState:
+        """Wait until the log replays to a state."""
+        await wait_for(self.log.wait_until(lambda: condition(self.replayed())), LONG)
+        return self.replayed()
+
+    async def until_here(self, condition: Callable[[], bool]) -> None:
+        """Wait until the entry has read what makes ``condition`` hold."""
+        while not condition():
+            self.ledger.changed.clear()
+            await wait_for(self.ledger.changed.wait(), LONG)
+
+    def replayed(self) -> LedgerState:
+        state = empty_ledger()
+        for offset, batch in self.log.batches(STREAM):
+            state, _ = replay(state, offset, batch)
+        return state
+
+    async def reserve(
+        self, run: str, amount: int, patience: float = LONG
+    ) -> Reservation | Refusal:
+        deadline = self.ledger.loop.time() + patience
+        return await self.ledger.reserve(RunId(run), BUDGET, amount, deadline)
+
+    async def reserved(self, run: str, amount: int) -> Reservation:
+        answer = await self.reserve(run, amount)
+        assert isinstance(answer, Reservation), answer
+        return answer
+
+
+def receipt(reservation: Reservation, amount: int, key: str = "k") -> Receipt:
+    """Return the receipt of a run that cost ``amount``."""
+    _, budget, grant, holder, _ = reservation
+    return Receipt(
+        RequestKey(key), reservation.run, budget, grant, holder, "e", amount, True
+    )
+
+
+@asynccontextmanager
+async def bench(tokens: int = 1000) -> AsyncIterator[Bench]:
+    made = Bench(FakeLog())
+    await made.write(TopUp(BUDGET, "first", tokens, "jana"))
+    job: Task[Any] = create_task(made.ledger.run())
+    await wait_for(made.ledger.shards.by_stream[STREAM].tail.ready.wait(), LONG)
+    try:
+        yield made
+    finally:
+        job.cancel()
+        await gather(job, return_exceptions=True)
+        await made.ledger.shards.close(0.0)
+
+
+async def test_a_run_is_reserved_from_a_grant_and_billed_once() -> None:
+    async with bench() as made:
+        reservation = await made.reserved("r1", 100)
+        assert reservation.holder == made.ledger.incarnation
+        made.ledger.take(Finished(receipt(reservation, 30)))
+        made.ledger.take(Finished(receipt(reservation, 30)))
+        await wait_for(made.ledger.until_settled(), LONG)
+        summary = budget_summary(made.replayed(), BUDGET)
+        assert summary.billed == 30
+        assert [bill.amount for bill in made.listener.logged][:1] == [30]
+
+
+async def test_what_a_budget_cannot_cover_is_refused_at_once() -> None:
+    async with bench() as made:
+        answer = await made.reserve("r1", 1001)
+        assert isinstance(answer, Refusal)
+        assert answer.reason is NotRun.BUDGET_EXHAUSTED
+        assert made.ledger.is_settled
+
+
+async def test_near_the_end_a_request_waits_for_a_settlement() -> None:
+    async with bench() as made:
+        first = await made.reserved("r1", 900)
+        waiting = create_task(made.reserve("r2", 900))
+        await made.until(lambda state: state.offset > 2)
+        assert not waiting.done()
+        made.ledger.take(Finished(receipt(first, 50)))
+        second = await wait_for(waiting, LONG)
+        assert isinstance(second, Reservation)
+
+
+async def test_a_grant_in_hand_serves_while_the_log_is_down() -> None:
+    async with bench() as made:
+        first = await made.reserved("r1", 300)
+        made.ledger.take(Withdrawn(first.run))
+        await made.log.set(outage=True)
+        second = await made.reserved("r2", 300)
+        made.ledger.take(Finished(receipt(second, 10)))
+        refusal = await made.reserve("r3", 600)
+        assert isinstance(refusal, Refusal)
+        assert refusal.reason is NotRun.BUDGET_UNAVAILABLE
+        await made.log.set(outage=False)
+        state = await made.until(lambda state: bool(state.billed_runs))
+        assert budget_summary(state, BUDGET).billed == 10
+
+
+async def test_a_request_that_leaves_frees_what_it_waited_for() -> None:
+    async with bench() as made:
+        first = await made.reserved("r1", 900)
+        waiting = create_task(made.reserve("r2", 500))
+        await made.until(lambda state: state.offset > 2)
+        waiting.cancel()
+        await gather(waiting, return_exceptions=True)
+        made.ledger.take(Withdrawn(first.run))
+        assert isinstance(await made.reserve("r3", 1000), Reservation)
+        assert made.ledger.waiters == {}
+
+
+async def test_a_closed_holder_goes_on_as_another_and_bills_what_ran() -> None:
+    async with bench() as made:
+        made.ledger.take(WitnessesSeen((SIDECAR,), ()))
+        first = await made.reserved("r1", 100)
+        await made.until_here(lambda: made.ledger.is_witness(BUDGET, SIDECAR))
+        await made.write(HolderClose(first.holder, OPERATOR))
+        await made.until_here(lambda: made.listener.rotations == 1)
+        assert made.listener.closed == [first.holder]
+        second = await made.reserved("r2", 100)
+        assert second.holder == made.ledger.incarnation != first.holder
+        made.ledger.take(Finished(receipt(first, 40)))
+        await wait_for(made.until_here(lambda: bool(made.listener.logged)), LONG)
+        await made.until_here(lambda: made.ledger.is_witness(BUDGET, SIDECAR))
+        state = made.replayed()
+        assert budget_summary(state, BUDGET).billed == 40
+        assert SIDECAR in state.holders[second.holder]["sidecars"]
+
+
+async def test_another_holders_receipt_is_billed_by_who_saw_it() -> None:
+    async with bench() as made:
+        other = Incarnation("entry-2#x")
+        await made.write(GrantRequest(BUDGET, other, GrantId("g2"), 500))
+        ran = Reservation(RunId("r9"), BUDGET, GrantId("g2"), other, 100)
+        made.ledger.take(Finished(receipt(ran, 70)))
+        state = await made.until(lambda state: bool(state.billed_runs))
+        assert budget_summary(state, BUDGET).billed == 70
+        assert state.grants[GrantId("g2")]["remainder"] == 430
+
+
+async def test_what_cannot_be_proved_is_held_whole() -> None:
+    async with bench() as made:
+        reservation = await made.reserved("r1", 120)
+        made.ledger.take(Unproved(reservation.run, RequestKey("k")))
+        state = await made.until(lambda state: bool(state.billed_runs))
+        summary = budget_summary(state, BUDGET)
+        assert (summary.billed, summary.held) == (0, 120)
+
+
+async def test_declared_top_ups_that_are_missing_are_posted_once() -> None:
+    async with bench() as made:
+        top_ups = (TopUpDeclaration("first", 1000), TopUpDeclaration("second", 500))
+        made.ledger.top_ups.declarations = Declarations(
+            budgets={BUDGET: Budget("desk", ("chat",), top_ups)}
+        )
+        answer = await made.reserved("r1", 1400)
+        assert answer.amount == 1400
+        posted = [
+            record
+            for _, batch in made.log.batches(STREAM)
+            for record in batch.records
+            if isinstance(record, TopUp) and record.author == "entry-1"
+        ]
+        assert posted == [TopUp(BUDGET, "second", 500, "entry-1")]
+
+
+async def test_a_planned_stop_frees_all_grants() -> None:
+    async with bench() as made:
+        reservation = await made.reserved("r1", 100)
+        made.ledger.take(Finished(receipt(reservation, 30)))
+        await wait_for(made.ledger.until_settled(), LONG)
+        assert await made.ledger.close(LONG)
+        summary = budget_summary(made.replayed(), BUDGET)
+        assert (summary.billed, summary.granted, summary.available) == (30, 0, 970)
