Let the engine stand-in take smaller priority numbers first

Cause: the sidecar turns a request's priority round before it asks the engine, as vLLM expects; the stand-in ran larger numbers first, so urgent requests would have waited behind all others. Ruled out: changing the sidecar, since real engines use this order. Before: larger first. Conclusion: the header's direction is written at the model's Order.

--- a/libs/standins/src/clementinebend_standins/models/engine.py
+++ b/libs/standins/src/clementinebend_standins/models/engine.py
@@ -49,7 +49,7 @@
 
 
 class Order(NamedTuple):
-    """What is asked of the engine; a larger ``priority`` runs first.
+    """What is asked of the engine; a smaller ``priority`` number runs first, as in vLLM.
 
     ``target`` is the natural length of the answer and ``limit`` cuts it short,
     both in tokens.
@@ -164,7 +164,7 @@
 
 
 def _enqueue(state: EngineState, order: Order) -> EngineState:
-    heappush(state.waiting, (-order.priority, next(state.arrivals), order.run))
+    heappush(state.waiting, (order.priority, next(state.arrivals), order.run))
     return state
 
 
--- a/tests/unit/standins/test_models.py
+++ b/tests/unit/standins/test_models.py
@@ -122,7 +122,7 @@
 
 def test_engine_never_runs_more_than_its_slots_and_takes_urgent_runs_first() -> None:
     state = empty_engine(ONE_SLOT)
-    for run, priority in (("late", -5), ("first", 0), ("second", 0), ("urgent", 1)):
+    for run, priority in (("late", 5), ("first", 0), ("second", 0), ("urgent", -1)):
         state = submit(state, Order(run, run, 2, priority))
     _, tokens = steps_until_idle(state)
     expected = ["urgent"] * 2 + ["first"] * 2 + ["second"] * 2 + ["late"] * 2
