Let other tasks run between pipelined requests and full writes

Cause: a caller that pipelines, or a source that is always ready, kept the event loop for itself while its socket took all. Ruled out: refusing pipelining, which well-behaved callers may use. After: they take turns, held by a test. Conclusion: one caller no longer delays the others.

--- a/libs/transport/src/clementinebend_transport/channel.py
+++ b/libs/transport/src/clementinebend_transport/channel.py
@@ -12,6 +12,7 @@
     Protocol,
     Transport,
     get_running_loop,
+    sleep,
     timeout,
 )
 from collections.abc import Callable
@@ -126,11 +127,13 @@
     async def drain(self, limit: float | None = None) -> bool:
         """Wait until more may be posted; return whether it still can be sent.
 
-        Raises ``SlowReaderError`` if the other side takes nothing for ``limit``
+        A source that is always ready lets other tasks run here, too. Raises
+        ``SlowReaderError`` if the other side takes nothing for ``limit``
         seconds.
         """
         if self.outgoing_bytes >= WRITE_BUFFER_BYTES:
             self.flush()
+            await sleep(0)
         if not self.writable.is_set():
             await self._wait_writable(limit)
         return not self.transport.is_closing()
--- a/libs/transport/src/clementinebend_transport/http_connection.py
+++ b/libs/transport/src/clementinebend_transport/http_connection.py
@@ -4,7 +4,7 @@
 cancels the task, and with it the handler or the body's iterator.
 """
 
-from asyncio import CancelledError, Task, timeout
+from asyncio import CancelledError, Task, sleep, timeout
 from collections.abc import AsyncIterator
 from contextlib import suppress
 from logging import getLogger
@@ -89,6 +89,7 @@
             while await self._serve_one(task):
                 self.parser.start_next_cycle()
                 self.idle_limit = self.limits.idle_timeout
+                await sleep(0)  # pipelined requests take turns with other tasks
         except SlowReaderError:
             _slow.inc()
             self.channel.abort()
--- a/tests/unit/transport/test_http_server.py
+++ b/tests/unit/transport/test_http_server.py
@@ -141,6 +141,23 @@
     assert b"connection: close" in answer.lower()
 
 
+async def test_a_caller_that_pipelines_does_not_keep_others_waiting() -> None:
+    order: list[str] = []
+
+    async def handler(request: Request) -> Response:
+        order.append(request.target)
+        return Response(204, (), b"")
+
+    async with serving(handler) as server:
+        sockets = [create_connection((HOST, server.port)) for _ in range(2)]
+        sockets[0].sendall(GET * 1000)
+        sockets[1].sendall(GET.replace(b"/a", b"/b"))
+        await until(lambda: len(order) == 1001)
+        for each in sockets:
+            each.close()
+    assert order.index("/b") < 100
+
+
 async def test_a_failing_handler_gives_500_and_the_connection_lives() -> None:
     async def handler(request: Request) -> Response:
         if request.target == "/a":
