Order engines under a claim, and leave as the declarations say

Cause: declared models have to be loaded by one process only, also when its predecessor is paused. Ruled out: a claim at every start (3,400 more readers of the fencing stream for nothing); ordering an engine that checks no numbers without an order port, since nothing then proves that the predecessor is gone; unloading, since runs may need the model. Before: no orders. Conclusion: a replacement orders only once the paused process before it has ended.

--- a/libs/sidecar/src/clementinebend_sidecar/configuration.py
+++ b/libs/sidecar/src/clementinebend_sidecar/configuration.py
@@ -79,7 +79,9 @@
         return "endpoint leaving" if declared.state is EndpointState.LEAVING else ""
 
     def models(self) -> tuple[str, ...]:
-        """Return the models that the endpoint is declared to have."""
+        """Return the models that the endpoint is declared to have now."""
+        if not self.tail.ready.is_set():
+            return ()
         endpoints = configuration_of(self.state).declarations.endpoints
         declared = endpoints.get(self.endpoint)
         return () if declared is None else declared.models
--- a/libs/sidecar/src/clementinebend_sidecar/process.py
+++ b/libs/sidecar/src/clementinebend_sidecar/process.py
@@ -6,18 +6,23 @@
 
 from msgspec.json import encode
 
+from clementinebend_declarations.models import ServiceKind
+from clementinebend_platform_client.engine import EngineClient
 from clementinebend_platform_client.log_client import http_log_client
 from clementinebend_platform_client.supervision import stop_process, watch
+from clementinebend_platform_client.weight_store import WeightStoreClient
 from clementinebend_records.identifiers import Incarnation
 from clementinebend_sidecar.clock import tick_forever
 from clementinebend_sidecar.configuration import ConfigurationWatch
 from clementinebend_sidecar.connections import connection_handler
 from clementinebend_sidecar.endpoint.factory import endpoint_of, watches_of
 from clementinebend_sidecar.exceptions import AddressInUseError
+from clementinebend_sidecar.fencing import FencingReader
 from clementinebend_sidecar.gate.events import DrainAsked
 from clementinebend_sidecar.gate.state import GateLimits, Identity, empty_gate
 from clementinebend_sidecar.metrics import show_state
 from clementinebend_sidecar.operator_http import operator_handler
+from clementinebend_sidecar.orders import EngineOrders
 from clementinebend_sidecar.owner import GateOwner
 from clementinebend_sidecar.runner import RunTasks
 from clementinebend_sidecar.settings import SidecarSettings
@@ -43,10 +48,12 @@
     operators = await _serve_operators(settings, owner)
     announce(messages.port, operators.port)
     configuration = _configuration(settings, http)
+    orders = _orders(settings, incarnation, http, configuration)
     tasks = (
         create_task(owner.run(), name="gate"),
         create_task(tick_forever(owner, configuration), name="clock"),
         *watches_of(settings, http, owner),
+        *(create_task(each.run(), name="engine orders") for each in orders),
     )
     for task in tasks:
         watch(task, stop_process)
@@ -58,6 +65,8 @@
     await _end(tasks)
     if configuration is not None:
         await configuration.close()
+    for each in orders:
+        await each.close()
     await http.close()
     logger.info("left")
     return EXIT_OK
@@ -112,6 +121,27 @@
     return ConfigurationWatch(client, settings.name, settings.schema_version)
 
 
+def _orders(
+    settings: SidecarSettings,
+    incarnation: Incarnation,
+    http: HttpClient,
+    configuration: ConfigurationWatch | None,
+) -> tuple[EngineOrders, ...]:
+    """Return the task that orders a model engine, if there is a log to ask."""
+    if configuration is None or settings.kind is ServiceKind.PLAIN:
+        return ()
+    client = http_log_client(settings.log_url, http, settings.name)
+    url = settings.weights_url
+    orders = EngineOrders(
+        settings,
+        EngineClient(settings.endpoint_url, http),
+        WeightStoreClient(url, http) if url else None,
+        configuration.models,
+        lambda: FencingReader(client, settings.name, incarnation),
+    )
+    return (orders,)
+
+
 def _identity(settings: SidecarSettings, incarnation: Incarnation) -> Identity:
     return Identity(
         name=settings.name,
