--- a/tests/unit/transport/test_message_stream.py
+++ b/tests/unit/transport/test_message_stream.py
@@ -4,6 +4,7 @@
 from asyncio import timeout as time_limit
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from socket import IPPROTO_TCP, TCP_NODELAY
 from typing import Any
 from unittest.mock import Mock
 
@@ -214,10 +215,12 @@
     assert count_of("message_streams_stuck_total") - before == 1
 
 
-async def test_the_largest_bodies_pass() -> None:
+async def test_the_largest_bodies_pass_without_delay() -> None:
     message = RunChunk(RUN, 0, b"a" * (8 * 1024 * 1024))
     async with listening(echo) as server:
         stream = await open_stream(server.port)
+        socket = stream.channel.transport.get_extra_info("socket")
+        assert socket.getsockopt(IPPROTO_TCP, TCP_NODELAY)
         await stream.send(message)
         assert await receive(stream) == message
         await stream.close()
