Hold entries to their promises among processes that fail

Cause: the entry had not met failures of real processes. Ruled out: saying 'not run' to the retry of a booking whose endpoints are down, when another run has claimed the key: the claim decides what may be said. Conclusion: the suspicion of entries that never come back has no functional test yet.

--- a/libs/entry/src/clementinebend_entry/claimed_calls.py
+++ b/libs/entry/src/clementinebend_entry/claimed_calls.py
@@ -59,6 +59,16 @@
             case _:
                 return Refusal(NotRun.LOG_UNAVAILABLE, LOG_RETRY_MS)
 
+    def honest(self, refusal: Refusal) -> Refusal | Unknown | Whole:
+        """Return what may be said in place of a refusal.
+
+        "Not run" may be said of a key only if no other run has claimed it.
+        """
+        view = self.desk.claim_of(self.call.key)
+        if self.call.idempotent or view is None or view.run == self.run:
+            return refusal
+        return self.recorded() or self.unknown()
+
     def unknown(self) -> Unknown:
         """Return what a retry is told while the claimant's run has no record."""
         return Unknown("an earlier call of this key may have run")
--- a/libs/entry/src/clementinebend_entry/closer.py
+++ b/libs/entry/src/clementinebend_entry/closer.py
@@ -75,13 +75,15 @@
             self.ledger.name,
             self.ledger.incarnation,
             self.peers.live(),
-            self.reach.silent_for(now),
+            self.reach.overdue(now),
         )
 
     def look(self, shard: Shard, entries: Entries) -> None:
         """Close what is to be closed in a shard, and ask its witnesses."""
-        patience = self.reach.patience()
-        for holder in holders_to_close(shard.state, entries, patience):
+        for holder in shard.state.holders:
+            if name_of(holder) != entries.name:
+                self.reach.on_holder(holder, self.loop.time())
+        for holder in holders_to_close(shard.state, entries):
             self.close(shard, holder)
         notices = [
             notice
--- a/libs/entry/src/clementinebend_entry/closing.py
+++ b/libs/entry/src/clementinebend_entry/closing.py
@@ -10,10 +10,9 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from clementinebend_membership.rendezvous import rendezvous
-
 from clementinebend_ledger.replay import LedgerState
 from clementinebend_ledger.state import WitnessStatus
+from clementinebend_membership.rendezvous import rendezvous
 from clementinebend_records.identifiers import Incarnation, name_of
 
 STAGGER_S = 2.0
@@ -23,14 +22,14 @@
 class Entries(NamedTuple):
     """What this entry sees of the others.
 
-    ``out_of_reach`` is how long each unreachable entry has been silent, both
-    directly and on the log, in seconds; ``live`` are those in reach.
+    ``overdue`` is for how long each dead entry's holders have been due to be
+    closed, in seconds; ``live`` are the entries in reach.
     """
 
     name: str
     incarnation: Incarnation
     live: tuple[str, ...]
-    out_of_reach: Mapping[str, float]
+    overdue: Mapping[str, float]
 
 
 class Notice(NamedTuple):
@@ -41,16 +40,12 @@
     is_sidecar: bool
 
 
-def holders_to_close(
-    state: LedgerState, entries: Entries, patience: Mapping[str, float]
-) -> tuple[Incarnation, ...]:
+def holders_to_close(state: LedgerState, entries: Entries) -> tuple[Incarnation, ...]:
     """Return the holders that this entry is to close now."""
     open_holders = (
         holder for holder, entry in state.holders.items() if not entry["closed"]
     )
-    return tuple(
-        holder for holder in open_holders if _is_due(holder, entries, patience)
-    )
+    return tuple(holder for holder in open_holders if _is_due(holder, entries))
 
 
 def open_notices(state: LedgerState) -> tuple[Notice, ...]:
@@ -87,12 +82,9 @@
     return STAGGER_S * rendezvous(subject, names, len(names)).index(entries.name)
 
 
-def _is_due(
-    holder: Incarnation, entries: Entries, patience: Mapping[str, float]
-) -> bool:
+def _is_due(holder: Incarnation, entries: Entries) -> bool:
     name = name_of(holder)
     if name == entries.name:
         return holder != entries.incarnation
-    silent = entries.out_of_reach.get(name, 0.0)
-    limit = patience.get(name)
-    return limit is not None and silent >= limit + turn_delay(holder, entries)
+    overdue = entries.overdue.get(name)
+    return overdue is not None and overdue >= turn_delay(holder, entries)
--- a/libs/entry/src/clementinebend_entry/execution.py
+++ b/libs/entry/src/clementinebend_entry/execution.py
@@ -282,8 +282,8 @@
         if self.lost:
             self.end(trouble_of(self.lost))
             return
-        self.claim.void()
         self.end(refusal)
+        self.claim.void()
 
     def end(self, outcome: Trouble | Whole) -> None:
         """End without a whole answer of a run of this execution."""
@@ -294,6 +294,8 @@
 
     def tell(self, outcome: Trouble | Whole) -> None:
         """Hand the outcome to the one who answers the caller."""
+        if isinstance(outcome, Refusal):
+            outcome = self.claim.honest(outcome)
         self.output.pieces.put_nowait(outcome)
 
     def withdraw(self) -> None:
--- a/libs/entry/src/clementinebend_entry/fleet.py
+++ b/libs/entry/src/clementinebend_entry/fleet.py
@@ -6,6 +6,8 @@
 from hashlib import blake2b
 from typing import Any
 
+from expression import Result
+
 from clementinebend_entry.admission_gate import AdmissionGate
 from clementinebend_entry.claims import ClaimsDesk
 from clementinebend_entry.closer import Closer
@@ -25,6 +27,7 @@
 from clementinebend_entry.shard import LogSettings
 from clementinebend_entry.sidecar_link import LinkDown, LinkUp
 from clementinebend_entry.sidecar_pool import SidecarPool
+from clementinebend_platform_client.hosts import HostsClient
 from clementinebend_platform_client.log_client import http_log_client
 from clementinebend_records.identifiers import Incarnation, RunId
 from clementinebend_records.messages import (
@@ -40,6 +43,7 @@
 from clementinebend_transport.http_client import HttpClient
 
 KEEPER_INTERVAL_S = 5.0
+HOSTS_INTERVAL_S = 2.0
 CLOSE_PATIENCE_S = 1.0
 SEED_BYTES = 4
 
@@ -102,6 +106,7 @@
         yield "admission", self.gate.run()
         yield "closer", self.closer.run()
         yield "kept receipts", self.look_after_receipts()
+        yield "hosts", self.watch_hosts()
         yield "configuration", self.configuration.ask_peers(self.peers.ask_revisions)
 
     def watch(self, task: "Task[None]") -> None:
@@ -184,12 +189,14 @@
 
     @on_peer_news.register
     def _(self, news: LinkUp) -> None:
-        self.reach.on_up(news.name, self.loop.time())
+        self.reach.on_up(news.name, news.hello.incarnation, self.loop.time())
         self.see_witnesses()
 
     @on_peer_news.register
     def _(self, news: LinkDown) -> None:
-        self.reach.on_down(news.name, self.loop.time())
+        peer = self.peers.links[news.name].peer
+        if peer is not None:
+            self.reach.on_down(news.name, peer.incarnation, self.loop.time())
         self.see_witnesses()
 
     @on_peer_news.register
@@ -243,6 +250,17 @@
             await sleep(KEEPER_INTERVAL_S)
             self.keeper.bill_forgotten()
 
+    async def watch_hosts(self) -> None:
+        """Read the platform's list of hosts again and again."""
+        if not self.settings.hosts_url:
+            return
+        hosts = HostsClient(self.settings.hosts_url, self.http)
+        while True:
+            match await hosts.list():
+                case Result(tag="ok", ok=listed):
+                    self.reach.on_hosts(listed, self.loop.time())
+            await sleep(HOSTS_INTERVAL_S)
+
     async def close(self) -> None:
         """Close all connections."""
         await self.pool.close()
--- a/libs/entry/src/clementinebend_entry/ledger.py
+++ b/libs/entry/src/clementinebend_entry/ledger.py
@@ -86,6 +86,7 @@
         self.witnesses = WitnessesSeen((), ())
         self.dirty = Event()
         self.changed = Event()
+        self.is_stopping = False
         self.shards = Shards(shards, log, self.take, self.take_back)
         self.top_ups = TopUpPoster(name, self.shards)
 
@@ -158,7 +159,7 @@
         self.listener.on_written(event.writer, now)
         for outcome in event.outcomes:
             self.learn(outcome, now, event.stream)
-        if self.holder.closed:
+        if self.holder.closed and not self.is_stopping:
             self.rotate()
         self.note_budgets()
         self.changed.set()
@@ -335,6 +336,7 @@
 
     async def close(self, patience: float) -> bool:
         """End the holder; return whether its clean close is on the log."""
+        self.is_stopping = True
         is_clean = self.is_settled
         if is_clean:
             self.holder, records = close_cleanly(self.holder)
