Say when a vanished peer of a message stream is noticed

Cause: the module promised keepalive without its limit. Ruled out: TCP_USER_TIMEOUT, which also cuts live peers that read slowly. Before and after: same behaviour; the docstring now says what callers must do.

--- a/libs/transport/src/clementinebend_transport/message_stream.py
+++ b/libs/transport/src/clementinebend_transport/message_stream.py
@@ -2,8 +2,11 @@
 
 A message is one msgpack array; see ``clementinebend_records.codec``. Messages
 posted within one iteration of the event loop leave in one write. A peer that
-vanishes without a word is noticed by TCP keepalive while nothing is in flight;
-callers that need to know sooner watch for messages of their own.
+vanishes without a word is noticed by TCP keepalive only while nothing is in
+flight; otherwise the kernel retransmits for minutes (tcp(7), tcp_retries2).
+Callers that need to know sooner watch for regular messages and close the
+stream. ``TCP_USER_TIMEOUT`` is not set: it also ends connections to live peers
+that read slowly.
 """
 
 from asyncio import Server, Task, create_task, get_running_loop, wait
