--- a/libs/standins/src/clementinebend_standins/models/engine.py
+++ b/libs/standins/src/clementinebend_standins/models/engine.py
@@ -49,10 +49,10 @@
 
 
 class Order(NamedTuple):
-    """What is asked of the engine; a smaller ``priority`` number runs first, as in vLLM.
+    """What is asked of the engine.
 
-    ``target`` is the natural length of the answer and ``limit`` cuts it short,
-    both in tokens.
+    Smaller ``priority`` numbers run first, as in vLLM. ``target`` is the
+    natural length of the answer and ``limit`` cuts it short, both in tokens.
     """
 
     run: str
