Measure retries after a one-minute cut and after a zone loss

Both arms at 80 % load, which leaves too little for round robin after a zone is gone. Dispatches count per request sent at all, so that requests refused without a dispatch do not lower the figure.

Ruled out: a first version at 60 % load showed the naive arm never back to normal.

--- a/libs/bench/src/clementinebend_bench/experiments/registry.py
+++ b/libs/bench/src/clementinebend_bench/experiments/registry.py
@@ -2,13 +2,14 @@
 
 from collections.abc import Callable
 
-from clementinebend_bench.experiments import fairness, routing
+from clementinebend_bench.experiments import fairness, retries, routing
 from clementinebend_bench.rows import Row
 
 Experiment = Callable[[int], tuple[Row, ...]]
 
 EXPERIMENTS: dict[str, Experiment] = {
     "routing": routing.run,
+    "retries": retries.run,
     "fairness": fairness.run,
 }
 """To add one: a module with ``run(seed) -> tuple[Row, ...]``, and a line here."""
--- a/libs/bench/src/clementinebend_bench/models/engine.py
+++ b/libs/bench/src/clementinebend_bench/models/engine.py
@@ -43,6 +43,13 @@
     cached: int
 
 
+class Prefill(NamedTuple):
+    """When an engine works through the uncached tokens of a running job."""
+
+    start: float
+    end: float
+
+
 class Engine(NamedTuple):
     """An engine; ``stored`` and ``evicted`` collect cache changes to report."""
 
@@ -50,7 +57,7 @@
     zone: str
     service: str
     size: EngineSize
-    running: dict[str, Job]
+    running: dict[str, Prefill]
     queue: deque[Job]
     cache: dict[str, None]
     stored: list[str]
@@ -70,12 +77,18 @@
 
 
 def end(engine: Engine, run: str, now: float) -> tuple[Engine, Started | None]:
-    """Free the slot of a run, or take it out of the queue; start the next job."""
-    if engine.running.pop(run, None) is None:
+    """Free the slot of a run, or take it out of the queue; start the next job.
+
+    What was left of a stopped run's prefill goes to jobs that start later.
+    """
+    prefill = engine.running.pop(run, None)
+    if prefill is None:
         waiting = [job for job in engine.queue if job.run != run]
         engine.queue.clear()
         engine.queue.extend(waiting)
         return engine, None
+    unused = max(0.0, prefill.end - max(now, prefill.start))
+    engine = engine._replace(prefill_until=engine.prefill_until - unused)
     return _start_next(engine, now)
 
 
@@ -88,12 +101,12 @@
     if not engine.queue or len(engine.running) >= engine.size.slots:
         return engine, None
     job = engine.queue.popleft()
-    engine.running[job.run] = job
     hits = sum(1 for _ in takewhile(engine.cache.__contains__, job.blocks))
     cached = min(job.prompt, hits * BLOCK_TOKENS)
     _store(engine, job.blocks)
     start = max(now, engine.prefill_until)
     ready = start + prefill_seconds(engine.size, job.prompt - cached)
+    engine.running[job.run] = Prefill(start, ready)
     step = engine.size.step * (1 + BATCH_COST * len(engine.running))
     started = Started(job.run, ready + step, ready + step * job.output, cached)
     return engine._replace(prefill_until=ready), started
