Close dead entries, lend on one side of a cut, renew scopes after restarts

Cause: a holder with a restarted sidecar in its scope could never be released whole, an entry was no witness to itself, and a receiver's transfer record and its acknowledgement were in two writers' batches. Ruled out: unclean closes of own earlier holders (their witnesses would refuse runs still queued); instead an earlier holder vouches for itself when nothing of it is left. Before: a dead entry that the only other entry had to close stayed closing for 60 s and more. Conclusion: what is held after crashes is what no witness can prove.

--- a/libs/entry/src/clementinebend_entry/closer.py
+++ b/libs/entry/src/clementinebend_entry/closer.py
@@ -2,7 +2,6 @@
 
 from asyncio import get_running_loop, sleep
 from collections.abc import Iterable
-from itertools import groupby
 from logging import getLogger
 
 from clementinebend_entry.closing import (
@@ -17,9 +16,11 @@
 from clementinebend_entry.ledger import Ledger
 from clementinebend_entry.message_link import MessageLink
 from clementinebend_entry.metrics import CLOSES
+from clementinebend_entry.own_witness import OwnWitness
 from clementinebend_entry.peer_pool import PeerPool
 from clementinebend_entry.reach import Reach
 from clementinebend_entry.receipts import ReceiptDesk
+from clementinebend_entry.settles import settles_of
 from clementinebend_entry.shard import Shard
 from clementinebend_entry.sidecar_pool import SidecarPool
 from clementinebend_ledger.replay import LedgerState
@@ -27,16 +28,16 @@
 from clementinebend_records.identifiers import Incarnation, name_of
 from clementinebend_records.messages import CloseNotice, CloseReply, Receipt
 from clementinebend_records.records import (
-    Bill,
     CloseAck,
     HolderClose,
-    Record,
-    Settle,
 )
 from clementinebend_records.streams import ledger_stream
 
 logger = getLogger(__name__)
 
+REPEAT_S = 30.0
+"""After this time a record that had no effect is posted again."""
+
 
 class Closer:
     """Acts on what the ledger shards show; its records repeat harmlessly."""
@@ -47,17 +48,18 @@
         sidecars: SidecarPool,
         peers: PeerPool,
         receipts: ReceiptDesk,
+        own: OwnWitness,
         reach: Reach,
     ) -> None:
         self.ledger = ledger
         self.sidecars = sidecars
         self.peers = peers
         self.receipts = receipts
+        self.own = own
         self.reach = reach
         self.loop = get_running_loop()
         self.first_seen: dict[tuple[str, Incarnation], float] = {}
-        self.posted: set[tuple[str, Incarnation]] = set()
-        self.acked: set[tuple[str, Incarnation, Incarnation]] = set()
+        self.posted: dict[tuple[str, ...], float] = {}
 
     async def run(self) -> None:
         """Look at all shards again and again."""
@@ -73,7 +75,7 @@
         now = self.loop.time()
         return Entries(
             self.ledger.name,
-            self.ledger.incarnation,
+            self.ledger.holders.incarnations(),
             self.peers.live(),
             self.reach.overdue(now),
         )
@@ -110,16 +112,27 @@
 
     def close(self, shard: Shard, holder: Incarnation) -> None:
         """Append the close of a holder, once."""
-        if (shard.stream, holder) in self.posted:
+        if not self.is_first(shard.stream, holder):
             return
-        self.posted.add((shard.stream, holder))
         logger.info("%s: closing holder %s", shard.stream, holder)
         CLOSES.labels("close").inc()
         self.reach.on_close(name_of(holder))
         self.ledger.shards.post(shard, (HolderClose(holder, self.ledger.incarnation),))
 
+    def is_first(self, *subject: str) -> bool:
+        """Return whether a record is to be posted; again only after a long time."""
+        now = self.loop.time()
+        if now - self.posted.get(subject, float("-inf")) < REPEAT_S:
+            return False
+        self.posted[subject] = now
+        return True
+
     def ask(self, shard: Shard, notice: Notice) -> None:
         """Send a notice to a witness, or note that it is lost."""
+        if notice.witness in self.ledger.holders.incarnations():
+            reply = self.own.close(shard.stream, notice.holder)
+            self.on_reply(reply._replace(witness=notice.witness))
+            return
         message = CloseNotice(shard.stream, shard.state.offset, notice.holder)
         name = name_of(notice.witness)
         link = self.link_to(name, notice.is_sidecar)
@@ -142,8 +155,8 @@
             status = witness_status(shard.state, reply.holder, reply.witness)
             if status == WitnessStatus.OPEN:
                 notice = Notice(reply.holder, reply.witness, True)
-                mine = [each for each in reply.receipts if self.is_of(each, shard)]
-                self.acknowledge(shard, notice, mine)
+                known = self.of_shard(reply.receipts, shard)
+                self.acknowledge(shard, notice, known)
 
     def acknowledge(
         self,
@@ -153,10 +166,8 @@
         lost: bool = False,
     ) -> None:
         """Append receipts and acknowledgement in one batch, once."""
-        subject = (shard.stream, notice.holder, notice.witness)
-        if subject in self.acked:
+        if not self.is_first(shard.stream, notice.holder, notice.witness):
             return
-        self.acked.add(subject)
         CLOSES.labels("lost" if lost else "acknowledged").inc()
         known = tuple(receipts)
         for receipt in known:
@@ -164,29 +175,16 @@
         ack = CloseAck(notice.holder, notice.witness, lost)
         self.ledger.shards.post(shard, (*settles_of(known), ack))
 
-    def is_of(self, receipt: Receipt, shard: Shard) -> bool:
-        """Return whether a receipt's budget belongs to a shard."""
-        stream = ledger_stream(receipt.budget, self.ledger.shards.count)
-        return stream == shard.stream
-
-
-def settles_of(receipts: Iterable[Receipt]) -> tuple[Record, ...]:
-    """Return the bills of receipts, by budget."""
-    ordered = sorted(receipts, key=budget_of)
-    return tuple(
-        Settle(budget, tuple(map(bill_of, group)))
-        for budget, group in groupby(ordered, key=budget_of)
-    )
-
-
-def budget_of(receipt: Receipt) -> str:
-    """Return the budget that a receipt is charged to."""
-    return receipt.budget
-
-
-def bill_of(receipt: Receipt) -> Bill:
-    """Return the bill of a receipt."""
-    return Bill(receipt.key, receipt.run, receipt.grant, receipt.amount)
+    def of_shard(
+        self, receipts: Iterable[Receipt], shard: Shard
+    ) -> tuple[Receipt, ...]:
+        """Return the receipts whose budgets belong to a shard."""
+        count = self.ledger.shards.count
+        return tuple(
+            receipt
+            for receipt in receipts
+            if ledger_stream(receipt.budget, count) == shard.stream
+        )
 
 
 def witness_status(
--- a/libs/entry/src/clementinebend_entry/closing.py
+++ b/libs/entry/src/clementinebend_entry/closing.py
@@ -22,12 +22,13 @@
 class Entries(NamedTuple):
     """What this entry sees of the others.
 
+    ``own`` are the holders of this very process, ``live`` the entries in reach.
     ``overdue`` is for how long each dead entry's holders have been due to be
-    closed, in seconds; ``live`` are the entries in reach.
+    closed, in seconds.
     """
 
     name: str
-    incarnation: Incarnation
+    own: frozenset[Incarnation]
     live: tuple[str, ...]
     overdue: Mapping[str, float]
 
@@ -85,6 +86,6 @@
 def _is_due(holder: Incarnation, entries: Entries) -> bool:
     name = name_of(holder)
     if name == entries.name:
-        return holder != entries.incarnation
+        return holder not in entries.own
     overdue = entries.overdue.get(name)
     return overdue is not None and overdue >= turn_delay(holder, entries)
--- a/libs/entry/src/clementinebend_entry/configuration.py
+++ b/libs/entry/src/clementinebend_entry/configuration.py
@@ -33,6 +33,7 @@
 from clementinebend_entry.lookup import Directory, directory_of
 from clementinebend_entry.metrics import REVISION
 from clementinebend_entry.shard import LogSettings
+from clementinebend_platform_client.exceptions import NewerSchema
 from clementinebend_platform_client.tail import StreamTail, TailOutcome
 from clementinebend_platform_client.writer import StreamWriter
 from clementinebend_records.messages import RevisionGive
@@ -107,7 +108,7 @@
 
     def on_outcome(self, outcome: TailOutcome) -> None:
         """Leave if the stream has records of a newer schema."""
-        if type(outcome).__name__ == "NewerSchema":
+        if isinstance(outcome, NewerSchema):
             self.on_unreadable()
 
     def check(self, outcome: ConfigurationOutcome) -> None:
@@ -145,8 +146,8 @@
         return RevisionGive(question, self.revision, configuration_bytes(self.state))
 
     async def ask_peers(self, ask: AskPeers) -> None:
-        """Ask peers while the log does not give the configuration."""
-        while not self.tail.ready.is_set():
+        """Ask peers, for ever, while the log cannot be read."""
+        while True:
             if self.tail.failures:
                 for give in await ask():
                     self.take(give)
--- a/libs/entry/src/clementinebend_entry/execution.py
+++ b/libs/entry/src/clementinebend_entry/execution.py
@@ -7,6 +7,7 @@
 """
 
 from asyncio import Task
+from logging import getLogger
 from time import monotonic
 
 from clementinebend_declarations.models import ServiceKind
@@ -25,10 +26,10 @@
     trouble_of,
 )
 from clementinebend_entry.metrics import RETRIES, RUNS
-from clementinebend_entry.outcomes import Refusal, Trouble
+from clementinebend_entry.outcomes import Refusal, Trouble, Unknown
 from clementinebend_entry.pieces import Whole
 from clementinebend_entry.pointer_desk import Standing
-from clementinebend_entry.run_opening import run_start
+from clementinebend_entry.run_opening import run_start, ticket_for
 from clementinebend_entry.run_results import (
     RunBroke,
     RunNotRun,
@@ -42,6 +43,8 @@
 from clementinebend_records.reasons import NotRun
 from clementinebend_routing.choice import Choice, NoChoice
 
+logger = getLogger(__name__)
+
 LINK_PATIENCE_S = 2.0
 """How long idempotent work waits for its sidecar's link before it runs again."""
 
@@ -77,6 +80,10 @@
         try:
             while not self.ended:
                 await self.attempt()
+        except Exception:
+            logger.exception("an execution failed; its reservation stays")
+            self.reservation = None
+            self.tell(Unknown("this entry failed"))
         finally:
             self.withdraw()
             if not self.dispatched:
@@ -103,10 +110,11 @@
         """Choose an endpoint, reserve, and dispatch; then take the result."""
         if await self.is_answered():
             return
-        chosen = self.services.router.choose(self.call, self.exclude)
+        unsafe = self.services.receipts.unsafe_zone(self.call)
+        chosen = self.services.router.choose(self.call, self.exclude, unsafe)
         if isinstance(chosen, NoChoice):
-            refusal = Refusal(NotRun.NO_ENDPOINT, chosen.retry_after_ms)
-            self.give_up(self.refusal or refusal)
+            reason = NotRun.LOG_UNAVAILABLE if unsafe else NotRun.NO_ENDPOINT
+            self.give_up(self.refusal or Refusal(reason, chosen.retry_after_ms))
             return
         if not await self.reserve():
             return
@@ -136,7 +144,7 @@
         return True
 
     def ticket(self, link: SidecarLink) -> Ticket | None:
-        """Return the ticket for a sidecar, or None if it changed meanwhile."""
+        """Return the ticket for a sidecar, or None if it cannot be used now."""
         reservation, peer = self.reservation, link.peer
         ledger = self.services.ledger
         if reservation is None or peer is None:
@@ -146,13 +154,7 @@
             return None
         if not ledger.is_witness(self.call.budget, peer.incarnation):
             return None
-        return Ticket(
-            reservation.budget,
-            reservation.grant,
-            reservation.holder,
-            peer.incarnation,
-            reservation.amount,
-        )
+        return ticket_for(reservation, peer)
 
     async def place_pointer(self, endpoint: str) -> Standing | None:
         """Point others to this run; return an earlier run's pointer, if any."""
--- a/libs/entry/src/clementinebend_entry/fleet.py
+++ b/libs/entry/src/clementinebend_entry/fleet.py
@@ -9,6 +9,7 @@
 from expression import Result
 
 from clementinebend_entry.admission_gate import AdmissionGate
+from clementinebend_entry.borrower import Borrower
 from clementinebend_entry.claims import ClaimsDesk
 from clementinebend_entry.closer import Closer
 from clementinebend_entry.configuration import ConfigurationKeeper
@@ -16,7 +17,9 @@
 from clementinebend_entry.ledger_events import PartReceived, WitnessesSeen
 from clementinebend_entry.lender import Lender
 from clementinebend_entry.lookup import Directory
+from clementinebend_entry.own_witness import OwnWitness
 from clementinebend_entry.peer_pool import PeerPool, entry_hello
+from clementinebend_entry.peer_server import PeerServer
 from clementinebend_entry.pointer_desk import PointerDesk
 from clementinebend_entry.reach import Reach
 from clementinebend_entry.receipt_keeper import ReceiptKeeper
@@ -73,7 +76,11 @@
         self.keeper = ReceiptKeeper(settings.kept_receipts, self.ledger.post_foreign)
         self.kept_by: dict[RunId, str] = {}
         self.receipts = ReceiptDesk(
-            settings.zone, self.post_logged, self.keep_at_peer, self.on_forgotten
+            settings.zone,
+            self.post_logged,
+            self.keep_at_peer,
+            self.on_forgotten,
+            self.is_cut_off,
         )
         self.pool = SidecarPool(
             settings.name, settings.subset_size, self.hello, self.on_sidecar_news
@@ -85,9 +92,22 @@
         self.gate = AdmissionGate(limits.retry_budget_ratio)
         self.peers = PeerPool(settings, self.hello, self.on_peer_news)
         self.pointers = PointerDesk(settings.name, settings.kept_pointers, self.peers)
-        self.lender = Lender(self.ledger)
+        self.own_witness = OwnWitness(Lender(self.ledger), self.keeper)
+        self.borrower = Borrower(self.ledger, self.peers)
+        self.peer_server = PeerServer(
+            self.hello,
+            self.pointers,
+            self.own_witness,
+            self.configuration.give,
+            stop.set,
+        )
         self.closer = Closer(
-            self.ledger, self.pool, self.peers, self.receipts, self.reach
+            self.ledger,
+            self.pool,
+            self.peers,
+            self.receipts,
+            self.own_witness,
+            self.reach,
         )
         self.services = Services(
             self.gate,
@@ -106,6 +126,7 @@
         yield "admission", self.gate.run()
         yield "closer", self.closer.run()
         yield "kept receipts", self.look_after_receipts()
+        yield "borrower", self.borrower.run()
         yield "hosts", self.watch_hosts()
         yield "configuration", self.configuration.ask_peers(self.peers.ask_revisions)
 
@@ -144,7 +165,12 @@
 
     def on_rotated(self) -> None:
         """Take in that this entry is a new holder."""
+        self.greet_again()
+
+    def greet_again(self) -> None:
+        """Tell all peers what this entry says of itself now."""
         self.peers.greet_again()
+        self.peer_server.greet_again()
 
     # What the configuration shows.
 
@@ -226,13 +252,24 @@
         link = self.pool.links.get(endpoint)
         return link is not None and link.post(logged)
 
+    def allowed_keepers(self, budget: str) -> frozenset[Incarnation]:
+        """Return the peers that are witnesses of this budget's grants."""
+        witnesses = self.peers.witnesses()
+        return frozenset(
+            each for each in witnesses if self.ledger.is_witness(budget, each)
+        )
+
+    def is_cut_off(self, budget: str) -> bool:
+        """Return whether a receipt cannot leave this availability zone."""
+        shard = self.ledger.shards.of_budget(budget)
+        allowed = self.allowed_keepers(budget)
+        keepers = self.peers.keepers()
+        has_keeper = any(self.peers.is_allowed(name, allowed) for name in keepers)
+        return not has_keeper and shard.failing_for(self.loop.time()) > 0
+
     async def keep_at_peer(self, receipt: Receipt) -> bool:
         """Have a peer of another zone keep a receipt."""
-        allowed = frozenset(
-            witness
-            for witness in self.peers.witnesses()
-            if self.ledger.is_witness(receipt.budget, witness)
-        )
+        allowed = self.allowed_keepers(receipt.budget)
         name = await self.peers.keep_receipt(receipt, allowed)
         if name is not None:
             self.kept_by[receipt.run] = name
--- a/libs/entry/src/clementinebend_entry/handler.py
+++ b/libs/entry/src/clementinebend_entry/handler.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from expression import Result
+from prometheus_client import REGISTRY, generate_latest
 
 from clementinebend_entry.answers import answer_of, json_response
 from clementinebend_entry.calls import Call, parse_call
@@ -26,6 +27,13 @@
 OWN_PATHS = ("/healthz", "/readyz", "/metrics")
 
 
+def metrics_page() -> Response:
+    """Return this library's metrics, and those of libraries and the runtime."""
+    page = render_metrics()
+    assert isinstance(page.body, bytes)
+    return page._replace(body=page.body + generate_latest(REGISTRY))
+
+
 class Readiness(Protocol):
     """Who knows what this entry still lacks."""
 
@@ -81,7 +89,7 @@
     def own_page(self, path: str) -> Response:
         """Return a page about this process."""
         if path == "/metrics":
-            return render_metrics()
+            return metrics_page()
         missing = self.readiness.for_balancer() if path == "/readyz" else ()
         status = UNAVAILABLE if missing else OK
         return json_response(status, {"ok": not missing, "missing": list(missing)})
--- a/libs/entry/src/clementinebend_entry/ledger.py
+++ b/libs/entry/src/clementinebend_entry/ledger.py
@@ -7,17 +7,13 @@
 """
 
 from asyncio import Event, Future, get_running_loop, timeout
+from collections.abc import Iterable
 from functools import singledispatchmethod
 from logging import getLogger
 
-from clementinebend_entry.budget_waits import (
-    LOG_PATIENCE_S,
-    BudgetView,
-    Reservation,
-    Waiter,
-    is_settling,
-    judge_waiter,
-)
+from clementinebend_entry.budget_waits import Reservation, Waiter
+from clementinebend_entry.holders import Holders
+from clementinebend_entry.judging import judge_all
 from clementinebend_entry.ledger_events import (
     Finished,
     LedgerEvent,
@@ -31,34 +27,33 @@
     WitnessesSeen,
 )
 from clementinebend_entry.ledger_listener import LedgerListener
-from clementinebend_entry.ledger_outcomes import count_outcome, logged_bill
+from clementinebend_entry.ledger_outcomes import (
+    count_outcome,
+    logged_bill,
+    touched_budgets,
+)
 from clementinebend_entry.metrics import BUDGET_REFUSALS, HELD_BILLS
 from clementinebend_entry.outcomes import Refusal
 from clementinebend_entry.posting import forget_post
+from clementinebend_entry.settles import settles_of
 from clementinebend_entry.shard import LogSettings
 from clementinebend_entry.shards import Shards
+from clementinebend_entry.succession import Succession
 from clementinebend_entry.top_ups import TopUpPoster
 from clementinebend_ledger.holder import (
     HolderState,
     Reserved,
     budget_seen,
-    cancel,
-    close_cleanly,
-    empty_holder,
     has_witness,
-    on_outcome,
-    plan,
     receive,
     reserve,
-    resume,
     settle,
-    widen,
 )
 from clementinebend_ledger.outcomes import HolderClosed, LedgerOutcome
 from clementinebend_ledger.replay import budget_summary
-from clementinebend_records.identifiers import Incarnation, RunId, new_incarnation
+from clementinebend_records.identifiers import Incarnation, RunId
 from clementinebend_records.messages import Receipt
-from clementinebend_records.records import Bill, Record, Settle
+from clementinebend_records.records import Record
 
 logger = getLogger(__name__)
 
@@ -80,18 +75,25 @@
         self.name = name
         self.loop = get_running_loop()
         self.listener = listener
-        self.holder: HolderState = empty_holder(incarnation)
-        self.retired: list[HolderState] = []
+        self.holders = Holders(name, incarnation)
         self.waiters: dict[RunId, Waiter] = {}
-        self.witnesses = WitnessesSeen((), ())
         self.dirty = Event()
         self.changed = Event()
-        self.is_stopping = False
         self.shards = Shards(shards, log, self.take, self.take_back)
         self.top_ups = TopUpPoster(name, self.shards)
+        self.succession = Succession(self.holders, self.shards, self.loop.time())
 
     # Questions.
 
+    @property
+    def holder(self) -> HolderState:
+        """The holder in use."""
+        return self.holders.current
+
+    @holder.setter
+    def holder(self, state: HolderState) -> None:
+        self.holders.current = state
+
     @property
     def incarnation(self) -> Incarnation:
         """The holder that new reservations are made under."""
@@ -105,8 +107,7 @@
     @property
     def is_settled(self) -> bool:
         """Whether nothing is reserved and all bills were read back."""
-        holders = (self.holder, *self.retired)
-        return not any(holder.runs or holder.bills for holder in holders)
+        return self.holders.is_settled
 
     def is_witness(self, budget: str, witness: Incarnation) -> bool:
         """Return whether a witness may be used for runs of a budget."""
@@ -144,7 +145,8 @@
                 async with timeout(BUSY_TICK_S if self.waiters else IDLE_TICK_S):
                     await self.dirty.wait()
             except TimeoutError:
-                self.note_budgets()
+                waiting = (waiter.budget for waiter in self.waiters.values())
+                self.note_budgets(waiting)
             self.dirty.clear()
             self.take(Ticked())
 
@@ -159,19 +161,19 @@
         self.listener.on_written(event.writer, now)
         for outcome in event.outcomes:
             self.learn(outcome, now, event.stream)
-        if self.holder.closed and not self.is_stopping:
-            self.rotate()
-        self.note_budgets()
+        if self.succession.go_over_if_due():
+            self.listener.on_rotated()
+        budgets = touched_budgets(event.outcomes)
+        self.note_budgets(self.holder.budgets if budgets is None else budgets)
         self.changed.set()
         self.dirty.set()
 
     @take.register
     def _(self, event: Restored) -> None:
         state = self.shards.by_stream[event.stream].state
-        self.holder = resume(self.holder, state, event.stream)
-        self.retired = [resume(old, state, event.stream) for old in self.retired]
-        if self.holder.closed:
-            self.rotate()
+        self.holders.resume(state, event.stream)
+        if self.succession.go_over_if_due():
+            self.listener.on_rotated()
         self.dirty.set()
 
     @take.register
@@ -183,14 +185,14 @@
     @take.register
     def _(self, event: Withdrawn) -> None:
         self.waiters.pop(event.run, None)
-        self.holder = cancel(self.holder, event.run)
-        self.retired = [cancel(holder, event.run) for holder in self.retired]
+        self.holders.cancel(event.run)
+        self.changed.set()
         self.dirty.set()
 
     @take.register
     def _(self, event: Finished) -> None:
         receipt = event.receipt
-        holder = self.holder_of(receipt.run)
+        holder = self.holders.find(receipt.run)
         if holder is None:
             self.post_foreign(receipt)
         else:
@@ -200,7 +202,7 @@
 
     @take.register
     def _(self, event: Unproved) -> None:
-        holder = self.holder_of(event.run)
+        holder = self.holders.find(event.run)
         if holder is not None:
             amount = holder.runs[event.run].amount
             settle(holder, event.run, event.key, amount, held=True)
@@ -209,8 +211,8 @@
 
     @take.register
     def _(self, event: WitnessesSeen) -> None:
-        self.witnesses = event
-        self.widen_scope()
+        self.succession.seen = event
+        self.succession.widen()
 
     @take.register
     def _(self, event: PartReceived) -> None:
@@ -220,46 +222,30 @@
     @take.register
     def _(self, event: Ticked) -> None:
         now = self.loop.time()
-        for waiter in tuple(self.waiters.values()):
-            if not self.try_waiter(waiter):
-                self.judge(waiter, now)
-        self.append_planned(now)
+        left = [
+            waiter
+            for waiter in tuple(self.waiters.values())
+            if not self.try_waiter(waiter)
+        ]
+        for run, refusal in judge_all(left, self.holder, self.top_ups, now):
+            self.waiters[run].reply.set_result(refusal)
+            self.take(Withdrawn(run))
+        self.succession.prepare_if_due(now)
+        self.succession.append_planned(now)
         self.top_ups.post_due(now)
 
     # Steps.
 
     def learn(self, outcome: LedgerOutcome, now: float, stream: str) -> None:
-        """Hand an outcome of replay to the holders."""
-        mine = {self.incarnation, *(holder.incarnation for holder in self.retired)}
-        count_outcome(outcome, mine)
-        self.holder = on_outcome(self.holder, outcome, now, stream)
-        self.retired = [
-            on_outcome(holder, outcome, now, stream) for holder in self.retired
-        ]
+        """Hand an outcome of replay to the holders, and to who else needs it."""
+        count_outcome(outcome, self.holders.incarnations())
+        self.holders.learn(outcome, now, stream)
         bill = logged_bill(outcome)
         if bill is not None:
             self.listener.on_logged(bill)
         if isinstance(outcome, HolderClosed):
             self.listener.on_closed(outcome.holder)
 
-    def rotate(self) -> None:
-        """Go on as a new holder; the old one bills what is still running."""
-        old = self.holder._replace(closed=True)
-        self.retired.append(old)
-        self.holder = empty_holder(new_incarnation(self.name))
-        logger.info("holder %s is closed, now %s", old.incarnation, self.incarnation)
-        for waiter in tuple(self.waiters.values()):
-            self.try_waiter(waiter)
-        self.widen_scope()
-        self.listener.on_rotated()
-        self.dirty.set()
-
-    def widen_scope(self) -> None:
-        """Ask for the witnesses that are not in the holder's scope."""
-        for stream, shard in self.shards.by_stream.items():
-            self.holder, records = widen(self.holder, *self.witnesses, stream)
-            self.shards.post(shard, records)
-
     def try_waiter(self, waiter: Waiter) -> bool:
         """Reserve for one who waits, if a grant has room."""
         now = self.loop.time()
@@ -274,56 +260,19 @@
         waiter.reply.set_result(reservation)
         return True
 
-    def judge(self, waiter: Waiter, now: float) -> None:
-        """Refuse one who waits if waiting is of no use."""
-        shard = self.shards.of_budget(waiter.budget)
-        failing_for = shard.failing_for(now)
-        missing = self.top_ups.missing(waiter.budget)
-        view = BudgetView(
-            budget_summary(shard.state, waiter.budget),
-            sum(top_up.amount for top_up in missing),
-            failing_for,
-            is_settling(self.holder, waiter, failing_for > LOG_PATIENCE_S, now),
-        )
-        refusal = judge_waiter(waiter, view, now)
-        if refusal is not None and not waiter.reply.done():
-            waiter.reply.set_result(refusal)
-            self.take(Withdrawn(waiter.run))
-
-    def note_budgets(self) -> None:
-        """Tell the holder the accounts of the budgets it uses."""
-        for budget in tuple(self.holder.budgets):
+    def note_budgets(self, budgets: Iterable[str]) -> None:
+        """Tell the holder the accounts of budgets that it uses."""
+        for budget in self.holder.budgets.keys() & set(budgets):
             summary = budget_summary(self.shards.of_budget(budget).state, budget)
             self.holder = budget_seen(self.holder, budget, summary)
 
-    def append_planned(self, now: float) -> None:
-        """Append what the holders plan."""
-        delay = self.shards.delay
-        self.holder, records = plan(self.holder, now, delay)
-        self.shards.post_by_budget(records)
-        for index, holder in enumerate(self.retired):
-            self.retired[index], records = plan(holder, now, delay)
-            self.shards.post_by_budget(records)
-        self.retired = [
-            holder
-            for holder in self.retired
-            if holder.runs or holder.bills or holder.transfers
-        ]
-
-    def holder_of(self, run: RunId) -> HolderState | None:
-        """Return the own holder under which a run is reserved."""
-        holders = (self.holder, *self.retired)
-        return next((holder for holder in holders if run in holder.runs), None)
-
     def post_foreign(self, receipt: Receipt) -> None:
         """Bill a run that another entry's holder reserved for."""
-        bill = Bill(receipt.key, receipt.run, receipt.grant, receipt.amount)
-        shard = self.shards.of_budget(receipt.budget)
-        self.shards.post(shard, (Settle(receipt.budget, (bill,)),))
+        self.shards.post(self.shards.of_budget(receipt.budget), settles_of((receipt,)))
 
     def take_back(self, stream: str, records: tuple[Record, ...]) -> None:
         """Take back what the log's writer did not take."""
-        for holder in (self.holder, *self.retired):
+        for holder in self.holders.all():
             forget_post(holder, stream, records)
 
     # Planned stop.
@@ -336,11 +285,6 @@
 
     async def close(self, patience: float) -> bool:
         """End the holder; return whether its clean close is on the log."""
-        self.is_stopping = True
-        is_clean = self.is_settled
-        if is_clean:
-            self.holder, records = close_cleanly(self.holder)
-            for shard in self.shards.by_stream.values():
-                shard.writer.post(records)
+        is_clean = self.succession.end()
         await self.shards.close(patience)
         return is_clean and self.shards.is_flushed
--- a/libs/entry/src/clementinebend_entry/ledger_outcomes.py
+++ b/libs/entry/src/clementinebend_entry/ledger_outcomes.py
@@ -1,6 +1,6 @@
 """Counting of what replay reports, and the bills among it."""
 
-from collections.abc import Container
+from collections.abc import Container, Iterable
 from functools import singledispatch
 from typing import Any
 
@@ -11,6 +11,7 @@
     BillUnfunded,
     GrantAccepted,
     GrantRefused,
+    HolderReleased,
     LedgerOutcome,
 )
 from clementinebend_records.identifiers import Incarnation
@@ -54,3 +55,13 @@
 def _holder_of(bill: Bill) -> Incarnation:
     """Return the holder in a grant's name: ``incarnation/number``."""
     return Incarnation(bill.grant.rpartition("/")[0])
+
+
+def touched_budgets(outcomes: Iterable[LedgerOutcome]) -> set[str] | None:
+    """Return the budgets whose accounts changed; None if it may be any."""
+    budgets: set[str] = set()
+    for outcome in outcomes:
+        if isinstance(outcome, HolderReleased):
+            return None
+        budgets.add(getattr(outcome, "budget", ""))
+    return budgets
--- a/libs/entry/src/clementinebend_entry/lender.py
+++ b/libs/entry/src/clementinebend_entry/lender.py
@@ -4,6 +4,7 @@
 from clementinebend_ledger.holder import give, refuse_sender
 from clementinebend_records.identifiers import GrantId, Incarnation, new_run_id
 from clementinebend_records.messages import TransferAsk, TransferGive
+from clementinebend_records.records import Record
 
 
 class Lender:
@@ -34,10 +35,11 @@
         ledger.dirty.set()
         return message
 
-    def refuse(self, stream: str, holder: Incarnation) -> None:
-        """Take no more parts from a closed holder; log those taken."""
+    def refuse(self, holder: Incarnation) -> tuple[Record, ...]:
+        """Take no more parts from a closed holder.
+
+        Returns the records of those taken that the log does not have yet.
+        """
         ledger = self.ledger
-        shard = ledger.shards.by_stream.get(stream)
         ledger.holder, records = refuse_sender(ledger.holder, holder)
-        if shard is not None:
-            ledger.shards.post(shard, records)
+        return records
--- a/libs/entry/src/clementinebend_entry/lost_runs.py
+++ b/libs/entry/src/clementinebend_entry/lost_runs.py
@@ -70,7 +70,10 @@
 def expect_receipt(services: Services, run: LostRun) -> None:
     """Have the sidecar forget its receipt once the key is billed."""
     endpoint = run.follower.link.address.endpoint
-    services.receipts.expect(run.key, run.reservation.run, endpoint)
+    executed = run.reservation.run
+    if isinstance(run.result, RunBroke | RunWhole):
+        executed = run.result.receipt.run
+    services.receipts.expect(run.key, executed, endpoint)
 
 
 def bill(services: Services, run: LostRun, receipt: Receipt) -> None:
--- a/libs/entry/src/clementinebend_entry/metrics.py
+++ b/libs/entry/src/clementinebend_entry/metrics.py
@@ -69,3 +69,8 @@
     "clementinebend_entry_abandoned_total", "Requests whose caller left before the end."
 )
 REVISION = gauge("clementinebend_entry_revision", "Configuration revision in force.")
+TRANSFERS = counter(
+    "clementinebend_entry_transfers_total",
+    "Questions to peers for parts of grants, by answer.",
+    ("answer",),
+)
--- a/libs/entry/src/clementinebend_entry/peer_pool.py
+++ b/libs/entry/src/clementinebend_entry/peer_pool.py
@@ -2,9 +2,6 @@
 
 from asyncio import Task, create_task, gather
 from collections.abc import Mapping
-from itertools import chain
-
-from clementinebend_membership.rendezvous import rendezvous
 
 from clementinebend_entry.calls import MILLISECONDS
 from clementinebend_entry.message_link import MakeHello
@@ -12,6 +9,7 @@
 from clementinebend_entry.peer_link import PeerLink, PeerNews, Tell
 from clementinebend_entry.settings import EntrySettings
 from clementinebend_entry.sidecar_link import LinkDown, LinkUp
+from clementinebend_membership.rendezvous import rendezvous
 from clementinebend_records.identifiers import Incarnation
 from clementinebend_records.messages import (
     Hello,
@@ -24,6 +22,8 @@
     ReceiptsLogged,
     RevisionAsk,
     RevisionGive,
+    TransferAsk,
+    TransferGive,
 )
 
 KEEPERS = 4
@@ -70,21 +70,15 @@
 
     def witnesses(self) -> tuple[Incarnation, ...]:
         """Return the peers that may keep receipts or pass parts of grants."""
-        names = chain(self.keepers(), self.lenders())
+        names = partners(self.settings.name, self.zones())
         hellos = (self.links[name].peer for name in names if name in self.live())
         return tuple(hello.incarnation for hello in hellos if hello is not None)
 
     def keepers(self) -> tuple[str, ...]:
         """Return the peers of other zones that may keep receipts."""
-        zone = self.settings.zone
-        others = [name for name, link in self.links.items() if link.zone != zone]
-        return rendezvous(self.settings.name, others, KEEPERS)
-
-    def lenders(self) -> tuple[str, ...]:
-        """Return the peers of the own zone that may pass parts of grants."""
-        zone = self.settings.zone
-        others = [name for name, link in self.links.items() if link.zone == zone]
-        return rendezvous(self.settings.name, others, LENDERS)
+        zones = self.zones()
+        names = partners(self.settings.name, zones)
+        return tuple(name for name in names if zones[name] != self.settings.zone)
 
     def greet_again(self) -> None:
         """Tell all peers of a new incarnation."""
@@ -127,6 +121,20 @@
         """Tell a peer which receipts need no more keeping."""
         self.links[name].post(logged)
 
+    # Parts of grants.
+
+    def creditors(self) -> tuple[str, ...]:
+        """Return the peers in reach that have this entry in their scope."""
+        zones = self.zones()
+        own = self.settings.name
+        return tuple(name for name in self.live() if own in partners(name, zones))
+
+    async def ask_transfer(self, name: str, budget: str, amount: int) -> int:
+        """Ask a peer for a part of a grant; return how much it gave."""
+        patience = self.settings.pointer_timeout_ms / MILLISECONDS
+        answer = await self.links[name].ask(TransferAsk(0, budget, amount), patience)
+        return answer.amount if isinstance(answer, TransferGive) else 0
+
     # Configuration.
 
     async def ask_revisions(self) -> tuple[RevisionGive, ...]:
@@ -145,6 +153,14 @@
         await gather(*(stream.close() for stream in streams))
 
 
+def partners(name: str, zones: Mapping[str, str]) -> tuple[str, ...]:
+    """Return the entries that ``name`` has as witnesses, of other zones first."""
+    others = [other for other in zones if zones[other] != zones[name]]
+    same = [other for other in zones if zones[other] == zones[name] and other != name]
+    keepers = rendezvous(name, others, KEEPERS)
+    return keepers + rendezvous(name, same, LENDERS)
+
+
 def entry_hello(
     settings: EntrySettings, incarnation: Incarnation, revision: int, leaving: bool
 ) -> Hello:
--- a/libs/entry/src/clementinebend_entry/peer_server.py
+++ b/libs/entry/src/clementinebend_entry/peer_server.py
@@ -2,15 +2,13 @@
 
 from collections.abc import Callable
 from functools import singledispatchmethod
-from typing import Any, Protocol
+from typing import Any
 
 from clementinebend_entry.message_link import MakeHello
+from clementinebend_entry.own_witness import OwnWitness
 from clementinebend_entry.pointer_desk import PointerDesk
-from clementinebend_entry.receipt_keeper import ReceiptKeeper
-from clementinebend_records.identifiers import Incarnation
 from clementinebend_records.messages import (
     CloseNotice,
-    CloseReply,
     DrainOrder,
     Hello,
     Message,
@@ -22,27 +20,12 @@
     RevisionAsk,
     RevisionGive,
     TransferAsk,
-    TransferGive,
 )
 from clementinebend_transport.message_stream import MessageStream
 
 GiveRevision = Callable[[int], RevisionGive]
 
 
-class Lender(Protocol):
-    """Who passes parts of grants, and refuses closed senders."""
-
-    @property
-    def incarnation(self) -> Incarnation:
-        """The holder that this entry is now."""
-
-    def lend(self, ask: TransferAsk, receiver: Incarnation) -> TransferGive:
-        """Pass a part of a grant."""
-
-    def refuse(self, stream: str, holder: Incarnation) -> None:
-        """Take no more parts from a closed holder; log those taken."""
-
-
 class PeerServer:
     """Serves the streams that peers open."""
 
@@ -50,24 +33,32 @@
         self,
         hello: MakeHello,
         pointers: PointerDesk,
-        receipts: ReceiptKeeper,
-        lender: Lender,
+        own: OwnWitness,
         give_revision: GiveRevision,
         drain: Callable[[], None],
     ) -> None:
         self.hello = hello
         self.pointers = pointers
-        self.receipts = receipts
-        self.lender = lender
+        self.own = own
         self.give_revision = give_revision
         self.drain = drain
+        self.streams: set[MessageStream] = set()
 
     async def serve(self, stream: MessageStream) -> None:
         """Answer one peer until it closes its stream."""
         stream.post(self.hello())
         conversation = Conversation(self, stream)
-        while (message := await stream.receive()) is not None:
-            conversation.take(message)
+        self.streams.add(stream)
+        try:
+            while (message := await stream.receive()) is not None:
+                conversation.take(message)
+        finally:
+            self.streams.discard(stream)
+
+    def greet_again(self) -> None:
+        """Tell those who ask here of a new incarnation, or of leaving."""
+        for stream in self.streams:
+            stream.post(self.hello())
 
 
 class Conversation:
@@ -96,12 +87,12 @@
 
     @take.register
     def _(self, message: ReceiptKeep) -> None:
-        if self.server.receipts.keep(message.receipt):
+        if self.server.own.keeper.keep(message.receipt):
             self.stream.post(ReceiptKept(message.question))
 
     @take.register
     def _(self, message: ReceiptsLogged) -> None:
-        self.server.receipts.forget(message.runs)
+        self.server.own.keeper.forget(message.runs)
 
     @take.register
     def _(self, message: RevisionAsk) -> None:
@@ -110,15 +101,12 @@
     @take.register
     def _(self, message: TransferAsk) -> None:
         if self.peer is not None:
-            give = self.server.lender.lend(message, self.peer.incarnation)
+            give = self.server.own.lender.lend(message, self.peer.incarnation)
             self.stream.post(give)
 
     @take.register
     def _(self, message: CloseNotice) -> None:
-        self.server.lender.refuse(message.stream, message.holder)
-        receipts = self.server.receipts.close(message.holder)
-        witness = self.server.lender.incarnation
-        self.stream.post(CloseReply(message.holder, witness, 0, receipts))
+        self.stream.post(self.server.own.close(message.stream, message.holder))
 
     @take.register
     def _(self, message: DrainOrder) -> None:
--- a/libs/entry/src/clementinebend_entry/process.py
+++ b/libs/entry/src/clementinebend_entry/process.py
@@ -9,7 +9,6 @@
 from clementinebend_entry.exceptions import ListenError
 from clementinebend_entry.fleet import Fleet
 from clementinebend_entry.handler import Handler
-from clementinebend_entry.peer_server import PeerServer
 from clementinebend_entry.readiness import Readiness
 from clementinebend_entry.settings import EntrySettings
 from clementinebend_entry.stopping import stop_in_order
@@ -51,17 +50,9 @@
 
 async def listen_to_peers(settings: EntrySettings, fleet: Fleet) -> MessageServer:
     """Accept the streams of peer entries."""
-    server = PeerServer(
-        fleet.hello,
-        fleet.pointers,
-        fleet.keeper,
-        fleet.lender,
-        fleet.configuration.give,
-        fleet.stop.set,
-    )
     host, port = settings.peer_host, settings.peer_port
     try:
-        return await serve_messages(server.serve, host, port)
+        return await serve_messages(fleet.peer_server.serve, host, port)
     except OSError as error:
         raise ListenError(host, port, str(error)) from error
 
--- a/libs/entry/src/clementinebend_entry/receipts.py
+++ b/libs/entry/src/clementinebend_entry/receipts.py
@@ -21,18 +21,26 @@
 PostToSidecar = Callable[[str, ReceiptsLogged], bool]
 KeepAtPeer = Callable[[Receipt], Awaitable[bool]]
 OnForget = Callable[[RunId], None]
+IsCutOff = Callable[[str], bool]
+"""Whether neither the log nor a peer of another zone can take a receipt."""
 
 
 class ReceiptDesk:
     """Knows which receipts wait for their bill to be read back."""
 
     def __init__(
-        self, zone: str, post: PostToSidecar, keep: KeepAtPeer, forget: OnForget
+        self,
+        zone: str,
+        post: PostToSidecar,
+        keep: KeepAtPeer,
+        forget: OnForget,
+        is_cut_off: IsCutOff,
     ) -> None:
         self.zone = zone
         self.post = post
         self.keep = keep
         self.forget = forget
+        self.is_cut_off = is_cut_off
         self.waiting: defaultdict[RequestKey, list[tuple[RunId, str]]]
         self.waiting = defaultdict(list)
         self.logged: dict[RequestKey, Future[None]] = {}
@@ -59,6 +67,11 @@
             if self.post(endpoint, ReceiptsLogged(tuple(runs))):
                 del self.untold[endpoint]
 
+    def unsafe_zone(self, call: Call) -> str:
+        """Return the zone whose receipts could not be made safe; empty if none."""
+        needs_zones = call.receipt_safety is ReceiptSafety.TWO_ZONES
+        return self.zone if needs_zones and self.is_cut_off(call.budget) else ""
+
     async def make_safe(self, receipt: Receipt, call: Call, zone: str) -> bool:
         """Return once a receipt is safe; false if that cannot be had in time."""
         if zone != self.zone:
--- a/libs/entry/src/clementinebend_entry/router.py
+++ b/libs/entry/src/clementinebend_entry/router.py
@@ -90,13 +90,17 @@
         self.state = on_cache_event(self.state, event, monotonic())
 
     def choose(
-        self, call: Call, exclude: frozenset[str]
+        self, call: Call, exclude: frozenset[str], unsafe_zone: str
     ) -> tuple[SidecarLink, Choice] | NoChoice:
-        """Choose an endpoint for a call whose sidecar may spend its budget."""
+        """Choose an endpoint for a call whose sidecar may spend its budget.
+
+        None of ``unsafe_zone`` is chosen: a receipt could not be kept twice.
+        """
         outside = frozenset(
             name
             for name, link in self.pool.links.items()
             if link.peer is None
+            or link.peer.zone == unsafe_zone
             or not self.is_witness(call.budget, link.peer.incarnation)
         )
         wanted = Wanted(
--- a/libs/entry/src/clementinebend_entry/run_opening.py
+++ b/libs/entry/src/clementinebend_entry/run_opening.py
@@ -1,8 +1,9 @@
 """The message that asks a sidecar to execute a call."""
 
+from clementinebend_entry.budget_waits import Reservation
 from clementinebend_entry.calls import Call
 from clementinebend_records.identifiers import RunId
-from clementinebend_records.messages import RunStart, Ticket
+from clementinebend_records.messages import Hello, RunStart, Ticket
 
 
 def run_start(call: Call, run: RunId, ticket: Ticket) -> RunStart:
@@ -22,3 +23,14 @@
         deadline_ms=0,
         token_limit=call.token_limit,
     )
+
+
+def ticket_for(reservation: Reservation, sidecar: Hello) -> Ticket:
+    """Return the ticket that lets a sidecar execute a reserved run."""
+    return Ticket(
+        reservation.budget,
+        reservation.grant,
+        reservation.holder,
+        sidecar.incarnation,
+        reservation.amount,
+    )
--- /dev/null
+++ b/libs/entry/src/clementinebend_entry/settles.py
@@ -0,0 +1,26 @@
+"""Receipts as the records that bill them."""
+
+from collections.abc import Iterable
+from itertools import groupby
+
+from clementinebend_records.messages import Receipt
+from clementinebend_records.records import Bill, Record, Settle
+
+
+def settles_of(receipts: Iterable[Receipt]) -> tuple[Record, ...]:
+    """Return the bills of receipts, by budget."""
+    ordered = sorted(receipts, key=budget_of)
+    return tuple(
+        Settle(budget, tuple(map(bill_of, group)))
+        for budget, group in groupby(ordered, key=budget_of)
+    )
+
+
+def budget_of(receipt: Receipt) -> str:
+    """Return the budget that a receipt is charged to."""
+    return receipt.budget
+
+
+def bill_of(receipt: Receipt) -> Bill:
+    """Return the bill of a receipt."""
+    return Bill(receipt.key, receipt.run, receipt.grant, receipt.amount)
--- a/libs/entry/src/clementinebend_entry/stopping.py
+++ b/libs/entry/src/clementinebend_entry/stopping.py
@@ -18,7 +18,7 @@
     settings: EntrySettings, fleet: Fleet, http_server: HttpServer
 ) -> int:
     """End everything that is in progress; return the exit code."""
-    fleet.peers.greet_again()
+    fleet.greet_again()
     is_drained = await http_server.drain(settings.drain_timeout_s)
     is_drained &= await end_executions(settings, fleet)
     fleet.keeper.bill_all()
--- /dev/null
+++ b/libs/entry/src/clementinebend_entry/succession.py
@@ -0,0 +1,80 @@
+"""Appends what the holders plan, and goes over from one holder to the next."""
+
+from logging import getLogger
+
+from clementinebend_entry.holders import Holders
+from clementinebend_entry.ledger_events import WitnessesSeen
+from clementinebend_entry.shards import Shards
+from clementinebend_ledger.holder import HolderState, close_cleanly, plan, widen
+
+logger = getLogger(__name__)
+
+PREPARE_INTERVAL_S = 5.0
+"""Restarts of sidecars in this time are taken in together."""
+
+
+class Succession:
+    """Writes for the holders to the shards; ``seen`` are witnesses in reach."""
+
+    def __init__(self, holders: Holders, shards: Shards, now: float) -> None:
+        self.holders = holders
+        self.shards = shards
+        self.seen = WitnessesSeen((), ())
+        self.prepared_at = now
+        self.is_stopping = False
+
+    def widen(self) -> None:
+        """Ask for the witnesses that are not in the holders' scopes."""
+        for stream, shard in self.shards.by_stream.items():
+            for holder in (self.holders.current, self.holders.successor):
+                if holder is not None:
+                    _, records = widen(holder, *self.seen, stream)
+                    self.shards.post(shard, records)
+
+    def go_over_if_due(self) -> bool:
+        """Go on as another holder if this one is closed or the next is ready."""
+        is_prepared = self.holders.is_prepared(self.seen, self.shards.by_stream)
+        if self.is_stopping or not (self.holders.current.closed or is_prepared):
+            return False
+        old = self.holders.current.incarnation
+        for budget, records in self.holders.go_over().items():
+            self.shards.post(self.shards.of_budget(budget), records)
+        logger.info("holder %s ends, now %s", old, self.holders.current.incarnation)
+        self.widen()
+        return True
+
+    def prepare_if_due(self, now: float) -> None:
+        """Prepare another holder if a sidecar in scope was replaced."""
+        is_early = now - self.prepared_at < PREPARE_INTERVAL_S
+        if is_early or self.is_stopping or self.holders.successor is not None:
+            return
+        if self.holders.is_outdated(self.seen, self.shards.by_stream):
+            self.prepared_at = now
+            self.holders.prepare()
+            self.widen()
+
+    def append_planned(self, now: float) -> None:
+        """Append what the holders plan; earlier ones end when nothing is left."""
+        delay = self.shards.delay
+        self.holders.current, records = plan(self.holders.current, now, delay)
+        self.shards.post_by_budget(records)
+        for index, holder in enumerate(self.holders.retired):
+            self.holders.retired[index], records = plan(holder, now, delay)
+            self.shards.post_by_budget(records)
+        for holder in self.holders.take_spent():
+            self.close_spent(holder)
+
+    def close_spent(self, holder: HolderState) -> None:
+        """Vouch that nothing of a holder is left."""
+        _, records = close_cleanly(holder)
+        for shard in self.shards.by_stream.values():
+            self.shards.post(shard, records)
+
+    def end(self) -> bool:
+        """End all holders in a planned stop; false if something is in flight."""
+        self.is_stopping = True
+        if not self.holders.is_settled:
+            return False
+        for holder in self.holders.all():
+            self.close_spent(holder)
+        return True
--- a/libs/entry/src/clementinebend_entry/top_ups.py
+++ b/libs/entry/src/clementinebend_entry/top_ups.py
@@ -7,18 +7,18 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from clementinebend_membership.rendezvous import rendezvous
-
 from clementinebend_declarations.models import Declarations
 from clementinebend_entry.metrics import TOP_UPS_REPOSTED
 from clementinebend_entry.shards import Shards
 from clementinebend_ledger.replay import LedgerState
+from clementinebend_membership.rendezvous import rendezvous
 from clementinebend_records.records import TopUp
 
 FIRST_DELAY_S = 2.0
 """How long the operator's command has before an entry posts."""
 
 STAGGER_S = 3.0
+LOOK_INTERVAL_S = 0.5
 
 
 class TopUpWatch(NamedTuple):
@@ -79,6 +79,7 @@
         self.declarations = Declarations()
         self.entries: tuple[str, ...] = ()
         self.watch = empty_watch()
+        self.next_look = 0.0
 
     def missing(self, budget: str) -> tuple[TopUp, ...]:
         """Return the declared top-ups of a budget that are not applied."""
@@ -86,7 +87,10 @@
         return missing_top_ups(self.declarations, budget, state)
 
     def post_due(self, now: float) -> None:
-        """Post what the ledger still does not have."""
+        """Post what the ledger still does not have; looks about once a second."""
+        if now < self.next_look:
+            return
+        self.next_look = now + LOOK_INTERVAL_S
         missing = [
             top_up
             for budget in self.declarations.budgets
--- a/tests/functional/test_entry_process.py
+++ b/tests/functional/test_entry_process.py
@@ -6,12 +6,13 @@
 from json import dumps
 from pathlib import Path
 
-from clementinebend_ledger.outcomes import Billed
+from clementinebend_ledger.outcomes import Billed, TransferApplied
 from clementinebend_ledger.replay import BudgetSummary, budget_summary
+from clementinebend_records.identifiers import name_of
 from clementinebend_records.records import Bill, ClaimOutcome
 from clementinebend_standins.models.text import expected_text, prompt_tokens
 from clementinebend_transport.http_client import OpenAnswer
-from tests.lib.cluster_files import BUDGET, PLAIN_COST, TEAM_KEY, Plan
+from tests.lib.cluster_files import BUDGET, PLAIN_COST, TEAM_KEY, Plan, host_list
 from tests.lib.clusters import CHAT_PATH, Cluster, chat, running_cluster
 from tests.lib.http_calls import read_events
 from tests.lib.log_readers import read_batches
@@ -51,6 +52,16 @@
     return await summary(cluster)
 
 
+async def until_closed(cluster: Cluster, entry: str, count: int = 1) -> None:
+    """Wait until holders of ``entry`` are closed and released."""
+
+    async def closed() -> bool:
+        released = (await cluster.ledger()).state.released
+        return [name_of(holder) for holder in released].count(entry) >= count
+
+    await wait_until(closed, f"holders of {entry} are released")
+
+
 async def until_recorded(cluster: Cluster) -> None:
     async def recorded() -> bool:
         read = await read_batches(cluster.client, cluster.url("log"), CLAIMS)
@@ -190,7 +201,8 @@
                 await cluster.caller(f"{name}-endpoint").get("/load")
                 for name in ("engine-1", "engine-2")
             ]
-            return sum(each["running"] for each in load) == len(asked)
+            total: int = sum(each["running"] for each in load)
+            return total == len(asked)
 
         await wait_until(running, "all requests run")
         entry = cluster.running["entry-1"]
@@ -243,3 +255,55 @@
         refused = await cluster.ask("entry-1", chat(QUESTION, 5), {})
         assert refused.status == 503
         assert refused.json()["error"]["reason"] == "not_ready"
+
+
+async def test_entries_on_one_side_of_a_cut_lend_to_each_other(tmp_path: Path) -> None:
+    plan = Plan(zones=ONE_ZONE, engines=1)
+    async with running_cluster(tmp_path, plan) as cluster:
+        asked = chat(QUESTION, 5, stream=False)
+        await gather(*(cluster.ask("entry-1", asked, {}) for _ in range(20)))
+        await until_bills(cluster, 20)
+        await cluster.caller("log").set_faults(outage=True)
+        served = await cluster.ask("entry-2", asked, {})
+        assert served.status == 200, served
+        await cluster.caller("log").set_faults(outage=False)
+        assert len(await until_bills(cluster, 21)) == 21
+        outcomes = (await cluster.ledger()).outcomes
+        assert any(isinstance(outcome, TransferApplied) for outcome in outcomes)
+
+
+async def test_an_entry_that_never_returns_is_closed_by_the_others(
+    tmp_path: Path,
+) -> None:
+    async with running_cluster(tmp_path) as cluster:
+        asked = chat(QUESTION, 5, stream=False)
+        assert (await cluster.ask("entry-1", asked, {})).status == 200
+        await until_bills(cluster, 1)
+        cluster.processes.kill(cluster.running["entry-1"])
+        places = tuple(cluster.endpoints.values())
+        listed = host_list((cluster.entries["entry-2"],), places)
+        await cluster.caller("hosts").call("PUT", "/hosts", listed)
+        await until_closed(cluster, "entry-1")
+        await cluster.processes.terminate(cluster.running["entry-2"])
+        freed = await until_free(cluster)
+        assert freed.held == 0
+
+
+async def test_a_sidecars_restart_leaves_nothing_held_when_an_entry_dies(
+    tmp_path: Path,
+) -> None:
+    async with running_cluster(tmp_path, Plan(entries=1, engines=1)) as cluster:
+        asked = chat(QUESTION, 5, stream=False)
+        assert (await cluster.ask("entry-1", asked, {})).status == 200
+        await until_bills(cluster, 1)
+        cluster.processes.kill(cluster.running["engine-1"])
+        await cluster.start_sidecar("engine-1")
+        await until_closed(cluster, "entry-1")
+        assert (await cluster.ask("entry-1", asked, {})).status == 200
+        await until_bills(cluster, 2)
+        cluster.processes.kill(cluster.running["entry-1"])
+        await cluster.start_entry("entry-1")
+        await until_closed(cluster, "entry-1", 2)
+        assert await cluster.processes.terminate(cluster.running["entry-1"]) == 0
+        freed = await until_free(cluster)
+        assert (freed.held, freed.shortfall) == (0, 0)
