Measure the path of a request beside a bare relay

Cause: no run said what entry and sidecar cost beside a plain relay. Ruled out: driving each program to its limit; processor seconds per token and request say the same with less time.

--- a/libs/bench/src/clementinebend_bench/experiments/registry.py
+++ b/libs/bench/src/clementinebend_bench/experiments/registry.py
@@ -2,14 +2,16 @@
 
 from collections.abc import Callable
 
-from clementinebend_bench.experiments import fairness, retries, routing
+from clementinebend_bench.experiments import budgets, fairness, path, retries, routing
 from clementinebend_bench.rows import Row
 
 Experiment = Callable[[int], tuple[Row, ...]]
 
 EXPERIMENTS: dict[str, Experiment] = {
+    "budgets": budgets.run,
     "routing": routing.run,
     "retries": retries.run,
     "fairness": fairness.run,
+    "path": path.run,
 }
 """To add one: a module with ``run(seed) -> tuple[Row, ...]``, and a line here."""
--- /dev/null
+++ b/libs/bench/src/clementinebend_bench/launcher/__init__.py
@@ -0,0 +1,1 @@
+"""Starts the real programs on loopback, for tools and functional tests."""
--- /dev/null
+++ b/libs/bench/src/clementinebend_bench/launcher/figures.py
@@ -0,0 +1,28 @@
+"""What the kernel tells of a process.
+
+Source: proc(5). ``schedstat`` counts the same time as ``stat``, in
+nanoseconds instead of clock ticks.
+"""
+
+from pathlib import Path
+from resource import getpagesize
+
+NANOSECONDS = 1e9
+PROC = Path("/proc")
+RESIDENT_FIELD = 1
+
+
+def cpu_seconds(pid: int) -> float:
+    """Return the processor time that a process has used in all its threads."""
+    threads = (PROC / str(pid) / "task").iterdir()
+    return sum(_thread_seconds(thread) for thread in threads)
+
+
+def resident_bytes(pid: int) -> int:
+    """Return the memory of a process that is in use now."""
+    fields = (PROC / str(pid) / "statm").read_text().split()
+    return int(fields[RESIDENT_FIELD]) * getpagesize()
+
+
+def _thread_seconds(thread: Path) -> float:
+    return int((thread / "schedstat").read_text().split()[0]) / NANOSECONDS
--- /dev/null
+++ b/libs/bench/src/clementinebend_bench/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Small programs that experiments start beside the fleet."""
