--- a/tests/unit/platform_client/test_writer_core.py
+++ b/tests/unit/platform_client/test_writer_core.py
@@ -15,6 +15,7 @@
     Acknowledged,
     Append,
     AppendFailed,
+    Closing,
     Posted,
     ReadBack,
     Refuse,
@@ -192,3 +193,22 @@
     assert writer.tell(AppendFailed(1, LOST), 1.0) == []
     assert writer.state.failing_since is None
     assert wake_at(writer.state) is None
+
+
+def test_the_queue_has_room_again_once_batches_are_read_back() -> None:
+    writer = Driver(SETTINGS._replace(queue_bytes=100))
+    for sequence in range(1, 20):
+        (effect,) = writer.post(100.0 * sequence)
+        assert isinstance(effect, Append)
+        writer.done(sequence, 100.0 * sequence)
+
+
+def test_closing_sends_without_waiting_for_company() -> None:
+    writer = Driver(SETTINGS._replace(batch_bytes=1))
+    writer.post(0.0)
+    writer.post(0.0)
+    writer.post(0.0)
+    writer.tell(Closing(), 0.0)
+    for sequence in (1, 2):
+        (_, sent) = writer.done(sequence, 0.0)
+        assert records_of(sent) == 1
