--- a/libs/entry/src/clementinebend_entry/answer_output.py
+++ b/libs/entry/src/clementinebend_entry/answer_output.py
@@ -1,6 +1,7 @@
 """Puts an answer together and passes on what the caller may have already."""
 
 from asyncio import Queue
+from collections.abc import Callable
 
 from clementinebend_entry.answer_state import (
     FIRST_ERROR_STATUS,
@@ -13,10 +14,15 @@
     take_head,
     tell_again,
 )
+from clementinebend_entry.outcomes import Trouble
 from clementinebend_entry.pieces import Begun, Part, Piece, Whole
 from clementinebend_records.messages import RunChunk, RunEnd, RunHead
 
 
+def _nothing() -> None:
+    """Do nothing."""
+
+
 class AnswerOutput:
     """One answer on its way; ``broken`` says why it cannot be completed."""
 
@@ -25,6 +31,8 @@
         self.pieces: Queue[Piece] = Queue()
         self.broken = ""
         self.is_announced = False
+        self.is_finished = False
+        self.on_finish: Callable[[], None] = _nothing
 
     @property
     def has_begun(self) -> bool:
@@ -49,7 +57,7 @@
             self.note(result)
         elif result.data:
             self.announce()
-            self.pieces.put_nowait(Part(result.data))
+            self.put(Part(result.data))
 
     def end(self, end: RunEnd) -> None:
         """Check that the answer is whole."""
@@ -60,15 +68,25 @@
     def release(self) -> None:
         """Let the caller have what was held back: the end of the answer."""
         answer = self.answer
-        whole = Whole(answer.status, answer.content_type, last_part(answer))
-        self.pieces.put_nowait(whole)
+        self.finish(Whole(answer.status, answer.content_type, last_part(answer)))
+
+    def finish(self, piece: Whole | Trouble) -> None:
+        """Tell the caller the outcome; what comes after the first is dropped."""
+        self.put(piece)
+        self.is_finished = True
+        self.on_finish()
+
+    def put(self, piece: Piece) -> None:
+        """Hand a piece to the one who answers the caller."""
+        if not self.is_finished:
+            self.pieces.put_nowait(piece)
 
     def announce(self) -> None:
         """Let the caller have the head of a streamed answer, once."""
         answer = self.answer
         if not self.is_announced and answer.status < FIRST_ERROR_STATUS:
             self.is_announced = True
-            self.pieces.put_nowait(Begun(answer.status, answer.content_type))
+            self.put(Begun(answer.status, answer.content_type))
 
     def note(self, broken: Broken | None) -> None:
         """Remember why the answer cannot be completed."""
--- a/libs/entry/src/clementinebend_entry/answer_state.py
+++ b/libs/entry/src/clementinebend_entry/answer_state.py
@@ -123,6 +123,8 @@
 
 def _matching(answer: AnswerState, data: bytes) -> int:
     """Return how many leading bytes of ``data`` are in the body already."""
+    if answer.position == len(answer.body):
+        return 0
     known = answer.body[answer.position : answer.position + len(data)]
     if known == data[: len(known)]:
         return len(known)
--- a/libs/entry/src/clementinebend_entry/execution.py
+++ b/libs/entry/src/clementinebend_entry/execution.py
@@ -298,7 +298,7 @@
         """Hand the outcome to the one who answers the caller."""
         if isinstance(outcome, Refusal):
             outcome = self.claim.honest(outcome)
-        self.output.pieces.put_nowait(outcome)
+        self.output.finish(outcome)
 
     def withdraw(self) -> None:
         """Free the reservation of a run that did not take place."""
--- a/libs/entry/src/clementinebend_entry/following.py
+++ b/libs/entry/src/clementinebend_entry/following.py
@@ -7,7 +7,7 @@
 """
 
 from asyncio import Queue, timeout
-from functools import singledispatchmethod
+from functools import singledispatch
 from time import monotonic
 from typing import Any
 
@@ -26,7 +26,6 @@
 from clementinebend_entry.sidecar_link import SidecarLink
 from clementinebend_records.identifiers import Incarnation, RunId
 from clementinebend_records.messages import (
-    RunAccepted,
     RunAttach,
     RunChunk,
     RunEnd,
@@ -87,7 +86,7 @@
         """Take messages until one of them ends the run."""
         while True:
             event = await events.get()
-            result = self.take(event)
+            result = take(event, self.output)
             if isinstance(event, LinkLost):
                 result = await self.reopen(patience)
             if result is not None:
@@ -116,38 +115,40 @@
             opening = opening._replace(deadline_ms=left)
         self.link.post(opening)
 
-    @singledispatchmethod
-    def take(self, event: Any) -> RunResult | None:
-        """Take one event; return the result if it ends the run."""
-        return None
 
-    @take.register
-    def _(self, event: RunAccepted) -> RunResult | None:
-        return None
+@singledispatch
+def take(event: Any, output: AnswerOutput) -> RunResult | None:
+    """Take one event of a run; return the result if it ends the run."""
+    return None
 
-    @take.register
-    def _(self, event: RunHead) -> RunResult | None:
-        self.output.head(event)
-        return None
 
-    @take.register
-    def _(self, event: RunChunk) -> RunResult | None:
-        self.output.chunk(event)
-        return None
+@take.register
+def _(event: RunHead, output: AnswerOutput) -> RunResult | None:
+    output.head(event)
+    return None
+
+
+@take.register
+def _(event: RunChunk, output: AnswerOutput) -> RunResult | None:
+    output.chunk(event)
+    return None
+
+
+@take.register
+def _(event: RunEnd, output: AnswerOutput) -> RunResult | None:
+    output.end(event)
+    return RunWhole(event.receipt)
+
+
+@take.register
+def _(event: RunFailed, output: AnswerOutput) -> RunResult | None:
+    if event.receipt is None:
+        return RunUncertain(event.message)
+    return RunBroke(event.message, event.receipt)
+
 
-    @take.register
-    def _(self, event: RunEnd) -> RunResult | None:
-        self.output.end(event)
-        return RunWhole(event.receipt)
-
-    @take.register
-    def _(self, event: RunFailed) -> RunResult | None:
-        if event.receipt is None:
-            return RunUncertain(event.message)
-        return RunBroke(event.message, event.receipt)
-
-    @take.register
-    def _(self, event: RunRefused) -> RunResult | None:
-        known = set(NotRun)
-        reason = NotRun(event.reason) if event.reason in known else UNKNOWN_REASON
-        return RunNotRun(reason, event.retry_after_ms)
+@take.register
+def _(event: RunRefused, output: AnswerOutput) -> RunResult | None:
+    known = set(NotRun)
+    reason = NotRun(event.reason) if event.reason in known else UNKNOWN_REASON
+    return RunNotRun(reason, event.retry_after_ms)
--- a/libs/entry/src/clementinebend_entry/held_stream.py
+++ b/libs/entry/src/clementinebend_entry/held_stream.py
@@ -35,5 +35,8 @@
     """
     if FIRST_MARKER.startswith(body):
         return len(body)
-    sizes = range(min(len(body), len(MARKER) - 1), 1, -1)
-    return next((size - 1 for size in sizes if body.endswith(MARKER[:size])), 0)
+    newline = body.rfind(MARKER[:1], max(0, len(body) - len(MARKER)))
+    tail = body[newline:]
+    if newline == NOT_FOUND or not MARKER.startswith(tail):
+        return 0
+    return len(tail) - 1
--- a/libs/entry/src/clementinebend_entry/message_link.py
+++ b/libs/entry/src/clementinebend_entry/message_link.py
@@ -1,7 +1,8 @@
 """A connection to another process, kept up; it owns its socket."""
 
-from asyncio import Event, sleep, timeout
+from asyncio import Event, Timeout, get_running_loop, sleep, timeout
 from collections.abc import Callable
+from logging import getLogger
 
 from expression import Result
 
@@ -11,6 +12,10 @@
 
 CONNECT_TIMEOUT_S = 2.0
 HELLO_TIMEOUT_S = 5.0
+TIMER_SLACK = 0.2
+"""Share of the silence allowed by which it may be cut short."""
+
+logger = getLogger(__name__)
 
 MakeHello = Callable[[], Hello]
 
@@ -78,16 +83,28 @@
     async def receive_all(self) -> None:
         """Take messages until the connection ends."""
         stream = self.stream
-        while stream is not None:
-            try:
-                async with timeout(self.silence):
-                    message = await stream.receive()
-            except TimeoutError:
-                message = None
-            if message is None:
-                await stream.close()
-                return
-            self.take(message)
+        if stream is None:
+            return
+        try:
+            async with timeout(self.silence) as limit:
+                while (message := await stream.receive()) is not None:
+                    self.extend(limit)
+                    self.take(message)
+        except TimeoutError:
+            logger.warning("%s is silent, its connection is given up", self.name)
+        await stream.close()
+
+    def extend(self, limit: Timeout) -> None:
+        """Let the connection be silent again for its whole time.
+
+        The timer is moved seldom, since messages may be many.
+        """
+        end = limit.when()
+        if end is None or self.silence is None:
+            return
+        wanted = get_running_loop().time() + self.silence
+        if wanted - end > self.silence * TIMER_SLACK:
+            limit.reschedule(wanted)
 
     def greeted(self, hello: Hello) -> None:
         """Take the other side's ``Hello``."""
--- a/libs/entry/src/clementinebend_entry/responder.py
+++ b/libs/entry/src/clementinebend_entry/responder.py
@@ -4,7 +4,7 @@
 waited for: what was not dispatched is withdrawn, what was is billed.
 """
 
-from asyncio import timeout_at
+from asyncio import get_running_loop
 from collections.abc import AsyncIterator, Callable
 
 from clementinebend_entry.answers import answer_of, last_event
@@ -18,7 +18,7 @@
     Trouble,
     Unknown,
 )
-from clementinebend_entry.pieces import Begun, Part, Piece, Whole
+from clementinebend_entry.pieces import Begun, Part, Whole
 from clementinebend_records.reasons import NotRun, Outcome
 from clementinebend_transport.http_server import Response
 
@@ -29,8 +29,11 @@
 
 async def respond(execution: Execution, on_end: OnEnd) -> Response:
     """Return the answer to a call; ``on_end`` is told when it has ended."""
+    loop = get_running_loop()
+    timer = loop.call_at(execution.call.deadline, expire, execution)
+    execution.output.on_finish = timer.cancel
     try:
-        piece = await next_piece(execution)
+        piece = await execution.output.pieces.get()
     except BaseException:
         leave(execution)
         on_end()
@@ -54,7 +57,7 @@
     is_ended = False
     try:
         while not is_ended:
-            piece = await next_piece(execution)
+            piece = await execution.output.pieces.get()
             is_ended = not isinstance(piece, Begun | Part)
             if isinstance(piece, Part):
                 yield piece.data
@@ -71,24 +74,15 @@
         on_end()
 
 
-async def next_piece(execution: Execution) -> Piece:
-    """Return the next piece, or what is to be said at the deadline."""
-    try:
-        async with timeout_at(execution.call.deadline):
-            return await execution.output.pieces.get()
-    except TimeoutError:
-        return at_deadline(execution)
-
-
-def at_deadline(execution: Execution) -> Piece:
-    """Return the outcome of a call whose deadline has passed."""
-    pieces = execution.output.pieces
-    if not pieces.empty():
-        return pieces.get_nowait()
+def expire(execution: Execution) -> None:
+    """Tell the caller at its deadline what is known, unless all was told."""
+    if execution.output.is_finished:
+        return
     execution.abandon()
     if execution.dispatched:
-        return Unknown("the deadline passed while the request ran")
-    return Refusal(NotRun.DEADLINE, DEADLINE_RETRY_MS)
+        execution.tell(Unknown("the deadline passed while the request ran"))
+    else:
+        execution.tell(Refusal(NotRun.DEADLINE, DEADLINE_RETRY_MS))
 
 
 def leave(execution: Execution) -> None:
