Start nothing overdue when capacity grows

Cause: set_capacity took the time of the last event, so it could start a request whose deadline had passed since. The caller can now hand in the time; a test pins it.

--- a/libs/admission/src/clementinebend_admission/queue.py
+++ b/libs/admission/src/clementinebend_admission/queue.py
@@ -167,11 +167,19 @@
 
 
 def set_capacity(
-    state: AdmissionState, slots: int, tokens: int | None = None
+    state: AdmissionState,
+    slots: int,
+    tokens: int | None = None,
+    now: float | None = None,
 ) -> tuple[AdmissionState, tuple[Admitted, ...]]:
-    """Change what may run at one time; more of it starts waiting requests."""
-    state = state._replace(capacity=Capacity(slots, tokens))
-    return _start_waiting(state, state.clock)
+    """Change what may run at one time; more of it starts waiting requests.
+
+    Without ``now`` the time of the last event is taken, and requests that
+    became overdue since then may start.
+    """
+    clock = state.clock if now is None else now
+    state = state._replace(capacity=Capacity(slots, tokens), clock=clock)
+    return _start_waiting(state, clock)
 
 
 def waiting_count(state: AdmissionState) -> int:
--- a/tests/unit/admission/test_queue.py
+++ b/tests/unit/admission/test_queue.py
@@ -83,6 +83,15 @@
     assert started == (Admitted("c"),)
 
 
+def test_more_capacity_starts_nothing_overdue() -> None:
+    state = empty_admission(slots=1)
+    state, _ = arrive(state, arrival("a"), 0.0)
+    state, _ = arrive(state, arrival("late", deadline=2.0), 0.0)
+    state, started = set_capacity(state, 2, now=2.0)
+    assert started == ()
+    assert [one.request for one in expire(state, 2.0)[1]] == ["late"]
+
+
 def test_an_idle_team_saves_up_no_service() -> None:
     state = empty_admission(slots=1)
     state, _ = arrive(state, arrival("idle0", "idle"), 0.0)
--- a/tests/unit/admission/test_stateful_queue.py
+++ b/tests/unit/admission/test_stateful_queue.py
@@ -93,7 +93,7 @@
     @rule(slots=st.integers(0, 4))
     def change_capacity(self, slots: int) -> None:
         self.slots = slots
-        self.state, admitted = set_capacity(self.state, slots, TOKENS)
+        self.state, admitted = set_capacity(self.state, slots, TOKENS, self.now)
         self.note_admitted(admitted)
 
     @rule(seconds=st.floats(0.01, 5))
--- a/tests/unit/routing/test_choice.py
+++ b/tests/unit/routing/test_choice.py
@@ -107,6 +107,25 @@
     assert isinstance(later, Choice)
 
 
+def test_an_ejected_endpoint_is_not_chosen_however_loaded_the_others_are() -> None:
+    state = router("a", "a", "a")
+    for number in range(4):
+        state = on_dispatch(state, "e0", f"r{number}", LATE)
+        state = on_finish(state, "e0", f"r{number}", False, 0.1, LATE)
+    for name, running in (("e0", 0), ("e1", 1_000), ("e2", 1_000)):
+        state = on_load_report(state, report(name, running), LATE)
+    assert chosen(state) in ("e1", "e2")
+    only = WANTED._replace(exclude=frozenset({"e1", "e2"}))
+    assert chosen(state, only) == "e0"
+
+
+def test_an_older_report_changes_nothing() -> None:
+    state = router("a", "a")
+    state = on_load_report(state, report("e0", 0, sequence=2, leaving=True), LATE)
+    state = on_load_report(state, report("e0", 0, sequence=1), LATE)
+    assert chosen(state, WANTED._replace(exclude=frozenset({"e1"}))) is None
+
+
 def test_the_same_seed_gives_the_same_choices() -> None:
     def choices() -> list[Choice | NoChoice]:
         state = router(*"abcabc")
--- a/tests/unit/routing/test_stateful_choice.py
+++ b/tests/unit/routing/test_stateful_choice.py
@@ -30,8 +30,8 @@
 from clementinebend_routing.outliers import is_ejected
 
 FUZZ = environ.get("CLEMENTINEBEND_FUZZ") == "1"
-NAMES = ("e0", "e1", "e2", "e3", "e4", "e5")
-MOST_EJECTED = 2
+NAMES = ("e0", "e1", "e2", "e3")
+MOST_EJECTED = 1
 BLOCKS = tuple(f"b{number}" for number in range(6))
 
 names = st.sampled_from(NAMES)
@@ -101,7 +101,7 @@
         )
         self.state = on_load_report(self.state, report, self.now)
 
-    @rule(exclude=st.frozensets(names, max_size=6), wanted_blocks=blocks)
+    @rule(exclude=st.frozensets(names, max_size=4), wanted_blocks=blocks)
     def choose(self, exclude: frozenset[str], wanted_blocks: tuple[str, ...]) -> None:
         wanted = Wanted("shared", "m", "a", wanted_blocks, 100, exclude)
         self.state, outcome = choose(self.state, wanted, self.now)
@@ -128,7 +128,11 @@
             self.state, choice.endpoint, run, self.now, choice.uncached
         )
 
-    @rule(data=st.data(), ok=st.booleans(), latency=st.floats(0.01, 5))
+    @rule(
+        data=st.data(),
+        ok=st.sampled_from([False, False, True]),
+        latency=st.floats(0.01, 5),
+    )
     def finish(self, data: Any, ok: bool, latency: float) -> None:
         if not self.own:
             return
