Tell how entries stand against the newest revision on the log

Cause: status compared entries with one another only, and had no age. After: it reads the newest revision and its time from the log, and still asks the entries when the log is silent. Ruled out: an age kept by each entry, which would tell the time of its reading.

--- a/tests/unit/operator_cli/test_command_line.py
+++ b/tests/unit/operator_cli/test_command_line.py
@@ -12,11 +12,20 @@
 from clementinebend_operator_cli.cli.parser import COMMANDS, parse
 from clementinebend_operator_cli.commands.status import ask_entries
 from clementinebend_operator_cli.models.exit_codes import ExitCode
+from clementinebend_operator_cli.models.report import Report
 from clementinebend_operator_cli.utils.operators import SETTINGS_VARIABLE
+from clementinebend_records.streams import CONFIGURATION_STREAM
 from clementinebend_transport.http_server import Request, Response
 from tests.lib.fake_log import FakeLog
 from tests.lib.http_calls import serving
-from tests.unit.operator_cli.desk import operator_on, write_settings
+from tests.unit.declarations.samples import document, publication
+from tests.unit.operator_cli.desk import (
+    IMPATIENT,
+    configuration,
+    operator_on,
+    put,
+    write_settings,
+)
 
 EXAMPLES = Path(__file__).parents[3] / "examples"
 
@@ -164,7 +173,9 @@
 async def entry_answers(request: Request) -> Response:
     pages = {
         "/readyz": (200, b"ready"),
-        "/metrics": (200, b"clementinebend_entry_revision 7.0\n"),
+        "/metrics": (200, b"clementinebend_entry_revision 1.0\n"),
+        "/late/readyz": (200, b"ready"),
+        "/late/metrics": (200, b"clementinebend_entry_revision 0.0\n"),
         "/silly/readyz": (503, b"no log"),
         "/silly/metrics": (200, b"\xff no metrics {{{"),
     }
@@ -172,14 +183,37 @@
     return Response(status, (), body)
 
 
-async def test_status_tells_entries_that_are_not_ready_or_gone() -> None:
-    async with serving(entry_answers) as entry, operator_on(FakeLog()) as operator:
-        urls = (entry.url, f"{entry.url}/silly", "http://127.0.0.1:1")
-        settings = operator.settings._replace(entries=urls)
+async def test_status_tells_entries_that_are_late_not_ready_or_gone() -> None:
+    log = FakeLog()
+    put(log, CONFIGURATION_STREAM, publication(configuration(log), document()))
+    async with serving(entry_answers) as entry, operator_on(log) as operator:
+
+        async def ask(*urls: str) -> Report:
+            settings = operator.settings._replace(entries=urls)
+            return (await ask_entries(operator._replace(settings=settings))).ok
+
+        late_url, silly_url = f"{entry.url}/late", f"{entry.url}/silly"
+        fine = await ask(entry.url)
+        late = await ask(late_url)
+        all_kinds = await ask(entry.url, late_url, silly_url, "http://127.0.0.1:1")
+    entries = all_kinds.data["entries"]
+    seen = [(status["ready"], status["revision"]) for status in entries]
+    assert seen == [(True, 1), (True, 0), (False, None), (False, None)]
+    assert entries[2]["message"] == "no log"
+    assert entries[0]["age_s"] is not None and entries[1]["age_s"] is None
+    assert all_kinds.code is late.code is ExitCode.FAILURE
+    assert fine.code is ExitCode.OK
+
+
+async def test_status_without_a_log_still_asks_the_entries() -> None:
+    log = FakeLog()
+    await log.set(outage=True)
+    async with (
+        serving(entry_answers) as entry,
+        operator_on(log, patience=IMPATIENT) as operator,
+    ):
+        settings = operator.settings._replace(entries=(entry.url,))
         report = (await ask_entries(operator._replace(settings=settings))).ok
-        alone = operator.settings._replace(entries=urls[:1])
-        fine = (await ask_entries(operator._replace(settings=alone))).ok
-    seen = [(status["ready"], status["revision"]) for status in report.data]
-    assert seen == [(True, 7), (False, None), (False, None)]
-    assert report.data[1]["message"] == "no log"
-    assert (report.code, fine.code) == (ExitCode.FAILURE, ExitCode.OK)
+    assert report.code is ExitCode.FAILURE
+    assert "could not be read" in report.lines[0]
+    assert report.data["entries"][0]["revision"] == 1
