--- a/libs/declarations/src/clementinebend_declarations/documents.py
+++ b/libs/declarations/src/clementinebend_declarations/documents.py
@@ -1,13 +1,8 @@
-"""Documents as operators write them: loading YAML files, and checking.
-
-A directory's files are merged: a name stands in one file only, routing rules
-follow one another in the order of file names.
-"""
+"""Documents as operators write them: loading YAML files, and checking."""
 
 from collections.abc import Iterable, Mapping
-from functools import reduce
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any
 
 from expression import Error, Ok, Result
 
@@ -18,6 +13,11 @@
     document_digest,
 )
 from clementinebend_declarations.exceptions import DeclarationError
+from clementinebend_declarations.merging import (
+    LoadedDocument,
+    file_of,
+    merge_documents,
+)
 from clementinebend_declarations.models import Declarations
 from clementinebend_declarations.plain import MAX_DEPTH, is_plain
 from clementinebend_declarations.schemas import Errors, read_changed, read_declarations
@@ -38,13 +38,6 @@
 Paths = str | Path | Iterable[str | Path]
 
 
-class LoadedDocument(NamedTuple):
-    """A merged document, and the file in which each part of it stands."""
-
-    document: dict[str, Any]
-    files: dict[tuple[str, ...], str]
-
-
 def load_document(paths: Paths) -> Result[dict[str, Any], DeclarationError]:
     """Return the document in a YAML file, or in a directory of them.
 
@@ -71,7 +64,7 @@
     if errors:
         return Error(tuple(errors))
     documents = [(file, result.ok) for file, result in results]
-    return _merge(documents)
+    return merge_documents(documents)
 
 
 def check_document(document: Mapping[str, Any]) -> Result[Declarations, Errors]:
@@ -106,12 +99,7 @@
 
 def locate(errors: Errors, files: Mapping[tuple[str, ...], str]) -> Errors:
     """Return errors with the file in which the faulty part stands."""
-    return tuple(error._replace(file=_file_of(error.path, files)) for error in errors)
-
-
-def _file_of(path: tuple[str, ...], files: Mapping[tuple[str, ...], str]) -> str:
-    prefixes = (path[:length] for length in range(len(path), -1, -1))
-    return next((files[prefix] for prefix in prefixes if prefix in files), "")
+    return tuple(error._replace(file=file_of(error.path, files)) for error in errors)
 
 
 def _yaml_files(paths: Paths) -> list[Path]:
@@ -119,67 +107,3 @@
         path = Path(paths)
         return sorted(path.glob("*.yaml")) if path.is_dir() else [path]
     return [file for path in paths for file in _yaml_files(path)]
-
-
-def _merge(
-    documents: Iterable[tuple[str, dict[str, Any]]],
-) -> Result[LoadedDocument, Errors]:
-    merged = LoadedDocument({}, {})
-    errors: list[DeclarationError] = []
-    for file, document in documents:
-        errors.extend(_conflicts(merged, file, document))
-        merged = _merge_one(merged, file, document)
-    return Error(tuple(errors)) if errors else Ok(merged)
-
-
-def _conflicts(
-    merged: LoadedDocument, file: str, document: dict[str, Any]
-) -> Iterable[DeclarationError]:
-    for section, value in document.items():
-        earlier = merged.document.get(section, value)
-        if isinstance(value, dict) and isinstance(earlier, dict):
-            names = [name for name in value if name in earlier and earlier is not value]
-            for name in names:
-                path = (section, name)
-                first = _file_of(path, merged.files)
-                problem = f"stands in {first} already"
-                yield DeclarationError(path, problem, "each name once", file)
-        elif type(value) is not type(earlier) or _differ(value, earlier):
-            first = _file_of((section,), merged.files)
-            problem = f"differs from the one in {first}"
-            yield DeclarationError((section,), problem, "one value or kind", file)
-
-
-def _differ(value: Any, earlier: Any) -> bool:
-    return not isinstance(value, list) and bool(value != earlier)
-
-
-def _merge_one(
-    merged: LoadedDocument, file: str, document: dict[str, Any]
-) -> LoadedDocument:
-    return reduce(
-        lambda so_far, section: _merge_section(so_far, file, section, document),
-        document,
-        merged,
-    )
-
-
-def _merge_section(
-    merged: LoadedDocument, file: str, section: str, document: dict[str, Any]
-) -> LoadedDocument:
-    value = document[section]
-    earlier = merged.document.get(section)
-    files = {(section,): file} | merged.files
-    if isinstance(value, dict):
-        files |= {(section, name): file for name in value}
-        known = earlier if isinstance(earlier, dict) else {}
-        return LoadedDocument(merged.document | {section: known | value}, files)
-    if isinstance(value, list):
-        known_items = earlier if isinstance(earlier, list) else []
-        start = len(known_items)
-        places = range(start, start + len(value))
-        files |= {(section, str(index)): file for index in places}
-        return LoadedDocument(
-            merged.document | {section: [*known_items, *value]}, files
-        )
-    return LoadedDocument(merged.document | {section: value}, files)
--- /dev/null
+++ b/libs/declarations/src/clementinebend_declarations/merging.py
@@ -0,0 +1,92 @@
+"""Merging the documents of several files into one.
+
+A name stands in one file only; routing rules follow one another in the order
+of file names.
+"""
+
+from collections.abc import Iterable, Mapping
+from functools import reduce
+from typing import Any, NamedTuple
+
+from expression import Error, Ok, Result
+
+from clementinebend_declarations.exceptions import DeclarationError
+from clementinebend_declarations.schemas import Errors
+
+
+class LoadedDocument(NamedTuple):
+    """A merged document, and the file in which each part of it stands."""
+
+    document: dict[str, Any]
+    files: dict[tuple[str, ...], str]
+
+
+def file_of(path: tuple[str, ...], files: Mapping[tuple[str, ...], str]) -> str:
+    """Return the file in which the part at a key path stands, if known."""
+    prefixes = (path[:length] for length in range(len(path), -1, -1))
+    return next((files[prefix] for prefix in prefixes if prefix in files), "")
+
+
+def merge_documents(
+    documents: Iterable[tuple[str, dict[str, Any]]],
+) -> Result[LoadedDocument, Errors]:
+    """Return the documents of some files as one, or all their conflicts."""
+    merged = LoadedDocument({}, {})
+    errors: list[DeclarationError] = []
+    for file, document in documents:
+        errors.extend(_conflicts(merged, file, document))
+        merged = _merge_one(merged, file, document)
+    return Error(tuple(errors)) if errors else Ok(merged)
+
+
+def _conflicts(
+    merged: LoadedDocument, file: str, document: dict[str, Any]
+) -> Iterable[DeclarationError]:
+    for section, value in document.items():
+        earlier = merged.document.get(section, value)
+        if isinstance(value, dict) and isinstance(earlier, dict):
+            names = [name for name in value if name in earlier and earlier is not value]
+            for name in names:
+                path = (section, name)
+                first = file_of(path, merged.files)
+                problem = f"stands in {first} already"
+                yield DeclarationError(path, problem, "each name once", file)
+        elif type(value) is not type(earlier) or _differ(value, earlier):
+            first = file_of((section,), merged.files)
+            problem = f"differs from the one in {first}"
+            yield DeclarationError((section,), problem, "one value or kind", file)
+
+
+def _differ(value: Any, earlier: Any) -> bool:
+    return not isinstance(value, list) and bool(value != earlier)
+
+
+def _merge_one(
+    merged: LoadedDocument, file: str, document: dict[str, Any]
+) -> LoadedDocument:
+    return reduce(
+        lambda so_far, section: _merge_section(so_far, file, section, document),
+        document,
+        merged,
+    )
+
+
+def _merge_section(
+    merged: LoadedDocument, file: str, section: str, document: dict[str, Any]
+) -> LoadedDocument:
+    value = document[section]
+    earlier = merged.document.get(section)
+    files = {(section,): file} | merged.files
+    if isinstance(value, dict):
+        files |= {(section, name): file for name in value}
+        known = earlier if isinstance(earlier, dict) else {}
+        return LoadedDocument(merged.document | {section: known | value}, files)
+    if isinstance(value, list):
+        known_items = earlier if isinstance(earlier, list) else []
+        start = len(known_items)
+        places = range(start, start + len(value))
+        files |= {(section, str(index)): file for index in places}
+        return LoadedDocument(
+            merged.document | {section: [*known_items, *value]}, files
+        )
+    return LoadedDocument(merged.document | {section: value}, files)
