--- /dev/null
+++ b/libs/routing/src/clementinebend_routing/hedging.py
@@ -0,0 +1,82 @@
+"""Hedging of idempotent look-ups: a second attempt for the slowest few.
+
+A look-up that has waited longer than 95 in 100 of the recent ones took may be
+sent to a second endpoint, and the first answer is used. Hedges are kept to a
+small share of the look-ups, so that they stop when everything is slow.
+Source: Dean and Barroso, "The Tail at Scale" (CACM, 2013).
+"""
+
+from math import ceil
+from typing import NamedTuple
+
+HEDGE_RATIO = 0.05
+"""Hedges allowed for each look-up."""
+
+HEDGE_BURST = 5.0
+"""Most hedges that a quiet time can save up."""
+
+WHOLE_HEDGE = 1 - 1e-9
+"""A whole hedge, less the rounding error of adding up ratios."""
+
+PERCENT = 95
+SAMPLES_KEPT = 400
+SAMPLES_NEEDED = 40
+"""Without so many latencies the percentile says too little."""
+
+SAMPLES_PER_UPDATE = 20
+"""Latencies after which the percentile is worked out anew."""
+
+
+class HedgingState(NamedTuple):
+    """Recent latencies in seconds, oldest first, and hedges left.
+
+    ``delay`` is the percentile of the latencies, ``None`` while too few are
+    known; ``added`` counts latencies since it was worked out.
+    """
+
+    ratio: float
+    balance: float
+    latencies: list[float]
+    added: int = 0
+    delay: float | None = None
+
+
+def empty_hedging(ratio: float = HEDGE_RATIO) -> HedgingState:
+    """Return hedging before the first look-up."""
+    return HedgingState(ratio, 0.0, [])
+
+
+def on_look_up(state: HedgingState, now: float) -> HedgingState:
+    """Count a look-up that is sent for the first time."""
+    return state._replace(balance=min(HEDGE_BURST, state.balance + state.ratio))
+
+
+def on_latency(state: HedgingState, latency: float, now: float) -> HedgingState:
+    """Take the latency of a look-up's answer, from its first attempt on."""
+    state.latencies.append(latency)
+    del state.latencies[:-SAMPLES_KEPT]
+    state = state._replace(added=state.added + 1)
+    if len(state.latencies) < SAMPLES_NEEDED:
+        return state
+    if state.delay is not None and state.added < SAMPLES_PER_UPDATE:
+        return state
+    return state._replace(added=0, delay=_percentile(state.latencies))
+
+
+def hedge_delay(state: HedgingState) -> float | None:
+    """Return after how long a look-up is slow, or ``None`` if that is unknown."""
+    return state.delay
+
+
+def may_hedge(
+    state: HedgingState, waited: float, now: float
+) -> tuple[HedgingState, bool]:
+    """Tell whether to hedge a look-up that has ``waited``; if so it is counted."""
+    if state.delay is None or waited < state.delay or state.balance < WHOLE_HEDGE:
+        return state, False
+    return state._replace(balance=state.balance - 1), True
+
+
+def _percentile(latencies: list[float]) -> float:
+    ordered = sorted(latencies)
+    return ordered[ceil(len(ordered) * PERCENT / 100) - 1]
--- /dev/null
+++ b/libs/routing/src/clementinebend_routing/placement.py
@@ -0,0 +1,177 @@
+"""Placement of models on endpoints, within the rate of the weight store.
+
+Greedy: the model with the most demand for each of its replicas gets the next
+one, on an endpoint with room, or in place of the model that needs its replica
+least. A move must be worth it by a margin, so that small changes of demand
+move nothing, and loads are paid from an allowance that grows at the store's
+rate. A model in demand never loses its last replica.
+"""
+
+from collections.abc import Iterable, Mapping
+from itertools import chain
+from typing import NamedTuple
+
+WORTHWHILE = 1.5
+"""A replica moves only for this many times the demand that it serves now."""
+
+BURST_SECONDS = 120.0
+"""Time's worth of the store's rate that can be saved up."""
+
+
+class ModelNeed(NamedTuple):
+    """Demand for a model in any one unit, and the size of its weights in bytes."""
+
+    model: str
+    demand: float
+    size: int
+
+
+class Room(NamedTuple):
+    """An endpoint that can hold ``places`` models; ones it is loading count too."""
+
+    endpoint: str
+    zone: str
+    places: int
+    models: tuple[str, ...]
+
+
+class LoadModel(NamedTuple):
+    """Effect: the endpoint's sidecar is to order the engine to load a model."""
+
+    endpoint: str
+    model: str
+
+
+class UnloadModel(NamedTuple):
+    """Effect: the endpoint's sidecar is to order the engine to unload a model."""
+
+    endpoint: str
+    model: str
+
+
+PlacementOrder = LoadModel | UnloadModel
+
+
+class PlacementState(NamedTuple):
+    """Bytes that may be fetched now, and the store's bytes in a second."""
+
+    rate: float
+    allowance: float
+    updated_at: float
+
+
+class Move(NamedTuple):
+    """A model's next replica, and the one it takes the place of."""
+
+    room: Room
+    model: str
+    replaced: str | None
+
+
+def empty_placement(rate: float, now: float) -> PlacementState:
+    """Return placement that may start with a burst's worth of loads."""
+    return PlacementState(rate, rate * BURST_SECONDS, now)
+
+
+def plan_placement(
+    state: PlacementState,
+    needs: Iterable[ModelNeed],
+    rooms: Iterable[Room],
+    now: float,
+) -> tuple[PlacementState, tuple[PlacementOrder, ...]]:
+    """Return the orders to give now; call again when they are carried out."""
+    state = _refill(state, now)
+    need_by_model = {need.model: need for need in needs if need.demand > 0}
+    room_by_name = {room.endpoint: room for room in rooms}
+    orders: list[PlacementOrder] = []
+    while (move := _best_move(need_by_model, room_by_name)) is not None:
+        size = need_by_model[move.model].size
+        if size > state.allowance:
+            break
+        state = state._replace(allowance=state.allowance - size)
+        room_by_name[move.room.endpoint] = _moved(move)
+        orders.extend(_orders(move))
+    return state, tuple(orders)
+
+
+def _refill(state: PlacementState, now: float) -> PlacementState:
+    earned = state.rate * max(0.0, now - state.updated_at)
+    allowance = min(state.rate * BURST_SECONDS, state.allowance + earned)
+    return state._replace(allowance=allowance, updated_at=now)
+
+
+def _best_move(
+    needs: Mapping[str, ModelNeed], rooms: Mapping[str, Room]
+) -> Move | None:
+    """Return the move for the neediest model that has one, if any is worth it."""
+    replicas = _replicas(rooms.values())
+    neediest = sorted(
+        needs.values(), key=lambda need: (-_need_of(need, replicas), need.model)
+    )
+    moves = (_move_for(need, needs, replicas, rooms) for need in neediest)
+    return next((move for move in moves if move is not None), None)
+
+
+def _replicas(rooms: Iterable[Room]) -> dict[str, int]:
+    counts: dict[str, int] = {}
+    for model in chain.from_iterable(room.models for room in rooms):
+        counts[model] = counts.get(model, 0) + 1
+    return counts
+
+
+def _need_of(need: ModelNeed, replicas: Mapping[str, int]) -> float:
+    """Return the demand for each replica, infinite without one."""
+    count = replicas.get(need.model, 0)
+    return need.demand / count if count else float("inf")
+
+
+def _move_for(
+    need: ModelNeed,
+    needs: Mapping[str, ModelNeed],
+    replicas: Mapping[str, int],
+    rooms: Mapping[str, Room],
+) -> Move | None:
+    without = [room for room in rooms.values() if need.model not in room.models]
+    free = [room for room in without if len(room.models) < room.places]
+    zones = [room.zone for room in rooms.values() if need.model in room.models]
+    if free:
+        return Move(min(free, key=lambda room: _rank(room, zones)), need.model, None)
+    gain = need.demand / (replicas.get(need.model, 0) + 1)
+    swaps = [
+        (_loss(model, needs, replicas), _rank(room, zones), model, room)
+        for room in without
+        for model in room.models
+    ]
+    if not swaps:
+        return None
+    loss, _, model, room = min(swaps, key=lambda swap: swap[:3])
+    if need.model not in replicas and loss < float("inf"):
+        return Move(room, need.model, model)
+    return Move(room, need.model, model) if gain > WORTHWHILE * loss else None
+
+
+def _rank(room: Room, zones: list[str]) -> tuple[int, int, str]:
+    """Prefer a zone with fewer replicas of the model, then an emptier endpoint."""
+    return zones.count(room.zone), len(room.models), room.endpoint
+
+
+def _loss(
+    model: str, needs: Mapping[str, ModelNeed], replicas: Mapping[str, int]
+) -> float:
+    """Return the demand for each replica that is left after one has gone."""
+    if model not in needs:
+        return 0.0
+    count = replicas[model]
+    return needs[model].demand / (count - 1) if count > 1 else float("inf")
+
+
+def _moved(move: Move) -> Room:
+    kept = (model for model in move.room.models if model != move.replaced)
+    return move.room._replace(models=(*kept, move.model))
+
+
+def _orders(move: Move) -> tuple[PlacementOrder, ...]:
+    load = LoadModel(move.room.endpoint, move.model)
+    if move.replaced is None:
+        return (load,)
+    return UnloadModel(move.room.endpoint, move.replaced), load
