--- a/libs/admission/src/clementinebend_admission/queue.py
+++ b/libs/admission/src/clementinebend_admission/queue.py
@@ -6,11 +6,7 @@
 ``(state, outcomes)``, and the state handed in is consumed.
 """
 
-from collections.abc import Iterator
-from typing import NamedTuple
-
 from clementinebend_admission.estimates import (
-    ServiceMeasure,
     add_sample,
     expected_wait,
     retry_after_ms,
@@ -23,16 +19,24 @@
     Refused,
     Verdict,
 )
+from clementinebend_admission.state import (
+    AdmissionState,
+    Running,
+    empty_admission,
+    fits,
+    is_known,
+    next_waiting,
+    remove,
+    set_overdue,
+    waiting,
+    waiting_count,
+)
 from clementinebend_admission.teams import (
-    TeamState,
     charge,
     enqueue,
-    head,
     learn_use,
-    leave,
     lift,
     new_team,
-    next_team,
     tokens_ahead,
 )
 from clementinebend_records.reasons import NotRun
@@ -49,60 +53,17 @@
     "expire",
     "finish",
     "set_capacity",
+    "waiting_count",
 ]
 
-DEFAULT_SLOTS = 64
-DEFAULT_QUEUE_LIMIT = 1024
-
-
-class Running(NamedTuple):
-    """A request that holds capacity, and what its team was charged for it."""
-
-    arrival: Arrival
-    started_at: float
-    charged: float
-
-
-class AdmissionState(NamedTuple):
-    """All that admission knows.
-
-    ``backlogged`` holds the teams with requests waiting, ``owners`` the team of
-    each waiting request, ``overdue`` the requests that waited past their
-    deadline and are still to be refused by ``expire``, and ``floor`` the
-    counter of the last team whose queue became empty. Waiting requests number
-    at most twice ``queue_limit``.
-    """
-
-    capacity: Capacity
-    queue_limit: int
-    teams: dict[str, TeamState]
-    backlogged: dict[str, None]
-    owners: dict[str, str]
-    overdue: dict[str, Arrival]
-    running: dict[str, Running]
-    running_tokens: int = 0
-    measure: ServiceMeasure = ServiceMeasure()
-    floor: float = 0.0
-    sequence: int = 0
-    clock: float = 0.0
-
-
-def empty_admission(
-    slots: int = DEFAULT_SLOTS,
-    tokens: int | None = None,
-    queue_limit: int = DEFAULT_QUEUE_LIMIT,
-) -> AdmissionState:
-    """Return admission before the first request."""
-    return AdmissionState(Capacity(slots, tokens), queue_limit, {}, {}, {}, {}, {})
-
 
 def arrive(
     state: AdmissionState, arrival: Arrival, now: float
 ) -> tuple[AdmissionState, Verdict]:
     """Give a new request its verdict; ``Queued`` is followed by another one."""
-    if _is_known(state, arrival.request):
+    if is_known(state, arrival.request):
         raise ValueError(f"request {arrival.request!r} has arrived before")
-    _next_waiting(state, now)
+    next_waiting(state, now)
     state = _enter(state, arrival.team, arrival.weight, now)
     if arrival.deadline <= now:
         return state, Refused(
@@ -141,7 +102,7 @@
     running = state.running.pop(request, None)
     if running is None:
         state.overdue.pop(request, None)
-        _remove(state, request)
+        remove(state, request)
         return state, ()
     arrival = running.arrival
     team = charge(state.teams[arrival.team], -running.charged)
@@ -155,9 +116,9 @@
 ) -> tuple[AdmissionState, tuple[Refused, ...]]:
     """Refuse the waiting requests whose deadline has passed."""
     state = state._replace(clock=now)
-    late = [arrival for arrival in _waiting(state) if arrival.deadline <= now]
+    late = [arrival for arrival in waiting(state) if arrival.deadline <= now]
     for arrival in late:
-        _set_overdue(state, arrival)
+        set_overdue(state, arrival)
     refused = tuple(
         Refused(NotRun.DEADLINE, _retry_after(state, arrival, 0.0), arrival.request)
         for arrival in state.overdue.values()
@@ -182,11 +143,6 @@
     return _start_waiting(state, clock)
 
 
-def waiting_count(state: AdmissionState) -> int:
-    """Return how many requests wait."""
-    return len(state.owners)
-
-
 def _enter(
     state: AdmissionState, name: str, weight: float, now: float
 ) -> AdmissionState:
@@ -201,7 +157,7 @@
 
 def _goes_next(state: AdmissionState, arrival: Arrival) -> bool:
     """Tell whether the request runs at once and passes over nobody."""
-    if not _fits(state, arrival):
+    if not fits(state, arrival):
         return False
     rivals = (state.teams[name].counter for name in state.backlogged)
     least = min(rivals, default=float("inf"))
@@ -211,15 +167,6 @@
     )
 
 
-def _fits(state: AdmissionState, arrival: Arrival) -> bool:
-    capacity = state.capacity
-    if len(state.running) >= capacity.slots:
-        return False
-    if capacity.tokens is None or not state.running:
-        return True
-    return state.running_tokens + arrival.tokens <= capacity.tokens
-
-
 def _queue_or_refuse(
     state: AdmissionState, arrival: Arrival, now: float
 ) -> tuple[AdmissionState, Verdict]:
@@ -263,12 +210,6 @@
     return retry_after_ms(max(0.0, _wait(state, arrival) - tolerated), arrival.request)
 
 
-def _is_known(state: AdmissionState, request: str) -> bool:
-    return (
-        request in state.owners or request in state.running or request in state.overdue
-    )
-
-
 def _start(state: AdmissionState, arrival: Arrival, now: float) -> AdmissionState:
     team = state.teams[arrival.team]
     charged = arrival.tokens * team.used_share
@@ -289,43 +230,8 @@
     Those past their deadline are left for ``expire`` to refuse.
     """
     admitted = []
-    while (arrival := _next_waiting(state, now)) is not None and _fits(state, arrival):
-        _remove(state, arrival.request)
+    while (arrival := next_waiting(state, now)) is not None and fits(state, arrival):
+        remove(state, arrival.request)
         state = _start(state, arrival, now)
         admitted.append(Admitted(arrival.request))
     return state, tuple(admitted)
-
-
-def _next_waiting(state: AdmissionState, now: float) -> Arrival | None:
-    """Return the request whose turn it is, setting overdue ones aside."""
-    while (name := next_team(state.teams, state.backlogged)) is not None:
-        arrival = head(state.teams[name])
-        if arrival is None:
-            raise ValueError(f"team {name!r} is backlogged with nothing waiting")
-        if arrival.deadline > now:
-            return arrival
-        _set_overdue(state, arrival)
-    return None
-
-
-def _set_overdue(state: AdmissionState, arrival: Arrival) -> None:
-    _remove(state, arrival.request)
-    state.overdue[arrival.request] = arrival
-
-
-def _remove(state: AdmissionState, request: str) -> None:
-    name = state.owners.pop(request, None)
-    if name is None:
-        return
-    team = leave(state.teams[name], request)
-    state.teams[name] = team
-    if not team.waiting:
-        del state.backlogged[name]
-
-
-def _waiting(state: AdmissionState) -> Iterator[Arrival]:
-    return (
-        arrival
-        for name in state.backlogged
-        for arrival in state.teams[name].waiting.values()
-    )
--- /dev/null
+++ b/libs/admission/src/clementinebend_admission/state.py
@@ -0,0 +1,115 @@
+"""The state of admission, and what does not decide anything by itself."""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from clementinebend_admission.estimates import ServiceMeasure
+from clementinebend_admission.models import Arrival, Capacity
+from clementinebend_admission.teams import TeamState, head, leave, next_team
+
+DEFAULT_SLOTS = 64
+DEFAULT_QUEUE_LIMIT = 1024
+
+
+class Running(NamedTuple):
+    """A request that holds capacity, and what its team was charged for it."""
+
+    arrival: Arrival
+    started_at: float
+    charged: float
+
+
+class AdmissionState(NamedTuple):
+    """All that admission knows.
+
+    ``backlogged`` holds the teams with requests waiting, ``owners`` the team of
+    each waiting request, ``overdue`` the requests that waited past their
+    deadline and are still to be refused by ``expire``, and ``floor`` the
+    counter of the last team whose queue became empty. Waiting requests number
+    at most twice ``queue_limit``.
+    """
+
+    capacity: Capacity
+    queue_limit: int
+    teams: dict[str, TeamState]
+    backlogged: dict[str, None]
+    owners: dict[str, str]
+    overdue: dict[str, Arrival]
+    running: dict[str, Running]
+    running_tokens: int = 0
+    measure: ServiceMeasure = ServiceMeasure()
+    floor: float = 0.0
+    sequence: int = 0
+    clock: float = 0.0
+
+
+def empty_admission(
+    slots: int = DEFAULT_SLOTS,
+    tokens: int | None = None,
+    queue_limit: int = DEFAULT_QUEUE_LIMIT,
+) -> AdmissionState:
+    """Return admission before the first request."""
+    return AdmissionState(Capacity(slots, tokens), queue_limit, {}, {}, {}, {}, {})
+
+
+def waiting_count(state: AdmissionState) -> int:
+    """Return how many requests wait."""
+    return len(state.owners)
+
+
+def is_known(state: AdmissionState, request: str) -> bool:
+    """Tell whether the request waits, runs, or is still to be refused."""
+    return (
+        request in state.owners or request in state.running or request in state.overdue
+    )
+
+
+def fits(state: AdmissionState, arrival: Arrival) -> bool:
+    """Tell whether capacity is free for the request.
+
+    One that is larger than the whole capacity runs when it is alone.
+    """
+    capacity = state.capacity
+    if len(state.running) >= capacity.slots:
+        return False
+    if capacity.tokens is None or not state.running:
+        return True
+    return state.running_tokens + arrival.tokens <= capacity.tokens
+
+
+def next_waiting(state: AdmissionState, now: float) -> Arrival | None:
+    """Return the request whose turn it is, setting overdue ones aside."""
+    while (name := next_team(state.teams, state.backlogged)) is not None:
+        arrival = head(state.teams[name])
+        if arrival is None:
+            raise ValueError(f"team {name!r} is backlogged with nothing waiting")
+        if arrival.deadline > now:
+            return arrival
+        set_overdue(state, arrival)
+    return None
+
+
+def set_overdue(state: AdmissionState, arrival: Arrival) -> None:
+    """Set a waiting request aside for ``expire`` to refuse."""
+    remove(state, arrival.request)
+    state.overdue[arrival.request] = arrival
+
+
+def remove(state: AdmissionState, request: str) -> None:
+    """Take a request out of its team's queue, if it waits."""
+    name = state.owners.pop(request, None)
+    if name is None:
+        return
+    team = leave(state.teams[name], request)
+    state.teams[name] = team
+    if not team.waiting:
+        del state.backlogged[name]
+
+
+def waiting(state: AdmissionState) -> Iterator[Arrival]:
+    """Return the requests that wait."""
+    return (
+        arrival
+        for name in state.backlogged
+        for arrival in state.teams[name].waiting.values()
+    )
--- a/libs/routing/src/clementinebend_routing/prefix.py
+++ b/libs/routing/src/clementinebend_routing/prefix.py
@@ -9,7 +9,6 @@
 
 from collections.abc import Iterable
 from hashlib import blake2b
-from itertools import takewhile
 from typing import NamedTuple
 
 BLOCK_DIGEST_BYTES = 8
@@ -61,7 +60,13 @@
 
 def cached_blocks(prefix: PrefixMap, blocks: tuple[str, ...], now: float) -> int:
     """Return how many leading ``blocks`` are believed to be cached."""
-    return sum(1 for _ in takewhile(lambda block: _holds(prefix, block, now), blocks))
+    stored = prefix.stored
+    dispatched = prefix.dispatched
+    oldest = now - AFFINITY_SECONDS
+    for count, block in enumerate(blocks):
+        if block not in stored and dispatched.get(block, oldest) <= oldest:
+            return count
+    return len(blocks)
 
 
 def remember_dispatch(prefix: PrefixMap, blocks: Iterable[str], now: float) -> None:
@@ -109,13 +114,6 @@
     return PrefixMap({}, {}, None, prefix.distrusted)
 
 
-def _holds(prefix: PrefixMap, block: str, now: float) -> bool:
-    if block in prefix.stored:
-        return True
-    dispatched_at = prefix.dispatched.get(block)
-    return dispatched_at is not None and now - dispatched_at < AFFINITY_SECONDS
-
-
 def _drop_oldest(blocks: dict[str, None] | dict[str, float], limit: int) -> None:
     while len(blocks) > limit:
         del blocks[next(iter(blocks))]
