Test attempts, outcomes, and what entries keep for one another

Cause: refusals, retries and lost runs need sidecars that misbehave to order. Ruled out: mocks of the owners of state; the sidecars speak the real protocol. Before: only whole processes met these cases.

--- /dev/null
+++ b/tests/unit/entry/test_execution.py
@@ -0,0 +1,172 @@
+"""Attempts, retries and outcomes, before sidecars that follow a script."""
+
+from asyncio import create_task, gather
+from json import loads
+from typing import Any
+
+import pytest
+
+from clementinebend_entry.exceptions import AnswerCutOff
+from clementinebend_records.messages import RunCancel
+from clementinebend_records.reasons import NotRun
+from clementinebend_transport.http_server import Response
+from tests.lib.processes import wait_until
+from tests.unit.entry.builders import chat_request, request
+from tests.unit.entry.scripted import (
+    ScriptedSidecar,
+    accept_only,
+    fail,
+    fail_unsure,
+    leave_gap,
+    refuse,
+    scripted_entry,
+    whole,
+)
+
+STREAMED = {
+    "model": "m1",
+    "messages": [{"role": "user", "content": "x"}],
+    "stream": True,
+}
+
+
+def error_of(response: Response) -> Any:
+    assert isinstance(response.body, bytes)
+    return loads(response.body)["error"]
+
+
+async def test_work_refused_by_one_sidecar_runs_at_another() -> None:
+    leaving = ScriptedSidecar("engine-1", refuse(NotRun.LEAVING))
+    serving = ScriptedSidecar("engine-2", whole)
+    async with scripted_entry(leaving, serving) as entry:
+        answers = [await entry.ask(chat_request()) for _ in range(4)]
+        assert [answer.status for answer in answers] == [200] * 4
+        assert (await entry.until_settled()).billed == 4 * 5
+
+
+async def test_when_all_refuse_the_caller_is_told_why_and_nothing_is_billed() -> None:
+    sidecar = ScriptedSidecar("engine-1", refuse(NotRun.OVERLOADED))
+    async with scripted_entry(sidecar) as entry:
+        answer = await entry.ask(chat_request())
+        assert answer.status == 429
+        assert error_of(answer)["reason"] == "overloaded"
+        summary = await entry.until_settled()
+        assert (summary.billed, summary.held) == (0, 0)
+
+
+async def test_a_failed_run_is_run_again_elsewhere_and_billed_once() -> None:
+    sidecars = ScriptedSidecar("engine-1", fail), ScriptedSidecar("engine-2", fail)
+    async with scripted_entry(*sidecars) as entry:
+        entry.fleet.router.is_witness = lambda budget, who: who.startswith("engine-1")
+        sidecars[1].act = whole
+        asked = create_task(entry.ask(chat_request()))
+        await sidecars[0].until(lambda: bool(sidecars[0].started))
+        entry.fleet.router.is_witness = entry.fleet.ledger.is_witness
+        answer = await asked
+        assert answer.status == 200
+        assert (await entry.until_settled()).billed == 5
+        await sidecars[0].until_told_logged()
+        await sidecars[1].until_told_logged()
+
+
+async def test_a_run_that_fails_for_good_is_billed_and_told() -> None:
+    async with scripted_entry(ScriptedSidecar("engine-1", fail)) as entry:
+        answer = await entry.ask(chat_request())
+        assert answer.status == 502
+        assert error_of(answer)["type"] == "ran_and_failed"
+        assert (await entry.until_settled()).billed == 3
+
+
+async def test_a_run_nobody_can_tell_of_is_held_and_unknown() -> None:
+    async with scripted_entry(ScriptedSidecar("engine-1", fail_unsure)) as entry:
+        answer = await entry.ask(chat_request())
+        assert answer.status == 504
+        summary = await entry.until_settled()
+        assert summary.billed == 0
+        assert summary.held > 0
+
+
+async def test_a_stream_with_a_lost_piece_is_cut_off_and_billed() -> None:
+    async with scripted_entry(ScriptedSidecar("engine-1", leave_gap)) as entry:
+        answer = await entry.ask(chat_request(STREAMED))
+        assert not isinstance(answer.body, bytes)
+        received = b""
+        with pytest.raises(AnswerCutOff):
+            async for piece in answer.body:
+                received += piece
+        assert received.startswith(b"data: 1\n\n")
+        assert b"[DONE]" not in received
+        assert b"ran_and_failed" in received
+        assert (await entry.until_settled()).billed == 7
+
+
+async def test_a_booking_whose_sidecar_is_replaced_never_runs_again() -> None:
+    sidecar = ScriptedSidecar("service-1", accept_only)
+    async with scripted_entry(sidecar, service="booking") as entry:
+        made = request("POST", "/booking", b"site 7", idempotency_key="b")
+        asked = create_task(entry.ask(made))
+        await sidecar.until(lambda: len(sidecar.started) == 1)
+        await sidecar.restart(whole)
+        answer = await asked
+        assert (answer.status, error_of(answer)["type"]) == (504, "outcome_unknown")
+        assert (await entry.until_settled()).held == 50
+        again = await entry.ask(made)
+        assert (again.status, error_of(again)["type"]) == (504, "outcome_unknown")
+        assert len(sidecar.started) == 1
+
+
+async def test_a_booking_refused_before_it_ran_may_be_tried_again() -> None:
+    sidecar = ScriptedSidecar("service-1", refuse(NotRun.OVERLOADED))
+    async with scripted_entry(sidecar, service="booking") as entry:
+        made = request("POST", "/booking", b"site 7", idempotency_key="b")
+        refused = await entry.ask(made)
+        assert (refused.status, error_of(refused)["type"]) == (429, "not_run")
+        sidecar.act = whole
+        answers = [await entry.ask(made) for _ in range(2)]
+        assert [answer.status for answer in answers] == [200, 200]
+        assert (await entry.until_settled()).billed == 5
+        executed = {start.run for start in sidecar.started}
+        assert len(executed) == 2
+
+
+async def test_a_broken_connection_is_opened_again_under_the_same_run() -> None:
+    sidecar = ScriptedSidecar("service-1", accept_only)
+    async with scripted_entry(sidecar, service="booking") as entry:
+        asked = create_task(entry.ask(request("POST", "/booking", b"site 7")))
+        await sidecar.until(lambda: len(sidecar.started) == 1)
+        sidecar.act = whole
+        await sidecar.drop_connections()
+        assert (await asked).status == 200
+        first, second = sidecar.started
+        assert first.run == second.run
+        assert (await entry.until_settled()).billed == 5
+
+
+async def test_at_its_deadline_a_caller_is_told_and_the_run_is_cancelled() -> None:
+    sidecar = ScriptedSidecar("engine-1", accept_only)
+    async with scripted_entry(sidecar) as entry:
+        answer = await entry.ask(chat_request(x_deadline_ms="300"))
+        assert answer.status == 504
+        assert error_of(answer)["type"] == "outcome_unknown"
+        await sidecar.until(
+            lambda: any(isinstance(each, RunCancel) for each in sidecar.heard)
+        )
+        assert (await entry.until_settled()).billed == 2
+
+
+async def test_a_caller_that_leaves_while_it_waits_costs_nothing() -> None:
+    sidecar = ScriptedSidecar("engine-1", accept_only)
+    async with scripted_entry(sidecar, tokens=400) as entry:
+        first = create_task(entry.ask(chat_request(x_deadline_ms="2000")))
+        await sidecar.until(lambda: len(sidecar.started) == 1)
+        second = create_task(entry.ask(chat_request()))
+
+        async def waits() -> bool:
+            return len(entry.fleet.ledger.waiters) == 1
+
+        await wait_until(waits, "the second request waits for a settlement")
+        second.cancel()
+        await gather(second, return_exceptions=True)
+        assert (await first).status == 504
+        assert (await entry.until_settled()).billed == 2
+        assert len(sidecar.started) == 1
--- /dev/null
+++ b/tests/unit/entry/test_keeping.py
@@ -0,0 +1,204 @@
+"""Pointers, receipts and closes: what entries keep for one another."""
+
+from asyncio import Event, create_task, wait_for
+from time import monotonic
+
+import pytest
+
+from clementinebend_declarations.models import ReceiptSafety
+from clementinebend_entry.closing import (
+    Entries,
+    gone_peers,
+    holders_to_close,
+    open_notices,
+)
+from clementinebend_entry.kept_receipts import (
+    close_receipts,
+    empty_receipts,
+    keep_receipt,
+)
+from clementinebend_entry.peer_pool import partners
+from clementinebend_entry.pointers import (
+    POINTER_LIFETIME_S,
+    drop_pointer,
+    empty_pointers,
+    put_pointer,
+)
+from clementinebend_entry.reach import Reach
+from clementinebend_entry.receipts import ReceiptDesk
+from clementinebend_ledger.replay import empty_ledger, replay
+from clementinebend_ledger.state import LedgerState
+from clementinebend_records.identifiers import GrantId, Incarnation, RequestKey, RunId
+from clementinebend_records.messages import (
+    PointerDrop,
+    PointerPut,
+    Receipt,
+    ReceiptsLogged,
+)
+from clementinebend_records.records import Batch, Bill, HolderClose, Record, Scope
+from tests.unit.entry.builders import chat_call
+
+KEY = RequestKey("desk/k")
+DEAD = Incarnation("entry-2#old")
+OWN = Incarnation("entry-1#now")
+SIDECAR = Incarnation("engine-1#a")
+LONG = 30.0
+
+
+def put(run: str, key: RequestKey = KEY) -> PointerPut:
+    return PointerPut(1, key, "digest", RunId(run), f"endpoint-of-{run}")
+
+
+def test_the_first_pointer_stands_until_its_own_run_drops_it() -> None:
+    store, first = put_pointer(empty_pointers(9), put("r1"), 0.0)
+    store, second = put_pointer(store, put("r2"), 1.0)
+    assert first.run == second.run == "r1"
+    store = drop_pointer(store, PointerDrop(KEY, RunId("r2")))
+    assert put_pointer(store, put("r2"), 2.0)[1].run == "r1"
+    store = drop_pointer(store, PointerDrop(KEY, RunId("r1")))
+    assert put_pointer(store, put("r2"), 3.0)[1].run == "r2"
+
+
+def test_pointers_are_bounded_in_number_and_age() -> None:
+    store = empty_pointers(2)
+    for number in range(3):
+        store, _ = put_pointer(store, put("r", RequestKey(f"k{number}")), 0.0)
+    assert list(store.pointers) == ["k1", "k2"]
+    store, _ = put_pointer(store, put("r9"), POINTER_LIFETIME_S + 1)
+    assert list(store.pointers) == [KEY]
+
+
+def receipt(run: str, holder: Incarnation = OWN) -> Receipt:
+    return Receipt(KEY, RunId(run), "b", GrantId("g"), holder, "engine-1", 5, True)
+
+
+def test_a_full_store_keeps_what_it_has_and_refuses_closed_holders() -> None:
+    store, first = keep_receipt(empty_receipts(1), receipt("r1"))
+    store, second = keep_receipt(store, receipt("r2"))
+    store, again = keep_receipt(store, receipt("r1"))
+    assert (first, second, again) == (True, False, True)
+    store, known = close_receipts(store, OWN)
+    assert known == (receipt("r1"),)
+    store = store._replace(bound=9)
+    assert not keep_receipt(store, receipt("r3"))[1]
+    assert keep_receipt(store, receipt("r3", DEAD))[1]
+
+
+class Desk:
+    """A receipt desk with a peer that keeps or not."""
+
+    def __init__(self, keeps: bool) -> None:
+        self.told: list[tuple[str, ReceiptsLogged]] = []
+        self.is_up = True
+        self.asked = Event()
+        self.posted = Event()
+
+        async def keep(_: Receipt) -> bool:
+            self.asked.set()
+            return keeps
+
+        def post(endpoint: str, logged: ReceiptsLogged) -> bool:
+            self.posted.set()
+            if self.is_up:
+                self.told.append((endpoint, logged))
+            return self.is_up
+
+        self.desk = ReceiptDesk(
+            "zone-a", post, keep, lambda run: None, lambda budget: not keeps
+        )
+
+
+@pytest.mark.parametrize(
+    ("safety", "zone", "keeps"),
+    [
+        (ReceiptSafety.TWO_ZONES, "zone-b", False),
+        (ReceiptSafety.TWO_ZONES, "zone-a", True),
+        (ReceiptSafety.TWO_HOSTS, "zone-a", False),
+    ],
+)
+async def test_a_receipt_is_safe_in_two_zones_or_as_the_team_chose(
+    safety: ReceiptSafety, zone: str, keeps: bool
+) -> None:
+    call = chat_call(receipt_safety=safety, deadline=monotonic() + LONG)
+    assert await wait_for(Desk(keeps).desk.make_safe(receipt("r1"), call, zone), LONG)
+
+
+async def test_without_a_second_zone_a_strict_team_waits_for_the_log() -> None:
+    made = Desk(keeps=False)
+    desk = made.desk
+    call = chat_call(
+        receipt_safety=ReceiptSafety.TWO_ZONES, deadline=monotonic() + LONG
+    )
+    assert desk.unsafe_zone(call) == "zone-a"
+    waiting = create_task(desk.make_safe(receipt("r1"), call, "zone-a"))
+    await wait_for(made.asked.wait(), LONG)
+    assert not waiting.done()
+    desk.on_logged(Bill(KEY, RunId("r1"), GrantId("g"), 5))
+    assert await wait_for(waiting, LONG)
+    late = call._replace(deadline=monotonic())
+    assert not await desk.make_safe(receipt("r2"), late, "zone-a")
+
+
+async def test_sidecars_out_of_reach_hear_later_what_is_logged() -> None:
+    made = Desk(keeps=True)
+    made.is_up = False
+    made.desk.expect(KEY, RunId("r1"), "engine-1")
+    made.desk.expect(KEY, RunId("r0"), "engine-2")
+    made.desk.on_logged(Bill(KEY, RunId("r1"), GrantId("g"), 5))
+    await wait_for(made.posted.wait(), LONG)
+    assert made.told == []
+    made.is_up = True
+    made.desk.tell_sidecars()
+    assert made.told == [
+        ("engine-1", ReceiptsLogged((RunId("r1"),))),
+        ("engine-2", ReceiptsLogged((RunId("r0"),))),
+    ]
+    made.desk.tell_sidecars()
+    assert len(made.told) == 2
+
+
+def ledger(*records: Record) -> LedgerState:
+    return replay(empty_ledger(), 0, Batch(Incarnation("w#1"), 1, records))[0]
+
+
+def entries(overdue: dict[str, float]) -> Entries:
+    return Entries("entry-1", frozenset((OWN,)), (), overdue)
+
+
+def test_own_predecessors_are_closed_at_once_and_others_when_overdue() -> None:
+    before = Incarnation("entry-1#before")
+    state = ledger(Scope(OWN), Scope(before), Scope(DEAD))
+    assert holders_to_close(state, entries({})) == (before,)
+    assert holders_to_close(state, entries({"entry-2": -0.1})) == (before,)
+    assert holders_to_close(state, entries({"entry-2": 0.0})) == (before, DEAD)
+
+
+def test_open_witnesses_are_asked_and_replaced_peers_closed() -> None:
+    peer = Incarnation("entry-3#old")
+    state = ledger(Scope(DEAD, (SIDECAR,), (peer,)), HolderClose(DEAD, OWN))
+    notices = open_notices(state)
+    assert {notice.witness for notice in notices} == {SIDECAR, peer}
+    assert gone_peers(notices, {"entry-3": peer}, state) == ()
+    current = {"entry-3": Incarnation("entry-3#new")}
+    assert gone_peers(notices, current, state) == (peer,)
+
+
+def test_an_entry_that_writes_is_alive_and_each_close_doubles_patience() -> None:
+    reach = Reach(("entry-2",), 5.0, 0.0)
+    reach.on_hosts((), 0.0)
+    assert reach.overdue(100.0)["entry-2"] > 0
+    reach.on_written(DEAD, 98.0)
+    assert reach.overdue(100.0)["entry-2"] == -3.0
+    reach.on_close("entry-2")
+    assert reach.overdue(100.0)["entry-2"] == -8.0
+    reach.on_up("entry-2", DEAD, 100.0)
+    assert reach.overdue(1000.0) == {}
+
+
+def test_partners_are_of_both_kinds_and_never_oneself() -> None:
+    zones = {f"entry-{n}": f"zone-{n % 3}" for n in range(20)}
+    for name in zones:
+        chosen = partners(name, zones)
+        assert name not in chosen
+        assert {zones[each] == zones[name] for each in chosen} == {True, False}
+        assert len(set(chosen)) == len(chosen) == 8
