--- a/libs/bench/src/clementinebend_bench/commands/run.py
+++ b/libs/bench/src/clementinebend_bench/commands/run.py
@@ -1,7 +1,7 @@
 """``clementinebend-bench run``: all experiments, one table."""
 
+import sys
 from pathlib import Path
-from sys import stderr
 from time import monotonic
 
 from clementinebend_bench.experiments.registry import EXPERIMENTS
@@ -26,17 +26,17 @@
     unknown = [name for name in names if name not in EXPERIMENTS]
     if unknown:
         known = ", ".join(EXPERIMENTS)
-        stderr.write(f"unknown experiment {unknown[0]!r}; there are: {known}\n")
+        sys.stderr.write(f"unknown experiment {unknown[0]!r}; there are: {known}\n")
         return UNKNOWN_EXPERIMENT
     directory = Path(build)
     directory.mkdir(parents=True, exist_ok=True)
     started = monotonic()
     results = {}
     for number, name in enumerate(names, 1):
-        stderr.write(f"[{number}/{len(names)}] {name} ...\n")
+        sys.stderr.write(f"[{number}/{len(names)}] {name} ...\n")
         before = monotonic()
         results[name] = EXPERIMENTS[name](seed)
-        stderr.write(f"    {monotonic() - before:.1f} s\n")
+        sys.stderr.write(f"    {monotonic() - before:.1f} s\n")
         write_plot(directory / f"{name}.png", name, results[name])
     write_table(results)
     write_json(directory / "bench.json", seed, monotonic() - started, results)
--- a/libs/bench/src/clementinebend_bench/report.py
+++ b/libs/bench/src/clementinebend_bench/report.py
@@ -1,8 +1,8 @@
 """Writing of results: the table, ``bench.json`` and a plot per experiment."""
 
+import sys
 from json import dumps
 from pathlib import Path
-from sys import stdout
 
 from matplotlib.backends.backend_agg import FigureCanvasAgg
 from matplotlib.figure import Figure
@@ -20,7 +20,7 @@
     widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
     for line in lines:
         cells = (cell.ljust(width) for cell, width in zip(line, widths, strict=True))
-        stdout.write("  ".join(cells).rstrip() + "\n")
+        sys.stdout.write("  ".join(cells).rstrip() + "\n")
 
 
 def write_json(
--- a/tests/unit/bench/test_models.py
+++ b/tests/unit/bench/test_models.py
@@ -88,7 +88,7 @@
 
 
 def test_run_writes_rows_and_plot_and_reports_unmet_bars(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
     rows = (Row("slow", 2.0, "s", "naive", 1.0, 2.0, "< 1.0 of it", False),)
     monkeypatch.setattr(run_command, "EXPERIMENTS", {"fake": lambda seed: rows})
@@ -97,9 +97,9 @@
     assert document["seed"] == 9
     assert document["rows"][0]["met"] is False
     assert (tmp_path / "fake.png").stat().st_size > 0
-    assert "NOT MET" in capfd.readouterr().out
+    assert "NOT MET" in capsys.readouterr().out
 
 
-def test_run_refuses_an_unknown_experiment(capfd: pytest.CaptureFixture[str]) -> None:
+def test_run_refuses_an_unknown_experiment(capsys: pytest.CaptureFixture[str]) -> None:
     assert run_command.run(only="nothing") == run_command.UNKNOWN_EXPERIMENT
-    assert "unknown experiment 'nothing'" in capfd.readouterr().err
+    assert "unknown experiment 'nothing'" in capsys.readouterr().err
