--- a/tests/unit/ledger/scripts.py
+++ b/tests/unit/ledger/scripts.py
@@ -1,5 +1,8 @@
 """Short ways to write ledger streams in tests."""
 
+from collections.abc import Iterable
+from typing import Any
+
 from clementinebend_ledger.outcomes import LedgerOutcome
 from clementinebend_ledger.replay import LedgerState, empty_ledger, replay
 from clementinebend_records.identifiers import (
@@ -29,6 +32,11 @@
 OPERATOR = Incarnation("operator#1")
 
 
+def typed(outcomes: Iterable[tuple[Any, ...]]) -> list[tuple[Any, ...]]:
+    """Return outcomes with their kinds, which tuples do not compare."""
+    return [(type(outcome).__name__, *outcome) for outcome in outcomes]
+
+
 class Script:
     """A stream as it grows, its state, and all outcomes."""
 
--- a/tests/unit/ledger/test_holder.py
+++ b/tests/unit/ledger/test_holder.py
@@ -29,6 +29,7 @@
     HolderClose,
     Record,
     Settle,
+    Transfer,
 )
 from tests.unit.ledger.scripts import (
     ALICE,
@@ -143,6 +144,15 @@
     assert free(holder) == [30]
 
 
+def test_repeated_bill_of_the_same_run_gives_nothing_back() -> None:
+    holder, _ = holding(50)
+    holder, _ = reserve(holder, TEAM, RUN, 20, 0.0)
+    holder, made = settle(holder, RUN, KEY, 20)
+    assert made is not None
+    holder = on_outcome(holder, BillRepeated(made, RUN), 0.0)
+    assert free(holder) == [30]
+
+
 def test_bill_logged_by_another_witness_ends_the_reservation() -> None:
     holder, _ = holding(50)
     holder, _ = reserve(holder, TEAM, RUN, 50, 0.0)
@@ -300,6 +310,14 @@
     assert resume(holder, script.state).closed
 
 
+def test_resume_takes_a_part_that_was_logged_meanwhile() -> None:
+    script = Script(top_up(100), scope(BOB, (), (ALICE,)), request(60, "h", BOB))
+    part = Transfer(TEAM, GrantId("t"), GrantId("h"), BOB, ALICE, 20)
+    script.add(part)
+    holder = resume(resume(empty_holder(ALICE), script.state), script.state)
+    assert free(holder) == [20]
+
+
 def test_holder_that_the_log_forgot_is_closed() -> None:
     script = Script(top_up(9))
     holder, scopes = widen(empty_holder(ALICE), (CAR,))
