Measure how the cost of control grows with the size of the fleet

Ruled out: many real peers and sidecars (a hundred processes for one line); members in one process speak the same messages through the product's own gates and links. Bytes are counted by a relay on the way, since the kernel does not tell them by process.

--- a/libs/bench/src/clementinebend_bench/experiments/registry.py
+++ b/libs/bench/src/clementinebend_bench/experiments/registry.py
@@ -2,7 +2,14 @@
 
 from collections.abc import Callable
 
-from clementinebend_bench.experiments import budgets, fairness, path, retries, routing
+from clementinebend_bench.experiments import (
+    budgets,
+    fairness,
+    path,
+    retries,
+    routing,
+    slopes,
+)
 from clementinebend_bench.rows import Row
 
 Experiment = Callable[[int], tuple[Row, ...]]
@@ -13,5 +20,6 @@
     "retries": retries.run,
     "fairness": fairness.run,
     "path": path.run,
+    "slopes": slopes.run,
 }
 """To add one: a module with ``run(seed) -> tuple[Row, ...]``, and a line here."""
