Keep planned stops of sidecars out of the retry budget

Cause: a unit test got 503 leaving after a few requests: each sidecar that refuses as leaving used up the team's retry budget, so a planned stop under load refused work that another endpoint could run. Ruled out: a larger budget. Conclusion: overload still counts against the budget.

--- a/libs/entry/src/clementinebend_entry/conclusions.py
+++ b/libs/entry/src/clementinebend_entry/conclusions.py
@@ -3,7 +3,6 @@
 from functools import singledispatch
 from typing import TYPE_CHECKING, Any
 
-from clementinebend_entry.lost_runs import release_lost
 from clementinebend_entry.outcomes import Failed, Refusal, Unknown
 from clementinebend_entry.run_results import (
     RunBroke,
@@ -21,6 +20,17 @@
 FINAL_REFUSALS = frozenset((NotRun.KEY_CONFLICT, NotRun.CANCELLED))
 """Refusals that another endpoint would not change."""
 
+PLANNED_REFUSALS = frozenset(
+    (NotRun.LEAVING, NotRun.WRONG_INCARNATION, NotRun.HOLDER_CLOSED)
+)
+"""Refusals by which a sidecar corrects what this entry believed.
+
+Further attempts after these are no load on anybody and end with the view
+corrected, so they are outside the retry budget: a planned stop of a sidecar
+under load must not refuse requests that another could have run. A request
+asks each endpoint once at most.
+"""
+
 
 @singledispatch
 async def conclude(result: Any, execution: "Execution") -> None:
@@ -32,17 +42,15 @@
 async def _(result: RunWhole, execution: "Execution") -> None:
     services, output = execution.services, execution.output
     execution.settle(result)
-    release_lost(services, execution.lost)
-    execution.lost.clear()
     if output.broken:
         execution.end(Failed(output.broken))
         return
+    answer = output.answer
+    execution.claim.record(answer.status, answer.content_type, bytes(answer.body))
     zone = execution.zone_of_sidecar()
     if not await services.receipts.make_safe(result.receipt, execution.call, zone):
         execution.end(Unknown("the receipt could not be made safe in time"))
         return
-    answer = output.answer
-    execution.claim.record(answer.status, answer.content_type, bytes(answer.body))
     execution.ended = True
     output.release()
 
@@ -51,10 +59,13 @@
 async def _(result: RunNotRun, execution: "Execution") -> None:
     execution.drop_pointer()
     execution.refusal = Refusal(result.reason, result.retry_after_ms)
+    if result.reason is NotRun.LEAVING:
+        execution.note_leaving()
     if result.reason is NotRun.HOLDER_CLOSED:
-        execution.withdraw()
+        execution.account.withdraw()
     is_final = result.reason in FINAL_REFUSALS
-    if is_final or not execution.may_try_again("not_run"):
+    is_free = result.reason in PLANNED_REFUSALS
+    if is_final or not execution.may_try_again("not_run", is_free):
         execution.give_up(execution.refusal)
 
 
--- a/libs/entry/src/clementinebend_entry/execution.py
+++ b/libs/entry/src/clementinebend_entry/execution.py
@@ -13,22 +13,15 @@
 from clementinebend_declarations.models import ServiceKind
 from clementinebend_entry.answer_output import AnswerOutput
 from clementinebend_entry.attachment import Attached, attach
-from clementinebend_entry.budget_waits import Reservation
 from clementinebend_entry.calls import Call
 from clementinebend_entry.claimed_calls import ClaimedCall
 from clementinebend_entry.conclusions import FINAL_REFUSALS, conclude
 from clementinebend_entry.following import Follower
-from clementinebend_entry.ledger_events import Finished, Withdrawn
-from clementinebend_entry.lost_runs import (
-    LostRun,
-    bill,
-    resolve_lost,
-    trouble_of,
-)
 from clementinebend_entry.metrics import RETRIES, RUNS
 from clementinebend_entry.outcomes import Refusal, Trouble, Unknown
 from clementinebend_entry.pieces import Whole
 from clementinebend_entry.pointer_desk import Standing
+from clementinebend_entry.run_account import RunAccount
 from clementinebend_entry.run_opening import run_start, ticket_for
 from clementinebend_entry.run_results import (
     RunBroke,
@@ -48,6 +41,9 @@
 LINK_PATIENCE_S = 2.0
 """How long idempotent work waits for its sidecar's link before it runs again."""
 
+SCOPE_PATIENCE_S = 1.0
+"""How long a request waits for a new sidecar to be in scope."""
+
 
 class Execution:
     """Runs one call; ``output`` holds what its caller is to get."""
@@ -58,16 +54,15 @@
         self.output = AnswerOutput(call.stream)
         self.request = new_run_id()
         self.run_id: RunId = self.request
-        self.reservation: Reservation | None = None
+        self.account = RunAccount(services, call)
         self.follower: Follower | None = None
-        self.lost: list[LostRun] = []
         self.exclude: frozenset[str] = frozenset()
         self.refusal: Refusal | None = None
         self.claim = ClaimedCall(services.claims, call)
         self.dispatched = False
         self.abandoned = False
         self.ended = False
-        self.tokens = 0
+        self.scope_deadline = monotonic() + SCOPE_PATIENCE_S
         self.task: Task[None] | None = None
 
     async def run(self) -> None:
@@ -82,14 +77,14 @@
                 await self.attempt()
         except Exception:
             logger.exception("an execution failed; its reservation stays")
-            self.reservation = None
+            self.account.reservation = None
             self.tell(Unknown("this entry failed"))
         finally:
-            self.withdraw()
+            self.account.withdraw()
             if not self.dispatched:
                 self.claim.void()
-            if self.tokens:
-                gate.leave(self.request, self.tokens)
+            if self.account.tokens:
+                gate.leave(self.request, self.account.tokens)
             else:
                 gate.leave_unrun(self.request)
 
@@ -113,10 +108,14 @@
         unsafe = self.services.receipts.unsafe_zone(self.call)
         chosen = self.services.router.choose(self.call, self.exclude, unsafe)
         if isinstance(chosen, NoChoice):
+            if await self.is_scope_coming():
+                return
             reason = NotRun.LOG_UNAVAILABLE if unsafe else NotRun.NO_ENDPOINT
             self.give_up(self.refusal or Refusal(reason, chosen.retry_after_ms))
             return
-        if not await self.reserve():
+        refusal = await self.account.reserve(self.run_id)
+        if refusal is not None:
+            self.give_up(refusal)
             return
         link, choice = chosen
         ticket = self.ticket(link)
@@ -129,28 +128,22 @@
         if await self.is_claimed():
             await self.dispatch(link, choice, ticket)
 
-    async def reserve(self) -> bool:
-        """Set tokens aside, unless that is done."""
-        if self.reservation is not None:
-            return True
-        call = self.call
-        answer = await self.services.ledger.reserve(
-            self.run_id, call.budget, call.amount, call.deadline
-        )
-        if isinstance(answer, Refusal):
-            self.give_up(answer)
+    async def is_scope_coming(self) -> bool:
+        """Wait a short time for an endpoint whose scope is being logged."""
+        services, call = self.services, self.call
+        deadline = min(call.deadline, self.scope_deadline)
+        if not services.router.is_pending(call) or monotonic() >= deadline:
             return False
-        self.reservation = answer
-        return True
+        return await services.ledger.until_changed(deadline)
 
     def ticket(self, link: SidecarLink) -> Ticket | None:
         """Return the ticket for a sidecar, or None if it cannot be used now."""
-        reservation, peer = self.reservation, link.peer
+        reservation, peer = self.account.reservation, link.peer
         ledger = self.services.ledger
         if reservation is None or peer is None:
             return None
         if reservation.holder != ledger.incarnation:
-            self.withdraw()
+            self.account.withdraw()
             return None
         if not ledger.is_witness(self.call.budget, peer.incarnation):
             return None
@@ -181,7 +174,7 @@
         if isinstance(trouble, Refusal):
             self.give_up(trouble)
         else:
-            self.withdraw()
+            self.account.withdraw()
             self.drop_pointer()
             self.end(trouble)
         return False
@@ -192,7 +185,7 @@
         A pointer to a run that gives no answer is dropped, and the call goes
         on by itself; whether it may still run is then for its claim to say.
         """
-        self.withdraw()
+        self.account.withdraw()
         if standing.body_digest != self.call.body_digest:
             self.end(Refusal(NotRun.KEY_CONFLICT, 0))
             return
@@ -239,38 +232,32 @@
     # Results; see ``conclusions``.
 
     def lose(self, result: RunResult) -> None:
-        """Keep a run whose cost the key may still have to bear."""
-        if self.reservation is not None and self.follower is not None:
-            key = self.call.key
-            self.lost.append(LostRun(key, self.reservation, self.follower, result))
-            self.run_id = new_run_id()
-        self.reservation = None
+        """Go on under another run id; the key may still bear this run's cost."""
+        if self.follower is not None:
+            self.account.lose(result, self.follower)
+        self.run_id = new_run_id()
 
     def settle(self, result: RunWhole | RunBroke) -> None:
         """Bill the key with a run's receipt."""
-        reservation, follower = self.reservation, self.follower
-        self.tokens = max(1, result.receipt.amount)
-        self.reservation = None
-        if reservation is not None and follower is not None:
-            lost = LostRun(self.call.key, reservation, follower, result)
-            bill(self.services, lost, result.receipt)
-            return
-        receipt = result.receipt
-        self.services.receipts.expect(receipt.key, receipt.run, receipt.endpoint)
-        self.services.ledger.take(Finished(receipt))
+        if self.follower is not None:
+            self.account.settle(result, self.follower)
 
-    def may_try_again(self, cause: str) -> bool:
+    def may_try_again(self, cause: str, is_free: bool = False) -> bool:
         """Return whether another attempt is allowed; it is then counted."""
         if self.follower is not None:
-            endpoint = self.follower.link.address.endpoint
-            self.exclude = self.exclude | {endpoint}
+            self.exclude = self.exclude | {self.follower.link.name}
         if self.abandoned or monotonic() >= self.call.deadline:
             return False
-        if not self.services.gate.may_retry(self.call.team):
+        if not is_free and not self.services.gate.may_retry(self.call.team):
             return False
         RETRIES.labels(cause).inc()
         return True
 
+    def note_leaving(self) -> None:
+        """Send no new work to an endpoint that refuses since it is leaving."""
+        if self.follower is not None:
+            self.services.router.note_leaving(self.follower.link.name, True)
+
     def zone_of_sidecar(self) -> str:
         """Return the availability zone of the sidecar that executed the run."""
         peer = self.follower.link.peer if self.follower is not None else None
@@ -280,17 +267,15 @@
 
     def give_up(self, refusal: Refusal) -> None:
         """End a call that is proved not run, or whose last attempt is."""
-        self.withdraw()
-        if self.lost:
-            self.end(trouble_of(self.lost))
-            return
-        self.end(refusal)
-        self.claim.void()
+        self.account.withdraw()
+        trouble = self.account.trouble()
+        self.end(trouble or refusal)
+        if trouble is None:
+            self.claim.void()
 
     def end(self, outcome: Trouble | Whole) -> None:
         """End without a whole answer of a run of this execution."""
-        resolve_lost(self.services, self.lost)
-        self.lost.clear()
+        self.account.resolve()
         self.ended = True
         self.tell(outcome)
 
@@ -300,12 +285,6 @@
             outcome = self.claim.honest(outcome)
         self.output.finish(outcome)
 
-    def withdraw(self) -> None:
-        """Free the reservation of a run that did not take place."""
-        if self.reservation is not None:
-            self.services.ledger.take(Withdrawn(self.reservation.run))
-            self.reservation = None
-
     def drop_pointer(self) -> None:
         """Remove the pointer to a run that gives no answer."""
         if self.call.has_key:
--- a/libs/entry/src/clementinebend_entry/fleet.py
+++ b/libs/entry/src/clementinebend_entry/fleet.py
@@ -23,6 +23,7 @@
 from clementinebend_entry.pointer_desk import PointerDesk
 from clementinebend_entry.reach import Reach
 from clementinebend_entry.receipt_keeper import ReceiptKeeper
+from clementinebend_entry.receipt_places import ReceiptPlaces
 from clementinebend_entry.receipts import ReceiptDesk
 from clementinebend_entry.router import Router
 from clementinebend_entry.services import Services
@@ -32,14 +33,12 @@
 from clementinebend_entry.sidecar_pool import SidecarPool
 from clementinebend_platform_client.hosts import HostsClient
 from clementinebend_platform_client.log_client import http_log_client
-from clementinebend_records.identifiers import Incarnation, RunId
+from clementinebend_records.identifiers import Incarnation
 from clementinebend_records.messages import (
     CacheEvent,
     CloseReply,
     Hello,
     LoadReport,
-    Receipt,
-    ReceiptsLogged,
     TransferGive,
 )
 from clementinebend_records.records import Bill
@@ -74,14 +73,6 @@
             log, settings.schema_version, self.on_configuration, stop.set
         )
         self.keeper = ReceiptKeeper(settings.kept_receipts, self.ledger.post_foreign)
-        self.kept_by: dict[RunId, str] = {}
-        self.receipts = ReceiptDesk(
-            settings.zone,
-            self.post_logged,
-            self.keep_at_peer,
-            self.on_forgotten,
-            self.is_cut_off,
-        )
         self.pool = SidecarPool(
             settings.name, settings.subset_size, self.hello, self.on_sidecar_news
         )
@@ -91,6 +82,8 @@
         limits = self.configuration.configuration.declarations.limits
         self.gate = AdmissionGate(limits.retry_budget_ratio)
         self.peers = PeerPool(settings, self.hello, self.on_peer_news)
+        places = ReceiptPlaces(self.ledger, self.pool, self.peers)
+        self.receipts = ReceiptDesk(settings.zone, places)
         self.pointers = PointerDesk(settings.name, settings.kept_pointers, self.peers)
         self.own_witness = OwnWitness(Lender(self.ledger), self.keeper)
         self.borrower = Borrower(self.ledger, self.peers)
@@ -192,6 +185,8 @@
     @on_sidecar_news.register(LinkDown)
     def _(self, news: LinkUp | LinkDown) -> None:
         self.see_witnesses()
+        if isinstance(news, LinkUp):
+            self.router.note_leaving(news.name, news.hello.leaving)
         self.router.refresh()
         self.gate.set_slots(self.slots())
         self.receipts.tell_sidecars()
@@ -247,40 +242,6 @@
 
     # Receipts.
 
-    def post_logged(self, endpoint: str, logged: ReceiptsLogged) -> bool:
-        """Tell a sidecar which receipts are on the log."""
-        link = self.pool.links.get(endpoint)
-        return link is not None and link.post(logged)
-
-    def allowed_keepers(self, budget: str) -> frozenset[Incarnation]:
-        """Return the peers that are witnesses of this budget's grants."""
-        witnesses = self.peers.witnesses()
-        return frozenset(
-            each for each in witnesses if self.ledger.is_witness(budget, each)
-        )
-
-    def is_cut_off(self, budget: str) -> bool:
-        """Return whether a receipt cannot leave this availability zone."""
-        shard = self.ledger.shards.of_budget(budget)
-        allowed = self.allowed_keepers(budget)
-        keepers = self.peers.keepers()
-        has_keeper = any(self.peers.is_allowed(name, allowed) for name in keepers)
-        return not has_keeper and shard.failing_for(self.loop.time()) > 0
-
-    async def keep_at_peer(self, receipt: Receipt) -> bool:
-        """Have a peer of another zone keep a receipt."""
-        allowed = self.allowed_keepers(receipt.budget)
-        name = await self.peers.keep_receipt(receipt, allowed)
-        if name is not None:
-            self.kept_by[receipt.run] = name
-        return name is not None
-
-    def on_forgotten(self, run: RunId) -> None:
-        """Tell the peer that keeps a receipt that it is on the log."""
-        name = self.kept_by.pop(run, None)
-        if name is not None:
-            self.peers.tell_logged(name, ReceiptsLogged((run,)))
-
     async def look_after_receipts(self) -> None:
         """Bill receipts whose holders stay silent."""
         while True:
--- a/libs/entry/src/clementinebend_entry/ledger.py
+++ b/libs/entry/src/clementinebend_entry/ledger.py
@@ -6,7 +6,7 @@
 runs under the old one is still billed by it.
 """
 
-from asyncio import Event, Future, get_running_loop, timeout
+from asyncio import Event, Future, get_running_loop, timeout, timeout_at
 from collections.abc import Iterable
 from functools import singledispatchmethod
 from logging import getLogger
@@ -277,6 +277,16 @@
 
     # Planned stop.
 
+    async def until_changed(self, deadline: float) -> bool:
+        """Wait until more of the log is read; false if ``deadline`` comes first."""
+        self.changed.clear()
+        try:
+            async with timeout_at(deadline):
+                await self.changed.wait()
+        except TimeoutError:
+            return False
+        return True
+
     async def until_settled(self) -> None:
         """Wait until nothing is reserved and all bills were read back."""
         while not self.is_settled:
--- a/libs/entry/src/clementinebend_entry/message_link.py
+++ b/libs/entry/src/clementinebend_entry/message_link.py
@@ -48,13 +48,16 @@
     async def run(self) -> None:
         """Connect, and connect again, for ever."""
         failures = 0
-        while True:
-            if await self.connect():
-                failures = 0
-                await self.receive_all()
-                self.lose()
-            failures += 1
-            await sleep(connect_delay(failures, self.name))
+        try:
+            while True:
+                if await self.connect():
+                    failures = 0
+                    await self.receive_all()
+                    self.lose()
+                failures += 1
+                await sleep(connect_delay(failures, self.name))
+        finally:
+            await self.end()
 
     async def connect(self) -> bool:
         """Open the connection and exchange ``Hello``; return whether it is up."""
@@ -116,6 +119,13 @@
         self.stream = None
         self.up.clear()
 
+    async def end(self) -> None:
+        """Close the connection for good."""
+        stream = self.stream
+        if stream is not None:
+            self.lose()
+            await stream.close()
+
     def post(self, message: Message) -> bool:
         """Send without waiting; false if the connection is down."""
         if self.stream is None or self.stream.is_closed:
--- a/libs/entry/src/clementinebend_entry/peer_pool.py
+++ b/libs/entry/src/clementinebend_entry/peer_pool.py
@@ -149,8 +149,6 @@
         for task in self.tasks:
             task.cancel()
         await gather(*self.tasks, return_exceptions=True)
-        streams = [link.stream for link in self.links.values() if link.stream]
-        await gather(*(stream.close() for stream in streams))
 
 
 def partners(name: str, zones: Mapping[str, str]) -> tuple[str, ...]:
--- a/libs/entry/src/clementinebend_entry/receipts.py
+++ b/libs/entry/src/clementinebend_entry/receipts.py
@@ -8,8 +8,8 @@
 
 from asyncio import FIRST_COMPLETED, Future, create_task, get_running_loop, wait
 from collections import defaultdict
-from collections.abc import Awaitable, Callable
 from time import monotonic
+from typing import Protocol
 
 from clementinebend_declarations.models import ReceiptSafety
 from clementinebend_entry.calls import Call
@@ -18,29 +18,29 @@
 from clementinebend_records.messages import Receipt, ReceiptsLogged
 from clementinebend_records.records import Bill
 
-PostToSidecar = Callable[[str, ReceiptsLogged], bool]
-KeepAtPeer = Callable[[Receipt], Awaitable[bool]]
-OnForget = Callable[[RunId], None]
-IsCutOff = Callable[[str], bool]
-"""Whether neither the log nor a peer of another zone can take a receipt."""
+
+class Places(Protocol):
+    """Where receipts are kept."""
+
+    def tell_sidecar(self, endpoint: str, logged: ReceiptsLogged) -> bool:
+        """Tell a sidecar which receipts are on the log; false if out of reach."""
+
+    def is_cut_off(self, budget: str) -> bool:
+        """Return whether a receipt cannot leave this availability zone."""
+
+    async def keep_at_peer(self, receipt: Receipt) -> bool:
+        """Have a peer of another zone keep a receipt."""
+
+    def forget_at_peer(self, run: RunId) -> None:
+        """Tell the peer that keeps a receipt that it is on the log."""
 
 
 class ReceiptDesk:
     """Knows which receipts wait for their bill to be read back."""
 
-    def __init__(
-        self,
-        zone: str,
-        post: PostToSidecar,
-        keep: KeepAtPeer,
-        forget: OnForget,
-        is_cut_off: IsCutOff,
-    ) -> None:
+    def __init__(self, zone: str, places: Places) -> None:
         self.zone = zone
-        self.post = post
-        self.keep = keep
-        self.forget = forget
-        self.is_cut_off = is_cut_off
+        self.places = places
         self.waiting: defaultdict[RequestKey, list[tuple[RunId, str]]]
         self.waiting = defaultdict(list)
         self.logged: dict[RequestKey, Future[None]] = {}
@@ -57,27 +57,27 @@
             future.set_result(None)
         for run, endpoint in self.waiting.pop(bill.key, ()):
             self.untold[endpoint].append(run)
-            self.forget(run)
+            self.places.forget_at_peer(run)
         if self.untold:
             get_running_loop().call_soon(self.tell_sidecars)
 
     def tell_sidecars(self) -> None:
         """Tell sidecars which receipts need no more keeping."""
         for endpoint, runs in tuple(self.untold.items()):
-            if self.post(endpoint, ReceiptsLogged(tuple(runs))):
+            if self.places.tell_sidecar(endpoint, ReceiptsLogged(tuple(runs))):
                 del self.untold[endpoint]
 
     def unsafe_zone(self, call: Call) -> str:
         """Return the zone whose receipts could not be made safe; empty if none."""
         needs_zones = call.receipt_safety is ReceiptSafety.TWO_ZONES
-        return self.zone if needs_zones and self.is_cut_off(call.budget) else ""
+        return self.zone if needs_zones and self.places.is_cut_off(call.budget) else ""
 
     async def make_safe(self, receipt: Receipt, call: Call, zone: str) -> bool:
         """Return once a receipt is safe; false if that cannot be had in time."""
         if zone != self.zone:
             return _count("zones")
         logged = self.logged_future(receipt.key)
-        kept = create_task(_as_task(self.keep(receipt)))
+        kept = create_task(self.places.keep_at_peer(receipt))
         await wait((logged, kept), return_when=FIRST_COMPLETED)
         if kept.done() and kept.result():
             return _count("peer")
@@ -97,10 +97,6 @@
         return self.logged[key]
 
 
-async def _as_task(keeping: Awaitable[bool]) -> bool:
-    return await keeping
-
-
 def _count(place: str) -> bool:
     RECEIPTS_SAFE.labels(place).inc()
     return True
--- a/libs/entry/src/clementinebend_entry/router.py
+++ b/libs/entry/src/clementinebend_entry/router.py
@@ -79,10 +79,13 @@
     def on_report(self, report: LoadReport) -> None:
         """Take a load report; one that tells of leaving counts at once."""
         self.state = on_load_report(self.state, report, monotonic())
-        was_leaving = report.endpoint in self.leaving
-        if report.leaving != was_leaving:
-            change = self.leaving.add if report.leaving else self.leaving.discard
-            change(report.endpoint)
+        self.note_leaving(report.endpoint, report.leaving)
+
+    def note_leaving(self, endpoint: str, is_leaving: bool) -> None:
+        """Take in whether an endpoint takes new work."""
+        if is_leaving != (endpoint in self.leaving):
+            change = self.leaving.add if is_leaving else self.leaving.discard
+            change(endpoint)
             self.refresh()
 
     def on_cache_event(self, event: CacheEvent) -> None:
@@ -116,6 +119,18 @@
             return choice
         return self.pool.links[choice.endpoint], choice
 
+    def is_pending(self, call: Call) -> bool:
+        """Return whether an endpoint is in reach and its scope is being logged."""
+        endpoints = self.declarations.endpoints
+        return any(
+            endpoints[name].service == call.service
+            and self.is_usable(name, endpoints[name].state)
+            and link.peer is not None
+            and not self.is_witness(call.budget, link.peer.incarnation)
+            for name, link in self.pool.links.items()
+            if name in endpoints
+        )
+
     def on_start(self, choice: Choice, run: RunId) -> None:
         """Count a run that is dispatched."""
         self.state = on_dispatch(
--- /dev/null
+++ b/libs/entry/src/clementinebend_entry/run_account.py
@@ -0,0 +1,77 @@
+"""What one call has reserved and what its runs so far have cost."""
+
+from clementinebend_entry.budget_waits import Reservation
+from clementinebend_entry.calls import Call
+from clementinebend_entry.following import Follower
+from clementinebend_entry.ledger_events import Finished, Withdrawn
+from clementinebend_entry.lost_runs import (
+    LostRun,
+    bill,
+    release_lost,
+    resolve_lost,
+    trouble_of,
+)
+from clementinebend_entry.outcomes import Failed, Refusal, Unknown
+from clementinebend_entry.run_results import RunBroke, RunResult, RunWhole
+from clementinebend_entry.services import Services
+from clementinebend_records.identifiers import RunId
+
+
+class RunAccount:
+    """Reserves, settles and withdraws for one call; see ``lost_runs``."""
+
+    def __init__(self, services: Services, call: Call) -> None:
+        self.services = services
+        self.call = call
+        self.reservation: Reservation | None = None
+        self.lost: list[LostRun] = []
+        self.tokens = 0
+
+    async def reserve(self, run: RunId) -> Refusal | None:
+        """Set tokens aside for a run, unless that is done."""
+        if self.reservation is not None:
+            return None
+        call = self.call
+        answer = await self.services.ledger.reserve(
+            run, call.budget, call.amount, call.deadline
+        )
+        if isinstance(answer, Refusal):
+            return answer
+        self.reservation = answer
+        return None
+
+    def withdraw(self) -> None:
+        """Free the reservation of a run that did not take place."""
+        if self.reservation is not None:
+            self.services.ledger.take(Withdrawn(self.reservation.run))
+            self.reservation = None
+
+    def lose(self, result: RunResult, follower: Follower) -> None:
+        """Keep a run whose cost the key may still have to bear."""
+        if self.reservation is not None:
+            lost = LostRun(self.call.key, self.reservation, follower, result)
+            self.lost.append(lost)
+            self.reservation = None
+
+    def settle(self, result: RunWhole | RunBroke, follower: Follower) -> None:
+        """Bill the key with a run's receipt: no earlier run bears a cost."""
+        receipt = result.receipt
+        self.tokens = max(1, receipt.amount)
+        if self.reservation is not None:
+            lost = LostRun(self.call.key, self.reservation, follower, result)
+            bill(self.services, lost, receipt)
+            self.reservation = None
+        else:
+            self.services.receipts.expect(receipt.key, receipt.run, receipt.endpoint)
+            self.services.ledger.take(Finished(receipt))
+        release_lost(self.services, self.lost)
+        self.lost.clear()
+
+    def resolve(self) -> None:
+        """Settle the runs that gave no whole answer; there are no more."""
+        resolve_lost(self.services, self.lost)
+        self.lost.clear()
+
+    def trouble(self) -> Failed | Unknown | None:
+        """Return what the caller is told of lost runs; None if there are none."""
+        return trouble_of(self.lost) if self.lost else None
--- a/libs/entry/src/clementinebend_entry/sidecar_link.py
+++ b/libs/entry/src/clementinebend_entry/sidecar_link.py
@@ -56,13 +56,17 @@
 
 
 class SidecarLink(MessageLink):
-    """Connects to one sidecar and tells its runs and the pool what it says."""
+    """Connects to one sidecar and tells its runs and the pool what it says.
+
+    ``on_idle`` is called once the last run has ended.
+    """
 
     def __init__(self, address: Address, hello: MakeHello, tell: Tell) -> None:
         super().__init__(*address, hello, SILENCE_S)
         self.address = address
         self.tell = tell
         self.runs: dict[RunId, Queue[RunEvent]] = {}
+        self.on_idle: Callable[[], None] | None = None
 
     def greeted(self, hello: Hello) -> None:
         """Take the sidecar's ``Hello``."""
@@ -87,6 +91,8 @@
     def close_run(self, run: RunId) -> None:
         """Take no more messages of a run."""
         self.runs.pop(run, None)
+        if not self.runs and self.on_idle is not None:
+            self.on_idle()
 
     def take(self, message: Message) -> None:
         """Take one message; those that are not for an entry have no effect."""
--- a/libs/entry/src/clementinebend_entry/sidecar_pool.py
+++ b/libs/entry/src/clementinebend_entry/sidecar_pool.py
@@ -4,8 +4,6 @@
 from collections.abc import Callable, Iterable
 from itertools import groupby
 
-from clementinebend_membership.rendezvous import subset
-
 from clementinebend_declarations.models import Declarations
 from clementinebend_entry.metrics import LINKS
 from clementinebend_entry.sidecar_link import (
@@ -15,6 +13,7 @@
     LinkUp,
     SidecarLink,
 )
+from clementinebend_membership.rendezvous import subset
 from clementinebend_records.identifiers import Incarnation
 from clementinebend_records.messages import Hello
 
@@ -36,6 +35,7 @@
         self.addresses: dict[str, Address] = {}
         self.links: dict[str, SidecarLink] = {}
         self.tasks: dict[str, Task[None]] = {}
+        self.ending: set[Task[None]] = set()
 
     def configure(self, declarations: Declarations) -> None:
         """Keep links to the subset of each service's endpoints."""
@@ -60,9 +60,17 @@
         return link
 
     def drop(self, endpoint: str) -> None:
-        """Close the link to an endpoint that is declared no more."""
-        self.tasks.pop(endpoint).cancel()
-        self.links.pop(endpoint).lose()
+        """Close the link to an endpoint that is declared no more.
+
+        Runs that are open on it are followed to their end first.
+        """
+        task, link = self.tasks.pop(endpoint), self.links.pop(endpoint)
+        if not link.runs:
+            task.cancel()
+            return
+        self.ending.add(task)
+        task.add_done_callback(self.ending.discard)
+        link.on_idle = lambda: _cancel(task)
 
     def incarnations(self) -> tuple[Incarnation, ...]:
         """Return the sidecars that can be reached now."""
@@ -81,11 +89,14 @@
 
     async def close(self) -> None:
         """Close all links."""
-        for task in self.tasks.values():
+        tasks = (*self.tasks.values(), *self.ending)
+        for task in tasks:
             task.cancel()
-        await gather(*self.tasks.values(), return_exceptions=True)
-        streams = [link.stream for link in self.links.values() if link.stream]
-        await gather(*(stream.close() for stream in streams))
+        await gather(*tasks, return_exceptions=True)
+
+
+def _cancel(task: Task[None]) -> None:
+    task.cancel()
 
 
 def chosen_endpoints(
--- a/tests/unit/entry/test_execution.py
+++ b/tests/unit/entry/test_execution.py
@@ -170,3 +170,18 @@
         assert (await first).status == 504
         assert (await entry.until_settled()).billed == 2
         assert len(sidecar.started) == 1
+
+
+async def test_not_run_is_never_said_of_a_booking_that_another_run_claimed() -> None:
+    sidecar = ScriptedSidecar("service-1", accept_only)
+    async with scripted_entry(sidecar, service="booking") as entry:
+        made = request("POST", "/booking", b"site 7", idempotency_key="b")
+        asked = create_task(entry.ask(made))
+        await sidecar.until(lambda: len(sidecar.started) == 1)
+        await sidecar.restart(refuse(NotRun.LEAVING))
+        assert (await asked).status == 504
+        entry.fleet.router.note_leaving("service-1", True)
+        again = await entry.ask(made)
+        assert (again.status, error_of(again)["type"]) == (504, "outcome_unknown")
+        other = await entry.ask(request("POST", "/booking", b"x", idempotency_key="c"))
+        assert (other.status, error_of(other)["type"]) == (503, "not_run")
--- a/tests/unit/entry/test_keeping.py
+++ b/tests/unit/entry/test_keeping.py
@@ -85,27 +85,31 @@
 
 
 class Desk:
-    """A receipt desk with a peer that keeps or not."""
+    """A receipt desk, and the places where a peer keeps receipts or not."""
 
     def __init__(self, keeps: bool) -> None:
+        self.keeps = keeps
         self.told: list[tuple[str, ReceiptsLogged]] = []
         self.is_up = True
         self.asked = Event()
         self.posted = Event()
+        self.desk = ReceiptDesk("zone-a", self)
 
-        async def keep(_: Receipt) -> bool:
-            self.asked.set()
-            return keeps
+    def tell_sidecar(self, endpoint: str, logged: ReceiptsLogged) -> bool:
+        self.posted.set()
+        if self.is_up:
+            self.told.append((endpoint, logged))
+        return self.is_up
 
-        def post(endpoint: str, logged: ReceiptsLogged) -> bool:
-            self.posted.set()
-            if self.is_up:
-                self.told.append((endpoint, logged))
-            return self.is_up
+    def is_cut_off(self, budget: str) -> bool:
+        return not self.keeps
 
-        self.desk = ReceiptDesk(
-            "zone-a", post, keep, lambda run: None, lambda budget: not keeps
-        )
+    async def keep_at_peer(self, receipt: Receipt) -> bool:
+        self.asked.set()
+        return self.keeps
+
+    def forget_at_peer(self, run: RunId) -> None:
+        pass
 
 
 @pytest.mark.parametrize(
