Let a reader that fails to stop fail its test instead of hanging it

Cause: with the halt on a newer schema removed, the test waited for ever. Ruled out: a shorter wait, which could fail on a busy machine. Before: a hang.

--- a/tests/unit/platform_client/test_streams.py
+++ b/tests/unit/platform_client/test_streams.py
@@ -126,6 +126,12 @@
     return node.tail.state.position
 
 
+async def ended(node: Node) -> None:
+    """Wait until the node's reader has stopped by itself."""
+    async with timeout(HANG_SECONDS):
+        await gather(node.tail.task, return_exceptions=True)
+
+
 @pytest.fixture
 async def fleet() -> AsyncIterator[Fleet]:
     fleet = Fleet()
@@ -275,7 +281,7 @@
     await node.post("b")
     wrong = Checkpoint(STREAM, 1, "other", b"")
     fleet.log.put(STREAM, Batch(Incarnation("w"), 1, (wrong,)))
-    await gather(node.tail.task, return_exceptions=True)
+    await ended(node)
     assert [type(error) for error in node.errors] == [BrokenInvariantError]
     assert STREAM in str(node.errors[0])
 
@@ -288,7 +294,7 @@
     assert await node.post("a") == 1
     fleet.log.put_bytes(STREAM, packb([99, "w", 1, [[999]]]))
     fleet.log.put(STREAM, Batch(Incarnation("w"), 2, (top_up("after"),)))
-    await node.tail.task
+    await ended(node)
     assert node.outcomes == [NewerSchema(STREAM, 2, 99)]
     assert not node.tail.ready.is_set()
     assert node.replica.applied == ["a"]
