Keep the data plane's figures for the capacity page

Cause: the page needs the processor time of a request and of a token, and the log appends under load, in a file. Ruled out: making the page from the table's text. Before: rows only. Conclusion: build/path.json holds what the page reads.

--- a/libs/bench/src/clementinebend_bench/experiments/path.py
+++ b/libs/bench/src/clementinebend_bench/experiments/path.py
@@ -2,140 +2,50 @@
 
 Real processes on loopback: callers, entry, sidecar, engine; and callers,
 relay, engine, over the same transport. Each engine step gives one token, and
-each token is one piece of the stream.
+each token is one piece of the stream. Writes ``build/path.json``, too.
 """
 
 from asyncio import run as run_loop
-from collections.abc import Callable
 from pathlib import Path
 from tempfile import TemporaryDirectory
-from typing import NamedTuple
 
-from clementinebend_bench.launcher.fleet_files import MODEL, TEAM_KEY, Plan
-from clementinebend_bench.launcher.fleets import LocalFleet, running_fleet
-from clementinebend_bench.launcher.loading import RELAY_PROGRAM, Measured, measure
-from clementinebend_bench.launcher.processes import RunningProcess
-from clementinebend_bench.programs.load import Order
+from clementinebend_bench.experiments.path_loads import (
+    DATA_PLANE_FILE,
+    ENTRY,
+    RELAY,
+    SIDECARS,
+    PathFigures,
+    UnitCost,
+    capacity_of,
+    data_plane,
+    measure_path,
+    tokens_per_core,
+    unit_cost,
+    write_data_plane,
+)
 from clementinebend_bench.rows import Row, percentile, ratio_of
 
-TOKENS = 250
-"""Tokens of an answer: 11 million a second over 44,000 requests a second."""
-
-SHORT_TOKENS = 1
-PROMPT_BYTES = 400
-FULL_SECONDS = 3.5
-HALF_SECONDS = 4.0
-SHORT_SECONDS = 2.0
-CALLERS = 48
-MOST_IN_FLIGHT = 96
-HALF = 0.5
 MILLISECONDS = 1000.0
 MICROSECONDS = 1e6
 
 THROUGHPUT_BAR = 0.7
 FIRST_TOKEN_BAR_MS = 5.0
 
-PLAN = Plan(
-    entries=2,
-    engines=3,
-    services=0,
-    budget_tokens=10**12,
-    engine_args=("--step-ms", "5", "--slots", "64", "--tokens-per-chunk", "1"),
-    entry_settings={"slots_per_endpoint": 64},
-    sidecar_settings={"slots": 64},
-)
-ENTRY = "entry-1"
-RELAY = "relay"
-SIDECARS = "engine-"
-
-
-class PathFigures(NamedTuple):
-    """All loads: full and short ones in closed loops, half load in open ones."""
-
-    fleet_full: Measured
-    relay_full: Measured
-    fleet_short: Measured
-    relay_short: Measured
-    fleet_half: Measured
-    relay_half: Measured
-    direct_half: Measured
-    half_rate: float
-
-
-class UnitCost(NamedTuple):
-    """Processor seconds for each request, and more for each token."""
-
-    request: float
-    token: float
-
 
 def run(seed: int) -> tuple[Row, ...]:
     """Return latency and throughput of the path beside the bare relay's."""
     with TemporaryDirectory(prefix="clementinebend-path-") as directory:
         figures = run_loop(measure_path(Path(directory), seed))
+    write_data_plane(data_plane(figures, seed), DATA_PLANE_FILE)
     return (
         *latency_rows(figures),
         *throughput_rows(figures),
         *cost_rows(figures),
+        *append_rows(figures),
         *failure_rows(figures),
     )
 
 
-async def measure_path(directory: Path, seed: int) -> PathFigures:
-    """Start a fleet and a relay before the same engines, and load both."""
-    async with running_fleet(directory, PLAN) as fleet:
-        engines = tuple(fleet.url(f"{name}-endpoint") for name in fleet.endpoints)
-        relay = await fleet.processes.start_process([*RELAY_PROGRAM, *engines])
-        fleet.running[RELAY] = relay
-        entry = (fleet.url(ENTRY),)
-
-        async def load(urls: tuple[str, ...], make: Callable[..., Order]) -> Measured:
-            return await measure(fleet.processes, make(urls, seed), _watched(fleet))
-
-        await load(entry, _short)
-        fleet_full = await load(entry, _full)
-        relay_full = await load((relay.url,), _full)
-        fleet_short = await load(entry, _short)
-        relay_short = await load((relay.url,), _short)
-        rate = HALF * capacity_of(fleet_full, ENTRY)
-
-        def half(urls: tuple[str, ...], seed: int) -> Order:
-            order = _order(urls, seed, HALF_SECONDS, TOKENS)
-            return order._replace(rate=rate, in_flight=MOST_IN_FLIGHT)
-
-        return PathFigures(
-            fleet_full,
-            relay_full,
-            fleet_short,
-            relay_short,
-            await load(entry, half),
-            await load((relay.url,), half),
-            await load(engines, half),
-            rate,
-        )
-
-
-def capacity_of(measured: Measured, program: str) -> float:
-    """Return the requests a second that one core of a program bears."""
-    return len(measured.answered.whole) / measured.cpu_of(program)
-
-
-def tokens_per_core(measured: Measured, programs: str) -> float:
-    """Return the tokens a second that one core of these programs bears."""
-    return measured.answered.tokens / measured.cpu_of(programs)
-
-
-def unit_cost(full: Measured, short: Measured, programs: str) -> UnitCost:
-    """Return the cost of a request and of a token from two sizes of answers."""
-    requests = [len(each.answered.whole) for each in (full, short)]
-    seconds = [
-        each.cpu_of(programs) / number
-        for each, number in zip((full, short), requests, strict=True)
-    ]
-    token = (seconds[0] - seconds[1]) / (TOKENS - SHORT_TOKENS)
-    return UnitCost(seconds[1] - token * SHORT_TOKENS, token)
-
-
 def latency_rows(figures: PathFigures) -> tuple[Row, ...]:
     """Return what the fleet, and the relay, add to the engines' latency."""
     first = [
@@ -198,6 +108,15 @@
     return tuple(rows)
 
 
+def append_rows(figures: PathFigures) -> tuple[Row, ...]:
+    """Return how many appends to the log the fleet made for each request."""
+    loads = {"full load": figures.fleet_full, "half load": figures.fleet_half}
+    return tuple(
+        Row(f"{name}: appends", load.appends / len(load.answered.whole), "a request")
+        for name, load in loads.items()
+    )
+
+
 def failure_rows(figures: PathFigures) -> tuple[Row, ...]:
     """Return how many requests did not give a whole answer."""
     loads = {
@@ -223,22 +142,3 @@
     added, base = fleet - direct, relay - direct
     name = f"{label}: added p{percent} at half load"
     return Row(name, added, "ms", RELAY, base, ratio_of(added, base))
-
-
-def _watched(fleet: LocalFleet) -> dict[str, RunningProcess]:
-    names = (*fleet.entries, *fleet.endpoints, RELAY)
-    return {name: fleet.running[name] for name in names if name in fleet.running}
-
-
-def _order(urls: tuple[str, ...], seed: int, seconds: float, tokens: int) -> Order:
-    return Order(
-        urls, seconds, CALLERS, 0.0, tokens, PROMPT_BYTES, MODEL, TEAM_KEY, seed
-    )
-
-
-def _full(urls: tuple[str, ...], seed: int) -> Order:
-    return _order(urls, seed, FULL_SECONDS, TOKENS)
-
-
-def _short(urls: tuple[str, ...], seed: int) -> Order:
-    return _order(urls, seed, SHORT_SECONDS, SHORT_TOKENS)
--- a/libs/bench/src/clementinebend_bench/launcher/loading.py
+++ b/libs/bench/src/clementinebend_bench/launcher/loading.py
@@ -24,10 +24,14 @@
 
 
 class Measured(NamedTuple):
-    """What a load gave, and the processor seconds that each program took."""
+    """What a load gave, and the processor seconds that each program took.
+
+    ``appends`` counts those to the log meanwhile.
+    """
 
     answered: Answered
     cpu: dict[str, float]
+    appends: int = 0
 
     def cpu_of(self, prefix: str) -> float:
         """Return the seconds of all programs whose name starts with ``prefix``."""
