--- a/libs/bench/src/clementinebend_bench/experiments/routing.py
+++ b/libs/bench/src/clementinebend_bench/experiments/routing.py
@@ -1,8 +1,9 @@
 """Routing: time to first token against round robin and load-only policies.
 
-Both deployments at three loads, and once more at 80 % on engines that run out
-of slots rather than of prefill, where cached prefixes are worth little. All
-policies get the same trace; several entries decide alone on lagging reports.
+Both deployments at three loads, and two variants of them at 80 %: engines that
+run out of slots rather than of prefill, where cached prefixes are worth little,
+and pools in which one engine is slow. All policies get the same trace; several
+entries decide alone on lagging reports.
 """
 
 from functools import lru_cache
@@ -67,7 +68,7 @@
 
 def run(seed: int) -> tuple[Row, ...]:
     """Return the rows of all deployments, loads and baselines."""
-    settings = [*product(DEPLOYMENTS, LOADS), *((d, BAR_LOAD) for d in _slot_bound())]
+    settings = [*product(DEPLOYMENTS, LOADS), *((d, BAR_LOAD) for d in _variants())]
     cases = [
         Case(deployment, load, policy, seed)
         for deployment, load in settings
@@ -79,7 +80,7 @@
         for deployment, load in settings
         for row in _rows(
             f"{deployment.name} at {load:.0%}",
-            load,
+            load == BAR_LOAD and deployment in DEPLOYMENTS,
             {
                 policy: results[Case(deployment, load, policy, seed)]
                 for policy in POLICIES
@@ -117,14 +118,18 @@
     return cached / sum(one.request.prompt for one in measured)
 
 
-def _slot_bound() -> tuple[Deployment, ...]:
+def _variants() -> tuple[Deployment, ...]:
     return tuple(
-        deployment._replace(name=f"{deployment.name} slot-bound", size=SLOT_BOUND)
+        variant
         for deployment in DEPLOYMENTS
+        for variant in (
+            deployment._replace(name=f"{deployment.name} slot-bound", size=SLOT_BOUND),
+            deployment._replace(name=f"{deployment.name} one slow", slow_engines=1),
+        )
     )
 
 
-def _rows(name: str, load: float, results: dict[str, Result]) -> tuple[Row, ...]:
+def _rows(name: str, has_bar: bool, results: dict[str, Result]) -> tuple[Row, ...]:
     own = results[FLEET]
     baselines = {key: result for key, result in results.items() if key != FLEET}
     return (
@@ -132,7 +137,7 @@
             _first_token_row(name, own, key, result)
             for key, result in baselines.items()
         ),
-        *_bar_rows(name, load, own, baselines),
+        *(_bar_rows(name, own, baselines) if has_bar else ()),
         *_share_rows(name, own, baselines),
     )
 
@@ -144,12 +149,8 @@
     return Row(title, own.p95, "s", key, baseline.p95, ratio, "< 1.0 of it", met)
 
 
-def _bar_rows(
-    name: str, load: float, own: Result, baselines: dict[str, Result]
-) -> tuple[Row, ...]:
-    """Return the row of the ratio asked for, where prefixes matter."""
-    if load != BAR_LOAD or "slot-bound" in name:
-        return ()
+def _bar_rows(name: str, own: Result, baselines: dict[str, Result]) -> tuple[Row, ...]:
+    """Return the row of the ratio asked for at ``BAR_LOAD``."""
     best = min(baselines, key=lambda key: baselines[key].p95)
     ratio = own.p95 / baselines[best].p95
     title = f"{name}: p95 to first token, best baseline"
--- a/libs/bench/src/clementinebend_bench/models/deployments.py
+++ b/libs/bench/src/clementinebend_bench/models/deployments.py
@@ -5,6 +5,9 @@
 
 from clementinebend_bench.models.engine import Engine, EngineSize, new_engine
 
+SLOW_FACTOR = 2.0
+"""How much longer a step of a slow engine takes."""
+
 
 class TeamProfile(NamedTuple):
     """A team's share of the traffic and its number of shared prompt prefixes."""
@@ -22,13 +25,17 @@
 
 
 class Deployment(NamedTuple):
-    """Zones with one entry each, pools of engines, and teams."""
+    """Zones with one entry each, pools of engines, and teams.
+
+    The first ``slow_engines`` of each pool take ``SLOW_FACTOR`` times as long.
+    """
 
     name: str
     zones: tuple[str, ...]
     pools: tuple[Pool, ...]
     teams: tuple[TeamProfile, ...]
     size: EngineSize = EngineSize()
+    slow_engines: int = 0
 
 
 TEAM_SIZES = (
@@ -80,7 +87,17 @@
     )
     return {
         f"{service}-{number}": new_engine(
-            f"{service}-{number}", next(zones), service, deployment.size
+            f"{service}-{number}",
+            next(zones),
+            service,
+            _size(deployment, number),
         )
         for service, number in names
     }
+
+
+def _size(deployment: Deployment, number: int) -> EngineSize:
+    size = deployment.size
+    if number >= deployment.slow_engines:
+        return size
+    return size._replace(step=size.step * SLOW_FACTOR)
