--- a/libs/admission/src/clementinebend_admission/queue.py
+++ b/libs/admission/src/clementinebend_admission/queue.py
@@ -173,8 +173,9 @@
     wait = _wait(state, arrival)
     remaining = arrival.deadline - now
     if wait >= remaining:
+        reason = NotRun.DEADLINE if state.capacity.slots else NotRun.NO_ENDPOINT
         after = _retry_after(state, arrival, remaining)
-        return state, Refused(NotRun.DEADLINE, after, arrival.request)
+        return state, Refused(reason, after, arrival.request)
     if _queue_is_full(state, arrival):
         after = _retry_after(state, arrival, wait / 2)
         return state, Refused(NotRun.OVERLOADED, after, arrival.request)
--- a/tests/unit/admission/test_queue.py
+++ b/tests/unit/admission/test_queue.py
@@ -51,6 +51,14 @@
     assert 3_000 <= verdict.retry_after_ms <= 4_500
 
 
+def test_refuses_at_the_door_while_there_is_no_capacity() -> None:
+    state = empty_admission(slots=0)
+    _, verdict = arrive(state, arrival("a"), 0.0)
+    assert isinstance(verdict, Refused)
+    assert verdict.reason is NotRun.NO_ENDPOINT
+    assert verdict.retry_after_ms >= 1_000
+
+
 def test_full_queue_still_takes_a_small_team() -> None:
     state = empty_admission(slots=1, queue_limit=10)
     for number in range(11):
