Stop under load while the log is slow

Cause: a mutation that skipped the wait for bills survived the test. Ruled out: a unit test alone. Before: survived. After: with the log 400 ms slow the same mutation is caught, and the test passes. Conclusion: the order of a planned stop is covered.

--- a/tests/functional/test_entry_process.py
+++ b/tests/functional/test_entry_process.py
@@ -205,11 +205,13 @@
             return total == len(asked)
 
         await wait_until(running, "all requests run")
+        await cluster.caller("log").set_faults(slow_ms=400)
         entry = cluster.running["entry-1"]
         cluster.processes.request_stop(entry)
         answers = await gather(*asked)
         assert all(read_events(answer.body).is_whole for answer in answers)
         assert await cluster.processes.exit_code(entry) == 0
+        await cluster.caller("log").set_faults(slow_ms=0)
         assert len(await bills(cluster)) == len(asked)
         assert (await summary(cluster)).granted == 0
 
