Split the ledger fuzzing into fleet, traffic and rules

Cause: the state machine had grown to 680 lines. Ruled out: dropping rules. Before: one module. After: 125, 178 and 433 lines, the same rules.

--- /dev/null
+++ b/tests/unit/ledger/fuzz_fleet.py
@@ -0,0 +1,125 @@
+"""The fleet of the ledger fuzzing: entries, sidecars, one log, the network."""
+
+from collections import Counter
+from collections.abc import Sequence
+from typing import TypeVar
+
+from clementinebend_records.identifiers import (
+    Incarnation,
+    RunId,
+)
+from clementinebend_records.records import Batch, HoldResolve, TopUp
+from tests.unit.ledger.fuzz_entry import FakeEntry
+from tests.unit.ledger.fuzz_oracle import Oracle
+from tests.unit.ledger.fuzz_world import FakeLog, FakeSidecar, Network, Start
+
+Item = TypeVar("Item")
+
+counted: Counter[str] = Counter()
+
+
+def pick(items: Sequence[Item], index: int) -> Item:
+    return items[index % len(items)]
+
+
+class Fleet:
+    """The processes around one ledger stream, and what they do together."""
+
+    def __init__(self) -> None:
+        self.oracle = Oracle()
+        self.log = FakeLog(self.oracle)
+        self.network = Network([], [])
+        self.entries: list[FakeEntry] = []
+        self.sidecars: list[FakeSidecar] = []
+        self.names = 0
+        self.operations = 0
+
+    def name(self, kind: str) -> str:
+        self.names += 1
+        return f"{kind}{self.names}"
+
+    def new_entry(self) -> None:
+        incarnation = Incarnation(self.name("entry#"))
+        entry = FakeEntry(incarnation, self.log)
+        self.entries.append(entry)
+        self.tick(entry)
+
+    def new_sidecar(self) -> None:
+        incarnation = Incarnation(self.name("sidecar#"))
+        self.sidecars.append(FakeSidecar(incarnation, self.oracle))
+
+    def operate(self, record: TopUp | HoldResolve) -> None:
+        self.operations += 1
+        writer = Incarnation("operator#1")
+        self.log.append(Batch(writer, self.operations, (record,)))
+
+    def awake(self) -> list[FakeEntry]:
+        return [entry for entry in self.entries if entry.alive and not entry.paused]
+
+    def serving(self) -> list[FakeEntry]:
+        return [entry for entry in self.awake() if not entry.left]
+
+    def living(self) -> list[FakeSidecar]:
+        return [sidecar for sidecar in self.sidecars if sidecar.alive]
+
+    def sidecar(self, incarnation: Incarnation) -> FakeSidecar:
+        found = (item for item in self.sidecars if item.incarnation == incarnation)
+        return next(found)
+
+    def tick(self, entry: FakeEntry) -> None:
+        """Let an entry widen, plan, write and read to the end."""
+        sidecars = tuple(sidecar.incarnation for sidecar in self.living())
+        alive = (other for other in self.entries if other.alive and other != entry)
+        peers = tuple(other.incarnation for other in alive)
+        if not entry.left:
+            entry.widen(sidecars, peers)
+        entry.plan(0.5)
+        for _ in range(len(entry.queue)):
+            entry.write()
+            entry.read()
+
+    def tick_only(self, entry: FakeEntry) -> None:
+        """Write and read without new witnesses or requests."""
+        entry.read()
+        for _ in range(len(entry.queue)):
+            entry.write()
+            entry.read()
+
+    def send_start(self, entry: FakeEntry, start: Start) -> None:
+        """Deliver a start and its refusal to an entry that waits for it."""
+        sidecar = self.sidecar(start.ticket.sidecar)
+        if sidecar.alive and not sidecar.start(start):
+            entry.refused(start.run)
+            self.oracle.refused.add(start.run)
+
+    def send_end(self, entry: FakeEntry, run: RunId) -> None:
+        """Deliver a receipt, or what its sidecar's death leaves."""
+        ticket = entry.flights[run].ticket
+        sidecar = self.sidecar(ticket.sidecar)
+        if run in sidecar.finished and sidecar.alive:
+            entry.ended(run, sidecar.finished[run].amount)
+        elif not sidecar.alive:
+            entry.ended(run, ticket.amount, held=True)
+
+    def flights(self) -> list[tuple[FakeEntry, RunId]]:
+        return [(entry, run) for entry in self.awake() for run in entry.flights]
+
+    def closed_and_witness(self, entry: FakeEntry) -> list[tuple[Incarnation, str]]:
+        """Return open witnesses of the closed holders that an entry knows."""
+        holders = entry.state.holders.items()
+        closed = [(name, item) for name, item in holders if item["closed"]]
+        return [
+            (name, witness)
+            for name, item in closed
+            for witness, status in (item["sidecars"] | item["peers"]).items()
+            if not status
+        ]
+
+    def notify(self, entry: FakeEntry, holder: Incarnation, witness: str) -> None:
+        """Send a close notice and have the answer logged."""
+        for sidecar in self.sidecars:
+            if sidecar.incarnation == witness:
+                entry.notice_sidecar(holder, sidecar)
+        for peer in self.awake():
+            if peer.incarnation == witness:
+                peer.notice(holder)
--- /dev/null
+++ b/tests/unit/ledger/fuzz_traffic.py
@@ -0,0 +1,178 @@
+"""What the fuzzed fleet does: traffic, parts passed on, and a quiet end."""
+
+from clementinebend_records.identifiers import GrantId, RequestKey, RunId
+from tests.unit.ledger.fuzz_entry import FakeEntry
+from tests.unit.ledger.fuzz_fleet import Fleet, counted, pick
+from tests.unit.ledger.fuzz_oracle import Request
+
+
+class BusyFleet(Fleet):
+    """A fleet with traffic."""
+
+    def submit(
+        self, at: int, to: int, budget: str, cost: int, slack: int, lost: bool
+    ) -> None:
+        key = RequestKey(self.name("key"))
+        self.oracle.requests[key] = Request(budget, cost)
+        self.start_run(key, at, to, slack, lost)
+
+    def serve_requests(
+        self,
+        at: int,
+        to: int,
+        budget: str,
+        cost: int,
+        count: int,
+        finished: int,
+        ended: int,
+    ) -> None:
+        """Serve some requests at one entry, and leave some unfinished."""
+        entry = pick(self.serving(), at)
+        for index in range(count):
+            self.submit(at, to + index, budget, cost, index, False)
+        for run in [*entry.flights][:finished]:
+            sidecar = self.sidecar(entry.flights[run].ticket.sidecar)
+            if run in sidecar.running and sidecar.alive:
+                sidecar.finish(run)
+        for run in [*entry.flights][:ended]:
+            self.send_end(entry, run)
+
+    def give_part(
+        self,
+        sender: FakeEntry,
+        budget: str,
+        receiver: FakeEntry,
+        amount: int,
+        arrives: bool,
+    ) -> bool:
+        """Pass a part of a grant; say whether the sender had one."""
+        transfer = GrantId(self.name("part"))
+        message = sender.give(budget, transfer, receiver.incarnation, amount)
+        if not message.amount:
+            return False
+        counted["transferred"] += 1
+        self.network.gives.append(message)
+        self.oracle.parts[transfer] = message.grant
+        if arrives:
+            receiver.receive(message)
+        return True
+
+    def start_run(
+        self, key: RequestKey, at: int, to: int, slack: int, lost: bool
+    ) -> None:
+        entry = pick(self.serving(), at)
+        sidecar = pick(self.living(), to).incarnation
+        budget, cost = self.oracle.requests[key]
+        run = RunId(self.name("run"))
+        start = entry.submit(run, key, budget, cost + slack, sidecar)
+        if start is None:
+            self.tick(entry)
+            start = entry.submit(run, key, budget, cost + slack, sidecar)
+        if start is None:
+            counted["no grant"] += 1
+            return
+        counted["reserved"] += 1
+        self.network.starts.append(start)
+        if not lost:
+            self.send_start(entry, start)
+
+    def serve_at(self, entry: FakeEntry, to: int, budget: str) -> None:
+        """Serve at one entry, whether or not it has read its own close."""
+        if entry in self.serving() and self.living():
+            at = self.serving().index(entry)
+            self.serve_requests(at, to, budget, 3, 4, 3, 2)
+
+    def finish_runs(self, entry: FakeEntry) -> None:
+        """End the runs of one holder, so that its sidecars can acknowledge."""
+        for sidecar in self.living():
+            for run, start in list(sidecar.running.items()):
+                if start.ticket.holder == entry.incarnation:
+                    sidecar.finish(run)
+
+    def pass_on(self, sender: FakeEntry, fresh: bool, passing: bool = True) -> None:
+        """Pass a part from one entry, twice the message, and have it used.
+
+        A fresh receiver has no other grant, so it spends from the part.
+        """
+        if not passing or sender not in self.serving():
+            return
+        if fresh:
+            self.new_entry()
+            self.tick(sender)
+        found = [item for item in self.givers() if item[0] == sender]
+        if not found:
+            return
+        _, budget, receiver = found[-1]
+        if not self.give_part(sender, budget, receiver, 10, arrives=True):
+            return
+        self.use_part(receiver, budget)
+        self.use_part(receiver, budget)
+        receiver.receive(self.network.gives[-1])
+        self.use_part(receiver, budget)
+
+    def use_part(self, entry: FakeEntry, budget: str) -> None:
+        """Execute a run at an entry that does not read, write or learn of it."""
+        key, run = RequestKey(self.name("key")), RunId(self.name("run"))
+        self.oracle.requests[key] = Request(budget, 4)
+        sidecars = self.living()
+        if entry not in self.serving() or not sidecars:
+            return
+        start = entry.submit(run, key, budget, 4, sidecars[-1].incarnation)
+        if start is not None:
+            counted["reserved"] += 1
+            self.send_start(entry, start)
+        if run in sidecars[-1].running:
+            sidecars[-1].finish(run)
+
+    def givers(self) -> list[tuple[FakeEntry, str, FakeEntry]]:
+        """Return entries with free tokens, of which budget, and a peer."""
+        return [
+            (entry, budget, peer)
+            for entry in self.awake()
+            for budget, use in entry.holder.budgets.items()
+            if any(own["free"] > 0 for own in use["grants"].values())
+            for peer in self.awake()
+            if peer.incarnation in entry.holder.witnesses.get("", {})
+        ]
+
+    def heal(self) -> None:
+        self.log.outage = False
+        for entry in self.entries:
+            entry.cut = entry.paused = False
+        for batch in self.log.on_their_way:
+            self.log.append(batch)
+        for start in self.network.starts:
+            sidecar = self.sidecar(start.ticket.sidecar)
+            if sidecar.alive and start.run not in self.oracle.refused:
+                sidecar.start(start)
+
+    def end_runs(self) -> None:
+        for sidecar in self.living():
+            for run in list(sidecar.running):
+                sidecar.finish(run)
+        for entry, run in self.flights():
+            self.send_start(entry, entry.flights[run])
+        for entry, run in self.flights():
+            self.send_end(entry, run)
+
+    def settle_down(self) -> None:
+        for entry in self.awake():
+            self.tick(entry)
+
+    def close_all(self) -> None:
+        self.new_entry()
+        closer = self.entries[-1]
+        closer.read()
+        for entry in self.entries[:-1]:
+            closer.close(entry.incarnation)
+        self.tick_only(closer)
+        while known := self.closed_and_witness(closer):
+            before = len(self.log.batches)
+            for holder, witness in known:
+                self.notify(closer, holder, witness)
+            for entry in self.awake():
+                self.tick_only(entry)
+            closer.read()
+            assert len(self.log.batches) > before
+        closer.leave()
+        self.tick_only(closer)
--- a/tests/unit/ledger/test_stateful_ledger.py
+++ b/tests/unit/ledger/test_stateful_ledger.py
@@ -4,10 +4,8 @@
 allow, in any order. ``CLEMENTINEBEND_FUZZ=1`` runs more, with fresh seeds.
 """
 
-from collections import Counter
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator
 from os import environ
-from typing import TypeVar
 
 import pytest
 from hypothesis import HealthCheck, settings
@@ -22,15 +20,11 @@
 from hypothesis.strategies import booleans, integers, sampled_from
 
 from clementinebend_records.identifiers import (
-    GrantId,
-    Incarnation,
     RequestKey,
-    RunId,
 )
-from clementinebend_records.records import Batch, HoldResolve, TopUp
-from tests.unit.ledger.fuzz_entry import FakeEntry
-from tests.unit.ledger.fuzz_oracle import Oracle, Request
-from tests.unit.ledger.fuzz_world import FakeLog, FakeSidecar, Network, Start
+from clementinebend_records.records import HoldResolve, TopUp
+from tests.unit.ledger.fuzz_fleet import counted, pick
+from tests.unit.ledger.fuzz_traffic import BusyFleet
 
 FUZZING = bool(environ.get("CLEMENTINEBEND_FUZZ"))
 BUDGETS = ("blue", "red")
@@ -40,27 +34,14 @@
 
 picks = integers(0, 59)
 amounts = integers(1, 40)
-Item = TypeVar("Item")
 
-counted: Counter[str] = Counter()
 
-
-def pick(items: Sequence[Item], index: int) -> Item:
-    return items[index % len(items)]
-
-
-class LedgerMachine(RuleBasedStateMachine):
+class LedgerMachine(BusyFleet, RuleBasedStateMachine):
     """The fleet around one ledger stream."""
 
     def __init__(self) -> None:
-        super().__init__()
-        self.oracle = Oracle()
-        self.log = FakeLog(self.oracle)
-        self.network = Network([], [])
-        self.entries: list[FakeEntry] = []
-        self.sidecars: list[FakeSidecar] = []
-        self.names = 0
-        self.operations = 0
+        RuleBasedStateMachine.__init__(self)
+        BusyFleet.__init__(self)
 
     @initialize(amount=sampled_from((60, 200, 1000)))
     def begin(self, amount: int) -> None:
@@ -73,91 +54,6 @@
         for entry in self.entries:
             self.tick(entry)
 
-    # What the rules are made of
-
-    def name(self, kind: str) -> str:
-        self.names += 1
-        return f"{kind}{self.names}"
-
-    def new_entry(self) -> None:
-        incarnation = Incarnation(self.name("entry#"))
-        entry = FakeEntry(incarnation, self.log)
-        self.entries.append(entry)
-        self.tick(entry)
-
-    def new_sidecar(self) -> None:
-        incarnation = Incarnation(self.name("sidecar#"))
-        self.sidecars.append(FakeSidecar(incarnation, self.oracle))
-
-    def operate(self, record: TopUp | HoldResolve) -> None:
-        self.operations += 1
-        writer = Incarnation("operator#1")
-        self.log.append(Batch(writer, self.operations, (record,)))
-
-    def awake(self) -> list[FakeEntry]:
-        return [entry for entry in self.entries if entry.alive and not entry.paused]
-
-    def serving(self) -> list[FakeEntry]:
-        return [entry for entry in self.awake() if not entry.left]
-
-    def living(self) -> list[FakeSidecar]:
-        return [sidecar for sidecar in self.sidecars if sidecar.alive]
-
-    def sidecar(self, incarnation: Incarnation) -> FakeSidecar:
-        found = (item for item in self.sidecars if item.incarnation == incarnation)
-        return next(found)
-
-    def tick(self, entry: FakeEntry) -> None:
-        """Let an entry widen, plan, write and read to the end."""
-        sidecars = tuple(sidecar.incarnation for sidecar in self.living())
-        alive = (other for other in self.entries if other.alive and other != entry)
-        peers = tuple(other.incarnation for other in alive)
-        if not entry.left:
-            entry.widen(sidecars, peers)
-        entry.plan(0.5)
-        for _ in range(len(entry.queue)):
-            entry.write()
-            entry.read()
-
-    def send_start(self, entry: FakeEntry, start: Start) -> None:
-        """Deliver a start and its refusal to an entry that waits for it."""
-        sidecar = self.sidecar(start.ticket.sidecar)
-        if sidecar.alive and not sidecar.start(start):
-            entry.refused(start.run)
-            self.oracle.refused.add(start.run)
-
-    def send_end(self, entry: FakeEntry, run: RunId) -> None:
-        """Deliver a receipt, or what its sidecar's death leaves."""
-        ticket = entry.flights[run].ticket
-        sidecar = self.sidecar(ticket.sidecar)
-        if run in sidecar.finished and sidecar.alive:
-            entry.ended(run, sidecar.finished[run].amount)
-        elif not sidecar.alive:
-            entry.ended(run, ticket.amount, held=True)
-
-    def flights(self) -> list[tuple[FakeEntry, RunId]]:
-        return [(entry, run) for entry in self.awake() for run in entry.flights]
-
-    def closed_and_witness(self, entry: FakeEntry) -> list[tuple[Incarnation, str]]:
-        """Return open witnesses of the closed holders that an entry knows."""
-        holders = entry.state.holders.items()
-        closed = [(name, item) for name, item in holders if item["closed"]]
-        return [
-            (name, witness)
-            for name, item in closed
-            for witness, status in (item["sidecars"] | item["peers"]).items()
-            if not status
-        ]
-
-    def notify(self, entry: FakeEntry, holder: Incarnation, witness: str) -> None:
-        """Send a close notice and have the answer logged."""
-        for sidecar in self.sidecars:
-            if sidecar.incarnation == witness:
-                entry.notice_sidecar(holder, sidecar)
-        for peer in self.awake():
-            if peer.incarnation == witness:
-                peer.notice(holder)
-
     # Requests
 
     @precondition(lambda self: self.serving() and self.living())
@@ -172,9 +68,7 @@
     def request(
         self, at: int, to: int, budget: str, cost: int, slack: int, lost: bool
     ) -> None:
-        key = RequestKey(self.name("key"))
-        self.oracle.requests[key] = Request(budget, cost)
-        self.start_run(key, at, to, slack, lost)
+        self.submit(at, to, budget, cost, slack, lost)
 
     @precondition(lambda self: self.serving() and self.oracle.requests)
     @rule(at=picks, to=picks, which=picks, slack=integers(0, 20), lost=booleans())
@@ -183,25 +77,6 @@
         if self.living() and key not in self.oracle.resolved:
             self.start_run(key, at, to, slack, lost)
 
-    def start_run(
-        self, key: RequestKey, at: int, to: int, slack: int, lost: bool
-    ) -> None:
-        entry = pick(self.serving(), at)
-        sidecar = pick(self.living(), to).incarnation
-        budget, cost = self.oracle.requests[key]
-        run = RunId(self.name("run"))
-        start = entry.submit(run, key, budget, cost + slack, sidecar)
-        if start is None:
-            self.tick(entry)
-            start = entry.submit(run, key, budget, cost + slack, sidecar)
-        if start is None:
-            counted["no grant"] += 1
-            return
-        counted["reserved"] += 1
-        self.network.starts.append(start)
-        if not lost:
-            self.send_start(entry, start)
-
     @precondition(lambda self: self.serving() and self.living())
     @rule(
         at=picks,
@@ -222,16 +97,7 @@
         finished: int,
         ended: int,
     ) -> None:
-        """Serve some requests at one entry, and leave some unfinished."""
-        entry = pick(self.serving(), at)
-        for index in range(count):
-            self.request(at, to + index, budget, cost, index, False)
-        for run in [*entry.flights][:finished]:
-            sidecar = self.sidecar(entry.flights[run].ticket.sidecar)
-            if run in sidecar.running and sidecar.alive:
-                sidecar.finish(run)
-        for run in [*entry.flights][:ended]:
-            self.send_end(entry, run)
+        self.serve_requests(at, to, budget, cost, count, finished, ended)
 
     @precondition(lambda self: self.network.starts)
     @rule(which=picks)
@@ -417,12 +283,6 @@
         self.close_notice(at, victim, count)
         self.serve_at(suspected, victim, pick(BUDGETS, count))
 
-    def serve_at(self, entry: FakeEntry, to: int, budget: str) -> None:
-        """Serve at one entry, whether or not it has read its own close."""
-        if entry in self.serving() and self.living():
-            at = self.serving().index(entry)
-            self.serve(at, to, budget, 3, 4, 3, 2)
-
     @precondition(lambda self: len(self.awake()) > 1)
     @rule(
         at=picks,
@@ -473,50 +333,6 @@
         for entry in others:
             self.serve_at(entry, which, budget)
 
-    def finish_runs(self, entry: FakeEntry) -> None:
-        """End the runs of one holder, so that its sidecars can acknowledge."""
-        for sidecar in self.living():
-            for run, start in list(sidecar.running.items()):
-                if start.ticket.holder == entry.incarnation:
-                    sidecar.finish(run)
-
-    def pass_on(self, sender: FakeEntry, fresh: bool, passing: bool = True) -> None:
-        """Pass a part from one entry, twice the message, and have it used.
-
-        A fresh receiver has no other grant, so it spends from the part.
-        """
-        if not passing or sender not in self.serving():
-            return
-        if fresh:
-            self.new_entry()
-            self.tick(sender)
-        found = [index for index, item in enumerate(self.givers()) if item[0] == sender]
-        if not found:
-            return
-        _, budget, receiver = self.givers()[found[-1]]
-        given = len(self.network.gives)
-        self.transfer(found[-1], 10, True, False, False)
-        if len(self.network.gives) == given:
-            return
-        self.use_part(receiver, budget)
-        self.use_part(receiver, budget)
-        receiver.receive(self.network.gives[-1])
-        self.use_part(receiver, budget)
-
-    def use_part(self, entry: FakeEntry, budget: str) -> None:
-        """Execute a run at an entry that does not read, write or learn of it."""
-        key, run = RequestKey(self.name("key")), RunId(self.name("run"))
-        self.oracle.requests[key] = Request(budget, 4)
-        sidecars = self.living()
-        if entry not in self.serving() or not sidecars:
-            return
-        start = entry.submit(run, key, budget, 4, sidecars[-1].incarnation)
-        if start is not None:
-            counted["reserved"] += 1
-            self.send_start(entry, start)
-        if run in sidecars[-1].running:
-            sidecars[-1].finish(run)
-
     @precondition(lambda self: self.awake())
     @rule(at=picks, which=picks, count=integers(1, 5))
     def close_notice(self, at: int, which: int, count: int) -> None:
@@ -531,17 +347,6 @@
     def top_up(self, budget: str, which: int, amount: int) -> None:
         self.operate(TopUp(budget, f"top-up{which}", amount, "operator"))
 
-    def givers(self) -> list[tuple[FakeEntry, str, FakeEntry]]:
-        """Return entries with free tokens, of which budget, and a peer."""
-        return [
-            (entry, budget, peer)
-            for entry in self.awake()
-            for budget, use in entry.holder.budgets.items()
-            if any(own["free"] > 0 for own in use["grants"].values())
-            for peer in self.awake()
-            if peer.incarnation in entry.holder.witnesses.get("", {})
-        ]
-
     @precondition(lambda self: self.givers())
     @rule(
         which=integers(0, 999),
@@ -555,15 +360,8 @@
     ) -> None:
         """Pass a part of a grant: late, used at once, or by a sender that dies."""
         sender, budget, receiver = pick(self.givers(), which)
-        transfer = GrantId(self.name("part"))
-        message = sender.give(budget, transfer, receiver.incarnation, amount)
-        if not message.amount:
+        if not self.give_part(sender, budget, receiver, amount, arrives):
             return
-        counted["transferred"] += 1
-        self.network.gives.append(message)
-        self.oracle.parts[transfer] = message.grant
-        if arrives:
-            receiver.receive(message)
         if used:
             self.serve_at(receiver, which, budget)
         if dies and len(self.awake()) > 1:
@@ -595,8 +393,6 @@
         counted["checks"] += 1
         self.oracle.check()
 
-    # At the end: heal, close and acknowledge everything
-
     def teardown(self) -> None:
         counted["offsets"] += len(self.log.batches)
         counted["executed"] += len(self.oracle.executions)
@@ -616,55 +412,6 @@
         receipts = (item for one in self.living() for item in one.finished.values())
         assert not {receipt.key for receipt in receipts} & self.oracle.holds()
 
-    def heal(self) -> None:
-        self.log.outage = False
-        for entry in self.entries:
-            entry.cut = entry.paused = False
-        for batch in self.log.on_their_way:
-            self.log.append(batch)
-        for start in self.network.starts:
-            sidecar = self.sidecar(start.ticket.sidecar)
-            if sidecar.alive and start.run not in self.oracle.refused:
-                sidecar.start(start)
-
-    def end_runs(self) -> None:
-        for sidecar in self.living():
-            for run in list(sidecar.running):
-                sidecar.finish(run)
-        for entry, run in self.flights():
-            self.send_start(entry, entry.flights[run])
-        for entry, run in self.flights():
-            self.send_end(entry, run)
-
-    def settle_down(self) -> None:
-        for entry in self.awake():
-            self.tick(entry)
-
-    def close_all(self) -> None:
-        self.new_entry()
-        closer = self.entries[-1]
-        closer.read()
-        for entry in self.entries[:-1]:
-            closer.close(entry.incarnation)
-        self.tick_only(closer)
-        while known := self.closed_and_witness(closer):
-            before = len(self.log.batches)
-            for holder, witness in known:
-                self.notify(closer, holder, witness)
-            for entry in self.awake():
-                self.tick_only(entry)
-            closer.read()
-            assert len(self.log.batches) > before
-        closer.leave()
-        self.tick_only(closer)
-
-    def tick_only(self, entry: FakeEntry) -> None:
-        """Write and read without new witnesses or requests."""
-        entry.read()
-        for _ in range(len(entry.queue)):
-            entry.write()
-            entry.read()
-
 
 @pytest.fixture(scope="module", autouse=True)
 def count_steps() -> Iterator[None]:
