Work the capacity page out from measured slopes

Cause: no page said how far the design carries the target. An operators' command measured by its children's resource usage gave 101 MB, the bench's own memory before exec; it is read from the running process now.

--- /dev/null
+++ b/libs/bench/src/clementinebend_bench/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Works the capacity page out from measured slopes."""
--- a/libs/bench/src/clementinebend_bench/launcher/figures.py
+++ b/libs/bench/src/clementinebend_bench/launcher/figures.py
@@ -10,6 +10,7 @@
 NANOSECONDS = 1e9
 PROC = Path("/proc")
 RESIDENT_FIELD = 1
+KIB = 1024
 
 
 def cpu_seconds(pid: int) -> float:
@@ -24,5 +25,12 @@
     return int(fields[RESIDENT_FIELD]) * getpagesize()
 
 
+def most_resident_bytes(pid: int) -> int:
+    """Return the most memory of a process so far; 0 once it has ended."""
+    lines = (PROC / str(pid) / "status").read_text().splitlines()
+    peaks = (line.split() for line in lines if line.startswith("VmHWM:"))
+    return next((int(fields[1]) * KIB for fields in peaks), 0)
+
+
 def _thread_seconds(thread: Path) -> float:
     return int((thread / "schedstat").read_text().split()[0]) / NANOSECONDS
--- a/libs/bench/src/clementinebend_bench/slopes/commands.py
+++ b/libs/bench/src/clementinebend_bench/slopes/commands.py
@@ -1,12 +1,12 @@
 """What an operators' command uses, by the size of the declarations."""
 
 from asyncio import run as run_loop
-from asyncio import to_thread
-from os import wait4, waitstatus_to_exitcode
+from asyncio import sleep
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from typing import NamedTuple
 
+from clementinebend_bench.launcher.figures import cpu_seconds, most_resident_bytes
 from clementinebend_bench.launcher.fleet_files import write_yaml
 from clementinebend_bench.launcher.processes import (
     ProcessError,
@@ -20,12 +20,15 @@
 from clementinebend_transport.http_client import HttpClient
 
 BUDGET_SIZES = (20, 1_000, 5_000)
-RSS_UNIT = 1024
-"""Bytes in a unit of ``ru_maxrss``; source: getrusage(2)."""
+LOOK_INTERVAL = 0.005
 
 
 class CommandUse(NamedTuple):
-    """Processor seconds and most memory of one command."""
+    """Processor seconds and most memory of one command.
+
+    Both as last seen before its end, at most ``LOOK_INTERVAL`` and the
+    machine's delays earlier.
+    """
 
     cpu: float
     resident: float
@@ -61,9 +64,17 @@
     settings = {"log_url": log.url, "author": "jana"}
     path = write_yaml(processes.directory / f"operator-{size}.yaml", settings)
     command: list[str | Path] = ["clementinebend", "audit", "--settings", path]
+    return await _watch(processes, command)
+
+
+async def _watch(processes: Processes, command: list[str | Path]) -> CommandUse:
+    """Run a command to its end and return what it used."""
     process = processes.spawn(command, "operator-audit")
-    _, status, usage = await to_thread(wait4, process.pid, 0)
-    process.handle.returncode = waitstatus_to_exitcode(status)
+    use = CommandUse(0.0, 0.0)
+    while process.handle.poll() is None:
+        seen = CommandUse(cpu_seconds(process.pid), most_resident_bytes(process.pid))
+        use = CommandUse(*map(max, use, seen))
+        await sleep(LOOK_INTERVAL)
     if process.handle.returncode:
         raise ProcessError(f"audit failed:\n{process.log_text()}")
-    return CommandUse(usage.ru_utime + usage.ru_stime, usage.ru_maxrss * RSS_UNIT)
+    return use
--- a/libs/bench/src/clementinebend_bench/slopes/live.py
+++ b/libs/bench/src/clementinebend_bench/slopes/live.py
@@ -34,6 +34,8 @@
         RigPlan(changes=0.5),
         RigPlan(changes=1.0),
         RigPlan(changes=2.0),
+        RigPlan(SIDECAR, budgets=1000),
+        RigPlan(SIDECAR, budgets=5000),
     ),
     (
         RigPlan(bills=100.0),
@@ -62,6 +64,7 @@
     Dimension(ENTRY, "changes"),
     Dimension(ENTRY, "bills"),
     Dimension(SIDECAR, "links"),
+    Dimension(SIDECAR, "budgets"),
     Dimension(SIDECAR, "changes"),
 )
 FIGURES = ("cpu", "resident", "bytes", "appends")
--- a/libs/bench/src/clementinebend_bench/slopes/pure.py
+++ b/libs/bench/src/clementinebend_bench/slopes/pure.py
@@ -23,6 +23,7 @@
     OTHER_ENTRY,
 )
 from clementinebend_bench.slopes.fit import Line, Point, fit_line
+from clementinebend_declarations.checkpoints import configuration_bytes
 from clementinebend_declarations.replay import (
     configuration_of,
     empty_configuration,
@@ -83,6 +84,7 @@
         "log: bytes by bills": _line(BILL_SIZES, bill_log_bytes),
         "checkpoint: bytes by bills": _line(BILL_SIZES, bill_checkpoint),
         "checkpoint: bytes by budgets": _line(BUDGET_SIZES, budget_checkpoint),
+        "configuration: bytes by budgets": _line(BUDGET_SIZES, configuration_size),
         "plan: seconds by budgets in use": _line(BUDGET_SIZES, plan_seconds),
         "look-up: seconds by budgets declared": _line(BUDGET_SIZES, lookup_seconds),
         "change: seconds by budgets declared": _line(BUDGET_SIZES, change_seconds),
@@ -126,6 +128,11 @@
     return len(ledger_checkpoint(_topped_up_ledger(budgets), "ledger-0").state)
 
 
+def configuration_size(budgets: int) -> float:
+    """Return the bytes of a checkpoint of the configuration."""
+    return len(configuration_bytes(_declared(document_of(budgets))))
+
+
 def plan_seconds(budgets: int) -> float:
     """Return the time of one round of planning with budgets in use."""
     holder = _holder_with(budgets)
