Tell callers to come back by how long the log has failed

Cause: refusals for want of the log named a fixed time. Ruled out: the log's next retry, which says nothing of the outage. Before: 2 s always. Conclusion: 402 still names a minute, since only a top-up helps.

--- a/libs/entry/src/clementinebend_entry/budget_waits.py
+++ b/libs/entry/src/clementinebend_entry/budget_waits.py
@@ -10,14 +10,17 @@
 
 from clementinebend_entry.outcomes import Refusal
 from clementinebend_ledger.holder import HolderState, wait_hint
-from clementinebend_ledger.holder_state import BudgetUse
 from clementinebend_ledger.replay import BudgetSummary
 from clementinebend_records.identifiers import GrantId, Incarnation, RunId
 from clementinebend_records.reasons import NotRun
 
 EXHAUSTED_RETRY_MS = 60_000
-UNAVAILABLE_RETRY_MS = 2_000
+"""Only a top-up helps, and operators make those by hand."""
+
 BUSY_RETRY_MS = 1_000
+SHORTEST_OUTAGE_RETRY_MS = 1_000
+LONGEST_OUTAGE_RETRY_MS = 30_000
+MILLISECONDS = 1000
 BUSY_STATUS = 429
 LOG_PATIENCE_S = 1.0
 """How long the log may fail before requests that need it are refused."""
@@ -63,7 +66,8 @@
         return None
     if view.failing_for > LOG_PATIENCE_S:
         message = "no grant is at hand and the platform's log cannot be reached"
-        return Refusal(NotRun.BUDGET_UNAVAILABLE, UNAVAILABLE_RETRY_MS, message)
+        retry_ms = outage_retry_ms(view.failing_for)
+        return Refusal(NotRun.BUDGET_UNAVAILABLE, retry_ms, message)
     if waiter.amount > remaining(view):
         return Refusal(NotRun.BUDGET_EXHAUSTED, EXHAUSTED_RETRY_MS)
     if now >= waiter.deadline:
@@ -77,16 +81,22 @@
 ) -> bool:
     """Return whether what is under way will likely be enough in time.
 
-    While the log does not answer, only what this entry holds itself counts.
+    While the log does not answer, only a grant that this entry holds counts.
     """
-    use = holder.budgets.get(waiter.budget)
-    if use is not None and is_log_failing:
-        unasked = BudgetUse(**{**use, "requested": {}, "spare": 0})
-        holder = holder._replace(budgets={waiter.budget: unasked})
-    hint = wait_hint(holder, waiter.budget, waiter.amount, now)
+    can_ask = not is_log_failing
+    hint = wait_hint(holder, waiter.budget, waiter.amount, now, can_ask)
     return hint.worth_waiting and now + hint.seconds < waiter.deadline
 
 
+def outage_retry_ms(failing_for: float) -> int:
+    """Return when to come back to a log that has failed for so many seconds.
+
+    An outage of unknown length is likely to last as long again.
+    """
+    wanted = int(failing_for * MILLISECONDS)
+    return min(LONGEST_OUTAGE_RETRY_MS, max(SHORTEST_OUTAGE_RETRY_MS, wanted))
+
+
 def remaining(view: BudgetView) -> int:
     """Return the most that could ever become free without a new top-up."""
     summary = view.summary
--- a/libs/entry/src/clementinebend_entry/claimed_calls.py
+++ b/libs/entry/src/clementinebend_entry/claimed_calls.py
@@ -13,7 +13,6 @@
 from clementinebend_records.reasons import NotRun
 
 BAD_GATEWAY = 502
-LOG_RETRY_MS = 2_000
 
 
 class ClaimedCall:
@@ -41,7 +40,7 @@
         """Claim the call for a run; None if the claim is won."""
         key = self.call.key
         if not self.desk.can_claim(key):
-            return Refusal(NotRun.LOG_UNAVAILABLE, LOG_RETRY_MS)
+            return self.log_unavailable()
         self.run = run
         verdict = await self.desk.claim(
             key, self.call.body_digest, run, self.call.deadline
@@ -57,7 +56,11 @@
                 self.run = None
                 return Refusal(NotRun.KEY_CONFLICT, 0)
             case _:
-                return Refusal(NotRun.LOG_UNAVAILABLE, LOG_RETRY_MS)
+                return self.log_unavailable()
+
+    def log_unavailable(self) -> Refusal:
+        """Return the refusal of a call that cannot be claimed now."""
+        return Refusal(NotRun.LOG_UNAVAILABLE, self.desk.retry_after_ms(self.call.key))
 
     def honest(self, refusal: Refusal) -> Refusal | Unknown | Whole:
         """Return what may be said in place of a refusal.
--- a/libs/entry/src/clementinebend_entry/claims.py
+++ b/libs/entry/src/clementinebend_entry/claims.py
@@ -7,6 +7,7 @@
 from asyncio import Future, get_running_loop, timeout_at
 from collections.abc import Callable
 
+from clementinebend_entry.budget_waits import outage_retry_ms
 from clementinebend_entry.metrics import CLAIMS
 from clementinebend_entry.shard import LogSettings
 from clementinebend_ledger.claims import (
@@ -88,6 +89,15 @@
         is_heard = shard.tail.ready.is_set() and not shard.tail.failures
         return is_heard and shard.writer.failing_since is None
 
+    def retry_after_ms(self, key: RequestKey) -> int:
+        """Return when a call refused for want of the log may come back."""
+        shard = self.shard_for(key)
+        heard = shard.tail.caught_up_at
+        failing = shard.tail.failures or shard.writer.failing_since is not None
+        if heard is None or not failing:
+            return outage_retry_ms(0.0)
+        return outage_retry_ms(get_running_loop().time() - heard)
+
     def claim_of(self, key: RequestKey) -> ClaimView | None:
         """Return the claim that stands, as far as this entry has read."""
         return claim_of(self.shard_for(key).state, key)
--- a/libs/entry/src/clementinebend_entry/ledger.py
+++ b/libs/entry/src/clementinebend_entry/ledger.py
@@ -99,11 +99,6 @@
         """The holder that new reservations are made under."""
         return self.holder.incarnation
 
-    @property
-    def is_ready(self) -> bool:
-        """Whether all shards have caught up with the log."""
-        return self.shards.is_ready
-
     @property
     def is_settled(self) -> bool:
         """Whether nothing is reserved and all bills were read back."""
@@ -159,7 +154,9 @@
     def _(self, event: Replayed) -> None:
         now = self.loop.time()
         self.listener.on_written(event.writer, now)
+        own = self.holders.incarnations()
         for outcome in event.outcomes:
+            count_outcome(outcome, own)
             self.learn(outcome, now, event.stream)
         if self.succession.go_over_if_due():
             self.listener.on_rotated()
@@ -238,7 +235,6 @@
 
     def learn(self, outcome: LedgerOutcome, now: float, stream: str) -> None:
         """Hand an outcome of replay to the holders, and to who else needs it."""
-        count_outcome(outcome, self.holders.incarnations())
         self.holders.learn(outcome, now, stream)
         bill = logged_bill(outcome)
         if bill is not None:
--- a/libs/entry/src/clementinebend_entry/readiness.py
+++ b/libs/entry/src/clementinebend_entry/readiness.py
@@ -24,7 +24,7 @@
         missing = []
         if not fleet.configuration.is_known:
             missing.append("configuration")
-        if not fleet.ledger.is_ready:
+        if not fleet.ledger.shards.is_ready:
             missing.append("ledger shards")
         return tuple(missing)
 
--- a/tests/unit/entry/test_ledger.py
+++ b/tests/unit/entry/test_ledger.py
@@ -10,7 +10,7 @@
     Declarations,
     TopUpDeclaration,
 )
-from clementinebend_entry.budget_waits import Reservation
+from clementinebend_entry.budget_waits import Reservation, outage_retry_ms
 from clementinebend_entry.ledger import Ledger
 from clementinebend_entry.ledger_events import (
     Finished,
@@ -184,6 +184,14 @@
         assert budget_summary(state, BUDGET).billed == 10
 
 
+def test_an_outage_is_taken_to_last_as_long_again() -> None:
+    assert [outage_retry_ms(seconds) for seconds in (0.0, 7.5, 900.0)] == [
+        1_000,
+        7_500,
+        30_000,
+    ]
+
+
 async def test_a_request_that_leaves_frees_what_it_waited_for() -> None:
     async with bench() as made:
         first = await made.reserved("r1", 900)
