--- a/libs/sidecar/src/clementinebend_sidecar/endpoint/model.py
+++ b/libs/sidecar/src/clementinebend_sidecar/endpoint/model.py
@@ -36,6 +36,8 @@
 class ModelEndpoint:
     """A model engine."""
 
+    can_cancel = True
+
     def __init__(self, engine: EngineClient) -> None:
         self.engine = engine
 
--- a/libs/sidecar/src/clementinebend_sidecar/endpoint/plain.py
+++ b/libs/sidecar/src/clementinebend_sidecar/endpoint/plain.py
@@ -17,6 +17,8 @@
 class PlainEndpoint:
     """A plain service: one call for each run, which cannot be cancelled."""
 
+    can_cancel = False
+
     def __init__(self, service: ServiceClient) -> None:
         self.service = service
 
--- a/libs/sidecar/src/clementinebend_sidecar/runner.py
+++ b/libs/sidecar/src/clementinebend_sidecar/runner.py
@@ -7,7 +7,7 @@
 from clementinebend_platform_client.supervision import stop_process, watch
 from clementinebend_records.identifiers import RunId
 from clementinebend_records.messages import RunStart
-from clementinebend_sidecar.gate.events import Broken, RunOver, Verdict
+from clementinebend_sidecar.gate.events import Broken, HeadArrived, RunOver, Verdict
 from clementinebend_sidecar.gate.events import Event as GateEvent
 
 STOP_SECONDS = 2.0
@@ -19,7 +19,13 @@
 
 
 class Endpoint(Protocol):
-    """A back end that executes runs."""
+    """A back end that executes runs.
+
+    Without ``can_cancel`` a run that nobody waits for goes on to its end, since
+    cutting it off would only leave its outcome unknown.
+    """
+
+    can_cancel: bool
 
     async def execute(self, start: RunStart, tell: Tell, stop: Event) -> Verdict:
         """Execute a run once; tell its head and pieces, return its verdict.
@@ -40,6 +46,7 @@
         self.endpoint = endpoint
         self.tell = tell
         self.stops: dict[RunId, Event] = {}
+        self.began: set[RunId] = set()
         self.tasks: set[Task[None]] = set()
 
     def start(self, start: RunStart) -> None:
@@ -51,20 +58,27 @@
         watch(task, stop_process)
 
     def stop(self, run: RunId) -> None:
-        """Cancel a run, if it still executes."""
+        """Cancel a run, if it still executes and its endpoint can do that."""
         stop = self.stops.get(run)
-        if stop is not None:
+        if stop is not None and self.endpoint.can_cancel:
             stop.set()
 
     async def run(self, start: RunStart, stop: Event) -> None:
         """Execute a run and tell how it ended."""
         verdict = await self.execute(start, stop)
         del self.stops[start.run]
+        self.began.discard(start.run)
         self.tell(RunOver(start.run, verdict))
 
+    def progress(self, event: GateEvent) -> None:
+        """Pass on what a run told, and note that it began."""
+        if isinstance(event, HeadArrived):
+            self.began.add(event.run)
+        self.tell(event)
+
     async def execute(self, start: RunStart, stop: Event) -> Verdict:
         """Execute a run, or cancel it when told to."""
-        executing = create_task(self.endpoint.execute(start, self.tell, stop))
+        executing = create_task(self.endpoint.execute(start, self.progress, stop))
         stopping = create_task(stop.wait())
         await wait((executing, stopping), return_when=FIRST_COMPLETED)
         stopping.cancel()
@@ -79,7 +93,7 @@
         if not executing.done():
             executing.cancel()
             await gather(executing, return_exceptions=True)
-            return Broken(CANCELLED, usage, certain=usage is not None)
+            return _told(Broken(CANCELLED, None, certain=run in self.began), usage)
         verdict = executing.result()
         if isinstance(verdict, Broken) and verdict.usage is None:
             return _told(verdict, usage)
--- a/tests/unit/sidecar/test_runner.py
+++ b/tests/unit/sidecar/test_runner.py
@@ -17,6 +17,7 @@
     """Gives one verdict, at once or after a cancel, and tells one usage."""
 
     def __init__(self, verdict: Verdict, waits: bool, usage: int | None) -> None:
+        self.can_cancel = True
         self.verdict = verdict
         self.waits = waits
         self.usage = usage
@@ -70,3 +71,17 @@
     endpoint = FakeEndpoint(ended, waits=True, usage=9)
     assert await verdict_of(endpoint, stop=True) == ended
     assert endpoint.cancelled == ["r1"]
+
+
+async def test_a_call_that_cannot_be_cancelled_goes_on_to_its_end() -> None:
+    whole = Whole(None, succeeded=True)
+    endpoint = FakeEndpoint(whole, waits=True, usage=None)
+    endpoint.can_cancel = False
+    events: Queue[GateEvent] = Queue()
+    runs = RunTasks(endpoint, events.put_nowait)
+    runs.start(run_start("r1"))
+    runs.stop(RunId("r1"))
+    assert not runs.stops[RunId("r1")].is_set()
+    endpoint.ended.set()
+    assert await events.get() == RunOver(RunId("r1"), whole)
+    assert endpoint.cancelled == []
