Wake a paused entry after its holder was closed

Cause: a lapsed holder that wakes up had a unit test only. Ruled out: waiting for suspicion, the operator's close is enough. Before: no functional test. Conclusion: none.

--- a/tests/functional/test_entry_process.py
+++ b/tests/functional/test_entry_process.py
@@ -309,3 +309,27 @@
         assert await cluster.processes.terminate(cluster.running["entry-1"]) == 0
         freed = await until_free(cluster)
         assert (freed.held, freed.shortfall) == (0, 0)
+
+
+async def test_a_paused_entry_wakes_up_closed_and_goes_on_as_another_holder(
+    tmp_path: Path,
+) -> None:
+    async with running_cluster(tmp_path) as cluster:
+        asked = chat(QUESTION, 5, stream=False)
+        assert (await cluster.ask("entry-1", asked, {})).status == 200
+        await until_bills(cluster, 1)
+        holders = (await cluster.ledger()).state.holders
+        (holder,) = (each for each in holders if name_of(each) == "entry-1")
+        cluster.processes.pause(cluster.running["entry-1"])
+        code, output = await cluster.operate("close", holder)
+        assert code == 0, output
+        await until_closed(cluster, "entry-1")
+        cluster.processes.wake(cluster.running["entry-1"])
+        answers = [await cluster.ask("entry-1", asked, {}) for _ in range(3)]
+        assert [answer.status for answer in answers] == [200, 200, 200], answers
+        assert len(await until_bills(cluster, 4)) == 4
+        for entry in cluster.entries:
+            assert await cluster.processes.terminate(cluster.running[entry]) == 0
+        freed = await until_free(cluster)
+        cost = prompt_tokens(QUESTION) + 5
+        assert (freed.billed, freed.held, freed.shortfall) == (4 * cost, 0, 0)
