Read the log up to now before a booking is refused

Cause: 'not run' may be said of a key only if no other run has claimed it, and an entry's reader may be a moment behind. Ruled out: trusting what was read so far while the log answers. Before: local state only. Conclusion: one append for each refused booking that carries a key, grouped with others.

--- a/libs/entry/src/clementinebend_entry/claimed_calls.py
+++ b/libs/entry/src/clementinebend_entry/claimed_calls.py
@@ -13,6 +13,8 @@
 from clementinebend_records.reasons import NotRun
 
 BAD_GATEWAY = 502
+CONFIRM_PATIENCE_S = 0.5
+"""How long a refusal may wait for the log."""
 
 
 class ClaimedCall:
@@ -62,6 +64,18 @@
         """Return the refusal of a call that cannot be claimed now."""
         return Refusal(NotRun.LOG_UNAVAILABLE, self.desk.retry_after_ms(self.call.key))
 
+    async def confirm(self) -> None:
+        """Read the log up to now before a call of this key is refused.
+
+        A void record of a run that never was is read back: no claim precedes
+        it unless it is known here then. While the log does not answer, what
+        was read so far has to do.
+        """
+        call = self.call
+        is_claimable = call.has_key and not call.idempotent and self.run is None
+        if is_claimable and self.desk.can_claim(call.key):
+            await self.desk.read_up_to_now(call.key, CONFIRM_PATIENCE_S)
+
     def honest(self, refusal: Refusal) -> Refusal | Unknown | Whole:
         """Return what may be said in place of a refusal.
 
--- a/libs/entry/src/clementinebend_entry/claims.py
+++ b/libs/entry/src/clementinebend_entry/claims.py
@@ -4,7 +4,7 @@
 cannot be reached no call is claimed, so none runs.
 """
 
-from asyncio import Future, get_running_loop, timeout_at
+from asyncio import Future, get_running_loop, timeout_at, wait
 from collections.abc import Callable
 
 from clementinebend_entry.budget_waits import outage_retry_ms
@@ -24,7 +24,12 @@
 )
 from clementinebend_platform_client.tail import StreamTail
 from clementinebend_platform_client.writer import StreamWriter
-from clementinebend_records.identifiers import Incarnation, RequestKey, RunId
+from clementinebend_records.identifiers import (
+    Incarnation,
+    RequestKey,
+    RunId,
+    new_run_id,
+)
 from clementinebend_records.records import (
     Batch,
     Checkpoint,
@@ -127,6 +132,12 @@
             if verdict is not None and not verdict.done():
                 verdict.set_result(outcome)
 
+    async def read_up_to_now(self, key: RequestKey, patience: float) -> None:
+        """Wait until all claims of a key that were appended by now are read."""
+        record = ClaimVoid(key, new_run_id(), self.claimant)
+        posted = self.shard_for(key).writer.post((record,))
+        await wait((posted,), timeout=patience)
+
     def void(self, key: RequestKey, run: RunId) -> None:
         """Free the key of a call that did not run and never will."""
         self.post(key, ClaimVoid(key, run, self.claimant))
--- a/libs/entry/src/clementinebend_entry/conclusions.py
+++ b/libs/entry/src/clementinebend_entry/conclusions.py
@@ -66,7 +66,7 @@
     is_final = result.reason in FINAL_REFUSALS
     is_free = result.reason in PLANNED_REFUSALS
     if is_final or not execution.may_try_again("not_run", is_free):
-        execution.give_up(execution.refusal)
+        await execution.give_up(execution.refusal)
 
 
 @conclude.register(RunBroke)
--- a/libs/entry/src/clementinebend_entry/execution.py
+++ b/libs/entry/src/clementinebend_entry/execution.py
@@ -70,6 +70,7 @@
         gate = self.services.gate
         refusal = await gate.enter(self.request, self.call)
         if refusal is not None:
+            await self.claim.confirm()
             self.tell(refusal)
             return
         try:
@@ -111,11 +112,11 @@
             if await self.is_scope_coming():
                 return
             reason = NotRun.LOG_UNAVAILABLE if unsafe else NotRun.NO_ENDPOINT
-            self.give_up(self.refusal or Refusal(reason, chosen.retry_after_ms))
+            await self.give_up(self.refusal or Refusal(reason, chosen.retry_after_ms))
             return
         refusal = await self.account.reserve(self.run_id)
         if refusal is not None:
-            self.give_up(refusal)
+            await self.give_up(refusal)
             return
         link, choice = chosen
         ticket = self.ticket(link)
@@ -172,7 +173,7 @@
         if trouble is None:
             return True
         if isinstance(trouble, Refusal):
-            self.give_up(trouble)
+            await self.give_up(trouble)
         else:
             self.account.withdraw()
             self.drop_pointer()
@@ -265,10 +266,11 @@
 
     # Ends.
 
-    def give_up(self, refusal: Refusal) -> None:
+    async def give_up(self, refusal: Refusal) -> None:
         """End a call that is proved not run, or whose last attempt is."""
         self.account.withdraw()
         trouble = self.account.trouble()
+        await self.claim.confirm()
         self.end(trouble or refusal)
         if trouble is None:
             self.claim.void()
--- a/tests/unit/entry/test_execution.py
+++ b/tests/unit/entry/test_execution.py
@@ -7,11 +7,15 @@
 import pytest
 
 from clementinebend_entry.exceptions import AnswerCutOff
+from clementinebend_platform_client.log_client import http_log_client
+from clementinebend_records.codec import decode_batch, encode_batch
+from clementinebend_records.identifiers import Incarnation, RunId
 from clementinebend_records.messages import RunCancel
 from clementinebend_records.reasons import NotRun
+from clementinebend_records.records import Batch, Claim, ClaimVoid
 from clementinebend_transport.http_server import Response
 from tests.lib.processes import wait_until
-from tests.unit.entry.builders import chat_request, request
+from tests.unit.entry.builders import chat_request, parsed, request
 from tests.unit.entry.scripted import (
     ScriptedSidecar,
     accept_only,
@@ -23,6 +27,7 @@
     whole,
 )
 
+RIVAL = Incarnation("entry-9#a")
 STREAMED = {
     "model": "m1",
     "messages": [{"role": "user", "content": "x"}],
@@ -185,3 +190,26 @@
         assert (again.status, error_of(again)["type"]) == (504, "outcome_unknown")
         other = await entry.ask(request("POST", "/booking", b"x", idempotency_key="c"))
         assert (other.status, error_of(other)["type"]) == (503, "not_run")
+
+
+async def test_a_refusal_of_a_booking_reads_the_log_first() -> None:
+    sidecar = ScriptedSidecar("service-1", whole)
+    async with scripted_entry(sidecar, service="booking") as entry:
+        fleet = entry.fleet
+        fleet.router.note_leaving("service-1", True)
+        made = request("POST", "/booking", b"site 7", idempotency_key="b")
+        call = parsed(made)
+        claim = Claim(call.key, call.body_digest, RIVAL, RunId("r9"))
+        elsewhere = Batch(RIVAL, 1, (claim,))
+        client = http_log_client(fleet.settings.log_url, fleet.http)
+        await client.append("claims-0", encode_batch(elsewhere))
+        answer = await entry.ask(made)
+        assert (answer.status, error_of(answer)["type"]) == (504, "outcome_unknown")
+        assert sidecar.started == []
+        free = request("POST", "/booking", b"site 8", idempotency_key="c")
+        assert error_of(await entry.ask(free))["type"] == "not_run"
+        page = (await client.read("claims-0", 0, 100, 0)).ok
+        batches = [decode_batch(data) for _, data in page.records]
+        records = [each for batch in batches for each in getattr(batch, "records", ())]
+        voids = {each.key for each in records if isinstance(each, ClaimVoid)}
+        assert voids == {call.key, parsed(free).key}
