Reserve a run once; let the wait hint know that the log does not answer

Ruled out: leaving the first to callers. Before: two reservations, one of them never ended; a hint that adds up pieces in an outage. After: the first reservation stands; in an outage one grant must have room.

--- a/libs/ledger/src/clementinebend_ledger/holder.py
+++ b/libs/ledger/src/clementinebend_ledger/holder.py
@@ -5,6 +5,8 @@
 (escrow transactions, O'Neil 1986). ``now`` is monotonic seconds, for policy.
 """
 
+from collections.abc import Iterable
+
 from clementinebend_ledger.giving import give, receive, refuse_sender
 from clementinebend_ledger.holder_state import (
     BudgetUse,
@@ -16,7 +18,6 @@
     WaitHint,
     budget_use,
     empty_holder,
-    free_tokens,
     release_busy,
 )
 from clementinebend_ledger.holding import on_outcome
@@ -59,12 +60,15 @@
 ) -> tuple[HolderState, Reserved | NeedsGrant]:
     """Set ``amount`` aside for a run, in the oldest grant that has room.
 
-    A run that finds none is remembered as wanted until it reserves or is
+    A run that has a reservation keeps it, whatever it asks for now. One that
+    finds no grant is remembered as wanted until it reserves or is
     cancelled, and ``plan`` asks for a grant that has room for it.
     """
     use = budget_use(holder, budget, now)
     if holder.closed:
         return holder, NeedsGrant(amount)
+    if run in holder.runs:
+        return holder, Reserved(*holder.runs[run][1:3])
     grant = _oldest_with_room(use, amount)
     if grant is None:
         use["wanted"][run] = amount
@@ -146,27 +150,40 @@
     return not holder.closed and witness in holder.witnesses.get(stream, {})
 
 
-def wait_hint(holder: HolderState, budget: str, amount: int, now: float) -> WaitHint:
+def wait_hint(
+    holder: HolderState, budget: str, amount: int, now: float, can_ask: bool = True
+) -> WaitHint:
     """Say whether to queue a run that found no grant, rather than refuse it.
 
     Worth it when a requested grant has room for it, or when the runs in
     progress will likely give enough back: near the end of a budget the upper
-    bounds, not the costs, are what fills it.
+    bounds, not the costs, are what fills it. Without ``can_ask`` (the log does
+    not answer) no grant comes and pieces cannot be exchanged for a larger one,
+    so a single grant at hand must be enough.
     """
     use = holder.budgets.get(budget)
     if use is None or holder.closed:
         return WaitHint(False, 0.0)
-    if any(asked >= amount for asked in use["requested"].values()):
+    if can_ask and any(asked >= amount for asked in use["requested"].values()):
         return WaitHint(True, 0.0)
     runs = [run for run in holder.runs.values() if run.budget == budget]
-    share = 1.0 - use["forecast"]["cost_share"]
-    coming = sum(run.amount for run in runs) * share
-    if free_tokens(use) + max(0, use["spare"]) + coming < amount:
+    room = _room_by_grant(use, runs).values()
+    most = sum(room) + max(0, use["spare"]) if can_ask else max(room, default=0.0)
+    if most < amount:
         return WaitHint(False, 0.0)
     oldest = min((run.since for run in runs), default=now)
     return WaitHint(True, max(0.0, oldest + use["forecast"]["run_seconds"] - now))
 
 
+def _room_by_grant(use: BudgetUse, runs: Iterable[Reservation]) -> dict[GrantId, float]:
+    """Return what each grant will likely have free when the runs have ended."""
+    share = 1.0 - use["forecast"]["cost_share"]
+    room = {grant: float(own["free"]) for grant, own in use["grants"].items()}
+    for run in runs:
+        room[run.grant] = room.get(run.grant, 0.0) + run.amount * share
+    return room
+
+
 def _stop_waiting(holder: HolderState, run: RunId) -> None:
     budget = holder.waiting.pop(run, None)
     if budget is not None:
--- a/tests/unit/ledger/test_holder.py
+++ b/tests/unit/ledger/test_holder.py
@@ -123,6 +123,13 @@
     assert not holder.bills
 
 
+def test_run_reserves_once() -> None:
+    holder, _ = holding(50)
+    holder, first = reserve(holder, TEAM, RUN, 20, 0.0)
+    holder, again = reserve(holder, TEAM, RUN, 20, 0.0)
+    assert (again, free(holder)) == (first, [30])
+
+
 def test_cancelled_run_gives_everything_back() -> None:
     holder, _ = holding(50)
     holder, _ = reserve(holder, TEAM, RUN, 50, 0.0)
@@ -293,6 +300,21 @@
     assert wait_hint(holder, TEAM, 60, 0.0).worth_waiting
 
 
+def test_hint_counts_no_pieces_together_while_no_grant_can_be_asked_for() -> None:
+    holder, script = holding(50)
+    for run in (RUN, RUN_2):
+        holder, _ = reserve(holder, TEAM, run, 50, 0.0)
+    holder, _ = pump(holder, script)
+    holder = cancel(cancel(holder, RUN), RUN_2)
+    assert free(holder) == [50, 100]
+    assert wait_hint(holder, TEAM, 120, 0.0).worth_waiting
+    assert not wait_hint(holder, TEAM, 120, 0.0, can_ask=False).worth_waiting
+    holder, _ = reserve(holder, TEAM, RUN_3, 200, 0.0)
+    holder, _ = plan(holder, 0.0, 0.0)
+    assert holder.budgets[TEAM]["requested"]
+    assert not wait_hint(holder, TEAM, 150, 0.0, can_ask=False).worth_waiting
+
+
 def test_resume_takes_what_the_checkpoint_shows() -> None:
     holder, script = holding(50)
     holder, scopes = widen(holder, (CAR,))
