Write and restore checkpoints of claims

Cause: a claims stream that the log had trimmed could not be read by a cold entry. Ruled out: nothing. Before: restoring raised. After: the ledger library's claims checkpoints are written and restored; unit and functional tests of the entry pass. Conclusion: no functional test trims claims yet.

--- a/libs/entry/src/clementinebend_entry/claims.py
+++ b/libs/entry/src/clementinebend_entry/claims.py
@@ -10,6 +10,7 @@
 from clementinebend_entry.budget_waits import outage_retry_ms
 from clementinebend_entry.metrics import CLAIMS
 from clementinebend_entry.shard import LogSettings
+from clementinebend_ledger.checkpoints import claims_checkpoint, restore_claims
 from clementinebend_ledger.claims import (
     ClaimConflict,
     ClaimLost,
@@ -56,7 +57,8 @@
             stream,
             self.on_batch,
             self.on_restore,
-            writer=self.writer,
+            lambda: claims_checkpoint(self.state, stream),
+            self.writer,
             settings=log.tail,
         )
 
@@ -69,7 +71,9 @@
 
     def on_restore(self, checkpoint: Checkpoint) -> None:
         """Go on from a checkpoint."""
-        raise NotImplementedError
+        self.state = restore_claims(checkpoint)
+        last = self.state.sequences.get(self.writer.writer, 0)
+        self.writer.on_restored(checkpoint.offset, last)
 
 
 class ClaimsDesk:
