--- a/libs/bench/src/clementinebend_bench/experiments/retries.py
+++ b/libs/bench/src/clementinebend_bench/experiments/retries.py
@@ -8,7 +8,7 @@
 from itertools import product
 from typing import NamedTuple
 
-from clementinebend_bench.experiments.routing import baseline_cached_share
+from clementinebend_bench.experiments.routing import cached_shares
 from clementinebend_bench.models.deployments import DEPLOYMENTS, Deployment
 from clementinebend_bench.models.outage import simulate_fault
 from clementinebend_bench.models.outage_entries import fleet_entry, naive_entry
@@ -45,6 +45,7 @@
     fault: str
     arm: str
     seed: int
+    cached_share: float
 
 
 class Result(NamedTuple):
@@ -58,26 +59,24 @@
 def run(seed: int) -> tuple[Row, ...]:
     """Return the rows of both faults in both deployments."""
     settings = tuple(product(DEPLOYMENTS, (CUT, ZONE_LOSS)))
+    shares = cached_shares(DEPLOYMENTS, seed)
     cases = [
-        Case(*setting, arm, seed) for setting in settings for arm in (FLEET, NAIVE)
+        Case(deployment, fault, arm, seed, shares[deployment])
+        for deployment, fault in settings
+        for arm in (FLEET, NAIVE)
     ]
-    results = dict(zip(cases, map_cases(run_case, cases), strict=True))
+    results = iter(map_cases(run_case, cases))
     return tuple(
         row
         for deployment, fault in settings
-        for row in _rows(
-            f"{deployment.name}, {fault}",
-            results[Case(deployment, fault, FLEET, seed)],
-            results[Case(deployment, fault, NAIVE, seed)],
-        )
+        for row in _rows(f"{deployment.name}, {fault}", next(results), next(results))
     )
 
 
 def run_case(case: Case) -> Result:
     """Return the figures of one arm under one fault."""
     deployment = case.deployment
-    share = baseline_cached_share(deployment, case.seed)
-    trace = make_trace(deployment, LOAD, SECONDS, case.seed, share)
+    trace = make_trace(deployment, LOAD, SECONDS, case.seed, case.cached_share)
     fault = _fault(deployment, case.fault)
     naive = case.arm == NAIVE
     factory = naive_entry if naive else fleet_entry
--- a/libs/bench/src/clementinebend_bench/experiments/routing.py
+++ b/libs/bench/src/clementinebend_bench/experiments/routing.py
@@ -6,7 +6,8 @@
 entries decide alone on lagging reports.
 """
 
-from functools import lru_cache
+from collections.abc import Iterable
+from functools import partial
 from itertools import product
 from typing import NamedTuple
 
@@ -55,6 +56,7 @@
     load: float
     policy: str
     seed: int
+    cached_share: float
 
 
 class Result(NamedTuple):
@@ -69,8 +71,9 @@
 def run(seed: int) -> tuple[Row, ...]:
     """Return the rows of all deployments, loads and baselines."""
     settings = [*product(DEPLOYMENTS, LOADS), *((d, BAR_LOAD) for d in _variants())]
+    shares = cached_shares(dict.fromkeys(one for one, _ in settings), seed)
     cases = [
-        Case(deployment, load, policy, seed)
+        Case(deployment, load, policy, seed, shares[deployment])
         for deployment, load in settings
         for policy in POLICIES
     ]
@@ -82,7 +85,9 @@
             f"{deployment.name} at {load:.0%}",
             load == BAR_LOAD and deployment in DEPLOYMENTS,
             {
-                policy: results[Case(deployment, load, policy, seed)]
+                policy: results[
+                    Case(deployment, load, policy, seed, shares[deployment])
+                ]
                 for policy in POLICIES
             },
         )
@@ -91,8 +96,9 @@
 
 def run_case(case: Case) -> Result:
     """Return the figures of one policy on one trace."""
-    share = baseline_cached_share(case.deployment, case.seed)
-    trace = make_trace(case.deployment, case.load, SECONDS, case.seed, share)
+    trace = make_trace(
+        case.deployment, case.load, SECONDS, case.seed, case.cached_share
+    )
     measured = simulate(case.deployment, trace, POLICIES[case.policy], case.seed)
     counted = [one for one in measured if one.request.time >= WARM_UP_SECONDS]
     if len(measured) != len(trace):
@@ -109,7 +115,15 @@
     )
 
 
-@lru_cache
+def cached_shares(
+    deployments: Iterable[Deployment], seed: int
+) -> dict[Deployment, float]:
+    """Return the share that round robin finds cached, by deployment."""
+    known = tuple(deployments)
+    shares = map_cases(partial(baseline_cached_share, seed=seed), known)
+    return dict(zip(known, shares, strict=True))
+
+
 def baseline_cached_share(deployment: Deployment, seed: int) -> float:
     """Return the share of prompt tokens that round robin finds cached."""
     trace = make_trace(deployment, CALIBRATION_LOAD, CALIBRATION_SECONDS, seed)
