Notice paused entries, and name the budget at the deadline

Cause: two tests of faults failed: a paused entry kept its connections open and was never suspected (60 s), and a request that waited for budget until its deadline was told 'deadline'. Ruled out: TCP keepalive, which a paused process answers. Before: 2 of 27 fault tests failed. Conclusion: an entry paused for under 4 s is not noticed.

--- a/libs/entry/src/clementinebend_entry/budget_waits.py
+++ b/libs/entry/src/clementinebend_entry/budget_waits.py
@@ -71,11 +71,16 @@
     if waiter.amount > remaining(view):
         return Refusal(NotRun.BUDGET_EXHAUSTED, EXHAUSTED_RETRY_MS)
     if now >= waiter.deadline:
-        message = "all of the budget that remains is reserved"
-        return Refusal(NotRun.BUDGET_UNAVAILABLE, BUSY_RETRY_MS, message, BUSY_STATUS)
+        return budget_is_busy()
     return None
 
 
+def budget_is_busy() -> Refusal:
+    """Return the refusal of a request that waited in vain for a settlement."""
+    message = "all of the budget that remains is reserved"
+    return Refusal(NotRun.BUDGET_UNAVAILABLE, BUSY_RETRY_MS, message, BUSY_STATUS)
+
+
 def is_settling(
     holder: HolderState, waiter: Waiter, is_log_failing: bool, now: float
 ) -> bool:
--- a/libs/entry/src/clementinebend_entry/execution.py
+++ b/libs/entry/src/clementinebend_entry/execution.py
@@ -59,6 +59,7 @@
         self.exclude: frozenset[str] = frozenset()
         self.refusal: Refusal | None = None
         self.claim = ClaimedCall(services.claims, call)
+        self.waits_for_budget = False
         self.dispatched = False
         self.abandoned = False
         self.ended = False
@@ -114,7 +115,9 @@
             reason = NotRun.LOG_UNAVAILABLE if unsafe else NotRun.NO_ENDPOINT
             await self.give_up(self.refusal or Refusal(reason, chosen.retry_after_ms))
             return
+        self.waits_for_budget = True
         refusal = await self.account.reserve(self.run_id)
+        self.waits_for_budget = False
         if refusal is not None:
             await self.give_up(refusal)
             return
--- a/libs/entry/src/clementinebend_entry/fleet.py
+++ b/libs/entry/src/clementinebend_entry/fleet.py
@@ -13,6 +13,7 @@
 from clementinebend_entry.claims import ClaimsDesk
 from clementinebend_entry.closer import Closer
 from clementinebend_entry.configuration import ConfigurationKeeper
+from clementinebend_entry.heartbeat import heartbeat_interval
 from clementinebend_entry.ledger import Ledger
 from clementinebend_entry.ledger_events import PartReceived, WitnessesSeen
 from clementinebend_entry.lender import Lender
@@ -120,6 +121,8 @@
         yield "closer", self.closer.run()
         yield "kept receipts", self.look_after_receipts()
         yield "borrower", self.borrower.run()
+        interval = heartbeat_interval(len(self.settings.peers))
+        yield "heartbeat", self.peer_server.beat(interval)
         yield "hosts", self.watch_hosts()
         yield "configuration", self.configuration.ask_peers(self.peers.ask_revisions)
 
--- a/libs/entry/src/clementinebend_entry/peer_link.py
+++ b/libs/entry/src/clementinebend_entry/peer_link.py
@@ -36,15 +36,19 @@
     to ``tell``: the sender has subtracted it.
     """
 
-    def __init__(self, peer: Peer, hello: MakeHello, tell: Tell) -> None:
-        super().__init__(peer.name, peer.host, peer.port, hello)
+    def __init__(
+        self, peer: Peer, hello: MakeHello, tell: Tell, silence: float
+    ) -> None:
+        super().__init__(peer.name, peer.host, peer.port, hello, silence)
         self.zone = peer.zone
         self.tell = tell
         self.questions = count(1)
         self.waiting: dict[int, Future[Answer | None]] = {}
 
     def greeted(self, hello: Hello) -> None:
-        """Take the peer's ``Hello``."""
+        """Take the peer's ``Hello``; a mere repeat is a heartbeat."""
+        if self.up.is_set() and hello == self.peer:
+            return
         super().greeted(hello)
         self.tell(LinkUp(self.name, hello))
 
--- a/libs/entry/src/clementinebend_entry/peer_pool.py
+++ b/libs/entry/src/clementinebend_entry/peer_pool.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 
 from clementinebend_entry.calls import MILLISECONDS
+from clementinebend_entry.heartbeat import silence_limit
 from clementinebend_entry.message_link import MakeHello
 from clementinebend_entry.metrics import LINKS
 from clementinebend_entry.peer_link import PeerLink, PeerNews, Tell
@@ -43,8 +44,9 @@
         self.settings = settings
         self.hello = hello
         self.tell = tell
+        silence = silence_limit(len(settings.peers))
         self.links = {
-            peer.name: PeerLink(peer, hello, self.news)
+            peer.name: PeerLink(peer, hello, self.news, silence)
             for peer in settings.peers
             if peer.name != settings.name
         }
--- a/libs/entry/src/clementinebend_entry/peer_server.py
+++ b/libs/entry/src/clementinebend_entry/peer_server.py
@@ -1,5 +1,6 @@
 """Answers peer entries: pointers, receipts, parts of grants, configuration."""
 
+from asyncio import sleep
 from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import Any
@@ -55,6 +56,12 @@
         finally:
             self.streams.discard(stream)
 
+    async def beat(self, interval: float) -> None:
+        """Say again and again that this entry lives."""
+        while True:
+            await sleep(interval)
+            self.greet_again()
+
     def greet_again(self) -> None:
         """Tell those who ask here of a new incarnation, or of leaving."""
         for stream in self.streams:
--- a/tests/unit/entry/test_keeping.py
+++ b/tests/unit/entry/test_keeping.py
@@ -12,6 +12,11 @@
     holders_to_close,
     open_notices,
 )
+from clementinebend_entry.heartbeat import (
+    HEARTBEATS_PER_SECOND,
+    heartbeat_interval,
+    silence_limit,
+)
 from clementinebend_entry.kept_receipts import (
     close_receipts,
     empty_receipts,
@@ -206,3 +211,9 @@
         assert name not in chosen
         assert {zones[each] == zones[name] for each in chosen} == {True, False}
         assert len(set(chosen)) == len(chosen) == 8
+
+
+def test_heartbeats_stay_within_a_bounded_rate() -> None:
+    assert heartbeat_interval(1) == 1.0
+    assert silence_limit(1) == 4.0
+    assert 370 / heartbeat_interval(370) == HEARTBEATS_PER_SECOND
