Tell settings that cannot be with their key, never with a traceback

Cause: a port below 0 or above 65535 and an unknown log level passed the check of the settings and failed where they were used, as OverflowError and ValueError; the message of a port in use named the address, not the setting. Ruled out: types for ports and durations in each settings class: the names say already what a number measures, so one check by name holds for all programs.

--- a/libs/entry/src/clementinebend_entry/exceptions.py
+++ b/libs/entry/src/clementinebend_entry/exceptions.py
@@ -10,12 +10,15 @@
 
 
 class ListenError(EntryError):
-    """The process cannot listen on the address in its settings."""
+    """The process cannot listen on the address in its settings.
 
-    def __init__(self, host: str, port: int, cause: str) -> None:
+    ``setting`` is the key of the port.
+    """
+
+    def __init__(self, setting: str, host: str, port: int, cause: str) -> None:
         super().__init__(
             f"cannot listen on {host}:{port} ({cause}); "
-            "choose a free port in the settings file, or 0 for any"
+            f"set {setting!r} to a free port in the settings file, or to 0 for any"
         )
 
 
--- a/libs/entry/src/clementinebend_entry/process.py
+++ b/libs/entry/src/clementinebend_entry/process.py
@@ -54,7 +54,7 @@
     try:
         return await serve_messages(fleet.peer_server.serve, host, port)
     except OSError as error:
-        raise ListenError(host, port, str(error)) from error
+        raise ListenError("peer_port", host, port, str(error)) from error
 
 
 async def listen_to_callers(
@@ -70,10 +70,11 @@
         write_timeout=settings.write_timeout_s,
         idle_timeout=settings.idle_timeout_s,
     )
+    host, port = settings.host, settings.port
     try:
-        return await serve_http(handler.handle, settings.host, settings.port, limits)
+        return await serve_http(handler.handle, host, port, limits)
     except OSError as error:
-        raise ListenError(settings.host, settings.port, str(error)) from error
+        raise ListenError("port", host, port, str(error)) from error
 
 
 def announce(http_server: HttpServer, peer_server: MessageServer) -> None:
--- a/libs/entry/src/clementinebend_entry/settings.py
+++ b/libs/entry/src/clementinebend_entry/settings.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from clementinebend_records.codec import SCHEMA_VERSION
+from clementinebend_transport.logs import LogLevel
 
 
 class Peer(NamedTuple):
@@ -45,7 +46,7 @@
     pointer_timeout_ms: int = 100
     receipt_timeout_ms: int = 500
     suspect_after_s: float = 5.0
-    log_level: str = "INFO"
+    log_level: LogLevel = LogLevel.INFO
     max_header_bytes: int = 16_384
     max_connections: int = 4096
     header_timeout_s: float = 10.0
--- a/libs/sidecar/src/clementinebend_sidecar/exceptions.py
+++ b/libs/sidecar/src/clementinebend_sidecar/exceptions.py
@@ -6,10 +6,10 @@
 
 
 class AddressInUseError(SidecarError):
-    """An address in the settings cannot be bound."""
+    """An address in the settings cannot be bound; ``setting`` is its port's key."""
 
-    def __init__(self, host: str, port: int, reason: str) -> None:
+    def __init__(self, setting: str, host: str, port: int, reason: str) -> None:
         super().__init__(
             f"cannot listen on {host}:{port}: {reason};"
-            " stop the process that holds it, or set another port"
+            f" stop the process that holds it, or set {setting!r} to another port"
         )
--- a/libs/sidecar/src/clementinebend_sidecar/process.py
+++ b/libs/sidecar/src/clementinebend_sidecar/process.py
@@ -101,7 +101,7 @@
     try:
         return await serve_messages(connection_handler(owner), host, port)
     except OSError as error:
-        raise AddressInUseError(host, port, str(error)) from error
+        raise AddressInUseError("port", host, port, str(error)) from error
 
 
 async def _serve_operators(settings: SidecarSettings, owner: GateOwner) -> HttpServer:
@@ -109,7 +109,7 @@
     try:
         return await serve_http(operator_handler(owner), host, port)
     except OSError as error:
-        raise AddressInUseError(host, port, str(error)) from error
+        raise AddressInUseError("http_port", host, port, str(error)) from error
 
 
 def _configuration(
--- a/libs/sidecar/src/clementinebend_sidecar/settings.py
+++ b/libs/sidecar/src/clementinebend_sidecar/settings.py
@@ -8,6 +8,7 @@
 
 from clementinebend_declarations.models import ServiceKind
 from clementinebend_records.codec import SCHEMA_VERSION
+from clementinebend_transport.logs import LogLevel
 
 
 class SidecarSettings(NamedTuple):
@@ -43,4 +44,4 @@
     fenced: bool = False
     order_port: int = 0
     weights_url: str = ""
-    log_level: str = "INFO"
+    log_level: LogLevel = LogLevel.INFO
--- a/libs/transport/src/clementinebend_transport/logs.py
+++ b/libs/transport/src/clementinebend_transport/logs.py
@@ -1,9 +1,20 @@
 """JSON log lines on standard error, for changes of state only."""
 
+from enum import StrEnum
 from logging import StreamHandler, getLogger
 
 from pythonjsonlogger.json import JsonFormatter
 
+
+class LogLevel(StrEnum):
+    """The least level of the lines that a process writes."""
+
+    DEBUG = "DEBUG"
+    INFO = "INFO"
+    WARNING = "WARNING"
+    ERROR = "ERROR"
+
+
 LOG_FIELDS = ("levelname", "name", "message")
 
 
--- a/libs/transport/src/clementinebend_transport/settings.py
+++ b/libs/transport/src/clementinebend_transport/settings.py
@@ -14,6 +14,7 @@
     describe_kind,
 )
 from clementinebend_transport.exceptions import SettingsError
+from clementinebend_transport.settings_checks import measure_problems
 
 T = TypeVar("T")
 
@@ -54,10 +55,11 @@
     except (RecursionError, ValueError) as error:
         return _failure(path, f"is not usable YAML: {error}", describe_kind(kind))
     settings = convert_mapping({} if document is None else document, kind)
-    if isinstance(settings, kind):
-        return Ok(settings)
-    assert isinstance(settings, tuple)
-    return Error(SettingsError(str(path), settings))
+    if not isinstance(settings, kind):
+        assert isinstance(settings, tuple)
+        return Error(SettingsError(str(path), settings))
+    problems = tuple(measure_problems(settings))
+    return Error(SettingsError(str(path), problems)) if problems else Ok(settings)
 
 
 def _failure(
--- a/tests/unit/transport/test_settings.py
+++ b/tests/unit/transport/test_settings.py
@@ -65,3 +65,38 @@
     )
     expected = Settings(Listen("a", 1), {"b": Listen("a", 2)})
     assert load_settings(path, Settings).ok == expected
+
+
+class Place(NamedTuple):
+    """A nested part with a port."""
+
+    host: str = "127.0.0.1"
+    port: int = 0
+
+
+class Measured(NamedTuple):
+    """Settings whose names say what they measure."""
+
+    http_port: int = 0
+    wait_s: float = 1.0
+    wait_ms: int = 1
+    max_bytes: int = 1
+    places: tuple[Place, ...] = ()
+
+
+def test_ports_durations_and_sizes_that_cannot_be_are_told(tmp_path: Path) -> None:
+    path = tmp_path / "settings.yaml"
+    path.write_text(
+        "http_port: 65536\nwait_s: .nan\nwait_ms: -1\nmax_bytes: -5\n"
+        "places: [{port: 0}, {port: -1}]\n"
+    )
+    told = str(load_settings(path, Measured).error).splitlines()
+    assert [line.removeprefix(f"{path}: ") for line in told] == [
+        "http_port is 65536; allowed: 0 to 65535",
+        "wait_s is nan; allowed: 0 or more",
+        "wait_ms is -1; allowed: 0 or more",
+        "max_bytes is -5; allowed: 0 or more",
+        "places.1.port is -1; allowed: 0 to 65535",
+    ]
+    path.write_text("http_port: 65535\nwait_s: 0\nplaces: [{port: 1}]\n")
+    assert load_settings(path, Measured).is_ok()
