Let measured peers send heartbeats, and renew the capacity page

Cause: entries now repeat Hello to one another; members without it are given up, and the program of members ended at its first peer, which showed only as a deadline of 30 s. Ruled out: leaving peers silent, whose cost is the heartbeats. Before: slopes failed.

--- a/libs/bench/src/clementinebend_bench/capacity/entry.py
+++ b/libs/bench/src/clementinebend_bench/capacity/entry.py
@@ -4,6 +4,7 @@
     BYTES_A_SECOND,
     CORE,
     LATER_BILL_BYTES,
+    LATER_HEARTBEATS,
     LATER_PEERS,
     LATER_REPORT_SECONDS,
     MEGABYTES,
@@ -16,6 +17,7 @@
 SUBSETS = "subsets of 5 endpoints for each model"
 SUMS = "ledger shards with sums, bills in streams that holders do not read"
 HOMES = "one home holder for each budget and zone, by rendezvous hashing"
+PARTNERS = "heartbeats to the 8 partners only, one each 2 s"
 HOST_CHANGES = "changes of the list only, from one entry of the zone"
 
 
@@ -45,6 +47,14 @@
             SUBSETS,
             sources.later_links * link,
         ),
+        Item(
+            "heartbeats of peers",
+            sources.heartbeats,
+            each("entry: cpu by peers"),
+            "at most 20 a second to all peers together",
+            PARTNERS,
+            LATER_HEARTBEATS * each("entry: cpu by peers"),
+        ),
         Item(
             "hosts listed",
             target.hosts,
@@ -159,6 +169,14 @@
             f"{SUBSETS}, a report each {LATER_REPORT_SECONDS:.0f} s",
             sources.later_links * link / LATER_REPORT_SECONDS,
         ),
+        Item(
+            "heartbeats of peers",
+            sources.heartbeats,
+            each("entry: bytes by peers"),
+            "at most 20 a second to all peers together",
+            PARTNERS,
+            LATER_HEARTBEATS * each("entry: bytes by peers"),
+        ),
         Item(
             "hosts listed",
             target.hosts,
