Begin fault tests on shared clusters with settled books

Cause: a test that counted bills while the last one's were under way found more than it expected. Ruled out: a doubled bill: runs and bills were equal each time. Nothing is checked less: the count begins when all are in.

--- a/tests/functional/test_faults_configuration.py
+++ b/tests/functional/test_faults_configuration.py
@@ -10,7 +10,7 @@
 import pytest
 import pytest_asyncio
 
-from tests.lib.books import books_of, until_balanced
+from tests.lib.books import books_of, settled_books, until_balanced
 from tests.lib.cluster_files import Plan, entry_settings, write_yaml
 from tests.lib.clusters import Cluster, running_cluster
 from tests.lib.processes import wait_until
@@ -168,7 +168,7 @@
 async def test_revisions_never_go_down_while_operators_publish(
     cluster: Cluster,
 ) -> None:
-    before = await books_of(cluster)
+    before = await settled_books(cluster)
     seen: dict[str, list[int]] = {name: [] for name in cluster.entries}
     publishing = create_task(publish_in_turn(cluster, 3))
     while not publishing.done():
--- a/tests/functional/test_faults_log.py
+++ b/tests/functional/test_faults_log.py
@@ -7,7 +7,7 @@
 import pytest
 import pytest_asyncio
 
-from tests.lib.books import books_of, executed_calls, until_balanced
+from tests.lib.books import executed_calls, settled_books, until_balanced
 from tests.lib.clusters import Cluster, running_cluster
 from tests.lib.http_calls import Called
 from tests.lib.processes import wait_until
@@ -55,7 +55,7 @@
 async def warm_up(cluster: Cluster, name: str) -> int:
     """Have both entries serve; return how many bills there are then."""
     asked = questions(name, 20, TOKENS)
-    before = await books_of(cluster)
+    before = await settled_books(cluster)
     answers = await ask_all(cluster, cycle(ENTRIES), asked)
     assert check_all_answered(answers, asked) == asked
     total = len(before.bills) + len(asked)
@@ -115,7 +115,7 @@
 
 
 async def test_lost_answers_of_the_log_double_nothing(cluster: Cluster) -> None:
-    before = await books_of(cluster)
+    before = await settled_books(cluster)
     lost = await lost_answers(cluster)
     await cluster.caller("log").set_faults(lose_answers=LOST)
     asked = questions("lost", CALLERS, TOKENS)
--- a/tests/functional/test_faults_once.py
+++ b/tests/functional/test_faults_once.py
@@ -6,7 +6,7 @@
 import pytest
 import pytest_asyncio
 
-from tests.lib.books import books_of, executed_calls, until_balanced
+from tests.lib.books import executed_calls, settled_books, until_balanced
 from tests.lib.cluster_files import PLAIN_PATH, Plan
 from tests.lib.clusters import Cluster, running_cluster
 from tests.lib.http_calls import Called
@@ -76,7 +76,7 @@
 async def test_simultaneous_bookings_with_one_key_are_executed_once(
     cluster: Cluster,
 ) -> None:
-    before = await books_of(cluster)
+    before = await settled_books(cluster)
     calls = len(await executed_calls(cluster))
     entries = list(cluster.entries) * SIMULTANEOUS
     booked = await gather(*(cluster.book(each, "same", b"7") for each in entries))
@@ -102,7 +102,7 @@
 async def test_a_retry_after_its_entry_was_killed_is_executed_once(
     cluster: Cluster,
 ) -> None:
-    before = await books_of(cluster)
+    before = await settled_books(cluster)
     calls = len(await executed_calls(cluster))
     await cluster.caller(SERVICE).set_faults(hang=True)
     first: Task[Called] = create_task(cluster.book("entry-1", "killed", b"9"))
@@ -122,7 +122,7 @@
 async def test_a_booking_whose_answer_never_comes_is_of_unknown_outcome(
     cluster: Cluster,
 ) -> None:
-    before = await books_of(cluster)
+    before = await settled_books(cluster)
     calls = len(await executed_calls(cluster))
     await cluster.caller(SERVICE).set_faults(hang=True)
     told = await book_within(cluster, "entry-1", "hang", b"1")
@@ -141,7 +141,7 @@
 
 
 async def test_a_booking_that_ran_and_failed_is_told_so_again(cluster: Cluster) -> None:
-    before = await books_of(cluster)
+    before = await settled_books(cluster)
     calls = len(await executed_calls(cluster))
     await cluster.caller(SERVICE).set_faults(fail_after=1)
     failed = await cluster.book("entry-1", "failed", b"2")
@@ -155,7 +155,7 @@
 async def test_a_booking_whose_answer_is_cut_off_is_not_executed_again(
     cluster: Cluster,
 ) -> None:
-    before = await books_of(cluster)
+    before = await settled_books(cluster)
     calls = len(await executed_calls(cluster))
     await cluster.caller(SERVICE).set_faults(truncate=1)
     told = [await cluster.book(entry, "cut off", b"3") for entry in cluster.entries]
@@ -168,7 +168,7 @@
 async def test_a_booking_with_the_log_down_is_refused_and_not_executed(
     cluster: Cluster,
 ) -> None:
-    before = await books_of(cluster)
+    before = await settled_books(cluster)
     calls = len(await executed_calls(cluster))
     await cluster.caller("log").set_faults(outage=True)
     for entry in cluster.entries:
@@ -190,7 +190,7 @@
 async def test_a_booking_caught_by_an_outage_is_never_executed_twice(
     cluster: Cluster,
 ) -> None:
-    before = await books_of(cluster)
+    before = await settled_books(cluster)
     calls = len(await executed_calls(cluster))
     await cluster.caller("log").set_faults(slow_ms=1000)
     caught = create_task(book_within(cluster, "entry-1", "caught", b"5"))
--- a/tests/lib/books.py
+++ b/tests/lib/books.py
@@ -65,6 +65,19 @@
     return books
 
 
+async def settled_books(cluster: Cluster) -> Books:
+    """Return the books once each run of earlier tests has its bill."""
+    books = await books_of(cluster)
+
+    async def settled() -> bool:
+        nonlocal books
+        books = await books_of(cluster)
+        return not books.unbilled
+
+    await wait_until(settled, "all that ran so far is billed")
+    return books
+
+
 async def executed_costs(cluster: Cluster) -> dict[str, int]:
     """Return the tokens of each run that an endpoint executed."""
     costs: dict[str, int] = {}
