Give up a claim when the log fails, not at the deadline

Cause: a booking that came just after the log went down, before its entry had noticed, posted its claim and waited for it until the deadline (60 s). Ruled out: the check before the claim: it sees only failures noticed so far. The time that a log has failed is worked out in one place for both streams.

--- a/libs/entry/src/clementinebend_entry/claims.py
+++ b/libs/entry/src/clementinebend_entry/claims.py
@@ -4,10 +4,11 @@
 cannot be reached no call is claimed, so none runs.
 """
 
-from asyncio import Future, get_running_loop, timeout_at, wait
+from asyncio import Future, get_running_loop, wait
 from collections.abc import Callable
 
-from clementinebend_entry.budget_waits import outage_retry_ms
+from clementinebend_entry.budget_waits import LOG_PATIENCE_S, outage_retry_ms
+from clementinebend_entry.log_health import failing_for
 from clementinebend_entry.metrics import CLAIMS
 from clementinebend_entry.shard import LogSettings
 from clementinebend_ledger.checkpoints import claims_checkpoint, restore_claims
@@ -41,6 +42,9 @@
 )
 from clementinebend_records.streams import claims_stream, claims_streams
 
+LOOK_INTERVAL_S = 0.1
+"""How often a claim that waits looks at whether the log fails."""
+
 ClaimVerdict = ClaimWon | ClaimLost | ClaimConflict | ClaimRefused
 Tell = Callable[[ClaimsOutcome], None]
 
@@ -114,21 +118,38 @@
     async def claim(
         self, key: RequestKey, body_digest: str, run: RunId, deadline: float
     ) -> ClaimVerdict | None:
-        """Claim a call; None if the claim is not read back by the deadline."""
+        """Claim a call; None if the claim is not read back.
+
+        It is given up at the deadline, or as soon as the log has failed for
+        ``LOG_PATIENCE_S``: the run then never starts, whatever replay says.
+        """
         verdict: Future[ClaimVerdict] = get_running_loop().create_future()
         self.waiting[run] = verdict
         self.post(key, Claim(key, body_digest, self.claimant, run))
         try:
-            async with timeout_at(deadline):
-                answer = await verdict
-        except TimeoutError:
-            CLAIMS.labels("not_read_back").inc()
-            return None
+            is_decided = await self.until_decided(key, verdict, deadline)
         finally:
             del self.waiting[run]
+        if not is_decided:
+            CLAIMS.labels("not_read_back").inc()
+            return None
+        answer = verdict.result()
         CLAIMS.labels(type(answer).__name__).inc()
         return answer
 
+    async def until_decided(
+        self, key: RequestKey, verdict: "Future[ClaimVerdict]", deadline: float
+    ) -> bool:
+        """Wait for a verdict; return false if it is given up."""
+        loop, shard = get_running_loop(), self.shard_for(key)
+        while not verdict.done():
+            now = loop.time()
+            is_failing = failing_for(shard.tail, shard.writer, now) > LOG_PATIENCE_S
+            if is_failing or now >= deadline:
+                return False
+            await wait((verdict,), timeout=min(deadline - now, LOOK_INTERVAL_S))
+        return True
+
     def on_outcome(self, outcome: ClaimsOutcome) -> None:
         """Wake the one who waits for the verdict on its claim."""
         if isinstance(outcome, ClaimWon | ClaimLost | ClaimConflict | ClaimRefused):
--- a/libs/entry/src/clementinebend_entry/shard.py
+++ b/libs/entry/src/clementinebend_entry/shard.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from clementinebend_entry.ledger_events import Replayed, Restored
+from clementinebend_entry.log_health import failing_for
 from clementinebend_ledger.replay import (
     LedgerState,
     empty_ledger,
@@ -71,11 +72,7 @@
 
     def failing_for(self, now: float) -> float:
         """Return for how many seconds the log has not taken or given anything."""
-        since = self.writer.failing_since
-        if self.tail.failures and self.tail.caught_up_at is not None:
-            heard = self.tail.caught_up_at
-            since = heard if since is None else min(since, heard)
-        return 0.0 if since is None else max(0.0, now - since)
+        return failing_for(self.tail, self.writer, now)
 
     async def close(self, patience: float) -> None:
         """Flush the writer for up to ``patience`` seconds, then stop."""
