--- a/libs/bench/src/clementinebend_bench/capacity/facts.py
+++ b/libs/bench/src/clementinebend_bench/capacity/facts.py
@@ -156,8 +156,8 @@
             "operators' command: publications that meet another",
             f"{conflict:.0%}",
             "1 - exp(-processor time x changes/s)",
-            "does NOT fit: one of two operators tries again, though their changes "
-            "do not touch; it needs bases by section",
+            "does NOT fit: such a share tries again, though the changes do not touch; "
+            "it needs bases by section",
         ),
         Fact(
             "configuration: replay of one change on a node",
