Join a key's earlier run before refusing its retry as not run

Cause: a retry reserved first and asked for its key's pointer after that. In an outage of the log, at an entry without a grant, it was told 'not run' (budget_unavailable) while the key's run went on at its sidecar and was billed. So were retries refused at the door or without an endpoint in reach. Ruled out: placing the pointer first alone: the door and the choice of an endpoint refuse before it; so a keyed idempotent request asks once more before it is refused. Nothing is added to the path of a request that runs. A run that follows a failed one that was joined is outside the retry budget, being the first of its request.

--- a/libs/entry/src/clementinebend_entry/execution.py
+++ b/libs/entry/src/clementinebend_entry/execution.py
@@ -12,11 +12,11 @@
 
 from clementinebend_declarations.models import ServiceKind
 from clementinebend_entry.answer_output import AnswerOutput
-from clementinebend_entry.attachment import Attached, attach
 from clementinebend_entry.calls import Call
 from clementinebend_entry.claimed_calls import ClaimedCall
-from clementinebend_entry.conclusions import FINAL_REFUSALS, conclude
+from clementinebend_entry.conclusions import conclude
 from clementinebend_entry.following import Follower
+from clementinebend_entry.joining import join, join_earlier
 from clementinebend_entry.metrics import RETRIES, RUNS
 from clementinebend_entry.outcomes import Refusal, Trouble, Unknown
 from clementinebend_entry.pieces import Whole
@@ -25,7 +25,6 @@
 from clementinebend_entry.run_opening import run_start, ticket_for
 from clementinebend_entry.run_results import (
     RunBroke,
-    RunNotRun,
     RunResult,
     RunWhole,
 )
@@ -59,6 +58,8 @@
         self.exclude: frozenset[str] = frozenset()
         self.refusal: Refusal | None = None
         self.claim = ClaimedCall(services.claims, call)
+        self.earlier: Trouble | None = None
+        self.has_looked = False
         self.waits_for_budget = False
         self.dispatched = False
         self.abandoned = False
@@ -71,8 +72,7 @@
         gate = self.services.gate
         refusal = await gate.enter(self.request, self.call)
         if refusal is not None:
-            await self.claim.confirm()
-            self.tell(refusal)
+            await self.give_up(refusal)
             return
         try:
             while not self.ended:
@@ -85,6 +85,7 @@
             self.account.withdraw()
             if not self.dispatched:
                 self.claim.void()
+                self.drop_pointer()
             if self.account.tokens:
                 gate.leave(self.request, self.account.tokens)
             else:
@@ -104,7 +105,11 @@
     # One attempt.
 
     async def attempt(self) -> None:
-        """Choose an endpoint, reserve, and dispatch; then take the result."""
+        """Choose an endpoint, reserve, and dispatch; then take the result.
+
+        An earlier run of the key is joined before anything is reserved: that
+        needs no budget, and "not run" must not be said of a key that runs.
+        """
         if await self.is_answered():
             return
         unsafe = self.services.receipts.unsafe_zone(self.call)
@@ -115,20 +120,20 @@
             reason = NotRun.LOG_UNAVAILABLE if unsafe else NotRun.NO_ENDPOINT
             await self.give_up(self.refusal or Refusal(reason, chosen.retry_after_ms))
             return
+        link, choice = chosen
+        standing = await self.place_pointer(choice.endpoint)
+        if standing is not None:
+            await join(self, standing)
+            return
         self.waits_for_budget = True
         refusal = await self.account.reserve(self.run_id)
         self.waits_for_budget = False
         if refusal is not None:
             await self.give_up(refusal)
             return
-        link, choice = chosen
         ticket = self.ticket(link)
         if ticket is None:
             return
-        standing = await self.place_pointer(choice.endpoint)
-        if standing is not None:
-            await self.join(standing)
-            return
         if await self.is_claimed():
             await self.dispatch(link, choice, ticket)
 
@@ -183,35 +188,6 @@
             self.end(trouble)
         return False
 
-    async def join(self, standing: Standing) -> None:
-        """Relay the answer of the run that the key has already.
-
-        A pointer to a run that gives no answer is dropped, and the call goes
-        on by itself; whether it may still run is then for its claim to say.
-        """
-        self.account.withdraw()
-        if standing.body_digest != self.call.body_digest:
-            self.end(Refusal(NotRun.KEY_CONFLICT, 0))
-            return
-        self.dispatched = True
-        attached = await attach(self.services, self.call, standing, self.output)
-        self.dispatched = isinstance(attached, Attached)
-        if isinstance(attached, Attached):
-            self.follower = attached.follower
-            await self.take_joined(attached.result, standing)
-        else:
-            self.services.pointers.drop(self.call.key, standing.run)
-
-    async def take_joined(self, result: RunResult, standing: Standing) -> None:
-        """Take the result of a run that another request began."""
-        is_final = isinstance(result, RunWhole) or (
-            isinstance(result, RunNotRun) and result.reason in FINAL_REFUSALS
-        )
-        if is_final or not self.call.idempotent or not self.may_try_again("joined"):
-            await conclude(result, self)
-        else:
-            self.services.pointers.drop(self.call.key, standing.run)
-
     async def dispatch(self, link: SidecarLink, choice: Choice, ticket: Ticket) -> None:
         """Send the run to its sidecar and follow it to its end."""
         call, router = self.call, self.services.router
@@ -272,7 +248,10 @@
     async def give_up(self, refusal: Refusal) -> None:
         """End a call that is proved not run, or whose last attempt is."""
         self.account.withdraw()
-        trouble = self.account.trouble()
+        self.drop_pointer()
+        if await join_earlier(self):
+            return
+        trouble = self.account.trouble() or self.earlier
         await self.claim.confirm()
         self.end(trouble or refusal)
         if trouble is None:
--- a/tests/unit/entry/scripted.py
+++ b/tests/unit/entry/scripted.py
@@ -43,6 +43,7 @@
 
 Send = Callable[[Message], None]
 Act = Callable[[RunStart, Send], None]
+Attach = Callable[[RunAttach, Send], None]
 
 
 def receipt_of(start: RunStart, amount: int, succeeded: bool = True) -> Receipt:
@@ -93,6 +94,11 @@
     send(RunEnd(start.run, 3, receipt_of(start, 7)))
 
 
+def know_no_run(attach: RunAttach, send: Send) -> None:
+    """Refuse to attach."""
+    send(RunRefused(attach.attachment, NotRun.UNKNOWN_KEY, 0))
+
+
 def accept_only(start: RunStart, send: Send) -> None:
     """Begin each run and say no more."""
     send(RunAccepted(start.run, start.run))
@@ -106,6 +112,7 @@
         self.act = act
         self.zone = zone
         self.incarnation = new_incarnation(name)
+        self.attach: Attach = know_no_run
         self.started: list[RunStart] = []
         self.heard: list[Message] = []
         self.streams: set[MessageStream] = set()
@@ -123,8 +130,7 @@
                 self.started.append(message)
                 self.act(message, stream.post)
             elif isinstance(message, RunAttach):
-                refused = RunRefused(message.attachment, NotRun.UNKNOWN_KEY, 0)
-                stream.post(refused)
+                self.attach(message, stream.post)
             elif isinstance(message, RunCancel):
                 start = next(s for s in self.started if s.run == message.run)
                 stream.post(RunFailed(start.run, "cancelled", receipt_of(start, 2)))
--- a/tests/unit/entry/test_execution.py
+++ b/tests/unit/entry/test_execution.py
@@ -9,15 +9,26 @@
 from clementinebend_entry.exceptions import AnswerCutOff
 from clementinebend_platform_client.log_client import http_log_client
 from clementinebend_records.codec import decode_batch, encode_batch
-from clementinebend_records.identifiers import Incarnation, RunId
-from clementinebend_records.messages import RunCancel
+from clementinebend_records.identifiers import GrantId, Incarnation, RunId
+from clementinebend_records.messages import (
+    Receipt,
+    RunAccepted,
+    RunAttach,
+    RunCancel,
+    RunChunk,
+    RunEnd,
+    RunFailed,
+    RunHead,
+)
 from clementinebend_records.reasons import NotRun
 from clementinebend_records.records import Batch, Claim, ClaimVoid
 from clementinebend_transport.http_server import Response
 from tests.lib.processes import wait_until
 from tests.unit.entry.builders import chat_request, parsed, request
 from tests.unit.entry.scripted import (
+    BUDGET,
     ScriptedSidecar,
+    Send,
     accept_only,
     fail,
     fail_unsure,
@@ -213,3 +224,50 @@
         records = [each for batch in batches for each in getattr(batch, "records", ())]
         voids = {each.key for each in records if isinstance(each, ClaimVoid)}
         assert voids == {call.key, parsed(free).key}
+
+
+async def test_a_key_that_runs_elsewhere_is_joined_where_a_new_one_is_refused() -> None:
+    sidecar = ScriptedSidecar("engine-1", accept_only)
+    sidecar.attach = answer_attached
+    async with scripted_entry(sidecar, tokens=1) as entry:
+        refused = await entry.ask(chat_request(idempotency_key="new"))
+        assert (refused.status, error_of(refused)["reason"]) == (
+            402,
+            "budget_exhausted",
+        )
+        assert not entry.fleet.pointers.store.pointers
+        made = chat_request(idempotency_key="known")
+        await entry.fleet.pointers.put(parsed(made), RunId("r1"), "engine-1")
+        assert (await entry.ask(made)).status == 200
+        entry.fleet.router.is_witness = lambda budget, who: False
+        assert (await entry.ask(made)).status == 200
+        assert sidecar.started == []
+
+
+async def test_a_key_whose_run_failed_is_not_called_not_run() -> None:
+    sidecar = ScriptedSidecar("engine-1", accept_only)
+    sidecar.attach = fail_attached
+    async with scripted_entry(sidecar, tokens=1) as entry:
+        made = chat_request(idempotency_key="known")
+        await entry.fleet.pointers.put(parsed(made), RunId("r1"), "engine-1")
+        told = await entry.ask(made)
+        assert (told.status, error_of(told)["type"]) == (502, "ran_and_failed")
+
+
+def answer_attached(attach: RunAttach, send: Send) -> None:
+    send(RunAccepted(attach.attachment, RunId("r1")))
+    send(RunHead(attach.attachment, 200, "application/json"))
+    send(RunChunk(attach.attachment, 0, b"{}"))
+    send(RunEnd(attach.attachment, 1, receipt_for(attach)))
+
+
+def fail_attached(attach: RunAttach, send: Send) -> None:
+    send(RunFailed(attach.attachment, "engine died", receipt_for(attach)))
+
+
+def receipt_for(attach: RunAttach) -> Receipt:
+    """Return the receipt of the run that another entry began."""
+    grant = GrantId("entry-9#a/1")
+    return Receipt(
+        attach.key, RunId("r1"), BUDGET, grant, RIVAL, "engine-1", 5, succeeded=True
+    )
