Lend throughout an outage, and only parts that are of use

Cause: once the log had failed for 1 s a request without a grant was refused at the next tick, before peers were asked (every 0.1 s), so entries lent to each other in the first second of an outage only. And a request too large for any peer's grant still took all that the peer had. Ruled out: scopes and links: the peer was a witness, and within the first second it lent. After: a request is given up once peers were asked, or after 1 s; an asker says what is the least of use. Conclusion: a lender may still lend all of its grant to many small requests.

--- a/libs/entry/src/clementinebend_entry/borrower.py
+++ b/libs/entry/src/clementinebend_entry/borrower.py
@@ -1,6 +1,7 @@
 """Asks peers on this side of a cut for parts of grants while the log is out."""
 
 from asyncio import sleep
+from collections.abc import Sequence
 from itertools import groupby
 
 from clementinebend_entry.budget_waits import Waiter
@@ -28,12 +29,19 @@
             for budget, group in groupby(waiters, key=budget_of):
                 shard = self.ledger.shards.of_budget(budget)
                 if shard.failing_for(self.ledger.loop.time()) > FAILING_S:
-                    await self.borrow(budget, sum(each.amount for each in group))
+                    needy = tuple(group)
+                    await self.borrow(budget, needy)
+                    self.ledger.note_asked(needy)
 
-    async def borrow(self, budget: str, amount: int) -> None:
-        """Ask one peer after another until the need is met."""
+    async def borrow(self, budget: str, waiters: Sequence[Waiter]) -> None:
+        """Ask one peer after another until the need is met.
+
+        A part that is too small for each of those who wait is not taken.
+        """
+        amount = sum(waiter.amount for waiter in waiters)
+        least = min(waiter.amount for waiter in waiters)
         for name in self.peers.creditors():
-            given = await self.peers.ask_transfer(name, budget, amount)
+            given = await self.peers.ask_transfer(name, budget, amount, least)
             amount -= given
             TRANSFERS.labels("received" if given else "nothing").inc()
             if amount <= 0:
--- a/libs/entry/src/clementinebend_entry/budget_waits.py
+++ b/libs/entry/src/clementinebend_entry/budget_waits.py
@@ -25,6 +25,9 @@
 LOG_PATIENCE_S = 1.0
 """How long the log may fail before requests that need it are refused."""
 
+PEERS_PATIENCE_S = 1.0
+"""How long peers may take to say what they lend while the log fails."""
+
 
 class Reservation(NamedTuple):
     """Tokens set aside for a run: part of one grant of one holder."""
@@ -37,13 +40,19 @@
 
 
 class Waiter(NamedTuple):
-    """A request that needs ``amount`` tokens by ``deadline`` (loop seconds)."""
+    """A request that needs ``amount`` tokens by ``deadline`` (loop seconds).
+
+    It waits ``since`` then; ``has_asked`` says that peers were asked for a part
+    of their grants.
+    """
 
     run: RunId
     budget: str
     amount: int
     deadline: float
     reply: "Future[Reservation | Refusal]"
+    since: float = 0.0
+    has_asked: bool = False
 
 
 class BudgetView(NamedTuple):
@@ -64,7 +73,9 @@
     """Return why a request is given up on, or None while it is to wait."""
     if view.settling and now < waiter.deadline:
         return None
-    if view.failing_for > LOG_PATIENCE_S:
+    has_waited = now >= min(waiter.deadline, waiter.since + PEERS_PATIENCE_S)
+    is_hopeless = waiter.has_asked or has_waited
+    if view.failing_for > LOG_PATIENCE_S and is_hopeless:
         message = "no grant is at hand and the platform's log cannot be reached"
         retry_ms = outage_retry_ms(view.failing_for)
         return Refusal(NotRun.BUDGET_UNAVAILABLE, retry_ms, message)
--- a/libs/entry/src/clementinebend_entry/ledger.py
+++ b/libs/entry/src/clementinebend_entry/ledger.py
@@ -119,8 +119,8 @@
     ) -> Reservation | Refusal:
         """Set tokens aside for a run, waiting for a grant if need be."""
         reply: Future[Reservation | Refusal] = self.loop.create_future()
-        needed = max(1, amount)
-        self.take(Wanted(Waiter(run, budget, needed, deadline, reply)))
+        now = self.loop.time()
+        self.take(Wanted(Waiter(run, budget, max(1, amount), deadline, reply, now)))
         try:
             answer = await reply
         except BaseException:
@@ -219,11 +219,8 @@
     @take.register
     def _(self, event: Ticked) -> None:
         now = self.loop.time()
-        left = [
-            waiter
-            for waiter in tuple(self.waiters.values())
-            if not self.try_waiter(waiter)
-        ]
+        waiting = tuple(self.waiters.values())
+        left = [waiter for waiter in waiting if not self.try_waiter(waiter)]
         for run, refusal in judge_all(left, self.holder, self.top_ups, now):
             self.waiters[run].reply.set_result(refusal)
             self.take(Withdrawn(run))
@@ -256,6 +253,12 @@
         waiter.reply.set_result(reservation)
         return True
 
+    def note_asked(self, waiters: Iterable[Waiter]) -> None:
+        """Take in that peers were asked for those who wait."""
+        still = (waiter for waiter in waiters if waiter.run in self.waiters)
+        self.waiters |= {each.run: each._replace(has_asked=True) for each in still}
+        self.dirty.set()
+
     def note_budgets(self, budgets: Iterable[str]) -> None:
         """Tell the holder the accounts of budgets that it uses."""
         now = self.loop.time()
--- a/libs/entry/src/clementinebend_entry/lender.py
+++ b/libs/entry/src/clementinebend_entry/lender.py
@@ -31,6 +31,7 @@
             ask.amount,
             stream,
             ask.question,
+            ask.least,
         )
         ledger.dirty.set()
         return message
--- a/libs/entry/src/clementinebend_entry/peer_pool.py
+++ b/libs/entry/src/clementinebend_entry/peer_pool.py
@@ -131,10 +131,13 @@
         own = self.settings.name
         return tuple(name for name in self.live() if own in partners(name, zones))
 
-    async def ask_transfer(self, name: str, budget: str, amount: int) -> int:
+    async def ask_transfer(
+        self, name: str, budget: str, amount: int, least: int
+    ) -> int:
         """Ask a peer for a part of a grant; return how much it gave."""
         patience = self.settings.pointer_timeout_ms / MILLISECONDS
-        answer = await self.links[name].ask(TransferAsk(0, budget, amount), patience)
+        ask = TransferAsk(0, budget, amount, least)
+        answer = await self.links[name].ask(ask, patience)
         return answer.amount if isinstance(answer, TransferGive) else 0
 
     # Configuration.
--- a/libs/ledger/src/clementinebend_ledger/giving.py
+++ b/libs/ledger/src/clementinebend_ledger/giving.py
@@ -27,13 +27,14 @@
     amount: int,
     stream: str = "",
     question: int = 0,
+    least: int = 0,
 ) -> tuple[HolderState, TransferGive]:
     """Pass up to ``amount`` of one of the holder's own grants to a peer.
 
-    Amount 0 if none has free tokens, if the receiver is not a witness in
-    force, or if ``transfer`` was used already.
+    Amount 0 if none has free tokens or as many as ``least``, if the receiver
+    is not a witness in force, or if ``transfer`` was used already.
     """
-    grant = _largest_own(holder, budget)
+    grant = _largest_own(holder, budget, least)
     usable = receiver in holder.witnesses.get(stream, {}) and not holder.closed
     known = transfer in holder.known_transfers
     if grant is None or not usable or known or amount <= 0:
@@ -100,9 +101,9 @@
     note_transfer(holder, record.transfer)
 
 
-def _largest_own(holder: HolderState, budget: str) -> GrantId | None:
+def _largest_own(holder: HolderState, budget: str, least: int) -> GrantId | None:
     use = holder.budgets.get(budget)
     grants = use["grants"].items() if use else ()
     own = {name: grant["free"] for name, grant in grants if not grant["transferred"]}
     largest = max(own, key=own.__getitem__, default=None)
-    return largest if largest is not None and own[largest] > 0 else None
+    return largest if largest and own[largest] >= max(1, least) else None
--- a/libs/records/src/clementinebend_records/messages.py
+++ b/libs/records/src/clementinebend_records/messages.py
@@ -221,11 +221,15 @@
 
 
 class TransferAsk(NamedTuple):
-    """Asks a peer for a part of its grants of ``budget``."""
+    """Asks a peer for a part of its grants of ``budget``.
+
+    Less than ``least`` is of no use to the asker.
+    """
 
     question: int
     budget: str
     amount: int
+    least: int = 0
 
 
 class TransferGive(NamedTuple):
--- a/tests/functional/test_faults_log.py
+++ b/tests/functional/test_faults_log.py
@@ -1,13 +1,15 @@
 """The log is down, slow, or loses its answers: served, refused, billed once."""
 
 from collections.abc import AsyncIterator
-from itertools import cycle, product
+from itertools import cycle, product, repeat
+from pathlib import Path
 from uuid import uuid4
 
 import pytest
 import pytest_asyncio
 
 from tests.lib.books import executed_calls, settled_books, until_balanced
+from tests.lib.cluster_files import Plan
 from tests.lib.clusters import Cluster, running_cluster
 from tests.lib.http_calls import Called
 from tests.lib.processes import wait_until
@@ -114,6 +116,24 @@
     await until_balanced(cluster, total)
 
 
+async def test_late_in_an_outage_peers_lend_what_is_of_use(tmp_path: Path) -> None:
+    async with running_cluster(tmp_path, Plan(services=0)) as fleet:
+        warm = questions("warm", 20, TOKENS)
+        answers = await ask_all(fleet, repeat("entry-1"), warm)
+        assert check_all_answered(answers, warm) == warm
+        await until_balanced(fleet, len(warm))
+        await fleet.caller("log").set_faults(outage=True)
+        large = [Question("x" * 200_000, TOKENS, entry) for entry in ENTRIES]
+        for called in await ask_all(fleet, ENTRIES, large, PATIENT):
+            assert called is not None
+            assert refusal_of(called) == "budget_unavailable"
+        small = questions("small", 6, TOKENS)
+        for entry, each in zip(cycle(ENTRIES), small, strict=False):
+            check_whole(await ask(fleet, entry, each, PATIENT), each)
+        await fleet.caller("log").set_faults(outage=False)
+        await until_balanced(fleet, len(warm) + len(small))
+
+
 async def test_lost_answers_of_the_log_double_nothing(cluster: Cluster) -> None:
     before = await settled_books(cluster)
     lost = await lost_answers(cluster)
--- a/tests/unit/ledger/test_transfers.py
+++ b/tests/unit/ledger/test_transfers.py
@@ -105,6 +105,14 @@
     return holder
 
 
+def test_a_part_that_is_of_no_use_is_not_given() -> None:
+    holder = giving_holder(Script())
+    holder, message = give(holder, TEAM, PART, BOB, 90, least=61)
+    assert message.amount == 0
+    _, message = give(holder, TEAM, PART, BOB, 90, least=60)
+    assert message.amount == 60
+
+
 def test_sender_subtracts_and_receiver_spends_at_once() -> None:
     script = Script()
     alice, bob = giving_holder(script), empty_holder(BOB)
