Add the demo: the Zlaté Čísla example, shown and held to its bill

Cause: a new user needs to see a request served, counted and billed within a minute. Found on the way: the engine stand-in took a comma list of models for one name (fire reads it as a string), so its sidecar said not_ready; it splits it now.

--- a/libs/bench/src/clementinebend_bench/cli/main.py
+++ b/libs/bench/src/clementinebend_bench/cli/main.py
@@ -5,9 +5,10 @@
 from fire import Fire
 
 from clementinebend_bench.commands.capacity import capacity
+from clementinebend_bench.commands.demo import demo
 from clementinebend_bench.commands.run import run
 
-COMMANDS = {"run": run, "capacity": capacity}
+COMMANDS = {"run": run, "demo": demo, "capacity": capacity}
 """One module under ``commands`` for each; to add one: a line here."""
 
 
--- a/libs/standins/src/clementinebend_standins/cli/engine.py
+++ b/libs/standins/src/clementinebend_standins/cli/engine.py
@@ -21,7 +21,7 @@
     fenced: bool = False,
 ) -> None:
     """Serve one model, or several with commas between them, until SIGTERM."""
-    models = (model,) if isinstance(model, str) else tuple(model)
+    models = tuple(model.split(",")) if isinstance(model, str) else tuple(model)
     limits = EngineLimits(slots, prefill_tokens_per_step, cache_blocks)
     settings = EngineSettings(models, limits, tokens_per_chunk, report_lag_ms, fenced)
     handler = engine_handler(settings, EngineFaults(step_ms=step_ms))
