--- a/tests/functional/test_demo.py
+++ b/tests/functional/test_demo.py
@@ -10,7 +10,8 @@
 
 async def test_the_demo_shows_all_its_steps_and_balances(tmp_path: Path) -> None:
     with running_processes(tmp_path) as processes:
-        line = ["clementinebend-bench", "demo", "--examples", EXAMPLES]
+        line: list[str | Path] = ["clementinebend-bench", "demo"]
+        line += ["--examples", EXAMPLES]
         code, output = await run_to_end(processes, line, "demo")
     assert code == 0, output
     assert "5. executed 332 tokens, billed 332: equal" in output
