Hold, never bill, the uncovered part of a held bill

Cause: a held bill says that a run's cost is not known. What no grant, hold or available token covered of it went into the shortfall, and the shortfall is billed as tokens come: tokens that nobody proved spent were charged (33 billed for 30 spent: a hold of 21 was covered by 18, and 3 were billed when a holder was released). A later proof of the key then billed on top of it, and one whose held bill nothing covered at all was dropped as repeated. The held bill came from an entry whose holder was closed and released before it gave up the run. Change: that part waits by key (unheld), after what was spent, and becomes a hold; proof or an operator's decision ends both. The checkpoint of a budget has one more field. Left: such a held bill still locks tokens until an operator frees them, though its run is proved not run; a bill does not name its holder, so replay cannot tell.

--- a/libs/ledger/src/clementinebend_ledger/replay.py
+++ b/libs/ledger/src/clementinebend_ledger/replay.py
@@ -34,10 +34,11 @@
     budget_entry,
     budget_summary,
     empty_ledger,
+    end_hold,
     holder_entry,
+    in_doubt,
     is_closed,
     pay_shortfall,
-    take_hold,
     take_remainder,
 )
 from clementinebend_ledger.transfers import apply_transfer
@@ -148,15 +149,13 @@
 @apply.register
 def _(record: HoldResolve, state: LedgerState) -> tuple[LedgerOutcome, ...]:
     entry = state.budgets.get(record.budget)
-    hold = entry["holds"].get(record.subject) if entry else None
-    if entry is None or hold is None:
+    doubt = in_doubt(entry, record.subject) if entry else 0
+    if entry is None or not doubt:
         return (Ignored("nothing is held for the subject"),)
-    if not 0 <= record.charge <= hold:
+    if not 0 <= record.charge <= doubt:
         return (Ignored("charge is not within the hold"),)
-    take_hold(entry, record.subject, hold)
-    entry["billed"] += record.charge
+    _, freed = end_hold(entry, record.subject, record.charge)
     pay_shortfall(entry)
-    freed = hold - record.charge
     return (HoldResolved(record.budget, record.subject, record.charge, freed),)
 
 
--- a/libs/ledger/src/clementinebend_ledger/settling.py
+++ b/libs/ledger/src/clementinebend_ledger/settling.py
@@ -3,9 +3,10 @@
 A bill is paid from its grant, else from the hold that a released grant left,
 else from the budget's available amount. What none of these covers is a
 shortfall: it was spent, so it is billed before any new grant, but never above
-the budget. After a clean release no witness has a bill left, so an unfunded
-bill means a late transfer record (see ``early_bills``) or a broken invariant;
-to drop it would be a request billed zero times.
+the budget; of a held bill it is held instead, as nobody knows that it was.
+After a clean release no witness has a bill left, so an unfunded bill means a
+late transfer record (see ``early_bills``) or a broken invariant; to drop it
+would be a request billed zero times.
 
 A held bill says that a run's cost is not known. A bill with the cost, of that
 run or of another run of the key, is evidence: it ends the hold and counts.
@@ -26,8 +27,11 @@
     BudgetEntry,
     LedgerState,
     add_hold,
+    add_unheld,
     available,
     budget_entry,
+    end_hold,
+    in_doubt,
     pay_shortfall,
     take_hold,
     take_remainder,
@@ -44,7 +48,7 @@
     if bill.amount < 0:
         return (Ignored("negative amount"),)
     entry = state.budgets.get(budget)
-    if entry is not None and bill.key in entry["holds"] and not bill.held:
+    if entry is not None and in_doubt(entry, bill.key) and not bill.held:
         return _replace_hold(state, budget, bill)
     billed_run = state.billed_runs.get(bill.key)
     if billed_run is not None:
@@ -68,18 +72,11 @@
 ) -> tuple[LedgerOutcome, ...]:
     """End the hold of a key: by the held run's own cost, or by another run's."""
     entry = state.budgets[budget]
-    hold = entry["holds"][bill.key]
-    take_hold(entry, bill.key, hold)
-    if state.billed_runs.get(bill.key) != bill.run:
-        billed = _bill_once(state, budget, bill)
-        pay_shortfall(entry)
-        return HoldResolved(budget, bill.key, 0, hold), *billed
-    charge = min(hold, bill.amount)
-    entry["billed"] += charge
-    entry["shortfall"] += bill.amount - charge
+    same_run = state.billed_runs.get(bill.key) == bill.run
+    paid, freed = end_hold(entry, bill.key, bill.amount if same_run else 0)
+    billed = (Billed(bill),) if same_run else _bill_once(state, budget, bill)
     pay_shortfall(entry)
-    resolved = HoldResolved(budget, bill.key, charge, hold - charge)
-    return resolved, Billed(bill)
+    return HoldResolved(budget, bill.key, paid, freed), *billed
 
 
 def _bill_grant(
@@ -91,7 +88,7 @@
     if paid == bill.amount:
         return (Billed(bill),)
     excess = bill.amount - paid
-    entry["shortfall"] += excess
+    _wait_for_tokens(entry, bill, excess)
     pay_shortfall(entry)
     return Billed(bill), OverrunDetected(budget, bill.grant, excess)
 
@@ -106,7 +103,7 @@
     _note_early(state, bill.grant, unfunded)
     covered = min(available(entry), unfunded)
     _charge(entry, bill, covered)
-    entry["shortfall"] += unfunded - covered
+    _wait_for_tokens(entry, bill, unfunded - covered)
     return BillUnfunded(bill, unfunded, entry["shortfall"])
 
 
@@ -120,3 +117,10 @@
         add_hold(entry, bill.key, amount)
     else:
         entry["billed"] += amount
+
+
+def _wait_for_tokens(entry: BudgetEntry, bill: Bill, amount: int) -> None:
+    if bill.held:
+        add_unheld(entry, bill.key, amount)
+    else:
+        entry["shortfall"] += amount
--- a/libs/ledger/src/clementinebend_ledger/state.py
+++ b/libs/ledger/src/clementinebend_ledger/state.py
@@ -56,7 +56,9 @@
     """Accounts of one budget.
 
     ``granted`` is the remainder of all grants not yet released; ``shortfall``
-    was spent without cover and is billed first when tokens become available.
+    waits for tokens and takes them first when they become available: it is
+    ``unheld``, the part of held bills that nothing covered, by key, and the rest
+    of it, which was spent and is billed.
     """
 
     topped_up: int
@@ -66,6 +68,7 @@
     shortfall: int
     top_ups: dict[str, int]
     holds: dict[str, int]
+    unheld: dict[str, int]
 
 
 class GrantEntry(TypedDict):
@@ -129,6 +132,7 @@
             shortfall=0,
             top_ups={},
             holds={},
+            unheld={},
         )
         state.budgets[budget] = entry
     return entry
@@ -156,12 +160,21 @@
 
 
 def pay_shortfall(entry: BudgetEntry) -> None:
-    """Bill what was spent without cover, as far as tokens are available."""
+    """Bill what was spent without cover, as far as tokens are available.
+
+    Then hold what may have been spent without cover: only proof or an operator
+    turns a hold into a bill.
+    """
     if not entry["shortfall"]:
         return
-    paid = min(entry["shortfall"], available(entry))
+    spent = entry["shortfall"] - sum(entry["unheld"].values())
+    paid = min(spent, available(entry))
     entry["shortfall"] -= paid
     entry["billed"] += paid
+    for subject, amount in list(entry["unheld"].items()):
+        covered = min(amount, available(entry))
+        _take_unheld(entry, subject, covered)
+        add_hold(entry, subject, covered)
 
 
 def add_hold(entry: BudgetEntry, subject: str, amount: int) -> None:
@@ -183,6 +196,41 @@
     return taken
 
 
+def add_unheld(entry: BudgetEntry, subject: str, amount: int) -> None:
+    """Have ``amount`` for ``subject`` wait for tokens to be held."""
+    if amount:
+        entry["shortfall"] += amount
+        entry["unheld"][subject] = entry["unheld"].get(subject, 0) + amount
+
+
+def in_doubt(entry: BudgetEntry, subject: str) -> int:
+    """Return what ``subject`` may have cost, held or still to be held."""
+    return entry["holds"].get(subject, 0) + entry["unheld"].get(subject, 0)
+
+
+def end_hold(entry: BudgetEntry, subject: str, cost: int) -> tuple[int, int]:
+    """End all of a hold for a known cost; return what it paid and what it freed.
+
+    What it does not pay is a shortfall, which the caller pays.
+    """
+    hold = take_hold(entry, subject, entry["holds"].get(subject, 0))
+    _take_unheld(entry, subject, entry["unheld"].get(subject, 0))
+    paid = min(hold, cost)
+    entry["billed"] += paid
+    entry["shortfall"] += cost - paid
+    return paid, hold - paid
+
+
+def _take_unheld(entry: BudgetEntry, subject: str, amount: int) -> None:
+    """Have less of a subject wait for tokens; one that still waits keeps its place."""
+    rest = entry["unheld"].get(subject, 0) - amount
+    entry["shortfall"] -= amount
+    if rest:
+        entry["unheld"][subject] = rest
+    else:
+        entry["unheld"].pop(subject, None)
+
+
 def take_remainder(state: LedgerState, grant: GrantId, amount: int) -> int:
     """Take up to ``amount`` of an open grant and return what was taken.
 
--- a/tests/unit/ledger/fuzz_traffic.py
+++ b/tests/unit/ledger/fuzz_traffic.py
@@ -1,6 +1,7 @@
 """What the fuzzed fleet does: traffic, parts passed on, and a quiet end."""
 
 from clementinebend_records.identifiers import GrantId, RequestKey, RunId
+from clementinebend_records.records import HoldResolve
 from tests.unit.ledger.fuzz_entry import FakeEntry
 from tests.unit.ledger.fuzz_fleet import Fleet, counted, pick
 from tests.unit.ledger.fuzz_oracle import Request
@@ -159,6 +160,12 @@
         for entry in self.awake():
             self.tick(entry)
 
+    def end_holds(self) -> None:
+        """Have an operator free all that is held."""
+        for budget, entry in self.oracle.state.budgets.items():
+            for subject in [*entry["holds"], *entry["unheld"]]:
+                self.operate(HoldResolve(budget, subject, 0, "operator"))
+
     def close_all(self) -> None:
         self.new_entry()
         closer = self.entries[-1]
--- /dev/null
+++ b/tests/unit/ledger/test_fuzz_oracle.py
@@ -0,0 +1,75 @@
+"""The fuzzing's oracle itself: what it accepts, and that it still refuses."""
+
+import pytest
+
+from clementinebend_records.identifiers import GrantId, RequestKey, RunId
+from clementinebend_records.records import Batch, HoldResolve, Record
+from tests.unit.ledger.fuzz_oracle import Execution, Oracle, Request
+from tests.unit.ledger.scripts import (
+    ALICE,
+    CAR,
+    OPERATOR,
+    TEAM,
+    ack,
+    bill,
+    close,
+    request,
+    scope,
+    settle,
+    top_up,
+)
+
+
+def oracle_of(*records: Record) -> Oracle:
+    """Return an oracle that knows one run, of 4 tokens under the part ``t``."""
+    oracle = Oracle()
+    oracle.sidecars_lost = 1
+    oracle.requests[RequestKey("k")] = Request(TEAM, 4)
+    oracle.executions[RunId("run-k")] = Execution(RequestKey("k"), GrantId("t"))
+    oracle.on_append(0, Batch(OPERATOR, 1, records))
+    return oracle
+
+
+def lost_parent() -> Oracle:
+    """Return one of a part that nobody logged; its parent's rest is held."""
+    return oracle_of(
+        top_up(10),
+        scope(ALICE, (CAR,)),
+        request(10),
+        settle(bill(4, grant="t")),
+        close(ALICE),
+        ack(ALICE, CAR, lost=True),
+    )
+
+
+def test_bill_of_a_part_that_nobody_logged_waits_for_its_parents_hold() -> None:
+    oracle = lost_parent()
+    oracle.parts[GrantId("t")] = GrantId("g")
+    oracle.check_quiet()
+    with pytest.raises(AssertionError):
+        oracle.check_settled()
+    end = HoldResolve(TEAM, "g", 0, "operator")
+    oracle.on_append(1, Batch(OPERATOR, 2, (end,)))
+    oracle.check_settled()
+
+
+def test_shortfall_that_no_parents_hold_covers_is_refused() -> None:
+    with pytest.raises(AssertionError):
+        lost_parent().check_quiet()
+
+
+def test_held_bill_that_the_budget_has_no_tokens_for_waits() -> None:
+    oracle = lost_parent()
+    oracle.parts[GrantId("t")] = GrantId("g")
+    doubt = settle(bill(3, "l", "gone", held=True))
+    oracle.on_append(1, Batch(OPERATOR, 2, (doubt,)))
+    oracle.check_quiet()
+    ends = (HoldResolve(TEAM, name, 0, "operator") for name in ("g", "l"))
+    oracle.on_append(2, Batch(OPERATOR, 3, tuple(ends)))
+    oracle.check_settled()
+
+
+def test_bill_above_its_cost_is_refused() -> None:
+    oracle = oracle_of(top_up(10), request(10, "t"), settle(bill(5, grant="t")))
+    with pytest.raises(AssertionError):
+        oracle.check()
--- a/tests/unit/ledger/test_replay.py
+++ b/tests/unit/ledger/test_replay.py
@@ -27,7 +27,7 @@
     replay,
     restore_ledger,
 )
-from clementinebend_records.identifiers import GrantId, Incarnation
+from clementinebend_records.identifiers import GrantId, Incarnation, RunId
 from clementinebend_records.records import (
     Batch,
     Claim,
@@ -168,6 +168,51 @@
     assert summary(script) == (100, 15, 0, 45, 40, 0)
 
 
+def test_uncovered_part_of_a_held_bill_is_held_and_never_billed() -> None:
+    script = Script(top_up(100), request(90), settle(bill(25, "l", "gone", held=True)))
+    assert summary(script) == (100, 0, 10, 90, 0, 15)
+    script.add(top_up(5, "second"))
+    assert summary(script) == (105, 0, 15, 90, 0, 10)
+    script.add(close(ALICE))
+    assert summary(script) == (105, 0, 25, 0, 80, 0)
+    script.add(settle(bill(20, "l", "gone")))
+    assert summary(script) == (105, 20, 0, 0, 85, 0)
+
+
+def test_what_was_spent_takes_tokens_before_what_may_have_been() -> None:
+    script = Script(top_up(10), request(10))
+    script.add(settle(bill(4, "l", "gone", held=True), bill(7, "m", "gone")))
+    assert summary(script) == (10, 0, 0, 10, 0, 11)
+    script.add(top_up(8, "second"))
+    assert summary(script) == (18, 7, 1, 10, 0, 3)
+    script.add(settle(bill(5, "n", "gone", held=True)), top_up(3, "third"))
+    assert script.state.budgets[TEAM]["holds"] == {"l": 4}
+    assert script.state.budgets[TEAM]["unheld"] == {"n": 5}
+
+
+@pytest.mark.parametrize("run", ["run-l", "retry"])
+def test_proved_cost_replaces_a_held_bill_that_nothing_covered(run: str) -> None:
+    script = Script(top_up(10), request(10), settle(bill(4, "l", "gone", held=True)))
+    script.add(settle(bill(3, "l", "gone", run)), top_up(20, "second"))
+    assert summary(script) == (30, 3, 0, 10, 17, 0)
+    repeated = BillRepeated(bill(3, "l", "gone", run), RunId(run))
+    assert script.add(settle(repeated.bill)) == (repeated,)
+
+
+def test_operator_resolves_a_held_bill_that_was_covered_in_part() -> None:
+    script = Script(top_up(12), request(10), settle(bill(4, "l", "gone", held=True)))
+    assert summary(script) == (12, 0, 2, 10, 0, 2)
+    script.add(HoldResolve(TEAM, "l", 3, "operator"))
+    assert script.outcomes[-1] == HoldResolved(TEAM, "l", 3, 0)
+    script.add(top_up(20, "second"))
+    assert summary(script) == (32, 3, 0, 10, 19, 0)
+
+
+def test_overrun_of_a_held_bill_is_held() -> None:
+    script = Script(top_up(10), request(6), settle(bill(9, held=True)))
+    assert summary(script) == (10, 0, 9, 0, 1, 0)
+
+
 def test_batch_counts_once_by_writer_and_sequence() -> None:
     batch = Batch(ALICE, 1, (top_up(10), request(5)))
     state, _ = replay(empty_ledger(), 0, batch)
--- a/tests/unit/ledger/test_stateful_ledger.py
+++ b/tests/unit/ledger/test_stateful_ledger.py
@@ -397,6 +397,8 @@
         self.oracle.check_quiet()
         receipts = (item for one in self.living() for item in one.finished.values())
         assert not {receipt.key for receipt in receipts} & self.oracle.holds()
+        self.end_holds()
+        self.oracle.check_settled()
 
 
 @pytest.fixture(scope="module", autouse=True)
