--- a/libs/bench/src/clementinebend_bench/capacity/entry.py
+++ b/libs/bench/src/clementinebend_bench/capacity/entry.py
@@ -83,9 +83,9 @@
             "requests: finding the budget",
             target.node_requests,
             look * target.budgets,
-            "a search of all budgets",
-            "an index by team and service",
-            target.node_requests * look,
+            "an index of each team's budgets",
+            "none",
+            target.node_requests * look * target.budgets,
         ),
         Item(
             "configuration changes",
