Sort imports that a stale cache passed; lint without a cache

Ruled out: another first-party setting (without a cache both trees agree). Before: lint red on a fresh clone, green here. After: the same verdict on both, since nothing is cached.

--- a/Makefile
+++ b/Makefile
@@ -22,8 +22,8 @@
 	$(BIN)/python -m pytest tests/functional -n 4 --dist loadfile
 
 lint: install
-	$(BIN)/ruff format --check $(SOURCES)
-	$(BIN)/ruff check $(SOURCES)
+	$(BIN)/ruff format --no-cache --check $(SOURCES)
+	$(BIN)/ruff check --no-cache $(SOURCES)
 	$(BIN)/mypy $(SOURCES)
 
 format: install
--- a/libs/entry/src/clementinebend_entry/pointer_desk.py
+++ b/libs/entry/src/clementinebend_entry/pointer_desk.py
@@ -11,11 +11,10 @@
 from time import monotonic
 from typing import NamedTuple, Protocol
 
-from clementinebend_membership.rendezvous import rendezvous_by_zone
-
 from clementinebend_entry.calls import Call
 from clementinebend_entry.metrics import POINTERS
 from clementinebend_entry.pointers import drop_pointer, empty_pointers, put_pointer
+from clementinebend_membership.rendezvous import rendezvous_by_zone
 from clementinebend_records.identifiers import RequestKey, RunId
 from clementinebend_records.messages import PointerDrop, PointerPut, PointerReply
 
--- a/libs/standins/src/clementinebend_standins/apps/hosts.py
+++ b/libs/standins/src/clementinebend_standins/apps/hosts.py
@@ -3,7 +3,6 @@
 from time import monotonic
 from typing import Literal, NamedTuple, TypedDict
 
-from clementinebend_transport.http_server import Handler, Request, Response
 from msgspec import DecodeError, ValidationError
 from msgspec.json import decode
 
@@ -20,6 +19,7 @@
     set_value,
     visible_value,
 )
+from clementinebend_transport.http_server import Handler, Request, Response
 
 
 class HostsFaults(NamedTuple):
--- a/libs/standins/src/clementinebend_standins/apps/log.py
+++ b/libs/standins/src/clementinebend_standins/apps/log.py
@@ -5,7 +5,6 @@
 from time import monotonic
 from typing import NamedTuple
 
-from clementinebend_transport.http_server import Handler, Request, Response
 from msgpack import packb
 
 from clementinebend_standins.faults import FaultSwitch
@@ -27,6 +26,7 @@
     trim,
 )
 from clementinebend_standins.notifier import Notifier
+from clementinebend_transport.http_server import Handler, Request, Response
 
 STREAMS_PREFIX = "/streams/"
 DEFAULT_LIMIT = 100
--- a/libs/standins/src/clementinebend_standins/apps/weights.py
+++ b/libs/standins/src/clementinebend_standins/apps/weights.py
@@ -4,8 +4,6 @@
 from time import monotonic
 from typing import NamedTuple
 
-from clementinebend_transport.http_server import Handler, Request, Response
-
 from clementinebend_standins.faults import FaultSwitch
 from clementinebend_standins.http_app import (
     error_response,
@@ -14,6 +12,7 @@
     with_faults,
 )
 from clementinebend_standins.models.weights import empty_weights, load_weights
+from clementinebend_transport.http_server import Handler, Request, Response
 
 WEIGHTS_PREFIX = "/weights/"
 
--- a/libs/standins/src/clementinebend_standins/http_app.py
+++ b/libs/standins/src/clementinebend_standins/http_app.py
@@ -6,6 +6,9 @@
 from typing import Any
 from urllib.parse import parse_qsl, unquote, urlsplit
 
+from msgspec.json import encode
+
+from clementinebend_standins.faults import FaultError, FaultSwitch, fields_of
 from clementinebend_transport.http_server import (
     Handler,
     Request,
@@ -13,9 +16,6 @@
     serve_http,
 )
 from clementinebend_transport.lifecycle import run_until_stopped
-from msgspec.json import encode
-
-from clementinebend_standins.faults import FaultError, FaultSwitch, fields_of
 
 JSON_TYPE = ("content-type", "application/json")
 
