Hand budget over between entries, count demand, rank sessions by their own part

Cause: while the store was out of reach an entry refused calls of a team whose budget its peers had at hand; a rate of what was spent fell when calls were refused; new sessions of one kind were all sent to the engine of their kind's shared part.

--- a/libs/ledger/src/clementinebend_ledger/mark_account.py
+++ b/libs/ledger/src/clementinebend_ledger/mark_account.py
@@ -1,5 +1,8 @@
 """What one holder does with its marks: reservations, settlement and rate.
 
+``spent`` also counts what was handed to other holders, and less what they
+handed over; summed over all holders it is what was spent.
+
 Amounts are in tokens, times in seconds on the steady clock.
 """
 
@@ -14,6 +17,9 @@
 SLOW_SECONDS = 8.0
 """Time constant of the rate that remembers demand over a lull."""
 
+SHARE_WEIGHT = 0.05
+"""Weight of one call in the average part of its reservation that is spent."""
+
 LARGEST_DECAY = 0.98
 """Part of the largest reservation seen that is kept with each new one."""
 
@@ -39,6 +45,7 @@
         self.reserved = 0
         self.waiting = 0
         self.largest = 0.0
+        self.spent_share = 1.0
         self.fast_rate = 0.0
         self.slow_rate = 0.0
         self.rated_at = now
@@ -67,20 +74,34 @@
 
     def reserve(self, amount: int) -> bool:
         """Set ``amount`` aside if it is free; return whether it was."""
-        self.largest = max(self.largest * LARGEST_DECAY, amount)
         if amount > self.free:
             return False
         self.reserved += amount
         return True
 
-    def settle(self, reserved: int, spent: int, now: float) -> None:
+    def demand(self, amount: int, now: float) -> None:
+        """Count a call that may cost ``amount``, whether it is admitted or not."""
+        self.largest = max(self.largest * LARGEST_DECAY, amount)
+        self._decay(now)
+        expected = amount * self.spent_share
+        self.fast_rate += expected / FAST_SECONDS
+        self.slow_rate += expected / SLOW_SECONDS
+
+    def give(self, amount: int) -> None:
+        """Hand a free part to another holder: for this one it is spent."""
+        self.spent += amount
+
+    def take(self, amount: int) -> None:
+        """Take a part that another holder has handed over."""
+        self.spent -= amount
+
+    def settle(self, reserved: int, spent: int) -> None:
         """End a reservation: ``spent`` of it, at most all, was used."""
         amount = min(spent, reserved)
         self.reserved -= reserved
         self.spent += amount
-        self._decay(now)
-        self.fast_rate += amount / FAST_SECONDS
-        self.slow_rate += amount / SLOW_SECONDS
+        share = amount / reserved if reserved else 1.0
+        self.spent_share += (share - self.spent_share) * SHARE_WEIGHT
 
     def propose(self, at: int, ceiling: int) -> None:
         """Note a ceiling that was sent to the log, to land at offset ``at``."""
--- /dev/null
+++ b/libs/ledger/src/clementinebend_ledger/mark_gifts.py
@@ -0,0 +1,37 @@
+"""What one holder hands to another, without the store. Pure.
+
+The giver counts a part as spent before the message leaves, so a lost message
+loses tokens and never doubles them.
+"""
+
+from typing import NamedTuple
+
+from clementinebend_ledger.mark_account import MarkAccount
+
+KEPT_SECONDS = 3.0
+"""Seconds of its own demand that a holder keeps when it is asked."""
+
+GIVEN_SHARE = 0.5
+"""Largest part of what it could spare that a holder gives at one time."""
+
+ASKED_SECONDS = 3.0
+"""Seconds of demand that a holder asks for beside the call at hand."""
+
+
+class Wish(NamedTuple):
+    """What to ask for: ``least`` covers the call at hand."""
+
+    least: int
+    amount: int
+
+
+def wish(account: MarkAccount, least: int, now: float) -> Wish:
+    """Return what a holder that lacks ``least`` tokens should ask for."""
+    return Wish(least, least + int(ASKED_SECONDS * account.rate(now)))
+
+
+def gift(account: MarkAccount, asked: Wish, now: float) -> int:
+    """Return what this holder hands over, nothing if it cannot cover ``least``."""
+    spare = account.free - int(KEPT_SECONDS * account.rate(now)) - account.waiting
+    amount = min(asked.amount, int(spare * GIVEN_SHARE))
+    return amount if amount >= asked.least > 0 else 0
--- a/libs/relay/src/clementinebend_relay/budgets.py
+++ b/libs/relay/src/clementinebend_relay/budgets.py
@@ -16,6 +16,7 @@
 from msgspec.msgpack import decode, encode
 
 from clementinebend_ledger.mark_account import MarkAccount
+from clementinebend_ledger.mark_gifts import Wish, gift, wish
 from clementinebend_ledger.mark_sizing import Allotment, allot
 from clementinebend_ledger.marks import (
     Mark,
@@ -116,6 +117,11 @@
         """Return the seconds since the log was last read."""
         return None if self.read_at is None else self.clock() - self.read_at
 
+    def wake(self) -> None:
+        """Let calls that wait for their budget look again."""
+        self.changed.set()
+        self.changed.clear()
+
     def is_fresh(self) -> bool:
         """Tell whether what was read last is good enough for a final refusal."""
         age = self.age()
@@ -217,8 +223,7 @@
             mark = self.book.teams.get(team, {}).get(self.holder)
             account.confirm(mark, self.book.end)
         self._size(now)
-        self.changed.set()
-        self.changed.clear()
+        self.wake()
 
     def _put(self, record: KeyedRecord, now: float) -> None:
         team, _, holder = record.key.rpartition(SEPARATOR)
@@ -278,6 +283,7 @@
         self, holder: str, logs: tuple[KeyedLog, ...], clock: Callable[[], float]
     ) -> None:
         self.clock = clock
+        self.ask: Callable[[str, Wish], None] = _ask_nobody
         self.keepers = tuple(MarkKeeper(holder, log, clock) for log in logs)
 
     async def release(self, within: float) -> None:
@@ -309,11 +315,13 @@
         if team.prepaid is None or amount == 0:
             return Reservation(team.name, 0)
         keeper = self.keeper(team.name)
+        keeper.account(team.name).demand(amount, self.clock())
         if keeper.reserve(team.name, amount):
             return Reservation(team.name, amount)
         short = keeper.short(team.name, amount)
         if short.left is not None and short.left < amount and keeper.is_fresh():
             return short
+        self._ask(keeper, team.name, amount)
         account = keeper.account(team.name)
         account.waiting += amount
         try:
@@ -327,16 +335,36 @@
             account.waiting -= amount
         return Reservation(team.name, amount)
 
+    def on_ask(self, team: str, asked: Wish) -> int:
+        """Return what this entry hands over to one that asks."""
+        account = self.keeper(team).account(team)
+        amount = gift(account, asked, self.clock())
+        account.give(amount)
+        return amount
+
+    def on_gift(self, team: str, amount: int) -> None:
+        """Take what another entry has handed over."""
+        keeper = self.keeper(team)
+        keeper.account(team).take(amount)
+        keeper.wake()
+
+    def _ask(self, keeper: MarkKeeper, team: str, amount: int) -> None:
+        account = keeper.account(team)
+        self.ask(team, wish(account, amount + account.waiting, self.clock()))
+
     def settle(self, reservation: Reservation, spent: int) -> None:
         """Give back what a call did not use."""
         if reservation.amount == 0:
             return
         keeper = self.keeper(reservation.team)
         account = keeper.account(reservation.team)
-        account.settle(reservation.amount, spent, self.clock())
+        account.settle(reservation.amount, spent)
         if account.waiting:
-            keeper.changed.set()
-            keeper.changed.clear()
+            keeper.wake()
+
+
+def _ask_nobody(team: str, asked: Wish) -> None:
+    """Ask no other entry, before their addresses are known."""
 
 
 def _differs(mark: Mark, known: Mark) -> bool:
--- a/libs/relay/src/clementinebend_relay/peers.py
+++ b/libs/relay/src/clementinebend_relay/peers.py
@@ -6,12 +6,14 @@
 
 from asyncio import DatagramProtocol, DatagramTransport, get_running_loop, sleep
 from collections.abc import Callable
-from typing import NamedTuple, cast
+from typing import Any, NamedTuple, cast
 
-from msgspec import DecodeError, ValidationError
+from msgspec import DecodeError, Struct, ValidationError
 from msgspec.msgpack import decode, encode
 
+from clementinebend_ledger.mark_gifts import Wish
 from clementinebend_platform_client.keyed_log import KeyedLog, KeyedRecord, StoreFailure
+from clementinebend_relay.budgets import Budgets
 from clementinebend_relay.decisions import log_decision
 from clementinebend_relay.endpoints import EndpointTable
 from clementinebend_transport.client_connection import Address
@@ -43,13 +45,34 @@
     prefill: int
 
 
-class LoadMessage(NamedTuple):
+class LoadMessage(Struct, tag="load", array_like=True):
     """One entry's load, by endpoint."""
 
     boot: str
     loads: dict[str, EndpointLoad]
 
 
+class AskMessage(Struct, tag="ask", array_like=True):
+    """An entry lacks tokens of a team's budget."""
+
+    boot: str
+    team: str
+    asked: Wish
+
+
+class GiftMessage(Struct, tag="gift", array_like=True):
+    """Tokens handed to the entry ``to``; ``number`` is unique for the giver."""
+
+    boot: str
+    to: str
+    team: str
+    amount: int
+    number: int
+
+
+Message = LoadMessage | AskMessage | GiftMessage
+
+
 class Heard(NamedTuple):
     """The latest message of a peer, and when it came."""
 
@@ -67,8 +90,13 @@
         boot: str,
         log: KeyedLog,
         endpoints: EndpointTable,
+        budgets: Budgets,
         clock: Callable[[], float],
     ) -> None:
+        budgets.ask = self.ask
+        self.budgets = budgets
+        self.gifts_made = 0
+        self.gifts_taken: set[tuple[str, int]] = set()
         self.name = name
         self.address = address
         self.boot = boot
@@ -129,26 +157,60 @@
         """Take over the socket."""
         self.transport = cast(DatagramTransport, transport)
 
-    def datagram_received(self, data: bytes, addr: object) -> None:
+    def datagram_received(self, data: bytes, addr: Any) -> None:
         """Take a peer's load."""
         try:
-            message = decode(data, type=LoadMessage)
+            message = decode(data, type=Message)
         except (DecodeError, ValidationError) as error:
             log_decision("peer message refused", sender=str(addr), problem=str(error))
             return
-        self.heard[message.boot] = Heard(self.clock(), message.loads)
+        match message:
+            case LoadMessage():
+                self.heard[message.boot] = Heard(self.clock(), message.loads)
+            case AskMessage():
+                self._on_ask(message, addr)
+            case GiftMessage():
+                self._on_gift(message)
+
+    def ask(self, team: str, asked: Wish) -> None:
+        """Ask all other entries for tokens of a team's budget."""
+        self._send_to_all(encode(AskMessage(self.boot, team, asked)))
+
+    def _on_ask(self, message: AskMessage, sender: Any) -> None:
+        amount = self.budgets.on_ask(message.team, message.asked)
+        if not amount or self.transport is None:
+            return
+        self.gifts_made += 1
+        gift = GiftMessage(
+            self.boot, message.boot, message.team, amount, self.gifts_made
+        )
+        self.transport.sendto(encode(gift), sender)
+        log_decision(
+            "budget handed over", team=message.team, amount=amount, to=message.boot
+        )
+
+    def _on_gift(self, message: GiftMessage) -> None:
+        """Take a gift once, and only one to this boot of this entry."""
+        name = (message.boot, message.number)
+        if message.to != self.boot or name in self.gifts_taken:
+            return
+        self.gifts_taken.add(name)
+        self.budgets.on_gift(message.team, message.amount)
 
     def _send(self) -> None:
         self._forget_silent()
-        states = self.endpoints.states
         own = {
             name: EndpointLoad(state.in_flight, state.prefill)
-            for name, state in states.items()
+            for name, state in self.endpoints.states.items()
             if state.in_flight
         }
-        message = encode(LoadMessage(self.boot, own))
+        self._send_to_all(encode(LoadMessage(self.boot, own)))
+
+    def _send_to_all(self, message: bytes) -> None:
+        if self.transport is None:
+            return
         for name, entry in self.entries.items():
-            if name != self.name and self.transport is not None:
+            if name != self.name:
                 self.transport.sendto(message, (entry.host, entry.port))
 
     def _forget_silent(self) -> None:
--- a/libs/relay/src/clementinebend_relay/process.py
+++ b/libs/relay/src/clementinebend_relay/process.py
@@ -60,7 +60,13 @@
         self.configuration = ConfigurationTable(records, self._configure)
         self.budgets = Budgets(boot, logs.marks, clock)
         self.peers = Peers(
-            settings.name, settings.peers, boot, logs.entries, self.endpoints, clock
+            settings.name,
+            settings.peers,
+            boot,
+            logs.entries,
+            self.endpoints,
+            self.budgets,
+            clock,
         )
         self.followers = (
             _follower("configuration", logs.configuration, self.configuration, clock),
--- a/libs/routing/src/clementinebend_routing/sessions.py
+++ b/libs/routing/src/clementinebend_routing/sessions.py
@@ -41,13 +41,13 @@
     def session_of(self, parts: Sequence[PromptPart]) -> str:
         """Return the name that a session's requests share.
 
-        This is the deepest part seen before. In a prompt without one it is
-        the part before the last, which is the request's own.
+        The last part is the request's own or its session's: it names the
+        session if it has come before, else the part before it does.
         """
         if not parts:
             return ""
-        known = (part.name for part in reversed(parts) if part.name in self.seen)
-        return next(known, parts[max(0, len(parts) - 2)].name)
+        last = parts[-1].name
+        return last if last in self.seen else parts[max(0, len(parts) - 2)].name
 
     def remember(self, parts: Sequence[PromptPart]) -> None:
         """Note the parts of a prompt that has come."""
