Name witnesses for reserves of budgets, and reach the store through gateways

Cause: what a dead holder left unspent was lost for good, and an entry cut off from the store refused once its part was used up.

--- a/libs/ledger/src/clementinebend_ledger/mark_account.py
+++ b/libs/ledger/src/clementinebend_ledger/mark_account.py
@@ -7,9 +7,6 @@
 """
 
 from math import exp
-from typing import NamedTuple
-
-from clementinebend_ledger.marks import Mark
 
 FAST_SECONDS = 2.0
 """Time constant of the rate that follows a sudden demand."""
@@ -20,43 +17,33 @@
 SHARE_WEIGHT = 0.05
 """Weight of one call in the average part of its reservation that is spent."""
 
+ASKED_SECONDS = 0.5
+"""How long a part is kept ready for another holder that asked: some repeats of
+its question."""
+
 LARGEST_DECAY = 0.98
 """Part of the largest reservation seen that is kept with each new one."""
 
 
-BOUNDLESS = 2**62
-"""Larger than any budget, in tokens."""
-
-
-class Proposal(NamedTuple):
-    """A ceiling on its way to the log; it lands at offset ``at`` or never."""
-
-    at: int
-    ceiling: int
-
-
 class MarkAccount:
-    """One team's budget in this holder's hands; owned by one task."""
+    """One team's budget in this holder's hands; owned by one task.
+
+    ``limit`` is what may be spent whatever has become of records on their way.
+    """
 
     def __init__(self, now: float) -> None:
-        self.confirmed = 0
-        self.proposals: list[Proposal] = []
+        self.limit = 0
         self.spent = 0
         self.reserved = 0
         self.waiting = 0
+        self.asked = 0
+        self.asked_until = now
         self.largest = 0.0
         self.spent_share = 1.0
         self.fast_rate = 0.0
         self.slow_rate = 0.0
         self.rated_at = now
 
-    @property
-    def ceiling(self) -> int:
-        """The least ceiling that may be in force: what may be spent in any case."""
-        return min(
-            self.confirmed, *(item.ceiling for item in self.proposals), BOUNDLESS
-        )
-
     @property
     def used(self) -> int:
         """What is spent or may still be, by requests in progress."""
@@ -65,10 +52,15 @@
     @property
     def free(self) -> int:
         """What a new reservation may take."""
-        return self.ceiling - self.used
+        return self.limit - self.used
 
     def rate(self, now: float) -> float:
-        """Return the tokens per second that this holder spends, on the safe side."""
+        """Return the tokens per second that callers ask for here."""
+        self._decay(now)
+        return self.slow_rate
+
+    def peak_rate(self, now: float) -> float:
+        """Return the rate that also follows a sudden demand at once."""
         self._decay(now)
         return max(self.fast_rate, self.slow_rate)
 
@@ -87,6 +79,15 @@
         self.fast_rate += expected / FAST_SECONDS
         self.slow_rate += expected / SLOW_SECONDS
 
+    def ask(self, amount: int, now: float) -> None:
+        """Note that another holder asks for a part, for a short time."""
+        self.asked = amount
+        self.asked_until = now + ASKED_SECONDS
+
+    def asked_now(self, now: float) -> int:
+        """Return what others have asked for a moment ago."""
+        return self.asked if now < self.asked_until else 0
+
     def give(self, amount: int) -> None:
         """Hand a free part to another holder: for this one it is spent."""
         self.spent += amount
@@ -103,20 +104,6 @@
         share = amount / reserved if reserved else 1.0
         self.spent_share += (share - self.spent_share) * SHARE_WEIGHT
 
-    def propose(self, at: int, ceiling: int) -> None:
-        """Note a ceiling that was sent to the log, to land at offset ``at``."""
-        self.proposals.append(Proposal(at, ceiling))
-
-    def withdraw(self, at: int) -> None:
-        """Drop the latest proposal if it was for ``at``: it will never land."""
-        if self.proposals and self.proposals[-1].at == at:
-            self.proposals.pop()
-
-    def confirm(self, mark: Mark | None, end: int) -> None:
-        """Take what the log has, read up to ``end``, of this holder's mark."""
-        self.confirmed = 0 if mark is None else mark.ceiling
-        self.proposals = [item for item in self.proposals if item.at >= end]
-
     def _decay(self, now: float) -> None:
         elapsed = max(0.0, now - self.rated_at)
         self.rated_at = now
--- a/libs/ledger/src/clementinebend_ledger/mark_gifts.py
+++ b/libs/ledger/src/clementinebend_ledger/mark_gifts.py
@@ -8,7 +8,7 @@
 
 from clementinebend_ledger.mark_account import MarkAccount
 
-KEPT_SECONDS = 3.0
+KEPT_SECONDS = 1.0
 """Seconds of its own demand that a holder keeps when it is asked."""
 
 GIVEN_SHARE = 0.5
@@ -19,19 +19,21 @@
 
 
 class Wish(NamedTuple):
-    """What to ask for: ``least`` covers the call at hand."""
+    """What to ask for, in tokens."""
 
-    least: int
     amount: int
 
 
 def wish(account: MarkAccount, least: int, now: float) -> Wish:
     """Return what a holder that lacks ``least`` tokens should ask for."""
-    return Wish(least, least + int(ASKED_SECONDS * account.rate(now)))
+    return Wish(least + int(ASKED_SECONDS * account.rate(now)))
 
 
 def gift(account: MarkAccount, asked: Wish, now: float) -> int:
-    """Return what this holder hands over, nothing if it cannot cover ``least``."""
+    """Return what this holder hands over.
+
+    A part too small for the call at hand is of use, too: several holders are
+    asked at once.
+    """
     spare = account.free - int(KEPT_SECONDS * account.rate(now)) - account.waiting
-    amount = min(asked.amount, int(spare * GIVEN_SHARE))
-    return amount if amount >= asked.least > 0 else 0
+    return max(0, min(asked.amount, int(spare * GIVEN_SHARE)))
--- a/libs/ledger/src/clementinebend_ledger/mark_sizing.py
+++ b/libs/ledger/src/clementinebend_ledger/mark_sizing.py
@@ -1,8 +1,8 @@
 """How large a holder's mark should be.
 
-A large mark lasts through an outage of the store; what it leaves unspent is
-lost when its holder dies. While the budget allows it, each holder keeps some
-seconds of its own demand. When little is left, all share it by their demand.
+A large mark lasts through an outage of the log. While the budget allows it,
+the holders together keep some seconds of a team's demand, each by its part of
+it. When little is left, they share all of it.
 """
 
 from collections.abc import Mapping
@@ -12,11 +12,19 @@
 from clementinebend_ledger.marks import Mark
 
 HORIZON_SECONDS = 10.0
-"""Seconds of demand kept at hand: the store is out of reach for 8 to 9 s at a
+"""Seconds of demand kept at hand: the log is out of reach for 8 to 9 s at a
 time on days that count as calm."""
 
-LARGEST_KEPT = 3
-"""Largest reservations kept at hand beside the demand, for its unevenness."""
+RESERVE_PART = 0.2
+"""Largest part of what is left of a budget that is kept at hand: what is lost
+if all holders lose power at once is then never most of what is left."""
+
+UNWITNESSED_SECONDS = 0.9
+"""Seconds of demand that may be spent without witnesses: nearly two commits.
+This is what a dead holder leaves that nobody can prove unspent."""
+
+LARGEST_KEPT = 2.0
+"""Largest calls that all holders together keep at hand beside the demand."""
 
 FIRST_SHARE = 0.01
 """Part of a budget that a holder takes before it has seen any demand."""
@@ -26,13 +34,14 @@
 
 
 class Allotment(NamedTuple):
-    """What sizing found out: the ceiling to write, and what nobody has spent.
+    """What sizing found out: what to write, and what nobody has spent.
 
     ``pool`` is what is left of the budget for all live holders together,
     ``unspent`` also counts what dead holders may not have spent.
     """
 
     ceiling: int
+    unwitnessed: int
     pool: int
     unspent: int
 
@@ -44,22 +53,25 @@
     prepaid: int,
     now: float,
 ) -> Allotment:
-    """Return the ceiling this holder should have of a budget of ``prepaid``.
+    """Return the mark that this holder should have of a budget of ``prepaid``.
 
-    It never exceeds what the marks of the ``others`` leave, unless that much
-    is already confirmed or used.
+    Its ceiling never exceeds what the marks of the ``others`` leave, unless
+    that much is already used.
     """
     rate = max(LEAST_RATE, account.rate(now))
     live_marks = [mark for name, mark in others.items() if name in live]
     lost = sum(mark.ceiling for name, mark in others.items() if name not in live)
     unspent = prepaid - account.used - sum(mark.spent for mark in others.values())
     pool = prepaid - lost - sum(mark.spent for mark in live_marks) - account.used
-    wanted = max(
-        HORIZON_SECONDS * rate + LARGEST_KEPT * account.largest, FIRST_SHARE * prepaid
-    )
     all_rates = rate + sum(max(LEAST_RATE, mark.rate) for mark in live_marks)
-    share = max(0.0, pool * rate / all_rates)
-    free = max(min(wanted, share), account.waiting)
+    part = rate / all_rates
+    at_once = UNWITNESSED_SECONDS * account.peak_rate(now) + account.largest * part
+    at_once = max(at_once + account.asked_now(now), account.waiting)
+    wanted = HORIZON_SECONDS * rate + LARGEST_KEPT * account.largest * part
+    share = max(0.0, pool * part)
+    reserve = min(max(wanted, FIRST_SHARE * prepaid), RESERVE_PART * share)
+    free = max(reserve, min(at_once, max(share, account.waiting)))
     bound = prepaid - sum(mark.ceiling for mark in others.values())
     ceiling = max(account.used, min(account.used + int(free), bound))
-    return Allotment(ceiling, pool, unspent)
+    unwitnessed = account.used + int(at_once)
+    return Allotment(ceiling, min(ceiling, unwitnessed), pool, unspent)
--- a/libs/ledger/src/clementinebend_ledger/marks.py
+++ b/libs/ledger/src/clementinebend_ledger/marks.py
@@ -3,30 +3,50 @@
 A holder (one boot of one entry) may spend up to its mark of a team's budget.
 The mark stands in a shared log before anything is spent under it, and every
 append names the end of the log that its writer has read. So the marks of all
-holders never exceed the budget, whoever dies, freezes or is cut off. What a
-dead holder's mark leaves unspent stays lost: nobody can prove it unspent.
+holders never exceed the budget, whoever dies, freezes or is cut off.
+
+A mark has two parts. The first may be spent as it is. The reserve above it is
+for times in which the log is out of reach: it may be spent only once all
+witnesses that the holder has named in the log agree. A witness that has not
+agreed, and will not any more, proves a dead holder's reserve unspent.
 
 Amounts are in tokens. Source of the scheme: bounded counters (Balegas et al.,
 "Extending Eventually Consistent Cloud Databases for Enforcing Numeric
 Invariants", 2015).
 """
 
-from itertools import chain
 from typing import NamedTuple
 
 
 class Mark(NamedTuple):
     """One holder's part of a team's budget, as the log has it.
 
-    ``ceiling`` bounds what the holder ever spends, ``spent`` is what it had
-    spent for certain, ``rate`` (tokens per second) how fast it spends.
+    ``ceiling`` bounds what the holder ever spends, ``unwitnessed`` what it
+    spends without its witnesses. ``spent`` is what it had spent for certain,
+    ``rate`` (tokens per second) how fast its callers ask for more.
     """
 
     ceiling: int
+    unwitnessed: int
     spent: int
     rate: int
 
 
+class Witness(NamedTuple):
+    """One boot of a witness, and where it listens."""
+
+    boot: str
+    host: str
+    port: int
+
+
+class HolderRecord(NamedTuple):
+    """Who a holder's witnesses are since its ``epoch``, which only grows."""
+
+    epoch: int
+    witnesses: tuple[Witness, ...]
+
+
 class MarkKey(NamedTuple):
     """Whose mark, of which team's budget."""
 
@@ -42,20 +62,20 @@
     """
 
     teams: dict[str, dict[str, Mark]]
+    holders: dict[str, HolderRecord]
     offsets: dict[MarkKey, int]
     end: int = 0
 
 
 def empty_book() -> MarkBook:
     """Return the book of a log without records."""
-    return MarkBook({}, {})
+    return MarkBook({}, {}, {})
 
 
 def put_mark(book: MarkBook, key: MarkKey, mark: Mark | None, offset: int) -> None:
-    """Take a record at ``offset``; older ones than the newest change nothing."""
-    if offset <= book.offsets.get(key, -1):
+    """Take a team's mark at ``offset``; one older than the newest is ignored."""
+    if not _is_newer(book, key, offset):
         return
-    book.offsets[key] = offset
     marks = book.teams.setdefault(key.team, {})
     if mark is None:
         marks.pop(key.holder, None)
@@ -63,12 +83,38 @@
         marks[key.holder] = mark
 
 
+def put_holder(
+    book: MarkBook, holder: str, record: HolderRecord | None, offset: int
+) -> None:
+    """Take a holder's record at ``offset``; an older one is ignored."""
+    if not _is_newer(book, MarkKey("", holder), offset):
+        return
+    if record is None:
+        book.holders.pop(holder, None)
+    else:
+        book.holders[holder] = record
+
+
 def others(book: MarkBook, team: str, holder: str) -> dict[str, Mark]:
     """Return the marks of all holders of ``team`` but ``holder``."""
     marks = book.teams.get(team, {})
     return {name: mark for name, mark in marks.items() if name != holder}
 
 
-def holders(book: MarkBook) -> set[str]:
-    """Return all holders that have a mark."""
-    return set(chain.from_iterable(book.teams.values()))
+def reclaimable(book: MarkBook, holder: str) -> dict[str, Mark]:
+    """Return the marks of a holder without its reserves, where it has any.
+
+    They may be written once a witness has proved the reserves unspent.
+    """
+    return {
+        team: marks[holder]._replace(ceiling=marks[holder].unwitnessed)
+        for team, marks in book.teams.items()
+        if holder in marks and marks[holder].ceiling > marks[holder].unwitnessed
+    }
+
+
+def _is_newer(book: MarkBook, key: MarkKey, offset: int) -> bool:
+    if offset <= book.offsets.get(key, -1):
+        return False
+    book.offsets[key] = offset
+    return True
--- /dev/null
+++ b/libs/relay/src/clementinebend_relay/announcing.py
@@ -0,0 +1,68 @@
+"""How processes find one another: each announces itself in the store."""
+
+from asyncio import sleep
+from collections.abc import Callable
+from typing import NamedTuple
+
+from msgspec import DecodeError, ValidationError
+from msgspec.msgpack import decode, encode
+
+from clementinebend_platform_client.keyed_log import (
+    KeyedLog,
+    KeyedRecord,
+    StoreFailure,
+)
+from clementinebend_relay.decisions import log_decision
+from clementinebend_transport.client_connection import Address
+
+ANNOUNCE_PAUSE = 0.5
+"""Seconds after a failed announcement."""
+
+
+class Announcement(NamedTuple):
+    """One boot of a process, and where it takes datagrams."""
+
+    boot: str
+    zone: str
+    host: str
+    port: int
+
+    @property
+    def address(self) -> Address:
+        """Where the process takes datagrams."""
+        return Address(self.host, self.port)
+
+
+class Directory:
+    """The newest announcement of each process, by its name."""
+
+    def __init__(self, on_change: Callable[[], None] | None = None) -> None:
+        self.announcements: dict[str, Announcement] = {}
+        self.on_change = on_change
+
+    def on_record(self, record: KeyedRecord) -> None:
+        """Take an announcement."""
+        if not record.value:
+            self.announcements.pop(record.key, None)
+            return
+        try:
+            announcement = decode(record.value, type=Announcement)
+        except (DecodeError, ValidationError) as error:
+            log_decision("announcement refused", name=record.key, problem=str(error))
+            return
+        self.announcements[record.key] = announcement
+        if self.on_change is not None:
+            self.on_change()
+
+    def on_snapshot(self, keys: frozenset[str], end: int) -> None:
+        """Do nothing: announcements are only ever replaced."""
+
+
+async def announce(log: KeyedLog, name: str, announcement: Announcement) -> None:
+    """Write an announcement to the store, until that works."""
+    record = encode(announcement)
+    while True:
+        outcome = await log.append(((name, record),), None)
+        if not isinstance(outcome, StoreFailure):
+            return
+        await sleep(ANNOUNCE_PAUSE)
--- a/libs/relay/src/clementinebend_relay/endpoints.py
+++ b/libs/relay/src/clementinebend_relay/endpoints.py
@@ -52,6 +52,7 @@
         self.clock = clock
         self.states: dict[str, EndpointState] = {}
         self.offsets: dict[str, int] = {}
+        self.is_known = False
 
     def on_record(self, record: KeyedRecord) -> None:
         """Take an announcement, or its end."""
@@ -74,6 +75,7 @@
 
         A snapshot older than what was read before takes nothing away.
         """
+        self.is_known = True
         if end <= max(self.offsets.values(), default=-1):
             return
         for name in set(self.states) - keys:
--- /dev/null
+++ b/libs/relay/src/clementinebend_relay/gateway.py
@@ -0,0 +1,91 @@
+"""The gateway process: passes bytes between entries and the store.
+
+An entry that is cut off from the store alone reaches it through a gateway on
+another host. The gateway reads nothing of what it passes on.
+"""
+
+from asyncio import (
+    Event,
+    StreamReader,
+    StreamWriter,
+    create_task,
+    open_connection,
+    start_server,
+    timeout,
+    wait,
+)
+from asyncio.tasks import FIRST_COMPLETED
+from contextlib import suppress
+from logging import getLogger
+
+from clementinebend_platform_client.keyed_log import KeyedLog
+from clementinebend_relay.announcing import Announcement, announce
+from clementinebend_transport.client_connection import Address
+from clementinebend_transport.lifecycle import EXIT_OK
+
+PIECE_BYTES = 64 * 1024
+CONNECT_SECONDS = 0.4
+"""Time for a connection to the store, some hundred round trips."""
+
+IDLE_SECONDS = 20.0
+"""How long a connection may carry nothing; entries' reads wait 1 s at most."""
+
+logger = getLogger(__name__)
+
+
+class Gateway:
+    """Connections from entries, each with its own to the store."""
+
+    def __init__(self, store: Address) -> None:
+        self.store = store
+
+    async def serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+        """Pass bytes both ways until one side ends."""
+        try:
+            async with timeout(CONNECT_SECONDS):
+                store_reader, store_writer = await open_connection(*self.store)
+        except (OSError, TimeoutError) as error:
+            logger.warning("store not reached", extra={"problem": str(error)})
+            writer.transport.abort()
+            return
+        ways = (
+            create_task(_pass_on(reader, store_writer)),
+            create_task(_pass_on(store_reader, writer)),
+        )
+        await wait(ways, return_when=FIRST_COMPLETED)
+        for way in ways:
+            way.cancel()
+        writer.transport.abort()
+        store_writer.transport.abort()
+
+
+async def _pass_on(reader: StreamReader, writer: StreamWriter) -> None:
+    """Copy until the end, or until nothing comes for too long."""
+    with suppress(OSError, TimeoutError):
+        while True:
+            async with timeout(IDLE_SECONDS):
+                piece = await reader.read(PIECE_BYTES)
+            if not piece:
+                return
+            writer.write(piece)
+            await writer.drain()
+
+
+async def run_gateway(
+    name: str,
+    boot: str,
+    zone: str,
+    address: Address,
+    store: Address,
+    log: KeyedLog,
+    stop: Event,
+) -> int:
+    """Serve until ``stop`` is set; return the exit code."""
+    server = await start_server(Gateway(store).serve, *address, limit=PIECE_BYTES)
+    logger.info("started", extra={"gateway": name})
+    announcing = create_task(announce(log, name, Announcement(boot, zone, *address)))
+    await stop.wait()
+    announcing.cancel()
+    server.close()
+    logger.info("stopped", extra={"code": EXIT_OK})
+    return EXIT_OK
--- a/libs/relay/src/clementinebend_relay/interfaces.py
+++ b/libs/relay/src/clementinebend_relay/interfaces.py
@@ -93,6 +93,7 @@
     configuration: KeyedLog
     endpoints: KeyedLog
     entries: KeyedLog
+    gateways: KeyedLog
     marks: tuple[KeyedLog, ...]
 
 
--- /dev/null
+++ b/libs/relay/src/clementinebend_relay/messages.py
@@ -0,0 +1,103 @@
+"""Datagrams between entries, and between entries and witnesses.
+
+A lost datagram costs balance, a part of a budget until its holder ends, or a
+repetition; nothing that must hold depends on one.
+"""
+
+from typing import Any, NamedTuple
+
+from msgspec import DecodeError, Struct, ValidationError
+from msgspec.msgpack import Decoder, Encoder
+
+from clementinebend_ledger.mark_gifts import Wish
+from clementinebend_ledger.mark_witness import Testimony
+
+
+class EndpointLoad(NamedTuple):
+    """What one entry has at an endpoint: runs, and tokens still to be read."""
+
+    in_flight: int
+    prefill: int
+
+
+class LoadMessage(Struct, tag="load", array_like=True):
+    """One entry's load, by endpoint."""
+
+    boot: str
+    loads: dict[str, EndpointLoad]
+
+
+class AskMessage(Struct, tag="ask", array_like=True):
+    """An entry lacks tokens of a team's budget."""
+
+    boot: str
+    team: str
+    asked: Wish
+
+
+class GiftMessage(Struct, tag="gift", array_like=True):
+    """Tokens handed to the entry ``to``; ``number`` is unique for the giver."""
+
+    boot: str
+    to: str
+    team: str
+    amount: int
+    number: int
+
+
+class OpenMessage(Struct, tag="open", array_like=True):
+    """A holder asks a witness to let it open its reserve."""
+
+    witness: str
+    holder: str
+    epoch: int
+
+
+class FenceMessage(Struct, tag="fence", array_like=True):
+    """Somebody asks a witness never to let a holder open its reserve."""
+
+    witness: str
+    holder: str
+    epoch: int
+
+
+class TestimonyMessage(Struct, tag="testimony", array_like=True):
+    """What a witness remembers of a holder, after what it was asked."""
+
+    witness: str
+    holder: str
+    testimony: Testimony
+
+
+Message = (
+    LoadMessage
+    | AskMessage
+    | GiftMessage
+    | OpenMessage
+    | FenceMessage
+    | TestimonyMessage
+)
+
+
+class Unreadable(NamedTuple):
+    """A datagram that is none of these messages."""
+
+    problem: str
+
+
+_encoder = Encoder()
+_decoder: Decoder[Any] = Decoder(Message)
+
+
+def encoded(message: Message) -> bytes:
+    """Return the bytes of a message."""
+    return _encoder.encode(message)
+
+
+def decoded(data: bytes) -> Message | Unreadable:
+    """Return the message in a datagram."""
+    try:
+        message: Message = _decoder.decode(data)
+    except (DecodeError, ValidationError) as error:
+        return Unreadable(str(error))
+    return message
--- a/libs/relay/src/clementinebend_relay/process.py
+++ b/libs/relay/src/clementinebend_relay/process.py
@@ -5,20 +5,37 @@
 from logging import getLogger
 from typing import Any
 
+from clementinebend_membership.rendezvous import rendezvous
+from clementinebend_platform_client.store_paths import Probe, StorePaths
 from clementinebend_platform_client.supervision import stop_process, watch
+from clementinebend_records.identifiers import Incarnation, name_of
+from clementinebend_relay.announcing import Announcement, Directory, announce
 from clementinebend_relay.attempts import Attempts
-from clementinebend_relay.budgets import Budgets
+from clementinebend_relay.budgets import Budgets, boot_of
 from clementinebend_relay.configuration import ConfigurationTable
+from clementinebend_relay.datagrams import DatagramSocket, open_socket
 from clementinebend_relay.dispatch import Dispatcher
 from clementinebend_relay.endpoints import EndpointTable
 from clementinebend_relay.following import Follower
 from clementinebend_relay.handler import CallHandler
 from clementinebend_relay.interfaces import HttpProtocol, Logs, Records
+from clementinebend_relay.messages import (
+    AskMessage,
+    FenceMessage,
+    GiftMessage,
+    LoadMessage,
+    Message,
+    OpenMessage,
+    TestimonyMessage,
+)
 from clementinebend_relay.models import Configuration
 from clementinebend_relay.peers import Peers
 from clementinebend_relay.plain import PlainRelay
 from clementinebend_relay.settings import RelaySettings
 from clementinebend_relay.streams import StreamRelay
+from clementinebend_relay.witness import WitnessDesk
+from clementinebend_relay.witnesses import Witnesses
+from clementinebend_transport.client_connection import Address
 from clementinebend_transport.http_client import HttpClient
 from clementinebend_transport.http_server import HttpServer, serve_http
 from clementinebend_transport.http_types import Request, Response, ServerLimits
@@ -49,29 +66,43 @@
         protocol: HttpProtocol,
         records: Records,
         logs: Logs,
+        paths: StorePaths,
+        probe: Probe,
     ) -> None:
         clock = get_running_loop().time
         self.settings = settings
+        self.boot = boot
+        self.logs = logs
         self.protocol = protocol
         self.clock = clock
         self.is_stopping = False
         self.client = HttpClient()
         self.endpoints = EndpointTable(records, clock)
         self.configuration = ConfigurationTable(records, self._configure)
-        self.budgets = Budgets(boot, logs.marks, clock)
+        self.entries = Directory()
+        self.paths = paths
+        self.probe = probe
+        self.gateways = Directory(self._on_gateways)
+        self.socket: DatagramSocket | None = None
+        self.desk = WitnessDesk(boot, self._send)
+        self.witnesses = Witnesses(boot, settings.zone, self.entries, self._send, clock)
+        self.budgets = Budgets(
+            boot, logs.marks, self.witnesses, self._is_succeeded, clock
+        )
         self.peers = Peers(
             settings.name,
-            settings.peers,
             boot,
-            logs.entries,
+            self.entries,
             self.endpoints,
             self.budgets,
+            self._send,
             clock,
         )
         self.followers = (
             _follower("configuration", logs.configuration, self.configuration, clock),
             _follower("endpoints", logs.endpoints, self.endpoints, clock),
-            _follower("entries", logs.entries, self.peers, clock),
+            _follower("entries", logs.entries, self.entries, clock),
+            _follower("gateways", logs.gateways, self.gateways, clock),
         )
         self.dispatcher = Dispatcher(
             settings.zone,
@@ -98,11 +129,20 @@
         """Return what runs for ever."""
         followers = [follower.run() for follower in self.followers]
         keepers = [keeper.run() for keeper in self.budgets.keepers]
-        return [*followers, *keepers, self.peers.announce(), self.peers.run()]
+        own = Announcement(self.boot, self.settings.zone, *self.settings.peers)
+        return [
+            *followers,
+            *keepers,
+            announce(self.logs.entries, self.settings.name, own),
+            self.peers.run(),
+            self.witnesses.run(),
+            self.paths.run(self.probe),
+        ]
 
     async def listen(self, metrics_port: int) -> None:
         """Listen to callers, to the balancer and for questions about metrics."""
         callers, ready = self.settings.callers, self.settings.ready
+        self.socket = await open_socket(self.settings.peers, self._on_message)
         limits = ServerLimits()
         self.servers = [
             await serve_http(self.handler.handle, *callers, limits),
@@ -112,8 +152,8 @@
 
     def is_ready(self) -> bool:
         """Tell whether callers should come here."""
-        is_known = self.configuration.current is not None
-        return is_known and bool(self.endpoints.states) and not self.is_stopping
+        is_known = self.configuration.current is not None and self.endpoints.is_known
+        return is_known and not self.is_stopping
 
     async def stop(self) -> int:
         """End in order; return the exit code."""
@@ -128,8 +168,40 @@
         for server in self.servers:
             await server.close()
         await self.client.close()
+        if self.socket is not None:
+            self.socket.close()
         return EXIT_OK if is_whole else EXIT_STOP_INCOMPLETE
 
+    def _send(self, message: Message, address: Address) -> None:
+        if self.socket is not None:
+            self.socket.send(message, address)
+
+    def _on_message(self, message: Message, sender: Address) -> None:
+        match message:
+            case LoadMessage():
+                self.peers.on_load(message)
+            case AskMessage():
+                self.peers.on_ask(message, sender)
+            case GiftMessage():
+                self.peers.on_gift(message)
+            case OpenMessage():
+                self.desk.on_open(message, sender)
+            case FenceMessage():
+                self.desk.on_fence(message, sender)
+            case TestimonyMessage():
+                self.witnesses.on_answer(message)
+
+    def _on_gateways(self) -> None:
+        announced = self.gateways.announcements
+        ranked = rendezvous(self.boot, announced, len(announced))
+        self.paths.gateways = [announced[name].address for name in ranked]
+
+    def _is_succeeded(self, holder: str) -> bool:
+        """Tell whether another boot of the same entry has announced itself."""
+        boot = boot_of(holder)
+        newest = self.entries.announcements.get(name_of(Incarnation(boot)))
+        return newest is not None and newest.boot != boot
+
     def _configure(self, configuration: Configuration) -> None:
         self.budgets.configure(configuration)
         limits = configuration.limits
--- /dev/null
+++ b/libs/relay/src/clementinebend_relay/witnesses.py
@@ -0,0 +1,124 @@
+"""The witnesses of this entry's marks, as the entry sees them."""
+
+from asyncio import sleep
+from collections.abc import Callable, Iterable
+
+from clementinebend_ledger.mark_witness import NO_EPOCH, WITNESSES, Testimony
+from clementinebend_ledger.marks import HolderRecord, Witness
+from clementinebend_membership.rendezvous import rendezvous
+from clementinebend_relay.announcing import Announcement, Directory
+from clementinebend_relay.messages import (
+    FenceMessage,
+    Message,
+    OpenMessage,
+    TestimonyMessage,
+)
+from clementinebend_transport.client_connection import Address
+
+PING_PAUSE = 0.5
+"""Seconds between questions whether a witness is there."""
+
+LIVE_SECONDS = 1.8
+"""How long a witness counts as there after its last answer: three questions,
+so that one lost datagram changes nothing."""
+
+Send = Callable[[Message, Address], None]
+
+
+class Witnesses:
+    """Chooses witnesses, asks them, and keeps what they testified."""
+
+    def __init__(
+        self,
+        boot: str,
+        zone: str,
+        directory: Directory,
+        send: Send,
+        clock: Callable[[], float],
+    ) -> None:
+        self.boot = boot
+        self.zone = zone
+        self.directory = directory
+        self.send = send
+        self.clock = clock
+        self.heard: dict[str, float] = {}
+        self.testimonies: dict[str, dict[str, Testimony]] = {}
+        self.on_testimony: list[Callable[[str], None]] = []
+
+    def choose(self, current: tuple[Witness, ...]) -> tuple[Witness, ...]:
+        """Return this entry's witnesses; those in ``current`` stay while they live.
+
+        They are in different availability zones, not in this entry's, as far
+        as there are such.
+        """
+        live = [item for item in self._ranked() if self._is_live(item.boot)]
+        boots = {item.boot for item in live}
+        kept = [witness for witness in current if witness.boot in boots]
+        kept_boots = {witness.boot for witness in kept}
+        zones = {item.zone for item in live if item.boot in kept_boots}
+        for item in sorted(live, key=lambda item: item.zone == self.zone):
+            if len(kept) >= WITNESSES:
+                break
+            is_only = not any(
+                other.zone not in zones and other.zone != self.zone for other in live
+            )
+            if item.boot not in kept_boots and (item.zone not in zones or is_only):
+                kept.append(Witness(item.boot, item.host, item.port))
+                kept_boots.add(item.boot)
+                zones.add(item.zone)
+        return tuple(kept)
+
+    def of(self, holder: str) -> dict[str, Testimony]:
+        """Return what witnesses testified of a holder, by their boot."""
+        return self.testimonies.get(holder, {})
+
+    def open(self, holder: str, record: HolderRecord) -> None:
+        """Ask the witnesses of a record to let its reserve be opened."""
+        for witness in record.witnesses:
+            message = OpenMessage(witness.boot, holder, record.epoch)
+            self.send(message, Address(witness.host, witness.port))
+
+    def fence(self, holder: str, record: HolderRecord) -> None:
+        """Ask the witnesses of a record never to let its reserve be opened."""
+        for witness in record.witnesses:
+            message = FenceMessage(witness.boot, holder, record.epoch)
+            self.send(message, Address(witness.host, witness.port))
+
+    def on_answer(self, message: TestimonyMessage) -> None:
+        """Take what a witness testifies."""
+        self.heard[message.witness] = self.clock()
+        if message.testimony == Testimony():
+            return
+        self.testimonies.setdefault(message.holder, {})[message.witness] = (
+            message.testimony
+        )
+        for listener in self.on_testimony:
+            listener(message.holder)
+
+    async def run(self) -> None:
+        """Ask for ever whether witnesses are there."""
+        while True:
+            for item in self._asked():
+                ping = FenceMessage(item.boot, self.boot, NO_EPOCH)
+                self.send(ping, item.address)
+            await sleep(PING_PAUSE)
+
+    def _ranked(self) -> list[Announcement]:
+        """Return the announced witnesses in this entry's own order."""
+        announced = self.directory.announcements
+        order = rendezvous(self.boot, announced, len(announced))
+        ranked = [announced[name] for name in order]
+        return [item for item in ranked if item.boot != self.boot]
+
+    def _asked(self) -> Iterable[Announcement]:
+        """Return whom to ask: the first few, until enough of them answer."""
+        live = 0
+        for item in self._ranked():
+            yield item
+            live += self._is_live(item.boot)
+            if live >= 2 * WITNESSES:
+                return
+
+    def _is_live(self, boot: str) -> bool:
+        heard_at = self.heard.get(boot)
+        return heard_at is not None and self.clock() - heard_at < LIVE_SECONDS
--- /dev/null
+++ b/tests/unit/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the platform adapter."""
--- /dev/null
+++ b/tests/unit/relay/mark_world.py
@@ -0,0 +1,244 @@
+"""A small world for marks: entries, a log that fails, datagrams that get lost."""
+
+from asyncio import new_event_loop
+from collections.abc import Callable
+from itertools import count
+from typing import NamedTuple
+
+from clementinebend_ledger.mark_gifts import Wish
+from clementinebend_platform_client.keyed_log import (
+    Appended,
+    Conflict,
+    KeyedRecord,
+    Page,
+    RecordsDropped,
+    StoreFailure,
+)
+from clementinebend_records.identifiers import Incarnation, name_of, new_incarnation
+from clementinebend_relay.announcing import Announcement, Directory
+from clementinebend_relay.budgets import Budgets, boot_of
+from clementinebend_relay.messages import (
+    FenceMessage,
+    GiftMessage,
+    Message,
+    OpenMessage,
+    TestimonyMessage,
+)
+from clementinebend_relay.models import CallerLimits, Configuration, Team
+from clementinebend_relay.witness import WitnessDesk
+from clementinebend_relay.witnesses import Witnesses
+from clementinebend_transport.client_connection import Address
+
+TEAM = "team"
+LIMITS = CallerLimits(1, 1, 1.0, 1.0)
+
+
+class Clock:
+    """A steady clock that a test moves."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+class Late(NamedTuple):
+    """An append whose answer was lost and that may still be executed."""
+
+    records: tuple[tuple[str, bytes], ...]
+    at: int | None
+
+
+class FakeLog:
+    """A keyed log in memory; ``mode`` says how the next calls fare."""
+
+    def __init__(self, records: list[KeyedRecord], late: list[Late]) -> None:
+        self.records = records
+        self.late = late
+        self.mode = "ok"
+
+    async def append(
+        self, records: tuple[tuple[str, bytes], ...], expected_end: int | None
+    ) -> Appended | Conflict | StoreFailure:
+        if self.mode == "down":
+            return StoreFailure(False, "down")
+        if self.mode == "late":
+            self.late.append(Late(records, expected_end))
+            return StoreFailure(True, "no answer")
+        outcome = self.execute(records, expected_end)
+        return StoreFailure(True, "no answer") if self.mode == "lost" else outcome
+
+    def execute(
+        self, records: tuple[tuple[str, bytes], ...], at: int | None
+    ) -> Appended | Conflict:
+        end = len(self.records)
+        if at is not None and at != end:
+            return Conflict(end)
+        numbered = enumerate(records, end)
+        self.records.extend(KeyedRecord(place, *record) for place, record in numbered)
+        return Appended(len(self.records))
+
+    async def read(
+        self, offset: int, wait: float
+    ) -> Page | RecordsDropped | StoreFailure:
+        if self.mode == "down":
+            return StoreFailure(False, "down")
+        return Page(tuple(self.records[offset:]), len(self.records), True)
+
+    async def newest(self) -> Page | StoreFailure:
+        if self.mode == "down":
+            return StoreFailure(False, "down")
+        newest = {record.key: record for record in self.records}
+        kept = tuple(sorted(record for record in newest.values() if record.value))
+        return Page(kept, len(self.records), True)
+
+
+class Sent(NamedTuple):
+    """A datagram on its way."""
+
+    message: Message
+    to: Address
+    sender: Address
+
+
+class FakeEntry:
+    """One boot of an entry."""
+
+    def __init__(self, world: "MarkWorld", number: int) -> None:
+        self.world = world
+        self.number = number
+        self.address = Address(f"10.0.0.{number}", 1)
+        self.boot = new_incarnation(f"entry-{number}")
+        self.log = FakeLog(world.records, world.late)
+        self.desk = WitnessDesk(self.boot, self.send)
+        self.witnesses = Witnesses(
+            self.boot, f"zone-{number}", world.directory, self.send, world.clock
+        )
+        self.budgets = Budgets(
+            self.boot, (self.log,), self.witnesses, self.is_succeeded, world.clock
+        )
+        self.outstanding: list[int] = []
+        world.directory.announcements[f"entry-{number}"] = Announcement(
+            self.boot, f"zone-{number}", *self.address
+        )
+
+    @property
+    def keeper(self):  # type: ignore[no-untyped-def]
+        return self.budgets.keepers[0]
+
+    @property
+    def account(self):  # type: ignore[no-untyped-def]
+        return self.keeper.account(TEAM)
+
+    def send(self, message: Message, to: Address) -> None:
+        self.world.sent.append(Sent(message, to, self.address))
+
+    def is_succeeded(self, holder: str) -> bool:
+        boot = boot_of(holder)
+        newest = self.world.directory.announcements.get(name_of(Incarnation(boot)))
+        return newest is not None and newest.boot != boot
+
+    def configure(self, prepaid: int) -> None:
+        team = Team(TEAM, prepaid, None)
+        self.budgets.configure(Configuration(1, {}, {}, {TEAM: team}, {}, LIMITS))
+
+    def receive(self, message: Message, sender: Address) -> None:
+        match message:
+            case OpenMessage():
+                self.desk.on_open(message, sender)
+            case FenceMessage():
+                self.desk.on_fence(message, sender)
+            case TestimonyMessage():
+                self.witnesses.on_answer(message)
+            case GiftMessage():
+                if message.to == self.boot:
+                    self.budgets.on_gift(message.team, message.amount)
+
+    def call(self, amount: int) -> bool:
+        """Reserve for a call; it then is in progress."""
+        self.account.demand(amount, self.world.clock())
+        if not self.account.reserve(amount):
+            return False
+        self.outstanding.append(amount)
+        self.world.spent[self.boot] = self.world.spent.get(self.boot, 0) + amount
+        return True
+
+    def finish(self, part: float) -> None:
+        """End the oldest call; ``part`` of what it reserved was used."""
+        amount = self.outstanding.pop(0)
+        used = int(amount * part)
+        self.world.spent[self.boot] -= amount - used
+        self.account.settle(amount, used)
+
+
+class MarkWorld:
+    """Entries and what they truly spent; calls in progress count at their most."""
+
+    def __init__(self, entries: int, prepaid: int) -> None:
+        self.clock = Clock()
+        self.records: list[KeyedRecord] = []
+        self.late: list[Late] = []
+        self.directory = Directory()
+        self.sent: list[Sent] = []
+        self.spent: dict[str, int] = {}
+        self.prepaid = prepaid
+        self.gift_numbers = count(1)
+        self.loop = new_event_loop()
+        self.entries = [FakeEntry(self, number) for number in range(entries)]
+        for entry in self.entries:
+            entry.configure(prepaid)
+
+    def close(self) -> None:
+        self.loop.close()
+
+    def total(self) -> int:
+        return sum(self.spent.values())
+
+    def commit(self, number: int) -> bool:
+        keeper = self.entries[number].keeper
+        return bool(self.loop.run_until_complete(keeper.commit()))
+
+    def ping(self) -> None:
+        """Let all entries see one another as witnesses."""
+        for entry in self.entries:
+            for item in self.directory.announcements.values():
+                if item.boot != entry.boot:
+                    entry.send(FenceMessage(item.boot, entry.boot, -1), item.address)
+        self.deliver()
+
+    def deliver(self, keep: Callable[[Sent], bool] = lambda sent: True) -> None:
+        """Deliver all datagrams, and the answers to them."""
+        while self.sent:
+            batch, self.sent = self.sent, []
+            for item in filter(keep, batch):
+                for entry in self.entries:
+                    if entry.address == item.to:
+                        entry.receive(item.message, item.sender)
+
+    def land_late(self) -> None:
+        """Execute the oldest append whose answer was lost, if it still fits."""
+        late = self.late.pop(0)
+        FakeLog(self.records, self.late).execute(late.records, late.at)
+
+    def restart(self, number: int) -> None:
+        """Kill an entry and start it anew; it remembers nothing."""
+        entry = FakeEntry(self, number)
+        self.entries[number] = entry
+        entry.configure(self.prepaid)
+
+    def top_up(self, amount: int, number: int) -> None:
+        """Raise the budget; only one entry has learned of it so far."""
+        self.prepaid += amount
+        self.entries[number].configure(self.prepaid)
+
+    def hand_over(self, giver: int, taker: int, amount: int, arrives: bool) -> None:
+        """Let one entry ask another; the answer may get lost."""
+        source, target = self.entries[giver], self.entries[taker]
+        given = source.budgets.on_ask(TEAM, Wish(amount))
+        if given and arrives and giver != taker:
+            number = next(self.gift_numbers)
+            target.receive(
+                GiftMessage(source.boot, target.boot, TEAM, given, number),
+                source.address,
+            )
