Give each budget one home among the live entries, and keep little without proof

Cause: entries raced for the end of the marks log (a slow store starved them), and what was lost at a death made all later calls of a team refused though owed. Ruled out: larger reserves (10 s lose more than they save).

--- a/libs/ledger/src/clementinebend_ledger/mark_account.py
+++ b/libs/ledger/src/clementinebend_ledger/mark_account.py
@@ -38,6 +38,7 @@
         self.waiting = 0
         self.asked = 0
         self.asked_until = now
+        self.borrow_after = now
         self.largest = 0.0
         self.spent_share = 1.0
         self.fast_rate = 0.0
@@ -79,6 +80,12 @@
         self.fast_rate += expected / FAST_SECONDS
         self.slow_rate += expected / SLOW_SECONDS
 
+    def lent(self, amount: int, now: float) -> None:
+        """Count what others ask a home for as demand for its budget."""
+        self._decay(now)
+        self.fast_rate += amount / FAST_SECONDS
+        self.slow_rate += amount / SLOW_SECONDS
+
     def ask(self, amount: int, now: float) -> None:
         """Note that another holder asks for a part, for a short time."""
         self.asked = amount
--- a/libs/ledger/src/clementinebend_ledger/mark_gifts.py
+++ b/libs/ledger/src/clementinebend_ledger/mark_gifts.py
@@ -8,13 +8,13 @@
 
 from clementinebend_ledger.mark_account import MarkAccount
 
-KEPT_SECONDS = 1.0
+KEPT_SECONDS = 0.05
 """Seconds of its own demand that a holder keeps when it is asked."""
 
-GIVEN_SHARE = 0.5
+GIVEN_SHARE = 0.9
 """Largest part of what it could spare that a holder gives at one time."""
 
-ASKED_SECONDS = 3.0
+ASKED_SECONDS = 0.5
 """Seconds of demand that a holder asks for beside the call at hand."""
 
 
--- a/libs/ledger/src/clementinebend_ledger/mark_sizing.py
+++ b/libs/ledger/src/clementinebend_ledger/mark_sizing.py
@@ -1,8 +1,9 @@
 """How large a holder's mark should be.
 
-A large mark lasts through an outage of the log. While the budget allows it,
-the holders together keep some seconds of a team's demand, each by its part of
-it. When little is left, they share all of it.
+Each budget has one home among the entries that live. The home keeps a mark for
+all of them, and the others borrow from it in one round trip; they write marks
+of their own only when the home does not answer. A large mark lasts through an
+outage of the log, and is lost if its holder dies having opened the reserve.
 """
 
 from collections.abc import Mapping
@@ -11,7 +12,7 @@
 from clementinebend_ledger.mark_account import MarkAccount
 from clementinebend_ledger.marks import Mark
 
-HORIZON_SECONDS = 4.0
+HORIZON_SECONDS = 3.0
 """Seconds of demand kept at hand for outages of the log itself, of some 4 s; a
 host that is cut off alone reaches it through a gateway."""
 
@@ -19,18 +20,26 @@
 """Largest part of what is left of a budget that is kept at hand: what is lost
 if all holders lose power at once is then never most of what is left."""
 
-UNWITNESSED_SECONDS = 0.9
-"""Seconds of demand that may be spent without witnesses: nearly two commits.
-This is what a dead holder leaves that nobody can prove unspent."""
+UNWITNESSED_SECONDS = 0.3
+"""Seconds of demand that a home may spend without witnesses, beside those that
+an append takes, which count twice. This is what a dead holder leaves that
+nobody can prove unspent; calls that need more wait for an append."""
 
-LARGEST_KEPT = 2.0
-"""Largest calls that all holders together keep at hand beside the demand."""
+BORROWED_SECONDS = 0.15
+"""Seconds of its own demand that an entry borrows from a home ahead of calls.
+What a call lacks it borrows in one round trip of a few milliseconds."""
+
+LARGEST_AT_ONCE = 0.5
+"""Part of the largest call that a home may spend at once beside the demand."""
+
+LARGEST_KEPT = 1.0
+"""Largest calls that a home keeps at hand beside the demand."""
 
 FIRST_SHARE = 0.01
-"""Part of a budget that a holder takes before it has seen any demand."""
+"""Part of a budget that a home takes before it has seen any demand."""
 
 LEAST_RATE = 1.0
-"""Tokens per second that an idle holder counts with when a rest is shared."""
+"""Tokens per second that an idle holder counts with."""
 
 
 class Allotment(NamedTuple):
@@ -48,30 +57,66 @@
 
 def allot(
     account: MarkAccount,
+    own: Mark,
     others: Mapping[str, Mark],
     live: frozenset[str],
     prepaid: int,
+    is_home: bool,
+    append_seconds: float,
     now: float,
 ) -> Allotment:
     """Return the mark that this holder should have of a budget of ``prepaid``.
 
-    Its ceiling never exceeds what the marks of the ``others`` leave, unless
-    that much is already used.
+    ``own`` is the one it has. The ceiling never exceeds what the marks of the
+    ``others`` leave, unless that much is already used. ``append_seconds`` is
+    how long an append takes at present.
     """
-    rate = max(LEAST_RATE, account.rate(now))
-    live_marks = [mark for name, mark in others.items() if name in live]
     lost = sum(mark.ceiling for name, mark in others.items() if name not in live)
+    known = sum(mark.spent for name, mark in others.items() if name in live)
+    pool = prepaid - lost - known - account.used
     unspent = prepaid - account.used - sum(mark.spent for mark in others.values())
-    pool = prepaid - lost - sum(mark.spent for mark in live_marks) - account.used
-    all_rates = rate + sum(max(LEAST_RATE, mark.rate) for mark in live_marks)
-    part = rate / all_rates
-    at_once = UNWITNESSED_SECONDS * account.peak_rate(now) + account.largest * part
-    at_once = max(at_once + account.asked_now(now), account.waiting)
-    wanted = HORIZON_SECONDS * rate + LARGEST_KEPT * account.largest * part
-    share = max(0.0, pool * part)
-    reserve = min(max(wanted, FIRST_SHARE * prepaid), RESERVE_PART * share)
-    free = max(reserve, min(at_once, max(share, account.waiting)))
     bound = prepaid - sum(mark.ceiling for mark in others.values())
-    ceiling = max(account.used, min(account.used + int(free), bound))
-    unwitnessed = account.used + int(at_once)
-    return Allotment(ceiling, min(ceiling, unwitnessed), pool, unspent)
+    if is_home:
+        free, at_once = _home_size(account, pool, prepaid, append_seconds, now)
+    else:
+        free, at_once = _guest_size(account, own, pool, now)
+    ceiling = max(account.used, min(account.used + free, bound))
+    unwitnessed = min(ceiling, account.used + at_once)
+    return Allotment(ceiling, unwitnessed, pool, unspent)
+
+
+def borrowed(account: MarkAccount, now: float) -> int:
+    """Return what an entry should have at hand of a budget it is not home of."""
+    return int(BORROWED_SECONDS * account.peak_rate(now))
+
+
+def _home_size(
+    account: MarkAccount, pool: int, prepaid: int, append_seconds: float, now: float
+) -> tuple[int, int]:
+    """Return what a home should have free, and what of it without witnesses."""
+    rate = max(LEAST_RATE, account.rate(now))
+    seconds = UNWITNESSED_SECONDS + 2 * append_seconds
+    at_once = seconds * account.peak_rate(now) + LARGEST_AT_ONCE * account.largest
+    at_once = max(at_once + account.asked_now(now), account.waiting)
+    wanted = HORIZON_SECONDS * rate + LARGEST_KEPT * account.largest
+    wanted = max(wanted, FIRST_SHARE * prepaid)
+    reserve = min(wanted, RESERVE_PART * max(0, pool))
+    free = max(reserve, min(at_once, max(pool, account.waiting)))
+    return int(free), int(at_once)
+
+
+def _guest_size(
+    account: MarkAccount, own: Mark, pool: int, now: float
+) -> tuple[int, int]:
+    """Return the same for an entry that is not the home.
+
+    It keeps the mark it has, so that what it borrowed stays borrowed, gives
+    back what is far too much, and takes more only for calls that wait.
+    """
+    kept = borrowed(account, now)
+    free = own.ceiling - account.used
+    if account.waiting > free:
+        free = account.waiting + min(kept, max(0, pool) // 4)
+    elif free > 3 * kept:
+        free = kept
+    return free, free
--- a/libs/relay/src/clementinebend_relay/budgets.py
+++ b/libs/relay/src/clementinebend_relay/budgets.py
@@ -3,10 +3,12 @@
 from asyncio import gather, timeout
 from collections.abc import Callable
 from contextlib import suppress
-from typing import NamedTuple
+from functools import partial
+from typing import NamedTuple, Protocol
 from zlib import crc32
 
 from clementinebend_ledger.mark_gifts import Wish, gift, wish
+from clementinebend_ledger.mark_sizing import borrowed
 from clementinebend_platform_client.keyed_log import KeyedLog
 from clementinebend_relay.mark_keeper import MarkKeeper, Short
 from clementinebend_relay.models import Configuration, Team
@@ -14,12 +16,10 @@
 
 __all__ = ["Budgets", "Reservation", "Short"]
 
-STORE_TURN = 0.04
-"""Seconds that a call leaves to the store, which answers in some 10 ms, before
-the reserve is opened for it."""
-
 ASK_PAUSE = 0.03
-"""Seconds between questions to the other entries while a call waits."""
+"""Seconds that a waiting call leaves to the home or the store, which answer in
+some 5 and 10 ms, before it turns to the reserve and to the other entries; also
+the time between questions."""
 
 
 PART_MARK = "@"
@@ -43,6 +43,36 @@
     return holder.rpartition(PART_MARK)[0]
 
 
+class Neighbours(Protocol):
+    """The other entries, as far as budgets need them."""
+
+    def home_of(self, part: int) -> str | None:
+        """Return which other entry is home of a partition; none if it is us."""
+        ...
+
+    def ask(self, entry: str, team: str, asked: Wish) -> None:
+        """Ask an entry for tokens of a team's budget."""
+        ...
+
+    def ask_all(self, team: str, asked: Wish) -> None:
+        """Ask all other entries."""
+        ...
+
+
+class Alone:
+    """Neighbours of an entry that knows of no other."""
+
+    def home_of(self, part: int) -> str | None:
+        """Return that this entry is the home of all."""
+        return None
+
+    def ask(self, entry: str, team: str, asked: Wish) -> None:
+        """Ask nobody."""
+
+    def ask_all(self, team: str, asked: Wish) -> None:
+        """Ask nobody."""
+
+
 class Budgets:
     """All budgets of this entry, by team."""
 
@@ -55,9 +85,16 @@
         clock: Callable[[], float],
     ) -> None:
         self.clock = clock
-        self.ask: Callable[[str, Wish], None] = _ask_nobody
+        self.neighbours: Neighbours = Alone()
         self.keepers = tuple(
-            MarkKeeper(holder_name(boot, part), log, witnesses, is_succeeded, clock)
+            MarkKeeper(
+                holder_name(boot, part),
+                log,
+                witnesses,
+                is_succeeded,
+                partial(self._is_home, part),
+                clock,
+            )
             for part, log in enumerate(logs)
         )
 
@@ -73,7 +110,13 @@
 
     def keeper(self, team: str) -> MarkKeeper:
         """Return who keeps the marks of a team; all entries find the same."""
-        return self.keepers[crc32(team.encode()) % len(self.keepers)]
+        return self.keepers[self._part(team)]
+
+    def _part(self, team: str) -> int:
+        return crc32(team.encode()) % len(self.keepers)
+
+    def _is_home(self, part: int) -> bool:
+        return self.neighbours.home_of(part) is None
 
     async def reserve(
         self, team: Team, amount: int, wait: float
@@ -85,6 +128,7 @@
         account = keeper.account(team.name)
         account.demand(amount, self.clock())
         if account.reserve(amount):
+            self._borrow(team.name)
             return Reservation(team.name, amount)
         short = keeper.short(team.name, amount)
         if short.left is not None and short.left < amount and keeper.is_fresh():
@@ -99,22 +143,47 @@
             account.waiting -= amount
         return Reservation(team.name, amount)
 
+    def _borrow(self, team: str) -> None:
+        """Ask the home for more before what is borrowed runs out."""
+        home = self.neighbours.home_of(self._part(team))
+        now = self.clock()
+        account = self.keeper(team).account(team)
+        if home is None or now < account.borrow_after:
+            return
+        usual = borrowed(account, now)
+        if account.free < usual // 2:
+            account.borrow_after = now + ASK_PAUSE
+            self.neighbours.ask(home, team, Wish(usual))
+
     async def _wait(self, keeper: MarkKeeper, team: str, amount: int) -> None:
-        """Return once ``amount`` is set aside: from the store, or by other ways."""
+        """Return once ``amount`` is set aside: by the home, the store, or others.
+
+        The first turn is the home's, or the store's where this is the home.
+        """
         account = keeper.account(team)
-        if keeper.lost_at is None:
+        home = self.neighbours.home_of(self._part(team))
+        if home is not None:
+            needed = account.waiting + borrowed(account, self.clock())
+            self.neighbours.ask(home, team, Wish(needed))
+        elif keeper.lost_at is None:
             keeper.urgent.set()
-            with suppress(TimeoutError):
-                async with timeout(STORE_TURN):
-                    while not account.reserve(amount):
-                        await keeper.changed.wait()
-                    return
-        while not account.reserve(amount):
+        else:
             keeper.open_reserve()
-            self.ask(team, wish(account, amount, self.clock()))
-            with suppress(TimeoutError):
-                async with timeout(ASK_PAUSE):
+        while not await self._turn(keeper, team, amount):
+            keeper.urgent.set()
+            if keeper.lost_at is not None or home is None:
+                keeper.open_reserve()
+            self.neighbours.ask_all(team, wish(account, amount, self.clock()))
+
+    async def _turn(self, keeper: MarkKeeper, team: str, amount: int) -> bool:
+        """Wait a moment for ``amount``; return whether it is set aside."""
+        account = keeper.account(team)
+        with suppress(TimeoutError):
+            async with timeout(ASK_PAUSE):
+                while not account.reserve(amount):
                     await keeper.changed.wait()
+                return True
+        return False
 
     def on_ask(self, team: str, asked: Wish) -> int:
         """Return what this entry hands over to one that asks."""
@@ -122,6 +191,8 @@
         account = keeper.account(team)
         amount = gift(account, asked, self.clock())
         account.give(amount)
+        if self._is_home(self._part(team)):
+            account.lent(asked.amount, self.clock())
         if amount < asked.amount:
             account.ask(asked.amount, self.clock())
             if keeper.lost_at is None:
@@ -153,7 +224,3 @@
         with suppress(TimeoutError):
             async with timeout(within):
                 await gather(*(keeper.commit() for keeper in self.keepers))
-
-
-def _ask_nobody(team: str, asked: Wish) -> None:
-    """Ask no other entry, before their addresses are known."""
--- a/libs/relay/src/clementinebend_relay/mark_keeper.py
+++ b/libs/relay/src/clementinebend_relay/mark_keeper.py
@@ -41,6 +41,9 @@
 COMMIT_SECONDS = 0.5
 """Pause between commits. A finished run must be settled within 1.5 s."""
 
+GUEST_SECONDS = 2.0
+"""Pause between readings by an entry that is not the home of a partition."""
+
 CONFLICT_PAUSE = 0.004
 """Seconds after losing a race for the log's end; one append takes that long."""
 
@@ -58,6 +61,9 @@
 FRESH_SECONDS = 2.0
 """How old a reading of the marks may be for a refusal that is final."""
 
+APPEND_WEIGHT = 0.3
+"""Weight of one append in the time that appends are expected to take."""
+
 NO_MARK = Mark(0, 0, 0, 0)
 NO_RECORD = HolderRecord(0, ())
 
@@ -97,12 +103,14 @@
         log: KeyedLog,
         witnesses: Witnesses,
         is_succeeded: Callable[[str], bool],
+        is_home: Callable[[], bool],
         clock: Callable[[], float],
     ) -> None:
         self.holder = holder
         self.log = log
         self.witnesses = witnesses
         self.is_succeeded = is_succeeded
+        self.is_home = is_home
         self.clock = clock
         self.book = empty_book()
         self.accounts: dict[str, MarkAccount] = {}
@@ -110,6 +118,7 @@
         self.allotments: dict[str, Allotment] = {}
         self.pending: Pending | None = None
         self.epoch = 0
+        self.append_seconds = 0.0
         self.offset: int | None = None
         self.read_at: float | None = None
         self.lost_at: float | None = None
@@ -170,7 +179,7 @@
 
     async def _commit(self) -> bool:
         for attempt in count(1):
-            if not await self._read():
+            if (attempt > 1 or not self._knows_end()) and not await self._read():
                 return False
             pending = self.pending or self._next_append()
             if pending is None:
@@ -181,11 +190,20 @@
             await sleep(CONFLICT_PAUSE * attempt * random())
         return False
 
+    def _knows_end(self) -> bool:
+        """Tell whether this home was the last to write, a moment ago."""
+        age = self.age()
+        is_recent = age is not None and age < REWRITE_SECONDS
+        return self.is_home() and is_recent and self.pending is None
+
     async def _append(self, pending: Pending) -> Appended | Conflict | StoreFailure:
         """Append at the end that was read, and take what came of it."""
         self.pending = pending
         self._refresh_limits()
+        sent_at = self.clock()
         outcome = await self.log.append(pending.records, pending.at)
+        taken = self.clock() - sent_at
+        self.append_seconds += (taken - self.append_seconds) * APPEND_WEIGHT
         match outcome:
             case Appended():
                 self.written_at = self.clock()
@@ -198,7 +216,9 @@
 
     async def _pause(self) -> None:
         self.urgent.clear()
-        pause = FAILURE_PAUSE if self.lost_at is not None else COMMIT_SECONDS
+        pause = COMMIT_SECONDS if self.is_home() else GUEST_SECONDS
+        if self.lost_at is not None:
+            pause = FAILURE_PAUSE
         try:
             async with timeout(pause):
                 await self.urgent.wait()
@@ -301,7 +321,21 @@
     def _allot(self, team: str, now: float) -> Allotment:
         rest = others(self.book, team, self.holder)
         account = self.account(team)
-        return allot(account, rest, self._live(now), self.prepaid[team], now)
+        return allot(
+            account,
+            self._known(team),
+            rest,
+            self._live(now),
+            self.prepaid[team],
+            self.is_home(),
+            self.append_seconds,
+            now,
+        )
+
+    def unallocated(self, team: str) -> int:
+        """Return what no holder's mark covers."""
+        marks = self.book.teams.get(team, {}).values()
+        return self.prepaid.get(team, 0) - sum(mark.ceiling for mark in marks)
 
     def _next_append(self) -> Pending | None:
         """Return the records that should change, none if all are as they should be.
@@ -311,8 +345,12 @@
         """
         now = self.clock()
         known = self.book.holders.get(self.holder, NO_RECORD)
-        chosen = self.witnesses.choose(known.witnesses)
-        is_due = self.written_at is None or now - self.written_at > REWRITE_SECONDS
+        chosen = known.witnesses
+        if self.is_home():
+            chosen = self.witnesses.choose(known.witnesses)
+        is_due = self.is_home() and (
+            self.written_at is None or now - self.written_at > REWRITE_SECONDS
+        )
         marks = {
             team: mark
             for team in self.prepaid
--- a/libs/relay/src/clementinebend_relay/peers.py
+++ b/libs/relay/src/clementinebend_relay/peers.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from clementinebend_ledger.mark_gifts import Wish
+from clementinebend_membership.rendezvous import rendezvous
 from clementinebend_relay.announcing import Directory
 from clementinebend_relay.budgets import Budgets
 from clementinebend_relay.decisions import log_decision
@@ -23,6 +24,12 @@
 0.1 s, at 30 still one in 0.75 s, so that their cost to a receiver is bounded."""
 
 LEAST_PAUSE = 0.1
+LIVE_MESSAGES = 4.5
+"""Pauses between messages after which a silent entry is no home any more."""
+
+HOME_SECONDS = 0.05
+"""How long a home is remembered: a call costs then no hashing."""
+
 HEARD_SECONDS = 3.0
 """How long a peer's load counts after its last message."""
 
@@ -36,6 +43,13 @@
     loads: dict[str, EndpointLoad]
 
 
+class Home(NamedTuple):
+    """Which other entry was home of a partition at some time; none if us."""
+
+    at: float
+    entry: str | None
+
+
 class Peers:
     """Tells the other entries this one's load, and adds up theirs."""
 
@@ -57,9 +71,10 @@
         self.send = send
         self.clock = clock
         self.heard: dict[str, Heard] = {}
+        self.homes: dict[int, Home] = {}
         self.gifts_made = 0
         self.gifts_taken: set[tuple[str, int]] = set()
-        budgets.ask = self.ask
+        budgets.neighbours = self
 
     def entry_count(self) -> int:
         """Return how many entries there are, this one included."""
@@ -87,16 +102,48 @@
                 if state.in_flight
             }
             self._send_to_all(LoadMessage(self.boot, own))
-            await sleep(max(LEAST_PAUSE, SECONDS_PER_PEER * self.entry_count()))
+            await sleep(self._pause())
 
     def on_load(self, message: LoadMessage) -> None:
         """Take a peer's load."""
         self.heard[message.boot] = Heard(self.clock(), message.loads)
 
-    def ask(self, team: str, asked: Wish) -> None:
+    def home_of(self, part: int) -> str | None:
+        """Return which other entry is home of a partition; none if it is us.
+
+        It is the first of the entries that were heard a moment ago, in an
+        order that all share.
+        """
+        now = self.clock()
+        known = self.homes.get(part)
+        if known is None or now - known.at > HOME_SECONDS:
+            known = self.homes[part] = Home(now, self._home_of(part))
+        return known.entry
+
+    def _home_of(self, part: int) -> str | None:
+        oldest = self.clock() - LIVE_MESSAGES * self._pause()
+        live = [
+            name
+            for name, item in self.directory.announcements.items()
+            if name == self.name
+            or (item.boot in self.heard and self.heard[item.boot].at >= oldest)
+        ]
+        home = rendezvous(f"marks-{part}", [*live, self.name], 1)[0]
+        return None if home == self.name else home
+
+    def ask(self, entry: str, team: str, asked: Wish) -> None:
+        """Ask an entry for tokens of a team's budget."""
+        peer = self.directory.announcements.get(entry)
+        if peer is not None:
+            self.send(AskMessage(self.boot, team, asked), peer.address)
+
+    def ask_all(self, team: str, asked: Wish) -> None:
         """Ask all other entries for tokens of a team's budget."""
         self._send_to_all(AskMessage(self.boot, team, asked))
 
+    def _pause(self) -> float:
+        return max(LEAST_PAUSE, SECONDS_PER_PEER * self.entry_count())
+
     def on_ask(self, message: AskMessage, sender: Address) -> None:
         """Hand over what can be spared."""
         amount = self.budgets.on_ask(message.team, message.asked)
--- a/tests/unit/relay/mark_world.py
+++ b/tests/unit/relay/mark_world.py
@@ -121,6 +121,8 @@
         self.budgets = Budgets(
             self.boot, (self.log,), self.witnesses, self.is_succeeded, world.clock
         )
+        self.budgets.neighbours = self
+        self.is_home = True
         self.outstanding: list[int] = []
         world.directory.announcements[f"entry-{number}"] = Announcement(
             self.boot, f"zone-{number}", *self.address
@@ -134,6 +136,15 @@
     def account(self):  # type: ignore[no-untyped-def]
         return self.keeper.account(TEAM)
 
+    def home_of(self, part: int) -> str | None:
+        return None if self.is_home else "entry-0"
+
+    def ask(self, entry: str, team: str, asked: Wish) -> None:
+        """Lose all questions: tests hand over by ``hand_over``."""
+
+    def ask_all(self, team: str, asked: Wish) -> None:
+        """Lose all questions."""
+
     def send(self, message: Message, to: Address) -> None:
         self.world.sent.append(Sent(message, to, self.address))
 
--- a/tests/unit/relay/test_marks_stateful.py
+++ b/tests/unit/relay/test_marks_stateful.py
@@ -99,6 +99,10 @@
     def top_up(self, number: int, amount: int) -> None:
         self.world.top_up(amount, number)
 
+    @rule(number=numbers, is_home=st.booleans())
+    def change_home(self, number: int, is_home: bool) -> None:
+        self.world.entries[number].is_home = is_home
+
     @rule(number=numbers)
     def release(self, number: int) -> None:
         keeper = self.world.entries[number].keeper
