--- /dev/null
+++ b/tests/functional/test_platform_entry.py
@@ -0,0 +1,201 @@
+"""The real entry program before stand-ins of the platform."""
+
+from asyncio import create_task, timeout
+from collections.abc import AsyncIterator
+from pathlib import Path
+from signal import SIGHUP
+
+import pytest_asyncio
+
+from clementinebend_transport.lifecycle import EXIT_OK
+from tests.lib.platform_engine import WHOLE_STREAM
+from tests.lib.platform_fleet import ROUTES, Fleet
+from tests.lib.waiting import until
+
+
+@pytest_asyncio.fixture
+async def fleet(tmp_path: Path) -> AsyncIterator[Fleet]:
+    made = Fleet(tmp_path)
+    try:
+        yield made
+    finally:
+        await made.stop()
+
+
+async def answers(fleet: Fleet, path: str, status: int) -> bool:
+    """Tell whether a request gets ``status``."""
+    return (await fleet.call(path)).ok.status == status
+
+
+async def is_unready(fleet: Fleet) -> bool:
+    """Tell whether the first entry turns callers away."""
+    return not await fleet.is_ready(fleet.entries[0])
+
+
+async def test_calls_of_each_kind_are_served(fleet: Fleet) -> None:
+    await fleet.start()
+    plain = (await fleet.call("/safe/x")).ok
+    assert (plain.status, plain.body) == (200, b"whole answer")
+    assert (await fleet.call("/once/x")).ok.status == 200
+    stream = (await fleet.call("/stream/x")).ok
+    assert stream.body == WHOLE_STREAM
+    assert stream.headers["x-response-signature"]
+
+
+async def test_bad_input_gets_its_documented_answer(fleet: Fleet) -> None:
+    await fleet.start()
+    assert (await fleet.call("/nowhere/x")).ok.status == 404
+    assert (await fleet.call("/safe/x", authorization="Bearer no")).ok.status == 401
+    assert (await fleet.call("/safe/x", x_deadline_ms="soon")).ok.status == 400
+    too_large = await fleet.call("/safe/x", padding="x" * 20_000)
+    assert too_large.ok.status == 431
+    assert (await fleet.call("/safe/x")).ok.status == 200
+
+
+async def test_a_stream_that_breaks_off_goes_on_elsewhere(fleet: Fleet) -> None:
+    await fleet.start()
+    for fault in ("cut", "gap"):
+        for engine in fleet.engines_of("pool"):
+            engine.fault = fault
+        first = fleet.engines_of("pool")[0]
+        outcome = create_task(fleet.call("/stream/x", request_id=f"s-{fault}"))
+        await until(lambda: fleet.runs(f"s-{fault}") > 0)  # noqa: B023
+        for engine in fleet.engines_of("pool"):
+            if not engine.runs[f"s-{fault}"]:
+                engine.fault = ""
+        stream = (await outcome).ok
+        assert stream.body == WHOLE_STREAM
+        assert fleet.runs(f"s-{fault}") == 2
+        first.fault = ""
+
+
+async def test_a_stream_that_cannot_go_on_never_looks_whole(fleet: Fleet) -> None:
+    await fleet.start()
+    for engine in fleet.engines_of("pool"):
+        engine.fault = "cut"
+    outcome = await fleet.call("/stream-once/x", request_id="once")
+    assert outcome.is_error()
+    assert fleet.runs("once") == 1
+
+
+async def test_what_may_have_run_is_not_repeated(fleet: Fleet) -> None:
+    await fleet.start()
+    for engine in fleet.engines_of("desk"):
+        engine.fault = "foreign"
+    assert (await fleet.call("/once/x", request_id="o")).ok.status == 502
+    assert fleet.runs("o") == 1
+    assert (await fleet.call("/safe/x", request_id="s")).ok.status == 502
+    assert fleet.runs("s") == 2
+
+
+async def test_not_run_is_true_and_told_with_a_time_to_come_back(fleet: Fleet) -> None:
+    await fleet.start()
+    for engine in fleet.engines_of("desk"):
+        engine.fault = "full"
+    answer = (await fleet.call("/once/x", request_id="o")).ok
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
+    assert fleet.runs("o") == 0
+
+
+async def test_the_routes_time_limit_is_kept(fleet: Fleet) -> None:
+    await fleet.start()
+    for engine in fleet.engines_of("desk"):
+        engine.fault = "silent"
+    async with timeout(1.0):
+        assert (await fleet.call("/brief/x")).ok.status == 504
+
+
+async def test_a_caller_that_leaves_cancels_its_run(fleet: Fleet) -> None:
+    await fleet.start()
+    for engine in fleet.engines_of("pool"):
+        engine.pause = 1.0
+    call = create_task(fleet.call("/stream/x", request_id="left"))
+    await until(lambda: fleet.runs("left") == 1)
+    call.cancel()
+    await fleet.client.close()
+    cancelled = [engine.cancelled for engine in fleet.engines]
+    await until(lambda: any("left" in names for names in cancelled))
+
+
+async def test_a_budget_is_never_passed_over_kills(fleet: Fleet) -> None:
+    """Entries are killed without warning; each call costs at most 124 tokens."""
+    prepaid, most = 3_000, 124
+    await fleet.start(entries=2, prepaid=prepaid)
+    served = 0
+    for turn in range(3):
+        for number in range(12):
+            answer = await fleet.call("/stream/x", entry=number % 2)
+            served += answer.is_ok() and answer.ok.status == 200
+        killed = fleet.entries.pop(turn % 2)
+        killed.process.kill()
+        await killed.process.wait()
+        await fleet.add_entry(killed.name, f"z{turn % 2}")
+    assert 0 < served * most <= prepaid
+
+
+async def test_a_spent_budget_is_told_and_a_top_up_counts(fleet: Fleet) -> None:
+    await fleet.start(prepaid=400)
+    statuses = [(await fleet.call("/stream/x")).ok.status for _ in range(6)]
+    assert statuses[:3] == [200, 200, 200]
+    assert statuses[-1] in (402, 429)
+    fleet.configure(4_000)
+    await until(lambda: answers(fleet, "/stream/x", 200))
+
+
+async def test_calls_go_on_while_the_store_is_away(fleet: Fleet) -> None:
+    await fleet.start(entries=3)
+    for number in range(30):
+        assert (await fleet.call("/stream/x", entry=number % 3)).ok.status == 200
+    for fault in ("silent", "busy"):
+        fleet.store.fault = fault
+        for number in range(12):
+            answer = await fleet.call("/stream/x", entry=number % 3)
+            assert answer.ok.status == 200, fault
+        fleet.store.fault = ""
+    assert (await fleet.call("/stream/x")).ok.status == 200
+
+
+async def test_configuration_and_leaving_are_followed(fleet: Fleet) -> None:
+    await fleet.start()
+    leaving, staying = fleet.engines_of("desk")
+    fleet.store.put("servers", leaving.name, leaving.entry("draining"))
+    entry = fleet.entries[0]
+    await until(
+        lambda: any(line["message"] == "endpoint leaving" for line in entry.lines())
+    )
+    before = leaving.runs.total()
+    for _ in range(10):
+        assert (await fleet.call("/safe/x")).ok.status == 200
+    assert leaving.runs.total() == before
+    fleet.configure(1_000_000, ROUTES[1:])
+    await until(lambda: answers(fleet, "/safe/x", 404), within=2.0)
+
+
+async def test_a_planned_stop_cuts_nothing_off(fleet: Fleet) -> None:
+    await fleet.start()
+    for engine in fleet.engines_of("pool"):
+        engine.pause = 0.3
+    call = create_task(fleet.call("/stream/x", request_id="open"))
+    await until(lambda: fleet.runs("open") == 1)
+    stopping = create_task(fleet.terminate(0))
+    await until(lambda: is_unready(fleet), within=2.0)
+    assert (await call).ok.body == WHOLE_STREAM
+    assert await stopping == EXIT_OK
+
+
+async def test_decisions_are_logged_and_counted(fleet: Fleet) -> None:
+    await fleet.start()
+    await fleet.call("/safe/x", request_id="told")
+    await fleet.call("/safe/x", request_id="refused", authorization="Bearer no")
+    entry = fleet.entries[0]
+    entry.process.send_signal(SIGHUP)
+    await until(lambda: any(line["message"] == "reloaded" for line in entry.lines()))
+    lines = {line.get("request_id"): line for line in entry.lines()}
+    assert lines["told"]["message"] == "call ended"
+    assert lines["told"]["endpoints"]
+    assert lines["refused"]["reason"] == "unknown_key"
+    url = f"http://127.0.0.1:{entry.metrics_port}/metrics"
+    page = (await fleet.client.request("GET", url)).ok.body.decode()
+    assert 'rejections_total{reason="unknown_key"} 1.0' in page
+    assert "first_byte_seconds_bucket" in page
--- /dev/null
+++ b/tests/lib/platform_engine.py
@@ -0,0 +1,104 @@
+"""A stand-in of the platform's engines, by their published protocol."""
+
+from asyncio import sleep
+from collections import Counter
+from collections.abc import AsyncIterator
+from itertools import count
+
+from msgspec.json import encode
+
+from clementinebend_transport.exceptions import AnswerCutError
+from clementinebend_transport.http_server import HttpServer, serve_http
+from clementinebend_transport.http_types import Request, Response
+
+EVENTS = 8
+"""Events of a stream."""
+
+
+class EngineStandin:
+    """One boot of an engine that answers, and remembers what it ran.
+
+    ``fault`` is ``""``, ``"full"`` (not run), ``"fail"`` (500), ``"foreign"``
+    (another request's answer), ``"cut"`` (a stream breaks off half-way),
+    ``"gap"`` (an event is missing) or ``"silent"``.
+    """
+
+    numbers = count(1)
+
+    def __init__(self, service: str) -> None:
+        self.name = f"i-{next(EngineStandin.numbers)}"
+        self.service = service
+        self.fault = ""
+        self.pause = 0.005
+        self.runs: Counter[str] = Counter()
+        self.requests: list[Request] = []
+        self.cancelled: list[str] = []
+        self.server: HttpServer | None = None
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self.server = await serve_http(self.handle, "127.0.0.1", 0)
+
+    async def stop(self) -> None:
+        """Stop at once, as in a crash."""
+        if self.server is not None:
+            await self.server.close()
+
+    def entry(self, state: str = "ready") -> bytes:
+        """Return what the engine writes to the store."""
+        port = 0 if self.server is None else self.server.port
+        return encode(
+            {
+                "service": self.service,
+                "address": f"127.0.0.1:{port}",
+                "zone": "a",
+                "slots": 4,
+                "state": state,
+            }
+        )
+
+    async def handle(self, request: Request) -> Response:
+        """Answer a request."""
+        request_id = request.headers["x-request-id"]
+        if request.headers.get("x-expect-instance") != self.name:
+            return Response(421, (("x-instance-id", self.name),), b"")
+        if self.fault == "full":
+            return Response(503, (("x-not-executed", "1"),), b"")
+        self.runs[request_id] += 1
+        self.requests.append(request)
+        if self.fault == "silent":
+            await self._sleep(60, request_id)
+        echoed = "other" if self.fault == "foreign" else request_id
+        headers = (("x-request-id", echoed), ("x-response-signature", self.name))
+        if self.fault == "fail":
+            return Response(500, headers, b"failed")
+        if "stream" not in request.target:
+            return Response(200, headers, b"whole answer")
+        body = self._events(request, request_id)
+        return Response(200, (*headers, ("content-type", "text/event-stream")), body)
+
+    async def _events(self, request: Request, request_id: str) -> AsyncIterator[bytes]:
+        first = int(request.headers.get("last-event-id", 0)) + 1
+        for number in range(first, EVENTS + 1):
+            await self._sleep(self.pause, request_id)
+            if self.fault == "gap" and number == EVENTS // 2:
+                continue
+            yield event(number)
+            if self.fault == "cut" and number == EVENTS // 2:
+                yield b"id: 9"
+                raise AnswerCutError("cut on purpose")
+
+    async def _sleep(self, seconds: float, request_id: str) -> None:
+        try:
+            await sleep(seconds)
+        except BaseException:
+            self.cancelled.append(request_id)
+            raise
+
+
+def event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return f"id: {number}\ndata: piece {number}\n\n".encode()
+
+
+WHOLE_STREAM = b"".join(map(event, range(1, EVENTS + 1)))
--- /dev/null
+++ b/tests/lib/platform_fleet.py
@@ -0,0 +1,238 @@
+"""The real entry programs before stand-ins of store and engines."""
+
+import os
+import sys
+from asyncio import create_subprocess_exec, subprocess
+from asyncio.subprocess import Process
+from contextlib import suppress
+from itertools import count
+from json import loads
+from pathlib import Path
+from signal import SIGTERM
+from typing import Any, NamedTuple
+
+from expression import Error, Ok, Result
+from h11 import Request as HttpRequest
+from msgspec.json import encode
+
+from clementinebend_transport.client_connection import Address
+from clementinebend_transport.http_client import (
+    Answer,
+    HttpClient,
+    HttpFailure,
+    TruncatedAnswer,
+)
+from tests.lib.platform_engine import EngineStandin
+from tests.lib.platform_store import StoreStandin
+from tests.lib.processes import free_port
+from tests.lib.waiting import until
+
+HOST = "desk.example"
+KEY = "key-1"
+TEAM = "desk"
+READY_SECONDS = 15.0
+CALL_SECONDS = 5.0
+BODY = b"{}"
+
+SETTINGS = """
+node_name = "{name}"
+ip = "127.0.0.1"
+zone = "{zone}"
+internal_port_range = [{peer_port}, {metrics_port}]
+[listen]
+front = "127.0.0.1:{port}"
+ready_address = "127.0.0.1:{ready_port}"
+[limits]
+memory_mb = 300
+link_mbps = 1000.0
+[bounds]
+drain_ms = 2000
+grace_s = {grace}
+retry_budget_ratio = 0.2
+budget_window_s = 10
+budget_slack = 56
+[platform]
+address = "127.0.0.1:{store_port}"
+"""
+
+
+def route(prefix: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
+    """Return a route of the operator's configuration."""
+    return {
+        "name": prefix,
+        "host": HOST,
+        "path_prefix": prefix,
+        "kind": kind,
+        "timeout_ms": 4000,
+        "target_latency_ms": 500,
+        "service": service,
+        "max_attempts": 2,
+        **fields,
+    }
+
+
+ROUTES = (
+    route("/safe/", "safe", "desk"),
+    route("/once/", "unsafe", "desk", max_attempts=1),
+    route("/stream/", "streaming", "pool", resumable=True),
+    route("/stream-once/", "streaming", "pool", max_attempts=1),
+    route("/brief/", "safe", "desk", timeout_ms=300),
+)
+
+
+class Entry(NamedTuple):
+    """One running entry program."""
+
+    name: str
+    port: int
+    ready_port: int
+    metrics_port: int
+    process: Process
+    output: Path
+
+    def lines(self) -> list[dict[str, Any]]:
+        """Return what the program has logged."""
+        return [loads(line) for line in self.output.read_text().splitlines()]
+
+
+class Fleet:
+    """Store, engines and entries; tests change all of them."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.store = StoreStandin()
+        self.client = HttpClient()
+        self.entries: list[Entry] = []
+        self.engines: list[EngineStandin] = []
+        self.version = 0
+        self.ids = count(1)
+
+    async def start(
+        self, entries: int = 1, engines: int = 2, prepaid: int = 1_000_000
+    ) -> None:
+        """Start all and wait until the entries are ready."""
+        await self.store.start()
+        self.configure(prepaid)
+        for service in ("pool", "desk"):
+            for _ in range(engines):
+                await self.add_engine(service)
+        for number in range(entries):
+            await self.add_entry(f"edge-{number}", f"z{number}")
+
+    async def stop(self) -> None:
+        """Kill what still runs."""
+        await self.client.close()
+        for entry in self.entries:
+            with suppress(ProcessLookupError):
+                entry.process.kill()
+            await entry.process.wait()
+        for engine in self.engines:
+            await engine.stop()
+        await self.store.stop()
+
+    def configure(
+        self, prepaid: int, routes: tuple[dict[str, Any], ...] = ROUTES
+    ) -> None:
+        """Write a new version of the configuration."""
+        self.version += 1
+        document = {
+            "version": self.version,
+            "routes": list(routes),
+            "services": [
+                {"name": "pool", "max_connections": 100, "engine": {"stride": 3}},
+                {"name": "desk", "max_connections": 100},
+            ],
+            "tenants": [{"name": TEAM, "api_keys": [KEY], "prepaid": prepaid}],
+        }
+        self.store.put("op", "config", encode(document))
+
+    async def add_engine(self, service: str) -> EngineStandin:
+        """Start an engine and announce it."""
+        engine = EngineStandin(service)
+        await engine.start()
+        self.engines.append(engine)
+        self.store.put("servers", engine.name, engine.entry())
+        return engine
+
+    async def add_entry(self, name: str, zone: str, grace: float = 5.0) -> Entry:
+        """Start an entry and wait until it is ready."""
+        ports = [free_port() for _ in range(4)]
+        settings = self.folder / f"{name}.toml"
+        settings.write_text(
+            SETTINGS.format(
+                name=name,
+                zone=zone,
+                port=ports[0],
+                ready_port=ports[1],
+                peer_port=ports[2],
+                metrics_port=ports[3],
+                store_port=self.store.port,
+                grace=grace,
+            )
+        )
+        output = self.folder / f"{name}-{len(self.entries)}.log"
+        with output.open("wb") as file:
+            process = await create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "clementinebend_platform",
+                env={**os.environ, "CLEMENTINEBEND_SETTINGS": str(settings)},
+                stdout=file,
+                stderr=subprocess.STDOUT,
+            )
+        entry = Entry(name, ports[0], ports[1], ports[3], process, output)
+        self.entries.append(entry)
+        await until(lambda: self.is_ready(entry), READY_SECONDS)
+        return entry
+
+    async def is_ready(self, entry: Entry) -> bool:
+        """Ask as the balancer does."""
+        url = f"http://127.0.0.1:{entry.ready_port}/clementinebend/readyz"
+        answer = await self.client.request("GET", url, timeout=1.0)
+        return answer.is_ok() and answer.ok.status == 200
+
+    def engines_of(self, service: str) -> list[EngineStandin]:
+        """Return the engines of a service."""
+        return [engine for engine in self.engines if engine.service == service]
+
+    def runs(self, request_id: str) -> int:
+        """Return how often engines ran a request."""
+        return sum(engine.runs[request_id] for engine in self.engines)
+
+    async def call(
+        self,
+        path: str,
+        entry: int = 0,
+        tokens: tuple[int, int] = (100, 24),
+        **headers: str,
+    ) -> Result[Answer, HttpFailure]:
+        """Send a request as a client does."""
+        request_id = headers.pop("request_id", f"r{next(self.ids)}")
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        sent = {
+            "x-request-id": request_id,
+            "x-deadline-ms": "3000",
+            "authorization": f"Bearer {KEY}",
+            **named,
+        }
+        if "stream" in path:
+            sent["x-token-usage"] = f"{tokens[0]},{tokens[1]}"
+            sent["x-prefix-hash"] = f"aa:{tokens[0] // 2},bb:{tokens[0] // 2}"
+        pairs = {"host": HOST, "content-length": str(len(BODY)), **sent}
+        request = HttpRequest(method="POST", target=path, headers=[*pairs.items()])
+        address = Address("127.0.0.1", self.entries[entry].port)
+        opened = await self.client.send(address, request, BODY, CALL_SECONDS)
+        if opened.is_error():
+            return Error(opened.error)
+        answer = opened.ok
+        try:
+            body = b"".join([piece async for piece in answer.chunks])
+        except TruncatedAnswer as error:
+            return Error(HttpFailure(True, str(error)))
+        return Ok(Answer(answer.status, answer.headers, body))
+
+    async def terminate(self, entry: int) -> int:
+        """Stop an entry as planned; return its exit code."""
+        process = self.entries[entry].process
+        process.send_signal(SIGTERM)
+        return await process.wait()
--- /dev/null
+++ b/tests/unit/platform/test_boundary.py
@@ -0,0 +1,64 @@
+"""The platform's names stay in its adapter, and the adapter decides nothing."""
+
+import ast
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parents[3]
+ADAPTER = ROOT / "platform" / "src" / "clementinebend_platform"
+SOURCES = sorted((ROOT / "libs").glob("*/src/**/*.py"))
+
+WIRE_WORDS = (
+    "x-not-executed",
+    "x-expect-instance",
+    "x-token-usage",
+    "x-prefix-hash",
+    "x-response-signature",
+    "clementinebend/log-",
+    "clementinebend/report",
+    "clementinebend/kv-",
+    "clementinebend/readyz",
+    "keyed.op",
+    "keyed.servers",
+    "path_prefix",
+    "api_keys",
+)
+
+DECIDING = ("ledger", "admission.queue", "routing.choice", "membership")
+"""Libraries that decide; the adapter may only name their types."""
+
+
+@pytest.mark.parametrize("word", WIRE_WORDS)
+def test_the_wire_is_named_in_the_adapter_only(word: str) -> None:
+    wrong = [
+        str(path.relative_to(ROOT))
+        for path in SOURCES
+        if word in path.read_text(encoding="utf-8").lower()
+    ]
+    assert not wrong
+
+
+def test_the_adapter_imports_no_decisions() -> None:
+    names = {
+        node.module
+        for path in ADAPTER.glob("*.py")
+        for node in ast.walk(ast.parse(path.read_text(encoding="utf-8")))
+        if isinstance(node, ast.ImportFrom) and node.module
+    }
+    wrong = {
+        name
+        for name in names
+        for decision in DECIDING
+        if name.startswith(f"clementinebend_{decision}")
+    }
+    assert not wrong
+
+
+def test_nothing_but_the_adapter_imports_the_adapter() -> None:
+    wrong = [
+        str(path.relative_to(ROOT))
+        for path in SOURCES
+        if "clementinebend_platform." in path.read_text(encoding="utf-8")
+    ]
+    assert not wrong
--- /dev/null
+++ b/tests/unit/platform/test_http_protocol.py
@@ -0,0 +1,131 @@
+"""Headers and statuses at the platform's boundary."""
+
+from typing import Any
+
+import pytest
+
+from clementinebend_platform.http_protocol import STATUSES, PlatformProtocol
+from clementinebend_relay.interfaces import Dispatch, Verdict
+from clementinebend_relay.models import Call, Endpoint, Reason, Rejection
+from clementinebend_routing.sessions import PromptPart
+from clementinebend_transport.client_connection import Address
+from clementinebend_transport.http_types import Request
+
+PROTOCOL = PlatformProtocol()
+ENDPOINT = Endpoint("i-1", "pool", Address("10.0.0.1", 80), "a", 4, False)
+HEADERS = {
+    "host": "Desk.example",
+    "x-request-id": "r1",
+    "x-deadline-ms": "1500",
+    "x-model": "m",
+    "x-token-usage": "1460,80",
+    "x-prefix-hash": "5c1e07a2:800,91bd3f06:410,e4402b7d:250",
+    "authorization": "Bearer secret",
+    "content-length": "2",
+}
+
+
+def read(**changes: str | None) -> Call | Rejection:
+    named = {name.replace("_", "-"): value for name, value in changes.items()}
+    merged = {**HEADERS, **named}
+    headers = {name: value for name, value in merged.items() if value is not None}
+    return PROTOCOL.read_call(Request("POST", "/a/b?c", headers, b"{}"))
+
+
+def call(**changes: str | None) -> Call:
+    outcome = read(**changes)
+    assert isinstance(outcome, Call)
+    return outcome
+
+
+def sent(made: Call, **changes: Any) -> dict[str, str]:
+    dispatch = Dispatch(ENDPOINT, "desk", 1.25, 2, None)._replace(**changes)
+    head = PROTOCOL.endpoint_request(made, dispatch)
+    return {name.decode(): value.decode() for name, value in head.headers}
+
+
+def test_a_call_is_decoded() -> None:
+    made = call()
+    assert made.path == "/a/b"
+    assert made.host == "desk.example"
+    assert made.key == "secret"
+    assert made.time_limit == 1.5
+    assert made.most_tokens == 1540
+    assert made.parts[1] == PromptPart("91bd3f06", 410)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"x_request_id": None},
+        {"x_token_usage": "many,80"},
+        {"x_deadline_ms": "soon"},
+    ],
+)
+def test_a_call_that_cannot_be_read_is_malformed(changes: dict[str, str]) -> None:
+    outcome = read(**changes)
+    assert isinstance(outcome, Rejection)
+    assert outcome.reason is Reason.MALFORMED
+
+
+def test_the_endpoint_gets_what_the_system_sets() -> None:
+    headers = sent(call())
+    assert headers["x-expect-instance"] == "i-1"
+    assert headers["x-tenant"] == "desk"
+    assert headers["x-deadline-ms"] == "1250"
+    assert headers["x-token-usage"] == "1460,80"
+    assert headers["x-request-id"] == "r1"
+    assert "authorization" not in headers
+
+
+@pytest.mark.parametrize(
+    "name", ["x-tenant", "x-hold", "x-pin-ms", "x-kv-backup", "kv-from", "kv-fetch"]
+)
+def test_what_only_the_system_sets_is_not_taken_from_a_caller(name: str) -> None:
+    headers = sent(call(**{name.replace("-", "_"): "forged"}), team=None)
+    assert name not in headers
+
+
+def test_headers_of_one_connection_are_not_passed_on() -> None:
+    headers = sent(call(connection="X-Local, keep-alive", x_local="1", te="gzip"))
+    assert not {"connection", "x-local", "te"} & set(headers)
+
+
+def test_a_stream_is_resumed_after_the_last_event_that_was_passed_on() -> None:
+    made = call(last_event_id="12")
+    assert made.last_event == "12"
+    assert sent(made, resume_after="17")["last-event-id"] == "17"
+
+
+SIGNED = {"x-request-id": "r1", "x-response-signature": "s"}
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "verdict"),
+    [
+        (200, SIGNED, Verdict.SUCCESS),
+        (200, {"x-request-id": "r1"}, Verdict.FOREIGN),
+        (200, {**SIGNED, "x-request-id": "r0"}, Verdict.FOREIGN),
+        (503, {"x-not-executed": "1"}, Verdict.NOT_RUN),
+        (503, {}, Verdict.FAILED),
+        (500, SIGNED, Verdict.FAILED),
+        (421, {}, Verdict.WRONG_ENDPOINT),
+    ],
+)
+def test_answers_are_judged(
+    status: int, headers: dict[str, str], verdict: Verdict
+) -> None:
+    assert PROTOCOL.judge(call(), status, headers) is verdict
+
+
+@pytest.mark.parametrize("reason", list(Reason))
+def test_each_rejection_has_a_status(reason: Reason) -> None:
+    response = PROTOCOL.rejection_response(Rejection(reason, "why", 0.25), "r1")
+    assert response.status == STATUSES[reason]
+    assert ("retry-after", "0.250") in response.headers
+    assert not any(name == "x-response-signature" for name, _ in response.headers)
+
+
+def test_only_what_has_not_run_is_told_so() -> None:
+    unsure = (Reason.MAY_HAVE_RUN, Reason.TIMEOUT_MAY_HAVE_RUN)
+    assert not {STATUSES[reason] for reason in unsure} & {408, 421, 429, 503}
--- /dev/null
+++ b/tests/unit/platform/test_settings.py
@@ -0,0 +1,78 @@
+"""The platform's settings file: what is wrong is told in one line."""
+
+from pathlib import Path
+
+import pytest
+from expression import Result
+
+from clementinebend_platform.settings import (
+    PlatformSettings,
+    load_gateway_settings,
+    load_settings,
+)
+
+GOOD = """
+node_name = "edge-1"
+ip = "10.1.0.40"
+zone = "a"
+internal_port_range = [7340, 7355]
+unknown = 1
+[listen]
+front = "10.1.0.40:8227"
+ready_address = "10.1.0.40:8220"
+[limits]
+memory_mb = 300
+link_mbps = 1000.0
+[bounds]
+drain_ms = 2000
+grace_s = 8
+retry_budget_ratio = 0.2
+budget_window_s = 10
+budget_slack = 56
+[platform]
+address = "10.200.1.7:8223"
+"""
+
+
+def load(tmp_path: Path, text: str) -> Result[PlatformSettings, str]:
+    file = tmp_path / "local.toml"
+    file.write_text(text)
+    return load_settings(str(file))
+
+
+def test_settings_are_read(tmp_path: Path) -> None:
+    settings = load(tmp_path, GOOD).ok
+    assert settings.relay.callers == ("10.1.0.40", 8227)
+    assert settings.relay.peers == ("10.1.0.40", 7340)
+    assert settings.metrics_port == 7355
+    assert settings.store == ("10.200.1.7", 8223)
+    assert settings.relay.leave_within == 2.0
+
+
+def test_a_gateway_needs_less(tmp_path: Path) -> None:
+    file = tmp_path / "local.toml"
+    file.write_text(GOOD)
+    assert load_gateway_settings(str(file)).ok.address == ("10.1.0.40", 7340)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "told"),
+    [
+        ('zone = "a"', "", "zone"),
+        ("grace_s = 8", 'grace_s = "long"', "grace_s"),
+        ("10.1.0.40:8227", "10.1.0.40", "write IP:PORT"),
+        ("[limits]", "[limits", "TOML"),
+    ],
+)
+def test_what_is_wrong_is_told_in_one_line(
+    tmp_path: Path, old: str, new: str, told: str
+) -> None:
+    problem = load(tmp_path, GOOD.replace(old, new)).error
+    assert told in problem
+    assert "local.toml" in problem
+    assert "\n" not in problem
+
+
+def test_a_missing_file_is_told() -> None:
+    assert "cannot be read" in load_settings("/nowhere/local.toml").error
+    assert "CLEMENTINEBEND_SETTINGS" in load_settings("").error
