Charge a call for what was delivered, and batch reads of endpoints

Cause: calls whose answer was lost, or whose caller left before it, were charged their prompt; a team so ran out before it had got its budget, and all its later calls were refused though owed. Each record of an endpoint woke all entries.

--- a/libs/relay/src/clementinebend_relay/following.py
+++ b/libs/relay/src/clementinebend_relay/following.py
@@ -16,6 +16,11 @@
 """Seconds that a read waits for a first record; also how soon a connection
 that went silent is noticed, well inside the 2 s in which a change must act."""
 
+BATCH_PAUSE = 0.4
+"""Seconds between reads of a partition that many write to: 32 endpoints that
+announce themselves each 1.2 s would else make 27 reads a second of each entry.
+Well inside the 2 s in which a leaving endpoint must be left alone."""
+
 RETRY_PAUSE = 0.25
 """Seconds after a failed read, as often as the store's limit of reads allows."""
 
@@ -24,7 +29,8 @@
     """Reads one partition for ever; the task that runs it owns its state.
 
     ``on_record`` takes each record, oldest first. ``on_snapshot`` takes the
-    names of all keys there are, after the records of a fresh start.
+    names of all keys there are, after the records of a fresh start. Between
+    reads that find something there is a ``pause`` in seconds.
     """
 
     def __init__(
@@ -34,7 +40,9 @@
         on_record: Callable[[KeyedRecord], None],
         on_snapshot: Callable[[frozenset[str], int], None],
         clock: Callable[[], float],
+        pause: float = 0.0,
     ) -> None:
+        self.pause = pause
         self.name = name
         self.log = log
         self.on_record = on_record
@@ -70,6 +78,8 @@
         match outcome:
             case Page():
                 self._take(outcome, is_snapshot)
+                if outcome.records and self.pause:
+                    await sleep(self.pause)
             case RecordsDropped():
                 self.offset = None
             case StoreFailure():
--- a/libs/relay/src/clementinebend_relay/process.py
+++ b/libs/relay/src/clementinebend_relay/process.py
@@ -1,11 +1,12 @@
 """One entry process on the direct path: its tasks and its planned stop."""
 
 from asyncio import Event, Task, create_task, gather, get_running_loop, sleep
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from logging import getLogger
-from typing import Any
+from typing import Any, Protocol
 
 from clementinebend_membership.rendezvous import rendezvous
+from clementinebend_platform_client.keyed_log import KeyedLog, KeyedRecord
 from clementinebend_platform_client.store_paths import Probe, StorePaths
 from clementinebend_platform_client.supervision import stop_process, watch
 from clementinebend_records.identifiers import Incarnation, name_of
@@ -16,7 +17,7 @@
 from clementinebend_relay.datagrams import DatagramSocket, open_socket
 from clementinebend_relay.dispatch import Dispatcher
 from clementinebend_relay.endpoints import EndpointTable
-from clementinebend_relay.following import Follower
+from clementinebend_relay.following import BATCH_PAUSE, Follower
 from clementinebend_relay.handler import CallHandler
 from clementinebend_relay.interfaces import HttpProtocol, Logs, Records
 from clementinebend_relay.messages import (
@@ -100,7 +101,7 @@
         )
         self.followers = (
             _follower("configuration", logs.configuration, self.configuration, clock),
-            _follower("endpoints", logs.endpoints, self.endpoints, clock),
+            _follower("endpoints", logs.endpoints, self.endpoints, clock, BATCH_PAUSE),
             _follower("entries", logs.entries, self.entries, clock),
             _follower("gateways", logs.gateways, self.gateways, clock),
         )
@@ -225,8 +226,26 @@
         return render_metrics()
 
 
-def _follower(name: str, log: Any, table: Any, clock: Any) -> Follower:
-    return Follower(name, log, table.on_record, table.on_snapshot, clock)
+class Table(Protocol):
+    """What keeps the records that a follower reads."""
+
+    def on_record(self, record: KeyedRecord) -> None:
+        """Take a record."""
+        ...
+
+    def on_snapshot(self, keys: frozenset[str], end: int) -> None:
+        """Take the names of all keys, and the log's end."""
+        ...
+
+
+def _follower(
+    name: str,
+    log: KeyedLog,
+    table: Table,
+    clock: Callable[[], float],
+    pause: float = 0.0,
+) -> Follower:
+    return Follower(name, log, table.on_record, table.on_snapshot, clock, pause)
 
 
 async def run_relay(process: RelayProcess, metrics_port: int, stop: Event) -> int:
--- a/libs/relay/src/clementinebend_relay/progress.py
+++ b/libs/relay/src/clementinebend_relay/progress.py
@@ -3,13 +3,9 @@
 from typing import NamedTuple
 
 from clementinebend_relay.admission import Admitted
-from clementinebend_relay.models import Reason, Rejection
+from clementinebend_relay.models import Reason, Rejection, RouteKind
 from clementinebend_transport.http_types import Response
 
-BROKEN_MARGIN = 8
-"""Events counted beside those seen when a stream breaks off: those that the
-endpoint may have delivered before it noticed, at most 0.05 s of its work."""
-
 NOT_RUN_PAUSE = 0.25
 """Seconds after which a caller may come back to an endpoint that was full."""
 
@@ -42,12 +38,18 @@
         return self.admitted.route.max_attempts - self.attempts
 
     def usage(self) -> Usage:
-        """Return what the call cost: its prompt once, and what was delivered."""
-        if not self.may_have_run:
-            return Usage(0, self.attempts)
+        """Return what the call cost: its prompt once, and what was delivered.
+
+        A team pays for what it gets: a call of which nothing was delivered
+        costs nothing, whether or not an endpoint ran it.
+        """
         call = self.admitted.call
-        events = self.events if self.is_whole else self.events + BROKEN_MARGIN
-        made = min(call.max_output_tokens, events * self.admitted.service.event_tokens)
+        if self.events == 0 and not self.is_whole:
+            return Usage(0, self.attempts)
+        made = self.events * self.admitted.service.event_tokens
+        if self.admitted.route.kind is not RouteKind.STREAM:
+            made = call.max_output_tokens
+        made = min(call.max_output_tokens, made)
         return Usage(call.prompt_tokens + made, self.attempts)
 
     def rejection(self, now: float) -> Rejection:
--- /dev/null
+++ b/tests/unit/relay/test_progress.py
@@ -0,0 +1,67 @@
+"""What a call costs, and what its caller is told at its end."""
+
+import pytest
+
+from clementinebend_relay.admission import Admitted
+from clementinebend_relay.models import (
+    Call,
+    Reason,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+    Team,
+)
+from clementinebend_relay.progress import CallProgress
+
+CALL = Call("r", "POST", "/s/", "h", (), b"", "k", 5.0, (), 100, 30, None)
+SERVICE = Service("pool", 10, 3)
+
+
+def progress(kind: RouteKind = RouteKind.STREAM) -> CallProgress:
+    route = Route(
+        "r", "/s/", kind, 5.0, 0.5, 1, (ServiceShare("pool", 1.0),), 2, True, True
+    )
+    team = Team("desk", 1000, None)
+    return CallProgress(Admitted(CALL, route, SERVICE, team, 1, 5.0, 1), 10.0)
+
+
+def test_a_call_of_which_nothing_was_delivered_costs_nothing() -> None:
+    made = progress()
+    made.may_have_run = True
+    assert made.usage().tokens == 0
+
+
+@pytest.mark.parametrize(("events", "tokens"), [(1, 103), (4, 112), (50, 130)])
+def test_a_stream_costs_its_prompt_and_its_events(events: int, tokens: int) -> None:
+    made = progress()
+    made.may_have_run = True
+    made.events = events
+    assert made.usage().tokens == tokens
+
+
+def test_a_whole_answer_without_events_costs_the_most() -> None:
+    made = progress(RouteKind.IDEMPOTENT)
+    made.is_whole = True
+    assert made.usage().tokens == CALL.most_tokens
+
+
+@pytest.mark.parametrize(
+    ("may_have_run", "attempts", "now", "reason"),
+    [
+        (False, 0, 1.0, Reason.NO_ENDPOINT),
+        (False, 1, 1.0, Reason.NOT_RUN),
+        (False, 1, 10.0, Reason.TIMEOUT_NOT_RUN),
+        (True, 1, 1.0, Reason.MAY_HAVE_RUN),
+        (True, 1, 10.0, Reason.TIMEOUT_MAY_HAVE_RUN),
+    ],
+)
+def test_only_what_cannot_have_run_is_told_as_not_run(
+    may_have_run: bool, attempts: int, now: float, reason: Reason
+) -> None:
+    made = progress()
+    made.may_have_run = may_have_run
+    made.attempts = attempts
+    rejection = made.rejection(now)
+    assert rejection.reason is reason
+    assert (rejection.retry_after is None) == may_have_run
