Play a randomized soak of the real programs

Before: none. Conclusion: faults are cuts, resets, delays and one-way silence by a proxy, broken engines and stores, kills, stops and pauses of entries, and changes.

--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -33,6 +33,7 @@
         self.runs: Counter[str] = Counter()
         self.requests: list[Request] = []
         self.cancelled: list[str] = []
+        self.announced_port: int | None = None
         self.server: HttpServer | None = None
 
     async def start(self) -> None:
@@ -46,7 +47,9 @@
 
     def entry(self, state: str = "ready") -> bytes:
         """Return what the engine writes to the store."""
-        port = 0 if self.server is None else self.server.port
+        port = self.announced_port
+        if port is None:
+            port = 0 if self.server is None else self.server.port
         return encode(
             {
                 "service": self.service,
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -106,6 +106,7 @@
         self.engines: list[EngineStandin] = []
         self.version = 0
         self.ids = count(1)
+        self.launches = count(1)
 
     async def start(
         self, entries: int = 1, engines: int = 2, prepaid: int = 1_000_000
@@ -154,8 +155,13 @@
         self.store.put("servers", engine.name, engine.entry())
         return engine
 
-    async def add_entry(self, name: str, zone: str, grace: float = 5.0) -> Entry:
-        """Start an entry and wait until it is ready."""
+    async def add_entry(
+        self, name: str, zone: str, grace: float = 5.0, store: int | None = None
+    ) -> Entry:
+        """Start an entry and wait until it is ready.
+
+        ``store`` is the port at which it finds the store.
+        """
         ports = [free_port() for _ in range(4)]
         settings = self.folder / f"{name}.toml"
         settings.write_text(
@@ -166,11 +172,24 @@
                 ready_port=ports[1],
                 peer_port=ports[2],
                 metrics_port=ports[3],
-                store_port=self.store.port,
+                store_port=store or self.store.port,
                 grace=grace,
             )
         )
-        output = self.folder / f"{name}-{len(self.entries)}.log"
+        entry = await self._launch(name, settings, ports)
+        self.entries.append(entry)
+        await until(lambda: self.is_ready(entry), READY_SECONDS)
+        return entry
+
+    async def restart_entry(self, number: int) -> None:
+        """Start an entry that has ended anew, at its addresses."""
+        old = self.entries[number]
+        ports = [old.port, old.ready_port, 0, old.metrics_port]
+        settings = self.folder / f"{old.name}.toml"
+        self.entries[number] = await self._launch(old.name, settings, ports)
+
+    async def _launch(self, name: str, settings: Path, ports: list[int]) -> Entry:
+        output = self.folder / f"{name}-{next(self.launches)}.log"
         with output.open("wb") as file:
             process = await create_subprocess_exec(
                 sys.executable,
@@ -180,10 +199,7 @@
                 stdout=file,
                 stderr=subprocess.STDOUT,
             )
-        entry = Entry(name, ports[0], ports[1], ports[3], process, output)
-        self.entries.append(entry)
-        await until(lambda: self.is_ready(entry), READY_SECONDS)
-        return entry
+        return Entry(name, ports[0], ports[1], ports[3], process, output)
 
     async def is_ready(self, entry: Entry) -> bool:
         """Ask as the balancer does."""
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,39 @@
+"""Play seeds of the soak: ``python -m tests.soak FIRST COUNT [AT_ONCE]``."""
+
+from asyncio import Semaphore, gather, run
+from pathlib import Path
+from sys import argv, stdout
+from tempfile import mkdtemp
+
+from tests.soak.run import Soak
+
+
+async def main(first: int, count: int, at_once: int) -> int:
+    """Play ``count`` seeds; return how many broke a promise."""
+    turns = Semaphore(at_once)
+    results = await gather(*(play(seed, turns) for seed in range(first, first + count)))
+    stdout.write(f"{count - sum(results)} passed, {sum(results)} failed\n")
+    return sum(results)
+
+
+async def play(seed: int, turns: Semaphore) -> bool:
+    """Play one seed and tell what it broke; its logs stay if it did."""
+    async with turns:
+        folder = Path(mkdtemp(prefix=f"soak-{seed}-"))
+        soak = Soak(seed, folder)
+        problems = await soak.run()
+    served = sum(call.status == 200 for call in soak.calls)
+    stdout.write(
+        f"seed {seed}: {len(soak.calls)} calls, {served} served, "
+        f"{len(soak.done)} faults, {len(problems)} broken\n"
+    )
+    for problem in problems[:5]:
+        stdout.write(f"  {problem}\n")
+    if problems:
+        stdout.write(f"  faults: {', '.join(soak.done)}\n  logs: {folder}\n")
+    return bool(problems)
+
+
+if __name__ == "__main__":
+    numbers = [int(word) for word in argv[1:]]
+    raise SystemExit(min(1, run(main(*(numbers + [1, 1, 4][len(numbers) :])))))
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,203 @@
+"""One seeded run of the soak: load, faults that overlap, and what was seen."""
+
+from asyncio import Task, create_task, gather, get_running_loop, sleep
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from pathlib import Path
+from random import Random
+from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
+from typing import Any
+
+from tests.lib.platform_engine import EngineStandin
+from tests.lib.platform_fleet import Fleet
+from tests.lib.waiting import until
+from tests.soak.promises import Seen, broken_promises
+from tests.soak.proxy import MODES, FaultProxy
+
+ENTRIES = 3
+ENGINES = 2
+CLIENTS = 8
+SECONDS = 8.0
+RECOVERY_SECONDS = 12.0
+PREPAID = 60_000
+PATHS = ("/safe/x", "/once/x", "/stream/x", "/stream/x", "/stream-once/x")
+ENGINE_FAULTS = ("full", "fail", "foreign", "cut", "gap", "silent")
+STORE_FAULTS = ("busy", "silent", "lost", "slow")
+
+
+class Soak:
+    """The programs, their proxies, and the calls made so far."""
+
+    def __init__(self, seed: int, folder: Path) -> None:
+        self.random = Random(seed)
+        self.fleet = Fleet(folder)
+        self.calls: list[Seen] = []
+        self.store_proxies: list[FaultProxy] = []
+        self.engine_proxies: list[FaultProxy] = []
+        self.prepaid = PREPAID
+        self.has_stopped = False
+        self.done: list[str] = []
+
+    async def run(self) -> list[str]:
+        """Play the seed; return the promises that were broken."""
+        try:
+            await self._start()
+            clients = [create_task(self._client(number)) for number in range(CLIENTS)]
+            await self._disturb()
+            await self._heal()
+            self.has_stopped = True
+            await gather(*clients)
+            problems = broken_promises(self.calls, self.fleet.engines, self.prepaid)
+            return problems + await self._unserved()
+        finally:
+            await self.fleet.stop()
+            for proxy in (*self.store_proxies, *self.engine_proxies):
+                proxy.close()
+
+    async def _start(self) -> None:
+        fleet = self.fleet
+        await fleet.store.start()
+        fleet.configure(self.prepaid)
+        for service in ("pool", "desk"):
+            for _ in range(ENGINES):
+                await self._add_engine(service)
+        for number in range(ENTRIES):
+            proxy = FaultProxy(fleet.store.port)
+            await proxy.start()
+            self.store_proxies.append(proxy)
+            await fleet.add_entry(f"edge-{number}", f"z{number}", store=proxy.port)
+
+    async def _add_engine(self, service: str) -> None:
+        engine = EngineStandin(service)
+        await engine.start()
+        assert engine.server is not None
+        proxy = FaultProxy(engine.server.port)
+        await proxy.start()
+        self.engine_proxies.append(proxy)
+        engine.announced_port = proxy.port
+        self.fleet.engines.append(engine)
+        self.fleet.store.put("servers", engine.name, engine.entry())
+
+    async def _client(self, number: int) -> None:
+        """Make calls, one after the other, until the load ends."""
+        random = Random(number)
+        while not self.has_stopped:
+            path = random.choice(PATHS)
+            prompt = random.randrange(20, 200)
+            request_id = f"c{number}-{len(self.calls)}-{random.randrange(10**9)}"
+            place = len(self.calls)
+            self.calls.append(Seen(request_id, path, prompt, None, b""))
+            outcome = await self.fleet.call(
+                path,
+                random.randrange(ENTRIES),
+                (prompt, 24),
+                request_id=request_id,
+                x_deadline_ms="1500",
+            )
+            if outcome.is_ok():
+                self.calls[place] = Seen(
+                    request_id, path, prompt, outcome.ok.status, outcome.ok.body
+                )
+            await sleep(random.random() * 0.05)
+
+    async def _disturb(self) -> None:
+        """Bring faults about, in series and overlapping."""
+        kinds: tuple[Callable[[], Awaitable[None]], ...] = (
+            self._cut_store,
+            self._cut_engine,
+            self._break_engine,
+            self._break_store,
+            self._stop_entry,
+            self._pause_entry,
+            self._change,
+        )
+        end = get_running_loop().time() + SECONDS
+        faults: list[Task[Any]] = []
+        while get_running_loop().time() < end:
+            faults.append(create_task(self._fault(self.random.choice(kinds))))
+            await sleep(self.random.uniform(0.1, 0.9))
+        await gather(*faults)
+
+    async def _fault(self, kind: Callable[[], Awaitable[None]]) -> None:
+        await kind()
+
+    def _note(self, what: str) -> None:
+        self.done.append(what)
+
+    async def _span(self) -> None:
+        await sleep(self.random.uniform(0.2, 3.0))
+
+    async def _cut_store(self) -> None:
+        proxy = self.random.choice(self.store_proxies)
+        await self._cut(proxy, "store")
+
+    async def _cut_engine(self) -> None:
+        proxy = self.random.choice(self.engine_proxies)
+        await self._cut(proxy, "engine")
+
+    async def _cut(self, proxy: FaultProxy, name: str) -> None:
+        mode = self.random.choice(MODES[1:])
+        self._note(f"{name} {mode}")
+        proxy.change(mode)
+        await self._span()
+        proxy.change("")
+
+    async def _break_engine(self) -> None:
+        engine = self.random.choice(self.fleet.engines)
+        engine.fault = self.random.choice(ENGINE_FAULTS)
+        self._note(f"{engine.name} {engine.fault}")
+        await self._span()
+        engine.fault = ""
+
+    async def _break_store(self) -> None:
+        self.fleet.store.fault = self.random.choice(STORE_FAULTS)
+        self._note(f"store {self.fleet.store.fault}")
+        await self._span()
+        self.fleet.store.fault = ""
+
+    async def _stop_entry(self) -> None:
+        """Kill or stop an entry, and start it anew."""
+        number = self.random.randrange(ENTRIES)
+        entry = self.fleet.entries[number]
+        signal = self.random.choice((SIGKILL, SIGTERM))
+        self._note(f"{entry.name} {signal.name}")
+        with suppress(ProcessLookupError):
+            entry.process.send_signal(signal)
+        await entry.process.wait()
+        if self.fleet.entries[number] is entry:
+            await self.fleet.restart_entry(number)
+
+    async def _pause_entry(self) -> None:
+        entry = self.random.choice(self.fleet.entries)
+        self._note(f"{entry.name} paused")
+        with suppress(ProcessLookupError):
+            entry.process.send_signal(SIGSTOP)
+            await self._span()
+            entry.process.send_signal(SIGCONT)
+
+    async def _change(self) -> None:
+        """Top up the budget by a new version of the configuration."""
+        self.prepaid += self.random.choice((0, 500))
+        self._note("configuration")
+        self.fleet.configure(self.prepaid)
+
+    async def _heal(self) -> None:
+        for proxy in (*self.store_proxies, *self.engine_proxies):
+            proxy.change("")
+        for engine in self.fleet.engines:
+            engine.fault = ""
+        self.fleet.store.fault = ""
+
+    async def _unserved(self) -> list[str]:
+        """Return the entries that do not serve again in time."""
+        unserved = []
+        for number, entry in enumerate(self.fleet.entries):
+            try:
+                await until(lambda: self._serves(number), RECOVERY_SECONDS)  # noqa: B023
+            except TimeoutError:
+                unserved.append(f"{entry.name} does not serve after the faults")
+        return unserved
+
+    async def _serves(self, number: int) -> bool:
+        outcome = await self.fleet.call("/safe/x", number)
+        return bool(outcome.is_ok() and outcome.ok.status == 200)
