Apply changed settings, and bound what is remembered of gifts and caches

Cause: SIGHUP was only logged; parts believed cached at endpoints that are gone and gifts taken were kept for ever. Unit tests (220) and functional tests of the platform (16) pass.

--- a/libs/platform_client/src/clementinebend_platform_client/store_paths.py
+++ b/libs/platform_client/src/clementinebend_platform_client/store_paths.py
@@ -32,6 +32,14 @@
         self.gateways: Sequence[Address] = ()
         self.failed_at: dict[Address, float] = {}
 
+    def move(self, direct: Address) -> None:
+        """Take another address for the direct path, if it has changed."""
+        if direct == self.direct:
+            return
+        if self.current == self.direct:
+            self.current = direct
+        self.direct = direct
+
     def on_failure(self, address: Address, problem: str) -> None:
         """Take another path if ``address``, which failed, is the current one."""
         self.failed_at[address] = self.clock()
--- a/libs/relay/src/clementinebend_relay/dispatch.py
+++ b/libs/relay/src/clementinebend_relay/dispatch.py
@@ -77,6 +77,7 @@
         self.retry_limits = retry_limits
         self.clock = clock
         self.sessions = SessionMemory()
+        endpoints.on_drop = self.sessions.forget
         self.retries: dict[str, RetryWindow] = {}
 
     def retry_window(self, service: str) -> RetryWindow:
--- a/libs/relay/src/clementinebend_relay/endpoints.py
+++ b/libs/relay/src/clementinebend_relay/endpoints.py
@@ -52,6 +52,7 @@
         self.clock = clock
         self.states: dict[str, EndpointState] = {}
         self.offsets: dict[str, int] = {}
+        self.on_drop: Callable[[str], None] | None = None
         self.is_known = False
 
     def on_record(self, record: KeyedRecord) -> None:
@@ -117,6 +118,8 @@
         """Take an endpoint out for good: it is not at its address any more."""
         if self.states.pop(name, None) is not None:
             log_decision("endpoint dropped", endpoint=name, reason=reason)
+            if self.on_drop is not None:
+                self.on_drop(name)
 
     def _put(self, endpoint: Endpoint) -> None:
         state = self.states.get(endpoint.name)
--- a/libs/relay/src/clementinebend_relay/peers.py
+++ b/libs/relay/src/clementinebend_relay/peers.py
@@ -33,6 +33,10 @@
 HEARD_SECONDS = 3.0
 """How long a peer's load counts after its last message."""
 
+GIFTS_REMEMBERED = 10_000
+"""Gifts remembered to take none twice: a minute's worth at 150 a second, and a
+datagram comes twice within milliseconds."""
+
 Send = Callable[[Message, Address], None]
 
 
@@ -73,7 +77,7 @@
         self.heard: dict[str, Heard] = {}
         self.homes: dict[int, Home] = {}
         self.gifts_made = 0
-        self.gifts_taken: set[tuple[str, int]] = set()
+        self.gifts_taken: dict[tuple[str, int], None] = {}
         budgets.neighbours = self
 
     def entry_count(self) -> int:
@@ -163,7 +167,9 @@
         name = (message.boot, message.number)
         if message.to != self.boot or name in self.gifts_taken:
             return
-        self.gifts_taken.add(name)
+        self.gifts_taken[name] = None
+        if len(self.gifts_taken) > GIFTS_REMEMBERED:
+            del self.gifts_taken[next(iter(self.gifts_taken))]
         self.budgets.on_gift(message.team, message.amount)
 
     def _send_to_all(self, message: Message) -> None:
--- a/libs/relay/src/clementinebend_relay/process.py
+++ b/libs/relay/src/clementinebend_relay/process.py
@@ -151,6 +151,16 @@
             await serve_http(self._metrics, callers.host, metrics_port, limits),
         ]
 
+    def reload(self, settings: RelaySettings, store: Address) -> None:
+        """Take changed settings; addresses that are bound stay as they are."""
+        bound = self.settings
+        self.settings = settings._replace(
+            callers=bound.callers, ready=bound.ready, peers=bound.peers
+        )
+        self.dispatcher.retry_limits = settings.retries
+        self.dispatcher.zone = settings.zone
+        self.paths.move(store)
+
     def is_ready(self) -> bool:
         """Tell whether callers should come here."""
         is_known = self.configuration.current is not None and self.endpoints.is_known
