Tell a change of the store's path once, not for each failed call

Before: 50 failures of all paths, 50 lines. After: 3 lines, in a test. Conclusion: no behaviour changes.

--- a/libs/platform_client/src/clementinebend_platform_client/store_paths.py
+++ b/libs/platform_client/src/clementinebend_platform_client/store_paths.py
@@ -48,19 +48,21 @@
         oldest = self.clock() - FAILED_SECONDS
         paths = (*self.gateways, self.direct)
         fit = [path for path in paths if self.failed_at.get(path, 0.0) < oldest]
-        self.current = next(iter(fit), self.direct)
-        logger.warning(
-            "store path changed",
-            extra={"from": str(address), "to": str(self.current), "problem": problem},
-        )
+        self._take(next(iter(fit), self.direct), problem)
 
     async def run(self, probe: Probe) -> None:
         """Go back to the direct path when it is in order, for ever."""
         while True:
             await sleep(PROBE_PAUSE)
             if self.current != self.direct and await probe(self.direct):
-                logger.warning(
-                    "store path changed",
-                    extra={"from": str(self.current), "to": str(self.direct)},
-                )
-                self.current = self.direct
+                self._take(self.direct, "the direct path is in order")
+
+    def _take(self, path: Address, reason: str) -> None:
+        """Take a path; one line a change, so that an outage fills no log."""
+        if path == self.current:
+            return
+        logger.warning(
+            "store path changed",
+            extra={"from": str(self.current), "to": str(path), "reason": reason},
+        )
+        self.current = path
