Open the reserve while the log keeps silent, before it counts as lost

Cause: a home that was asked by another entry opened its reserve only once a call to the store had failed, 0.6 s and more after the store fell silent; the other entries' calls were refused till then. Ruled out: load (it fails on its own); witnesses not yet named (asks to the home came 0.9 s after its last reading). Conclusion: a commit that takes over 50 ms counts as a log out of reach.

--- a/libs/relay/src/clementinebend_relay/budgets.py
+++ b/libs/relay/src/clementinebend_relay/budgets.py
@@ -165,13 +165,13 @@
         if home is not None:
             needed = account.waiting + borrowed(account, self.clock())
             self.neighbours.ask(home, team, Wish(needed))
-        elif keeper.lost_at is None:
-            keeper.urgent.set()
-        else:
+        elif keeper.is_stalled():
             keeper.open_reserve()
+        else:
+            keeper.urgent.set()
         while not await self._turn(keeper, team, amount):
             keeper.urgent.set()
-            if keeper.lost_at is not None or home is None:
+            if keeper.is_stalled() or home is None:
                 keeper.open_reserve()
             self.neighbours.ask_all(team, wish(account, amount, self.clock()))
 
@@ -195,9 +195,8 @@
             account.lent(asked.amount, self.clock())
         if amount < asked.amount:
             account.ask(asked.amount, self.clock())
-            if keeper.lost_at is None:
-                keeper.urgent.set()
-            else:
+            keeper.urgent.set()
+            if keeper.is_stalled():
                 keeper.open_reserve()
         return amount
 
--- a/libs/relay/src/clementinebend_relay/mark_keeper.py
+++ b/libs/relay/src/clementinebend_relay/mark_keeper.py
@@ -41,6 +41,10 @@
 COMMIT_SECONDS = 0.5
 """Pause between commits. A finished run must be settled within 1.5 s."""
 
+STALLED_SECONDS = 0.05
+"""How long a commit may take before the reserve is opened for calls that wait:
+five times the usual. A log that is silent counts as lost only later."""
+
 GUEST_SECONDS = 2.0
 """Pause between readings by an entry that is not the home of a partition."""
 
@@ -122,6 +126,7 @@
         self.offset: int | None = None
         self.read_at: float | None = None
         self.lost_at: float | None = None
+        self.called_at: float | None = None
         self.written_at: float | None = None
         self.heard: dict[str, float] = {}
         self.is_closing = False
@@ -172,10 +177,21 @@
             await self.commit()
             await self._pause()
 
+    def is_stalled(self) -> bool:
+        """Tell whether the log is out of reach, or takes long to answer."""
+        if self.lost_at is not None:
+            return True
+        waited = 0.0 if self.called_at is None else self.clock() - self.called_at
+        return waited > STALLED_SECONDS
+
     async def commit(self) -> bool:
         """Read the log, append what should change; return whether that worked."""
         async with self.committing:
-            return await self._commit()
+            self.called_at = self.clock()
+            try:
+                return await self._commit()
+            finally:
+                self.called_at = None
 
     async def _commit(self) -> bool:
         for attempt in count(1):
--- a/tests/unit/relay/test_mark_keeper.py
+++ b/tests/unit/relay/test_mark_keeper.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from clementinebend_ledger.mark_gifts import Wish
 from tests.unit.relay.mark_world import TEAM, MarkWorld
 
 PREPAID = 100_000
@@ -138,3 +139,14 @@
     short = world.entries[0].keeper.short(TEAM, PREPAID + 1)
     assert short.is_spent
     assert not world.entries[0].keeper.short(TEAM, PREPAID // 2).is_spent
+
+
+def test_a_home_opens_its_reserve_while_the_log_keeps_silent(world: MarkWorld) -> None:
+    raise_demand(world, 0)
+    entry = world.entries[0]
+    spend_all(world, 0)
+    entry.keeper.called_at = world.clock.now
+    world.clock.now += 0.2
+    entry.budgets.on_ask(TEAM, Wish(50))
+    world.deliver()
+    assert entry.budgets.on_ask(TEAM, Wish(50)) > 0
