--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SOURCES := $(wildcard libs/*/src) platform/src tests
 STAMP := $(VENV)/.installed
 
-.PHONY: install test lint format demo bench capacity fuzz clean
+.PHONY: install test lint format demo bench capacity fuzz soak clean
 
 $(STAMP): requirements.txt requirements-dev.txt $(wildcard libs/*/pyproject.toml) platform/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -42,5 +42,11 @@
 fuzz: install
 	CLEMENTINEBEND_FUZZ=1 $(BIN)/python -m pytest tests/unit -k "stateful or race or deltas"
 
+# Seeds of the fault soak: make soak SEED=1 SEEDS=50
+SEED ?= 1
+SEEDS ?= 10
+soak: install
+	$(BIN)/python -m tests.soak $(SEED) $(SEEDS) 4
+
 clean:
 	rm -rf build $(VENV)
