--- a/libs/relay/src/clementinebend_relay/budgets.py
+++ b/libs/relay/src/clementinebend_relay/budgets.py
@@ -14,8 +14,6 @@
 from clementinebend_relay.models import Configuration, Team
 from clementinebend_relay.witnesses import Witnesses
 
-__all__ = ["Budgets", "Reservation", "Short"]
-
 ASK_PAUSE = 0.03
 """Seconds that a waiting call leaves to the home or the store, which answer in
 some 5 and 10 ms, before it turns to the reserve and to the other entries; also
--- a/libs/relay/src/clementinebend_relay/dispatch.py
+++ b/libs/relay/src/clementinebend_relay/dispatch.py
@@ -95,7 +95,7 @@
     ) -> EndpointState | None:
         """Return the endpoint for the next attempt, none if there is none left."""
         service = admitted.service
-        states = self.endpoints.candidates(service.name, self.zone)
+        states = self.endpoints.candidates(service.name)
         share = service.max_connections * CONNECTION_SHARE / self.peers.entry_count()
         now = self.clock()
         open_to = [
--- a/libs/relay/src/clementinebend_relay/endpoints.py
+++ b/libs/relay/src/clementinebend_relay/endpoints.py
@@ -82,10 +82,11 @@
         for name in set(self.states) - keys:
             self._lapse(name)
 
-    def candidates(self, service: str, zone: str) -> list[EndpointState]:
-        """Return the endpoints of ``service`` that may get work, best kind first.
+    def candidates(self, service: str) -> list[EndpointState]:
+        """Return the endpoints of ``service`` that may get work.
 
-        Those that lapsed a moment ago are a last resort.
+        Ejected ones are left out while others are listed. Those that lapsed a
+        moment ago are a last resort.
         """
         now = self.clock()
         self._drop_lapsed(now)
--- a/libs/relay/src/clementinebend_relay/handler.py
+++ b/libs/relay/src/clementinebend_relay/handler.py
@@ -4,11 +4,12 @@
 from collections.abc import Callable
 
 from clementinebend_relay.admission import Admitted, admit
-from clementinebend_relay.budgets import Budgets, Reservation, Short
+from clementinebend_relay.budgets import Budgets, Reservation
 from clementinebend_relay.configuration import ConfigurationTable
 from clementinebend_relay.decisions import log_decision
 from clementinebend_relay.dispatch import Dispatcher
 from clementinebend_relay.interfaces import HttpProtocol
+from clementinebend_relay.mark_keeper import Short
 from clementinebend_relay.metrics import (
     answered,
     first_byte_seconds,
--- a/libs/relay/src/clementinebend_relay/interfaces.py
+++ b/libs/relay/src/clementinebend_relay/interfaces.py
@@ -12,7 +12,6 @@
     Configuration,
     Endpoint,
     Rejection,
-    Route,
 )
 from clementinebend_transport.http_types import Request, Response
 
@@ -99,8 +98,3 @@
 
 CONFIGURATION_KEY = "config"
 """The key of the record that holds the newest configuration."""
-
-
-def services_of(route: Route) -> tuple[str, ...]:
-    """Return the names of the services that a route leads to."""
-    return tuple(share.service for share in route.services)
--- a/libs/relay/src/clementinebend_relay/mark_keeper.py
+++ b/libs/relay/src/clementinebend_relay/mark_keeper.py
@@ -348,11 +348,6 @@
             now,
         )
 
-    def unallocated(self, team: str) -> int:
-        """Return what no holder's mark covers."""
-        marks = self.book.teams.get(team, {}).values()
-        return self.prepaid.get(team, 0) - sum(mark.ceiling for mark in marks)
-
     def _next_append(self) -> Pending | None:
         """Return the records that should change, none if all are as they should be.
 
--- a/libs/relay/src/clementinebend_relay/settings.py
+++ b/libs/relay/src/clementinebend_relay/settings.py
@@ -21,6 +21,3 @@
     peers: Address
     retries: RetryLimits
     grace: float
-    leave_within: float
-    link_mbps: float
-    memory_mb: int
--- a/tests/unit/platform/test_settings.py
+++ b/tests/unit/platform/test_settings.py
@@ -46,7 +46,8 @@
     assert settings.relay.peers == ("10.1.0.40", 7340)
     assert settings.metrics_port == 7355
     assert settings.store == ("10.200.1.7", 8223)
-    assert settings.relay.leave_within == 2.0
+    assert settings.relay.grace == 8
+    assert settings.relay.retries == (0.2, 56, 10)
 
 
 def test_a_gateway_needs_less(tmp_path: Path) -> None:
