Wait in a test until the first sidecar holds the order port

Cause: a sidecar prints its ports before its ordering task binds the order port; paused in between it never holds it, and its replacement binds it and has nothing to wait for. Ruled out: the port chosen before it is bound (below the kernel's own range), a lost log line. Before: premise not waited for. After: the sidecar logs that it holds the port and the test waits for that line; with the same delay it passes. Conclusion: a fault of the test; what it checks is unchanged.

--- a/libs/sidecar/src/clementinebend_sidecar/orders.py
+++ b/libs/sidecar/src/clementinebend_sidecar/orders.py
@@ -57,6 +57,7 @@
         settings = self.settings
         if settings.order_port:
             self.port = await bind_order_port(settings.host, settings.order_port)
+            logger.info("order port bound", extra={"port": settings.order_port})
         if not settings.fenced and self.port is None:
             logger.warning("no order_port and no fencing: the engine is not ordered")
             return
--- a/tests/functional/test_sidecar_configuration.py
+++ b/tests/functional/test_sidecar_configuration.py
@@ -157,6 +157,11 @@
     async with running_slot(tmp_path) as slot:
         port = free_port()
         first, _ = await slot.start(order_port=port)
+
+        async def holds() -> bool:
+            return "order port bound" in first.log_text()
+
+        await wait_until(holds, "the first process holds the order port")
         slot.processes.pause(first)
         second, _ = await slot.start(order_port=port)
         await slot.publish(models=[NEW_MODEL])
