Remove two limits that nothing enforced, and state that nothing read

Cause: two constants promised bounds of an answer's and an event's size that no code keeps; a follower kept an age and a time of regaining for nobody. Ruled out: any use (search over sources and tests, lint, types). Conclusion: nothing changes; that these sizes have no bound is now open.

--- a/libs/relay/src/clementinebend_relay/events.py
+++ b/libs/relay/src/clementinebend_relay/events.py
@@ -9,9 +9,6 @@
 EVENT_END = compile(rb"\r?\n\r?\n")
 EVENT_ID = compile(rb"^id: ?([^\r\n]*)", MULTILINE)
 
-MAX_EVENT_BYTES = 1024 * 1024
-"""The largest event that is waited for."""
-
 
 class StreamEvent(NamedTuple):
     """One whole event: its bytes, and its id if it has one."""
--- a/libs/relay/src/clementinebend_relay/following.py
+++ b/libs/relay/src/clementinebend_relay/following.py
@@ -51,16 +51,6 @@
         self.offset: int | None = None
         self.read_at: float | None = None
         self.lost_at: float | None = None
-        self.regained_at: float | None = None
-
-    @property
-    def is_current(self) -> bool:
-        """Whether the partition was read once, and the last read succeeded."""
-        return self.read_at is not None and self.lost_at is None
-
-    def age(self) -> float | None:
-        """Return the seconds since the last successful read."""
-        return None if self.read_at is None else self.clock() - self.read_at
 
     async def run(self) -> None:
         """Follow for ever."""
@@ -92,7 +82,6 @@
             lost_for = round(self.read_at - self.lost_at, 3)
             log_dependency(self.name, is_lost=False, lost_for_s=lost_for)
             self.lost_at = None
-            self.regained_at = self.read_at
         for record in page.records:
             self.on_record(record)
         if is_snapshot:
--- a/libs/relay/src/clementinebend_relay/plain.py
+++ b/libs/relay/src/clementinebend_relay/plain.py
@@ -9,9 +9,6 @@
 from clementinebend_transport.exceptions import TruncatedAnswer
 from clementinebend_transport.http_types import Response
 
-MAX_BODY_BYTES = 16 * 1024 * 1024
-"""The largest answer that is held in memory to be given whole."""
-
 
 class PlainRelay:
     """Answers calls whose answer is read whole before any of it is relayed."""
