Forget what an endpoint held when it starts again under its name

Cause: an endpoint may start again under the id that it had, and tells by `born` that it is another boot; the code kept its cache, health, load and connections by name. An entry without a state, or with one unknown, counted as ready; one that became unreadable left the old one in force, and an entry of an unknown service took over the address of a sound endpoint. Change: another boot replaces the state of the one before (prompts, health, load and idle connections go; failures of the earlier boot say nothing of the later). All listed fields are required, of their type; an entry that is not so names no endpoint, with one line per problem, and the others hold. Ruled out: requiring `born`: the examples of the wire have none.

--- a/libs/relay/src/clementinebend_relay/attempts.py
+++ b/libs/relay/src/clementinebend_relay/attempts.py
@@ -132,18 +132,18 @@
             case Verdict.WRONG_ENDPOINT:
                 progress.problem = "another endpoint has the address"
                 outcome.answer.close()
-                self.dispatcher.endpoints.drop(name, progress.problem)
+                self.dispatcher.endpoints.drop(outcome.state, progress.problem)
             case Verdict.NOT_RUN:
                 progress.problem = "the endpoint had no room"
                 await read_body(outcome.answer, progress.deadline, MAX_FAILURE_BYTES)
             case Verdict.FOREIGN:
                 progress.problem = "the answer belongs to another request"
                 outcome.answer.close()
-                self.dispatcher.endpoints.on_end(name, ok=False)
+                self.dispatcher.endpoints.on_end(outcome.state, ok=False)
             case Verdict.FAILED:
                 progress.problem = "the endpoint failed"
                 progress.failure = await self._failure(outcome.answer, progress)
-                self.dispatcher.endpoints.on_end(name, ok=False)
+                self.dispatcher.endpoints.on_end(outcome.state, ok=False)
         log_decision(
             "attempt refused",
             request_id=call.request_id,
--- a/libs/relay/src/clementinebend_relay/dispatch.py
+++ b/libs/relay/src/clementinebend_relay/dispatch.py
@@ -13,6 +13,7 @@
 from clementinebend_relay.decisions import log_decision
 from clementinebend_relay.endpoints import EndpointState, EndpointTable
 from clementinebend_relay.interfaces import Dispatch, HttpProtocol, Verdict
+from clementinebend_relay.models import Endpoint
 from clementinebend_relay.peers import Peers
 from clementinebend_routing.sessions import SessionMemory, choose_for_session
 from clementinebend_transport.http_client import HttpClient, OpenAnswer
@@ -77,9 +78,14 @@
         self.retry_limits = retry_limits
         self.clock = clock
         self.sessions = SessionMemory()
-        endpoints.on_drop = self.sessions.forget
+        endpoints.on_drop = self._forget
         self.retries: dict[str, RetryWindow] = {}
 
+    def _forget(self, endpoint: Endpoint) -> None:
+        """Forget the prompts and the idle connections of a boot that is gone."""
+        self.sessions.forget(endpoint.name)
+        self.client.close_idle(endpoint.address)
+
     def retry_window(self, service: str) -> RetryWindow:
         """Return this entry's retries for a service."""
         return self.retries.setdefault(service, RetryWindow())
@@ -188,7 +194,7 @@
                 return Opened(state, answer, verdict)
             case _:
                 failure = sent.error
-        self.endpoints.on_end(endpoint.name, ok=False)
+        self.endpoints.on_end(state, ok=False)
         log_decision(
             "attempt failed",
             request_id=call.request_id,
--- a/libs/relay/src/clementinebend_relay/endpoints.py
+++ b/libs/relay/src/clementinebend_relay/endpoints.py
@@ -1,6 +1,6 @@
 """The endpoints that announce themselves, and what this entry sees of each."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from clementinebend_platform_client.keyed_log import KeyedRecord
 from clementinebend_relay.decisions import log_decision
@@ -52,7 +52,9 @@
         self.clock = clock
         self.states: dict[str, EndpointState] = {}
         self.offsets: dict[str, int] = {}
-        self.on_drop: Callable[[str], None] | None = None
+        self.problems: dict[str, str] = {}
+        self.services: frozenset[str] = frozenset()
+        self.on_drop: Callable[[Endpoint], None] | None = None
         self.on_known: Callable[[], None] | None = None
         self.is_known = False
 
@@ -62,16 +64,20 @@
             return
         self.offsets[record.key] = record.offset
         if not record.value:
+            self.problems.pop(record.key, None)
             self._lapse(record.key)
             return
         decoded = self.records.endpoint(record.key, record.value)
         if isinstance(decoded, Unusable):
-            log_decision(
-                "endpoint refused", endpoint=record.key, problem=decoded.problem
-            )
+            self._refuse(record.key, decoded.problem)
             return
+        self.problems.pop(record.key, None)
         self._put(decoded)
 
+    def configure(self, services: Iterable[str]) -> None:
+        """Take the names of the services there are."""
+        self.services = frozenset(services)
+
     def on_snapshot(self, keys: frozenset[str], end: int) -> None:
         """Take the names of all announced endpoints; ``end`` is the log's end.
 
@@ -103,10 +109,10 @@
         sound = [state for state in listed if not is_ejected(state.health, now)]
         return sound or listed or fit
 
-    def on_end(self, name: str, ok: bool) -> None:
-        """Take how a dispatch to the endpoint ended, for its health."""
-        state = self.states.get(name)
-        if state is None:
+    def on_end(self, state: EndpointState, ok: bool) -> None:
+        """Take how a dispatch to an endpoint ended, for the health of that boot."""
+        name = state.endpoint.name
+        if self.states.get(name) is not state:
             return
         now = self.clock()
         may_eject = self._may_eject(state.endpoint.service, now)
@@ -119,21 +125,43 @@
             )
         state.health = health
 
-    def drop(self, name: str, reason: str) -> None:
-        """Take an endpoint out for good: it is not at its address any more."""
-        if self.states.pop(name, None) is not None:
-            log_decision("endpoint dropped", endpoint=name, reason=reason)
-            if self.on_drop is not None:
-                self.on_drop(name)
+    def drop(self, state: EndpointState, reason: str) -> None:
+        """Take a boot of an endpoint out for good: it is not there any more."""
+        name = state.endpoint.name
+        if self.states.get(name) is not state:
+            return
+        del self.states[name]
+        log_decision("endpoint dropped", endpoint=name, reason=reason)
+        if self.on_drop is not None:
+            self.on_drop(state.endpoint)
+
+    def _refuse(self, name: str, problem: str) -> None:
+        """Use no endpoint of this name until a record that can be read comes.
+
+        An endpoint announces itself each second: a line is logged only when the
+        problem is another one than before.
+        """
+        if self.problems.get(name) != problem:
+            self.problems[name] = problem
+            log_decision("endpoint refused", endpoint=name, problem=problem)
+        state = self.states.get(name)
+        if state is not None:
+            self.drop(state, "its announcement cannot be used")
 
     def _put(self, endpoint: Endpoint) -> None:
         state = self.states.get(endpoint.name)
+        if state is not None and state.endpoint.boot != endpoint.boot:
+            self.drop(state, "it has started again")
+            state = None
         if state is None:
             self._drop_predecessors(endpoint)
             state = EndpointState(endpoint, self.clock())
             self.states[endpoint.name] = state
             log_decision(
-                "endpoint added", endpoint=endpoint.name, service=endpoint.service
+                "endpoint added",
+                endpoint=endpoint.name,
+                service=endpoint.service,
+                boot=endpoint.boot,
             )
         elif endpoint.is_leaving and not state.endpoint.is_leaving:
             log_decision("endpoint leaving", endpoint=endpoint.name)
@@ -144,15 +172,18 @@
         """Drop earlier boots at the address of a new one; they have ended.
 
         Their records stay for some heartbeats: after a loss of power of all hosts
-        calls would first go to boots that are gone.
+        calls would first go to boots that are gone. An announcement of a service
+        that is not configured shows nothing: anybody may have written it.
         """
+        if endpoint.service not in self.services:
+            return
         earlier = [
-            name
-            for name, state in self.states.items()
+            state
+            for state in self.states.values()
             if state.endpoint.address == endpoint.address
         ]
-        for name in earlier:
-            self.drop(name, "a later boot has its address")
+        for state in earlier:
+            self.drop(state, "a later boot has its address")
 
     def _lapse(self, name: str) -> None:
         state = self.states.get(name)
@@ -162,12 +193,12 @@
 
     def _drop_lapsed(self, now: float) -> None:
         gone = [
-            name
-            for name, state in self.states.items()
+            state
+            for state in self.states.values()
             if state.lapsed_at is not None and now > state.lapsed_at + LAPSED_SECONDS
         ]
-        for name in gone:
-            self.drop(name, "its announcement is gone")
+        for state in gone:
+            self.drop(state, "its announcement is gone")
 
     def _may_eject(self, service: str, now: float) -> bool:
         states = [
--- a/libs/relay/src/clementinebend_relay/models.py
+++ b/libs/relay/src/clementinebend_relay/models.py
@@ -96,7 +96,10 @@
 
 
 class Endpoint(NamedTuple):
-    """One boot of an endpoint, as it announced itself."""
+    """One boot of an endpoint, as it announced itself.
+
+    ``boot`` tells apart boots that keep the name, if the endpoint says so.
+    """
 
     name: str
     service: str
@@ -104,6 +107,7 @@
     zone: str
     slots: int
     is_leaving: bool
+    boot: int | None = None
 
 
 class Call(NamedTuple):
--- a/libs/relay/src/clementinebend_relay/plain.py
+++ b/libs/relay/src/clementinebend_relay/plain.py
@@ -30,9 +30,8 @@
 
     async def _read(self, running: Running, progress: CallProgress) -> Response | None:
         endpoints = self.dispatcher.endpoints
-        name = running.state.endpoint.name
         body = await read_body(running.answer, progress.deadline, MAX_ANSWER_BYTES)
-        endpoints.on_end(name, ok=body.is_ok())
+        endpoints.on_end(running.state, ok=body.is_ok())
         if body.is_error():
             progress.problem = body.error
             return None
--- a/libs/relay/src/clementinebend_relay/process.py
+++ b/libs/relay/src/clementinebend_relay/process.py
@@ -204,6 +204,7 @@
 
     def _configure(self, configuration: Configuration) -> None:
         self._on_known()
+        self.endpoints.configure(configuration.services)
         self.budgets.configure(configuration)
         limits = configuration.limits
         if self.servers:
--- a/libs/relay/src/clementinebend_relay/streams.py
+++ b/libs/relay/src/clementinebend_relay/streams.py
@@ -128,7 +128,7 @@
             running.answer.close()
             running.hold.close()
             if is_done:
-                endpoints.on_end(state.endpoint.name, ok=True)
+                endpoints.on_end(state, ok=True)
 
     def _take(
         self, event: StreamEvent, running: Running, progress: CallProgress
@@ -166,5 +166,5 @@
             raise self._broken(running, "the endpoint has gone silent")
 
     def _broken(self, running: Running, problem: str) -> Broken:
-        self.dispatcher.endpoints.on_end(running.state.endpoint.name, ok=False)
+        self.dispatcher.endpoints.on_end(running.state, ok=False)
         return Broken(problem)
--- a/libs/transport/src/clementinebend_transport/http_client.py
+++ b/libs/transport/src/clementinebend_transport/http_client.py
@@ -150,6 +150,11 @@
             return Error(HttpFailure(False, connection))
         return await self._exchange(connection, request, body, deadline)
 
+    def close_idle(self, address: Address) -> None:
+        """Close the idle connections to a server that has ended or started again."""
+        for connection in self.idle.pop(address, ()):
+            connection.abort()
+
     async def close(self) -> None:
         """Close all connections; open answers are cut off."""
         self.is_closed = True
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -55,8 +55,11 @@
                 "service": self.service,
                 "address": f"127.0.0.1:{port}",
                 "zone": "a",
+                "version": "v1",
                 "slots": 4,
                 "state": state,
+                "cold_remaining_ms": 0,
+                "sequence": 1,
             }
         )
 
--- a/tests/unit/platform/test_records.py
+++ b/tests/unit/platform/test_records.py
@@ -1,6 +1,19 @@
 """Decoding of what the operator and the engines write."""
 
+from hypothesis import given
+from hypothesis.strategies import (
+    binary,
+    booleans,
+    dictionaries,
+    floats,
+    integers,
+    lists,
+    none,
+    recursive,
+    sampled_from,
+)
 from msgspec.json import encode
+from pytest import mark
 
 from clementinebend_platform.records import PlatformRecords
 from clementinebend_relay.interfaces import Unusable
@@ -33,14 +46,33 @@
         {"name": "desk", "api_keys": ["k1", "k2"], "priority": 0, "prepaid": 100}
     ],
 }
-SERVER = {
+SERVER: dict[str, object] = {
     "service": "pool",
     "address": "10.0.0.9:8080",
     "zone": "a",
+    "version": "v1",
     "slots": 64,
     "state": "draining",
+    "cold_remaining_ms": 0,
+    "sequence": 4,
+    "born": 1_764_728_376_000,
 }
 
+JSON_VALUES = recursive(
+    none()
+    | booleans()
+    | integers(-(2**70), 2**70)
+    | floats(allow_nan=False, allow_infinity=False)
+    | sampled_from(["", "ready", "10.0.0.9:1", "é:1", "256.0.0.1:1"]),
+    lambda inner: lists(inner, max_size=3),
+    max_leaves=4,
+)
+
+
+def without(fields: dict[str, object], name: str) -> dict[str, object]:
+    """Return fields without one of them."""
+    return {key: value for key, value in fields.items() if key != name}
+
 
 def configuration(**changes: object) -> Configuration:
     made = RECORDS.configuration(encode({**DOCUMENT, **changes}))
@@ -77,6 +109,41 @@
     assert isinstance(made, Endpoint)
     assert made.is_leaving
     assert made.address == ("10.0.0.9", 8080)
+    assert made.boot == 1_764_728_376_000
+
+
+def test_an_endpoint_need_not_say_when_it_started() -> None:
+    made = RECORDS.endpoint("i-1", encode(without(SERVER, "born")))
+    assert isinstance(made, Endpoint)
+    assert made.boot is None
+
+
+@mark.parametrize("name", [name for name in SERVER if name != "born"])
+def test_an_entry_without_a_field_names_no_endpoint(name: str) -> None:
+    assert isinstance(RECORDS.endpoint("i-1", encode(without(SERVER, name))), Unusable)
+
+
+@mark.parametrize("name", list(SERVER))
+@mark.parametrize("value", [None, True, [], {}, -1.5, "neither"])
+def test_a_field_of_another_type_names_no_endpoint(name: str, value: object) -> None:
+    if isinstance(value, str) and name in ("service", "zone", "version"):
+        return
+    wrong = encode({**SERVER, name: value})
+    assert isinstance(RECORDS.endpoint("i-1", wrong), Unusable)
+
+
+@given(binary(max_size=200))
+def test_any_bytes_give_an_endpoint_or_a_reason(value: bytes) -> None:
+    assert isinstance(RECORDS.endpoint("i-1", value), Endpoint | Unusable)
+
+
+@given(dictionaries(sampled_from(list(SERVER)), JSON_VALUES))
+def test_any_fields_give_an_endpoint_or_a_reason(fields: dict[str, object]) -> None:
+    made = RECORDS.endpoint("i-1", encode({**SERVER, **fields}))
+    if isinstance(made, Endpoint):
+        assert made.boot is None or type(made.boot) is int
+        assert type(made.slots) is int
+        assert all(part.isdecimal() for part in made.address.host.split("."))
 
 
 def test_what_cannot_be_decoded_is_told() -> None:
--- a/tests/unit/relay/test_endpoints.py
+++ b/tests/unit/relay/test_endpoints.py
@@ -2,28 +2,43 @@
 
 from clementinebend_platform_client.keyed_log import KeyedRecord
 from clementinebend_relay.endpoints import EndpointTable
+from clementinebend_relay.interfaces import Unusable
 from clementinebend_relay.models import Configuration, Endpoint
 from clementinebend_transport.client_connection import Address
 
+FAILURES = 4
+"""Failures in a row that eject an endpoint."""
+
 
 class Announced:
-    """Records whose value is the port of an endpoint."""
+    """Records of the form ``PORT[ SERVICE[ BOOT]]``."""
 
     def configuration(self, value: bytes) -> Configuration:
         raise NotImplementedError
 
-    def endpoint(self, name: str, value: bytes) -> Endpoint:
-        address = Address("10.0.0.1", int(value))
-        return Endpoint(name, "pool", address, "a", 4, False)
+    def endpoint(self, name: str, value: bytes) -> Endpoint | Unusable:
+        port, *more = value.decode().split()
+        if not port.isdecimal():
+            return Unusable("no port")
+        service = more[0] if more else "pool"
+        boot = int(more[1]) if len(more) > 1 else None
+        address = Address("10.0.0.1", int(port))
+        return Endpoint(name, service, address, "a", 4, False, boot)
 
 
 def table_of(*records: tuple[str, bytes]) -> EndpointTable:
     table = EndpointTable(Announced(), lambda: 100.0)
-    for offset, (name, value) in enumerate(records):
-        table.on_record(KeyedRecord(offset, name, value))
+    table.configure(["pool", "desk"])
+    for record in records:
+        put(table, *record)
     return table
 
 
+def put(table: EndpointTable, name: str, value: bytes) -> None:
+    offset = max(table.offsets.values(), default=-1) + 1
+    table.on_record(KeyedRecord(offset, name, value))
+
+
 def names(table: EndpointTable) -> set[str]:
     return {state.endpoint.name for state in table.candidates("pool")}
 
@@ -38,3 +53,55 @@
 def test_a_boot_that_is_announced_again_takes_its_place_back() -> None:
     table = table_of(("new", b"1"), ("late", b"1"), ("new", b"1"))
     assert names(table) == {"new"}
+
+
+def test_an_address_may_pass_to_another_service() -> None:
+    table = table_of(("old", b"1"), ("new", b"1 desk"))
+    assert names(table) == set()
+
+
+def test_nothing_is_kept_of_an_earlier_boot_with_the_same_name() -> None:
+    table = table_of(("a", b"1 pool 7"), ("b", b"2"))
+    dropped: list[Endpoint] = []
+    table.on_drop = dropped.append
+    earlier = table.states["a"]
+    earlier.in_flight, earlier.prefill = 3, 9_000
+    put(table, "a", b"1 pool 8")
+    later = table.states["a"]
+    assert later is not earlier
+    assert (later.in_flight, later.prefill) == (0, 0)
+    assert [endpoint.boot for endpoint in dropped] == [7]
+
+
+def test_an_earlier_boot_failing_says_nothing_of_the_later_one() -> None:
+    table = table_of(("a", b"1 pool 7"), ("b", b"2"))
+    earlier = table.states["a"]
+    put(table, "a", b"1 pool 8")
+    for _ in range(FAILURES):
+        table.on_end(earlier, ok=False)
+    table.drop(earlier, "another endpoint has the address")
+    assert names(table) == {"a", "b"}
+
+
+def test_a_heartbeat_of_the_same_boot_keeps_what_is_known() -> None:
+    table = table_of(("a", b"1 pool 7"))
+    known = table.states["a"]
+    put(table, "a", b"1 pool 7")
+    assert table.states["a"] is known
+
+
+def test_an_announcement_that_cannot_be_used_takes_only_its_own_endpoint_out() -> None:
+    table = table_of(("a", b"1"), ("b", b"2"))
+    put(table, "c", b"?")
+    assert names(table) == {"a", "b"}
+    put(table, "a", b"?")
+    assert names(table) == {"b"}
+    put(table, "a", b"1")
+    assert names(table) == {"a", "b"}
+
+
+def test_an_unknown_service_takes_no_address_over() -> None:
+    table = table_of(("a", b"1"), ("foreign", b"1 unheard-of"))
+    assert names(table) == {"a"}
+    put(table, "a", b"1 unheard-of")
+    assert names(table) == set()
