Let prompts wait at the entry, on time first, and turn away at once what cannot start

Hypothesis: with 0.25 s of prompts ahead at most (half of the shortest latency target) what is sent is on time, and the rest is told so while its caller is there. Change: a waiting room for each service, before any budget is set aside; decisions in libs/admission, pure. Order: can still be on time, priority, least time left. A prompt waits half of its caller's patience at most; expected waits follow from what goes before it and the observed rate of starts; returns are spread.

--- /dev/null
+++ b/libs/admission/src/clementinebend_admission/waiting.py
@@ -0,0 +1,134 @@
+"""Which waiting prompt is sent next, and which is turned away. Pure.
+
+Load pattern: bursts of three to four times the usual load while a part of the pool
+is dark or slow. Endpoints that queue first come, first served then give every first
+token late, up to the moment at which callers leave. So prompts wait here, and
+endpoints' own queues are kept short: those that can still be on time go first, the
+others use what is left while their callers are there. What cannot start before its
+caller leaves is refused at once.
+
+Times are in seconds on the steady clock, amounts in tokens.
+"""
+
+from collections.abc import Iterable
+from math import exp
+from typing import NamedTuple
+
+LONGEST_AHEAD_PART = 0.5
+"""Part of the shortest latency target that the prompts ahead of a new one may take at
+its endpoint; the rest is for the prompt itself and for what other entries send there
+before they hear of it."""
+
+LEAST_PATIENCE = 2.0
+TARGETS_OF_PATIENCE = 4.0
+"""A caller leaves a stream that gives no event for the longest of these: seconds, and
+latency targets. Source: the platform's page on its protocol, "Requests"."""
+
+WAITED_PART = 0.5
+"""Part of a caller's patience that a prompt may wait here; the rest is for reading
+it, and for the way back."""
+
+RATE_SECONDS = 2.0
+"""Time constant of the rate at which prompts start: shorter than a burst, longer
+than the gaps between first tokens."""
+
+LEAST_RETURN, MOST_RETURN = 0.5, 5.0
+"""Bounds of the seconds after which a refused caller is to come back: one that is told
+more may not wait so long, and one that is told less meets the same queue."""
+
+RETURN_SPREAD = 0.5
+"""Part by which times to come back are spread, so that returns don't come together."""
+
+
+class WaitingPrompt(NamedTuple):
+    """A prompt that waits for an endpoint with little ahead.
+
+    ``on_time_until`` is when it must start to be on time, ``waits_until`` is when
+    it is turned away. ``priority`` is 0 for the most urgent.
+    """
+
+    request: str
+    priority: int
+    tokens: int
+    arrived: float
+    on_time_until: float
+    waits_until: float
+
+
+class StartRate(NamedTuple):
+    """Tokens of prompts that start in a second, as seen lately."""
+
+    tokens: float = 0.0
+    seen_at: float = 0.0
+
+
+def waiting_prompt(
+    request: str, priority: int, tokens: int, latency_target: float, now: float
+) -> WaitingPrompt:
+    """Return a prompt that has come now."""
+    patience = max(LEAST_PATIENCE, TARGETS_OF_PATIENCE * latency_target)
+    return WaitingPrompt(
+        request,
+        priority,
+        tokens,
+        now,
+        now + latency_target * (1 - LONGEST_AHEAD_PART),
+        now + WAITED_PART * patience,
+    )
+
+
+def next_prompt(waiting: Iterable[WaitingPrompt], now: float) -> WaitingPrompt | None:
+    """Return which prompt starts when there is room for one.
+
+    Those that can still be on time go first, the most urgent first among them and
+    then the one that has least time left. The others follow in the same order.
+    """
+    return min(waiting, key=lambda prompt: _order(prompt, now), default=None)
+
+
+def expired(waiting: Iterable[WaitingPrompt], now: float) -> list[WaitingPrompt]:
+    """Return the prompts that are to be turned away now."""
+    return [prompt for prompt in waiting if now >= prompt.waits_until]
+
+
+def on_start(rate: StartRate, tokens: int, now: float) -> StartRate:
+    """Count a prompt that has started."""
+    return StartRate(rate_now(rate, now) + tokens / RATE_SECONDS, now)
+
+
+def rate_now(rate: StartRate, now: float) -> float:
+    """Return the tokens of prompts that start in a second, as seen now."""
+    return rate.tokens * exp(-max(0.0, now - rate.seen_at) / RATE_SECONDS)
+
+
+def expected_wait(
+    prompt: WaitingPrompt,
+    waiting: Iterable[WaitingPrompt],
+    rate: StartRate,
+    now: float,
+) -> float:
+    """Return the seconds until ``prompt`` starts, with those that go before it."""
+    order = _order(prompt, now)
+    before = sum(other.tokens for other in waiting if _order(other, now) < order)
+    if not before:
+        return 0.0
+    return before / max(1.0, rate_now(rate, now))
+
+
+def can_start_in_time(prompt: WaitingPrompt, wait: float, now: float) -> bool:
+    """Tell whether a prompt starts before it would be turned away."""
+    return now + wait < prompt.waits_until
+
+
+def return_after(wait: float, draw: float) -> float:
+    """Return after how many seconds a refused caller will find room.
+
+    ``wait`` is how long the queue is now; ``draw`` from 0 to 1 spreads the returns.
+    """
+    spread = 1 + RETURN_SPREAD * draw
+    return min(MOST_RETURN, max(LEAST_RETURN, wait) * spread)
+
+
+def _order(prompt: WaitingPrompt, now: float) -> tuple[bool, int, float, str]:
+    is_late = now > prompt.on_time_until
+    return is_late, prompt.priority, prompt.on_time_until, prompt.request
--- a/libs/relay/src/clementinebend_relay/handler.py
+++ b/libs/relay/src/clementinebend_relay/handler.py
@@ -21,6 +21,7 @@
 from clementinebend_relay.plain import PlainRelay
 from clementinebend_relay.progress import CallProgress
 from clementinebend_relay.streams import StreamRelay
+from clementinebend_relay.waiting_room import WaitingRoom
 from clementinebend_transport.http_types import Request, Response
 
 BUDGET_PAUSE = 0.5
@@ -47,6 +48,7 @@
         dispatcher: Dispatcher,
         plain: PlainRelay,
         streams: StreamRelay,
+        room: WaitingRoom,
         known: Event,
         clock: Callable[[], float],
     ) -> None:
@@ -56,6 +58,7 @@
         self.dispatcher = dispatcher
         self.plain = plain
         self.streams = streams
+        self.room = room
         self.known = known
         self.clock = clock
 
@@ -69,6 +72,9 @@
         admitted = admit(call, self.configuration.current)
         if isinstance(admitted, Rejection):
             return self._reject(admitted, call.request_id, arrived)
+        turned_away = await self.room.enter(admitted)
+        if turned_away is not None:
+            return self._reject(turned_away, call.request_id, arrived)
         reservation = await self._reserve(admitted)
         if isinstance(reservation, Rejection):
             return self._reject(reservation, call.request_id, arrived)
@@ -163,6 +169,9 @@
             tokens=usage.tokens,
             reserved=reservation.amount,
             is_whole=progress.is_whole,
+            ahead=round(progress.ahead),
+            unread=progress.unread,
+            first_event_s=_since(arrived, progress.first_event_at),
             elapsed_s=round(elapsed, 4),
         )
 
@@ -179,3 +188,7 @@
             elapsed_s=round(self.clock() - arrived, 4),
         )
         return self.protocol.rejection_response(rejection, request_id)
+
+
+def _since(start: float, end: float | None) -> float | None:
+    return None if end is None else round(end - start, 4)
--- a/libs/relay/src/clementinebend_relay/models.py
+++ b/libs/relay/src/clementinebend_relay/models.py
@@ -160,6 +160,7 @@
     BUDGET_BUSY = "budget_busy"
     NO_CONFIGURATION = "no_configuration"
     NO_ENDPOINT = "no_endpoint"
+    OVERLOADED = "overloaded"
     NOT_RUN = "not_run"
     TIMEOUT_NOT_RUN = "timeout_not_run"
     TIMEOUT_MAY_HAVE_RUN = "timeout_may_have_run"
--- a/libs/relay/src/clementinebend_relay/process.py
+++ b/libs/relay/src/clementinebend_relay/process.py
@@ -26,6 +26,7 @@
 from clementinebend_relay.receiving import receive
 from clementinebend_relay.settings import RelaySettings
 from clementinebend_relay.streams import StreamRelay
+from clementinebend_relay.waiting_room import WaitingRoom
 from clementinebend_relay.witness import WitnessDesk
 from clementinebend_relay.witnesses import Witnesses
 from clementinebend_routing.sessions import SessionMemory
@@ -122,6 +123,7 @@
             self.dispatcher,
             PlainRelay(attempts, self.dispatcher),
             StreamRelay(attempts, self.dispatcher, clock),
+            WaitingRoom(self.dispatcher, clock),
             self.known,
             clock,
         )
--- /dev/null
+++ b/tests/unit/admission/test_waiting.py
@@ -0,0 +1,101 @@
+"""Which waiting prompt is sent next, and which is turned away."""
+
+from random import Random
+
+from hypothesis import given
+from hypothesis.strategies import floats
+
+from clementinebend_admission.waiting import (
+    MOST_RETURN,
+    RETURN_SPREAD,
+    StartRate,
+    WaitingPrompt,
+    can_start_in_time,
+    expected_wait,
+    next_prompt,
+    on_start,
+    rate_now,
+    return_after,
+    waiting_prompt,
+)
+
+TARGET = 0.5
+READ_PER_SECOND = 60_000
+"""Tokens of prompts that the replayed endpoint reads in a second."""
+
+
+def prompt(name: str, priority: int = 1, now: float = 0.0) -> WaitingPrompt:
+    return waiting_prompt(name, priority, 1_000, TARGET, now)
+
+
+def test_prompts_that_can_be_on_time_go_before_late_ones() -> None:
+    late, fresh = prompt("late", 0, now=0.0), prompt("fresh", 2, now=1.0)
+    first = next_prompt([late, fresh], 1.0)
+    assert first is fresh
+
+
+def test_urgent_prompts_go_first_among_those_on_time_and_among_late_ones() -> None:
+    urgent, other = prompt("urgent", 0), prompt("other", 1)
+    assert next_prompt([other, urgent], 0.0) is urgent
+    assert next_prompt([other, urgent], 1.0) is urgent
+
+
+def test_of_equal_ones_that_with_least_time_left_goes_first() -> None:
+    earlier, later = prompt("earlier", now=0.0), prompt("later", now=0.1)
+    assert next_prompt([later, earlier], 0.1) is earlier
+    assert next_prompt([], 0.0) is None
+
+
+def test_a_wait_is_worked_out_from_what_goes_before_and_how_fast_it_starts() -> None:
+    rate = on_start(StartRate(), 10_000, 0.0)
+    ahead = [prompt("a", 0), prompt("b", 0), prompt("behind", 2)]
+    wait = expected_wait(prompt("new"), ahead, rate, 0.0)
+    assert wait == 2_000 / rate_now(rate, 0.0)
+    assert expected_wait(prompt("new", 0), [], rate, 0.0) == 0.0
+
+
+def test_what_cannot_start_in_time_is_known_at_once() -> None:
+    new = prompt("new")
+    assert can_start_in_time(new, 0.5, 0.0)
+    assert not can_start_in_time(new, 3.0, 0.0)
+
+
+@given(floats(0, 1e6), floats(0, 1))
+def test_callers_are_told_to_return_within_bounds(wait: float, draw: float) -> None:
+    assert 0.5 <= return_after(wait, draw) <= MOST_RETURN * (1 + RETURN_SPREAD)
+
+
+def on_time(in_order: bool) -> tuple[int, int]:
+    """Replay a burst of three times what an endpoint reads, for four seconds.
+
+    Returns how many of the prompts were on time, and how many were started later
+    than their callers stay. Without the order they wait first come, first served.
+    """
+    random = Random(7)
+    arrivals = sorted(random.uniform(0, 4) for _ in range(720))
+    waiting: list[WaitingPrompt] = []
+    in_time = left = 0
+    now = 0.0
+    while arrivals or waiting:
+        while arrivals and arrivals[0] <= now:
+            at = arrivals.pop(0)
+            waiting.append(prompt(f"{at}", random.randrange(3), at))
+        if in_order:
+            waiting = [each for each in waiting if now < each.waits_until]
+        if not waiting:
+            now = arrivals[0] if arrivals else now
+            continue
+        first = next_prompt(waiting, now) if in_order else waiting[0]
+        assert first is not None
+        waiting.remove(first)
+        now += first.tokens / READ_PER_SECOND
+        in_time += now - first.arrived <= TARGET
+        left += now - first.arrived > 2.0
+    return in_time, left
+
+
+def test_in_a_burst_more_are_on_time_and_nobody_starts_after_the_caller_left() -> None:
+    ordered, ordered_left = on_time(in_order=True)
+    queued, queued_left = on_time(in_order=False)
+    assert ordered > 2 * queued
+    assert ordered_left == 0 < queued_left
