--- /dev/null
+++ b/tests/unit/platform/test_worth_logs.py
@@ -0,0 +1,44 @@
+"""Why calls were turned away, read from the output of a played day."""
+
+from pathlib import Path
+
+from msgspec.json import encode
+
+from clementinebend_platform.worth_logs import read_lines, refusals
+
+
+def budget(**fields: object) -> dict[str, object]:
+    """Return a refusal for budget; by default too little was at hand in time."""
+    usual = {"amount": 100, "left": 500, "uncertain": 0, "age_s": 0.1}
+    return {"message": "budget refused", "is_spent": False, **usual, **fields}
+
+
+ROWS = (
+    budget(),
+    budget(is_spent=True, left=0),
+    budget(left=20, uncertain=30),
+    budget(left=20, uncertain=300),
+    budget(age_s=2.0),
+    budget(left=None, uncertain=None, age_s=None),
+    {"message": "call rejected", "reason": "overloaded"},
+    {"message": "call rejected", "reason": "budget_busy"},
+    {"message": "endpoint added"},
+)
+
+
+def test_refusals_are_told_by_cause(tmp_path: Path) -> None:
+    log = tmp_path / "day.log"
+    rows = [f"  3.1000 edge-a-1 {encode(row).decode()}" for row in ROWS]
+    log.write_text("\n".join(["built in 1 s", *rows, "{not a line"]))
+    assert refusals(read_lines(log).ok) == {
+        "budget, not at hand in time": 1,
+        "budget, spent by our count": 2,
+        "budget, uncertain after a death": 1,
+        "budget, store away": 1,
+        "budget, no marks read yet": 1,
+        "overloaded": 1,
+    }
+
+
+def test_a_file_that_cannot_be_read_is_told(tmp_path: Path) -> None:
+    assert "cannot be read" in read_lines(tmp_path / "none").error
