--- a/tests/unit/relay/test_endpoints.py
+++ b/tests/unit/relay/test_endpoints.py
@@ -5,6 +5,7 @@
 from clementinebend_relay.interfaces import Unusable
 from clementinebend_relay.messages import EndpointLoad
 from clementinebend_relay.models import Configuration, Endpoint
+from clementinebend_routing.silence import ANNOUNCED_LATE, SILENT_SECONDS
 from clementinebend_transport.client_connection import Address
 
 FAILURES = 4
@@ -107,3 +108,41 @@
     assert names(table) == {"a"}
     put(table, "a", b"1 unheard-of")
     assert names(table) == set()
+
+
+def test_a_dark_endpoint_is_doubted_beyond_the_calls_that_were_given_up() -> None:
+    now = [100.0]
+    table = EndpointTable(Announced(), lambda: now[0])
+    put(table, "a", b"1")
+    state = table.states["a"]
+    state.add_unread("r", Unread(1, 900, 0.0, now[0], None))
+    state.in_flight = 1
+    now[0] += 1.01 * SILENT_SECONDS
+    assert state.is_doubted(now[0])
+    state.take_unread("r")
+    state.in_flight = 0
+    now[0] += 0.5
+    assert state.is_doubted(now[0])
+    put(table, "a", b"1")
+    assert state.is_doubted(now[0] + 0.1)
+    now[0] += 2 * ANNOUNCED_LATE
+    put(table, "a", b"1")
+    assert not state.is_doubted(now[0])
+
+
+def test_an_endpoint_that_takes_no_connection_is_doubted_until_it_is_heard() -> None:
+    state = table_of(("a", b"1")).states["a"]
+    state.on_unreachable(100.0)
+    assert state.is_doubted(100.1)
+    state.on_heard(100.2)
+    assert not state.is_doubted(100.2)
+
+
+def test_a_plain_service_at_work_for_long_is_avoided_and_not_doubted() -> None:
+    state = table_of(("a", b"1")).states["a"]
+    state.add_unread("r", Unread(1, 0, 0.0, 100.0, None))
+    state.in_flight = 1
+    assert state.is_doubted(100.1 + SILENT_SECONDS)
+    state.take_unread("r")
+    state.in_flight = 0
+    assert not state.is_doubted(100.1 + SILENT_SECONDS)
--- /dev/null
+++ b/tests/unit/relay/test_waiting_room.py
@@ -0,0 +1,125 @@
+"""Calls that wait at the entry until little lies ahead of them."""
+
+from asyncio import create_task, gather, get_running_loop, sleep
+from typing import cast
+
+from clementinebend_bench.models.virtual_loop import run_virtually
+from clementinebend_relay.admission import Admitted
+from clementinebend_relay.dispatch import Dispatcher
+from clementinebend_relay.models import (
+    Call,
+    Reason,
+    Rejection,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+    Team,
+)
+from clementinebend_relay.waiting_room import WaitingRoom
+from clementinebend_routing.sessions import PromptPart
+
+SERVICE = Service("pool", 100, 5)
+TARGET = 0.5
+PATIENCE_HERE = 1.0
+"""Half of the two seconds for which a caller stays without an event."""
+
+
+class Ahead:
+    """A dispatcher that knows how many seconds lie ahead of a prompt."""
+
+    def __init__(self, seconds: float | None) -> None:
+        self.seconds = seconds
+
+    def seconds_ahead(self, admitted: Admitted) -> float | None:
+        return self.seconds
+
+
+def admitted(name: str, priority: int = 1, tokens: int = 1_000) -> Admitted:
+    shares = (ServiceShare("pool", 1.0),)
+    route = Route(
+        "r", "/", RouteKind.STREAM, 9.0, TARGET, priority, shares, 1, True, False
+    )
+    parts = (PromptPart(name, tokens),) if tokens else ()
+    call = Call(name, "POST", "/", "h", (), b"", "k", 9.0, parts, tokens, 30, None)
+    return Admitted(call, route, SERVICE, Team("t", None, None), priority, 9.0, 1)
+
+
+def room_before(ahead: Ahead) -> WaitingRoom:
+    return WaitingRoom(cast(Dispatcher, ahead), get_running_loop().time)
+
+
+def test_a_call_goes_at_once_where_little_or_nothing_known_lies_ahead() -> None:
+    async def main() -> None:
+        for seconds in (0.0, None):
+            room = room_before(Ahead(seconds))
+            assert await room.enter(admitted("a")) is None
+
+    run_virtually(main())
+
+
+def test_a_call_without_a_prompt_never_waits() -> None:
+    async def main() -> None:
+        assert await room_before(Ahead(9.0)).enter(admitted("a", tokens=0)) is None
+
+    run_virtually(main())
+
+
+def test_a_waiting_call_goes_once_there_is_room_the_most_urgent_first() -> None:
+    async def main() -> list[str]:
+        ahead = Ahead(9.0)
+        room = room_before(ahead)
+        went: list[str] = []
+
+        async def enter(name: str, priority: int) -> None:
+            assert await room.enter(admitted(name, priority)) is None
+            went.append(name)
+
+        tasks = [create_task(enter("later", 2)), create_task(enter("urgent", 0))]
+        await sleep(0.1)
+        assert went == []
+        ahead.seconds = 0.0
+        await gather(*tasks)
+        return went
+
+    assert run_virtually(main()) == ["urgent", "later"]
+
+
+def test_a_call_that_finds_no_room_is_refused_long_before_its_caller_leaves() -> None:
+    async def main() -> tuple[Rejection | None, float]:
+        room = room_before(Ahead(9.0))
+        outcome = await room.enter(admitted("a"))
+        return outcome, room.clock()
+
+    outcome, now = run_virtually(main())
+    assert isinstance(outcome, Rejection)
+    assert outcome.reason is Reason.OVERLOADED
+    assert outcome.retry_after is not None and outcome.retry_after > 0
+    assert PATIENCE_HERE <= now < PATIENCE_HERE + 0.1
+
+
+def test_what_cannot_start_in_time_is_refused_at_once() -> None:
+    async def main() -> tuple[Rejection | None, float]:
+        room = room_before(Ahead(9.0))
+        first = create_task(room.enter(admitted("first", 0, tokens=500_000)))
+        await sleep(0)
+        outcome = await room.enter(admitted("second"))
+        now = room.clock()
+        first.cancel()
+        return outcome, now
+
+    outcome, now = run_virtually(main())
+    assert isinstance(outcome, Rejection)
+    assert now == 0.0
+
+
+def test_a_caller_that_leaves_waits_no_more() -> None:
+    async def main() -> int:
+        room = room_before(Ahead(9.0))
+        task = create_task(room.enter(admitted("a")))
+        await sleep(0.05)
+        task.cancel()
+        await gather(task, return_exceptions=True)
+        return len(room.waiters["pool"])
+
+    assert run_virtually(main()) == 0
