Work the usual pace out once per choice, and let one builder make the relay's test calls

Cause, found on reading the change again: the median pace of a pool was worked out anew for each of its endpoints at each choice; `expired` of the waiting prompts had no caller; the expected wait was put together in two places; asking whether an endpoint is doubted was called for its side effect; three test files built the same call. Change: usual_pace; expired goes; one _expected_wait; note_silence says what it does; tests/unit/relay/calls.py serves test_attempts, test_progress and test_waiting_room. Behaviour and assertions stay as they are. Ruled out: handing the endpoint that the waiting room found to the attempt, which would spare a second choice: the budget may be waited for in between, and the choice be stale. After: lint, types, unit tests of relay, routing, admission and bench, layout, import circles and the entry program pass.

--- a/libs/admission/src/clementinebend_admission/waiting.py
+++ b/libs/admission/src/clementinebend_admission/waiting.py
@@ -92,11 +92,6 @@
     return min(waiting, key=lambda prompt: _order(prompt, now), default=None)
 
 
-def expired(waiting: Iterable[WaitingPrompt], now: float) -> list[WaitingPrompt]:
-    """Return the prompts that are to be turned away now."""
-    return [prompt for prompt in waiting if now >= prompt.waits_until]
-
-
 def on_start(rate: StartRate, tokens: int, now: float) -> StartRate:
     """Count a prompt that has started."""
     return StartRate(rate_now(rate, now) + tokens / RATE_SECONDS, now)
--- a/libs/relay/src/clementinebend_relay/dispatch.py
+++ b/libs/relay/src/clementinebend_relay/dispatch.py
@@ -21,6 +21,7 @@
     choose_place,
     on_first_token,
     slowness,
+    usual_pace,
 )
 from clementinebend_routing.sessions import SessionMemory
 from clementinebend_transport.http_client import HttpClient, OpenAnswer
@@ -134,14 +135,14 @@
         ranked = rendezvous(session, by_name, len(by_name))
         unread = {name: self.sessions.uncached(name, parts) for name in by_name}
         least = min(unread.values())
-        paces = [state.pace for state in fit]
+        usual = usual_pace(state.pace for state in fit)
         places = [
             PromptPlace(
                 name,
                 self._ahead(by_name[name], admitted.priority),
                 least,
                 unread[name] - least,
-                slowness(by_name[name].pace, paces),
+                slowness(by_name[name].pace, usual),
                 by_name[name].in_flight + self.peers.load(name).in_flight,
             )
             for name in ranked
@@ -190,7 +191,7 @@
         try:
             yield
         finally:
-            state.is_doubted(self.clock())
+            state.note_silence(self.clock())
             state.in_flight -= 1
             state.take_unread(call.request_id)
 
--- a/libs/relay/src/clementinebend_relay/endpoint_state.py
+++ b/libs/relay/src/clementinebend_relay/endpoint_state.py
@@ -92,7 +92,7 @@
     def is_doubted(self, now: float) -> bool:
         """Tell whether the endpoint should get no work while others can have it."""
         if self.is_silent(now):
-            self._begin_doubt(now)
+            self.note_silence(now)
             return True
         return not is_over(self.doubt, self.announced_at, now)
 
@@ -124,12 +124,14 @@
         """Take note that a call goes there, doubted or not."""
         self.doubt = on_tried(self.doubt)
 
-    def _begin_doubt(self, now: float) -> None:
-        """Doubt an endpoint that owes first tokens or streams.
+    def note_silence(self, now: float) -> None:
+        """Begin to doubt an endpoint that is silent about first tokens or streams.
 
         A plain service may work on one call for longer: it is avoided only while it
         owes the answer.
         """
+        if not self.is_silent(now):
+            return
         has_prompts = any(call.tokens for call in self.unread.values())
         if has_prompts or self.is_streaming():
             self.on_unreachable(now)
--- a/libs/relay/src/clementinebend_relay/waiting_room.py
+++ b/libs/relay/src/clementinebend_relay/waiting_room.py
@@ -74,8 +74,7 @@
         if not waiters and self._has_room(admitted):
             self._start(service, prompt)
             return None
-        others = [waiter.prompt for waiter in waiters.values()]
-        wait = expected_wait(prompt, others, self.rates[service], now)
+        wait = self._expected_wait(service, prompt)
         if not can_start_in_time(prompt, wait, now):
             return self._refuse(prompt, service, wait)
         return await self._wait(admitted, prompt)
@@ -96,10 +95,13 @@
                 await self._pause(waiter)
         finally:
             del waiters[prompt.request]
-        others = [each.prompt for each in waiters.values()]
-        wait = expected_wait(prompt, others, self.rates[service], self.clock())
+        wait = self._expected_wait(service, prompt)
         return self._refuse(prompt, service, wait)
 
+    def _expected_wait(self, service: str, prompt: WaitingPrompt) -> float:
+        others = [waiter.prompt for waiter in self.waiters[service].values()]
+        return expected_wait(prompt, others, self.rates[service], self.clock())
+
     def _look(self, service: str, now: float) -> None:
         """Let the first one go if there is room, unless one goes already."""
         if now - self.looked_at[service] < LEAST_LOOK_SECONDS:
--- a/libs/routing/src/clementinebend_routing/prefill.py
+++ b/libs/routing/src/clementinebend_routing/prefill.py
@@ -69,12 +69,17 @@
     return Pace(pace.seconds + (sample - pace.seconds) * SAMPLE_WEIGHT)
 
 
-def slowness(pace: Pace, pool: Iterable[Pace]) -> float:
+def usual_pace(pool: Iterable[Pace]) -> Pace:
+    """Return the median pace of a pool, unknown if nothing is known of any."""
+    known = [pace.seconds for pace in pool if pace.seconds is not None]
+    return Pace(median(known)) if known else Pace()
+
+
+def slowness(pace: Pace, usual: Pace) -> float:
     """Return by what factor an endpoint is slower than the usual one of its pool."""
-    known = [other.seconds for other in pool if other.seconds is not None]
-    if pace.seconds is None or not known:
+    if pace.seconds is None or usual.seconds is None:
         return LEAST_SLOWNESS
-    factor = pace.seconds / median(known)
+    factor = pace.seconds / usual.seconds
     return min(MOST_SLOWNESS, max(LEAST_SLOWNESS, factor))
 
 
--- a/tests/unit/relay/test_attempts.py
+++ b/tests/unit/relay/test_attempts.py
@@ -10,17 +10,11 @@
 from clementinebend_relay.dispatch import NotSent, Opened
 from clementinebend_relay.endpoint_state import Unread
 from clementinebend_relay.interfaces import Verdict
-from clementinebend_relay.models import (
-    Call,
-    Route,
-    RouteKind,
-    Service,
-    ServiceShare,
-    Team,
-)
+from clementinebend_relay.models import RouteKind
 from clementinebend_relay.progress import CallProgress
+from tests.unit.relay import calls
+from tests.unit.relay.calls import CALL
 
-CALL = Call("r", "POST", "/s/", "h", (), b"", "k", 5.0, (), 100, 30, None)
 UNREAD = Unread(1, 100, 0.0, 0.0, None)
 
 
@@ -53,13 +47,7 @@
 
 
 def progress(max_attempts: int) -> CallProgress:
-    shares = (ServiceShare("pool", 1.0),)
-    route = Route(
-        "r", "/s/", RouteKind.ONCE, 5.0, 0.5, 1, shares, max_attempts, True, False
-    )
-    service = Service("pool", 10, 3)
-    admitted = Admitted(CALL, route, service, Team("desk", 9, None), 1, 5.0, 1)
-    return CallProgress(admitted, 10.0)
+    return calls.progress(calls.route(RouteKind.ONCE, max_attempts, False))
 
 
 def attempts(dispatcher: FakeDispatcher) -> Attempts:
--- a/tests/unit/relay/test_progress.py
+++ b/tests/unit/relay/test_progress.py
@@ -2,28 +2,14 @@
 
 import pytest
 
-from clementinebend_relay.admission import Admitted
-from clementinebend_relay.models import (
-    Call,
-    Reason,
-    Route,
-    RouteKind,
-    Service,
-    ServiceShare,
-    Team,
-)
+from clementinebend_relay.models import Reason, RouteKind
 from clementinebend_relay.progress import CallProgress
-
-CALL = Call("r", "POST", "/s/", "h", (), b"", "k", 5.0, (), 100, 30, None)
-SERVICE = Service("pool", 10, 3)
+from tests.unit.relay import calls
+from tests.unit.relay.calls import CALL
 
 
 def progress(kind: RouteKind = RouteKind.STREAM) -> CallProgress:
-    route = Route(
-        "r", "/s/", kind, 5.0, 0.5, 1, (ServiceShare("pool", 1.0),), 2, True, True
-    )
-    team = Team("desk", 1000, None)
-    return CallProgress(Admitted(CALL, route, SERVICE, team, 1, 5.0, 1), 10.0)
+    return calls.progress(calls.route(kind))
 
 
 def test_a_call_of_which_nothing_was_delivered_costs_nothing() -> None:
--- a/tests/unit/relay/test_waiting_room.py
+++ b/tests/unit/relay/test_waiting_room.py
@@ -6,21 +6,12 @@
 from clementinebend_bench.models.virtual_loop import run_virtually
 from clementinebend_relay.admission import Admitted
 from clementinebend_relay.dispatch import Dispatcher
-from clementinebend_relay.models import (
-    Call,
-    Reason,
-    Rejection,
-    Route,
-    RouteKind,
-    Service,
-    ServiceShare,
-    Team,
-)
+from clementinebend_relay.models import Reason, Rejection, RouteKind
 from clementinebend_relay.waiting_room import WaitingRoom
 from clementinebend_routing.sessions import PromptPart
+from tests.unit.relay import calls
+from tests.unit.relay.calls import CALL
 
-SERVICE = Service("pool", 100, 5)
-TARGET = 0.5
 PATIENCE_HERE = 1.0
 """Half of the two seconds for which a caller stays without an event."""
 
@@ -36,13 +27,9 @@
 
 
 def admitted(name: str, priority: int = 1, tokens: int = 1_000) -> Admitted:
-    shares = (ServiceShare("pool", 1.0),)
-    route = Route(
-        "r", "/", RouteKind.STREAM, 9.0, TARGET, priority, shares, 1, True, False
-    )
     parts = (PromptPart(name, tokens),) if tokens else ()
-    call = Call(name, "POST", "/", "h", (), b"", "k", 9.0, parts, tokens, 30, None)
-    return Admitted(call, route, SERVICE, Team("t", None, None), priority, 9.0, 1)
+    call = CALL._replace(request_id=name, parts=parts, prompt_tokens=tokens)
+    return calls.admitted(calls.route(RouteKind.STREAM, priority=priority), call)
 
 
 def room_before(ahead: Ahead) -> WaitingRoom:
--- a/tests/unit/routing/test_prefill.py
+++ b/tests/unit/routing/test_prefill.py
@@ -12,6 +12,7 @@
     choose_place,
     on_first_token,
     slowness,
+    usual_pace,
 )
 
 READ_PER_SECOND = 66_000
@@ -54,7 +55,7 @@
     for _ in range(20):
         usual = on_first_token(usual, 0.1, 5_000)
         slow = on_first_token(slow, 0.5, 5_000)
-    pool = [usual, usual, slow, Pace()]
+    pool = usual_pace([usual, usual, slow, Pace()])
     assert slowness(usual, pool) == LEAST_SLOWNESS
     assert 4.5 < slowness(slow, pool) < 5.5
     for _ in range(20):
@@ -64,9 +65,9 @@
 
 def test_slowness_is_bounded_and_an_unknown_endpoint_is_a_usual_one() -> None:
     dead = on_first_token(Pace(), 60.0, 0)
-    assert slowness(dead, [Pace(0.00002)] * 3) == MOST_SLOWNESS
-    assert slowness(Pace(), [dead]) == LEAST_SLOWNESS
-    assert slowness(dead, []) == LEAST_SLOWNESS
+    assert slowness(dead, usual_pace([Pace(0.00002)] * 3)) == MOST_SLOWNESS
+    assert slowness(Pace(), usual_pace([dead])) == LEAST_SLOWNESS
+    assert slowness(dead, usual_pace([])) == LEAST_SLOWNESS
 
 
 def late_first_tokens(by_pace: bool) -> int:
@@ -89,7 +90,7 @@
                 max(0.0, busy_until[name] - now) * READ_PER_SECOND * speed[name],
                 round(tokens),
                 0,
-                slowness(paces[name], paces) if by_pace else 1.0,
+                slowness(paces[name], usual_pace(paces)) if by_pace else 1.0,
             )
             for name in ((number + turn) % 9 for turn in range(9))
         ]
