Keep each endpoint's queue in one place, and ask there before a choice

Cause: 68 entries heard of one another's load each 1.7 s and saw the same idle endpoint; half of the calls of a calm 12 s met prompts that their entry did not know of (residual over the expected first token: median 0.19 s, 90th percentile 1.0 s). Change: the gateway on an endpoint's host keeps its queue, its kept parts and its pace for all entries; a call asks about four endpoints and tells when it is sent, read and ended. The loads and news between all entries go. Ruled out: the endpoints' own reports (some 200 ms old, and priced).

--- a/libs/relay/src/clementinebend_relay/attempts.py
+++ b/libs/relay/src/clementinebend_relay/attempts.py
@@ -6,7 +6,14 @@
 
 from clementinebend_relay.bodies import read_body
 from clementinebend_relay.decisions import log_decision
-from clementinebend_relay.dispatch import Dispatcher, Lost, NotSent, Opened
+from clementinebend_relay.dispatch import (
+    SURVEY_SECONDS,
+    Dispatcher,
+    Lost,
+    NotSent,
+    Opened,
+    Placement,
+)
 from clementinebend_relay.endpoint_state import EndpointState
 from clementinebend_relay.interfaces import Verdict
 from clementinebend_relay.models import RouteKind
@@ -53,13 +60,15 @@
         What the last endpoint that failed had to say is then in ``progress``.
         """
         while progress.unserved < UNSERVED_TRIES and self._may_go_on(progress):
-            state = self.dispatcher.choose(progress.admitted, progress.tried)
-            if state is None:
+            placement = await self._place(progress)
+            if placement is None:
                 return None
+            state = placement.state
             hold = ExitStack()
             running = None
             try:
-                hold.enter_context(self.dispatcher.in_flight(progress.admitted, state))
+                sending = self.dispatcher.in_flight(progress.admitted, placement)
+                hold.enter_context(sending)
                 outcome = await self._send(progress, state)
                 if _is_unserved(outcome):
                     progress.unserved += 1
@@ -74,6 +83,13 @@
                 return running
         return None
 
+    async def _place(self, progress: CallProgress) -> Placement | None:
+        """Return where the next attempt goes, by a survey made a moment ago."""
+        survey, progress.survey = progress.survey, None
+        if survey is None or self.clock() - survey.at > SURVEY_SECONDS:
+            survey = await self.dispatcher.survey(progress.admitted, progress.tried)
+        return survey.placement
+
     def _may_go_on(self, progress: CallProgress) -> bool:
         if progress.attempts_left <= 0 or self.clock() >= progress.deadline:
             return False
--- a/libs/relay/src/clementinebend_relay/dispatch.py
+++ b/libs/relay/src/clementinebend_relay/dispatch.py
@@ -1,8 +1,8 @@
 """Choice of an endpoint for a call, and the sending of one attempt."""
 
-from collections.abc import Callable, Collection, Iterator
+from collections.abc import Callable, Collection, Iterator, Mapping
 from contextlib import contextmanager
-from random import random
+from random import random, sample
 from typing import NamedTuple
 
 from expression import Result
@@ -16,14 +16,17 @@
 from clementinebend_relay.interfaces import Dispatch, HttpProtocol, Verdict
 from clementinebend_relay.models import Endpoint
 from clementinebend_relay.peers import Peers
+from clementinebend_relay.queue_probes import QueueProbes
+from clementinebend_routing.endpoint_queue import QueueReport
 from clementinebend_routing.prefill import (
+    Pace,
     PromptPlace,
     choose_place,
     on_first_token,
     slowness,
     usual_pace,
 )
-from clementinebend_routing.sessions import SessionMemory
+from clementinebend_routing.sessions import SessionMemory, best_source
 from clementinebend_transport.http_client import HttpClient, OpenAnswer
 
 CONNECT_SECONDS = 0.4
@@ -38,13 +41,62 @@
 """Part of an endpoint's connections that the entries use together."""
 
 FETCH_HEARD_SECONDS = 0.5
-"""Parts are fetched only from an endpoint that was heard so lately: an endpoint that
-fetches from a dark one gives no first token before the caller leaves."""
+"""Parts are fetched only from an endpoint that was heard so lately, unless the process
+on its host answers: an endpoint that fetches from a dark one gives no first token
+before the caller leaves."""
 
 ZONE_BIAS = 1.0
 """Calls in flight by which an endpoint in another zone must be better."""
 
 
+SESSION_PROBED = 2
+"""Endpoints of a prompt's session that are asked about: where its parts lie, and the
+one that has them when the first one is full."""
+
+OTHERS_PROBED = 2
+"""Endpoints asked about beside those: with two at random, a session that draws many
+calls doesn't pile up on its own. Each costs a call two datagrams."""
+
+SURVEY_SECONDS = 0.03
+"""How long a survey is good for: several dozen entries send some three prompts to each
+endpoint in a second."""
+
+
+class Offer(NamedTuple):
+    """An endpoint that may take a call, and what the call would meet there.
+
+    ``is_told`` is false where only this entry's own calls are known.
+    """
+
+    state: EndpointState
+    report: QueueReport
+    is_told: bool
+
+
+class Placement(NamedTuple):
+    """The endpoint that a call is sent to.
+
+    ``tokens`` of its prompt are to be read there, after ``ahead`` others; what
+    ``source`` keeps of it is fetched instead.
+    """
+
+    state: EndpointState
+    ahead: int
+    tokens: int
+    source: EndpointState | None
+
+
+class Survey(NamedTuple):
+    """Where a call would go now, none if there is no endpoint left.
+
+    ``seconds_ahead`` is how long the prompts ahead of it take there, if that is known.
+    """
+
+    at: float
+    placement: Placement | None
+    seconds_ahead: float | None
+
+
 class Opened(NamedTuple):
     """The head of an endpoint's answer has come."""
 
@@ -74,6 +126,7 @@
         endpoints: EndpointTable,
         peers: Peers,
         sessions: SessionMemory,
+        probes: QueueProbes,
         client: HttpClient,
         protocol: HttpProtocol,
         retry_limits: RetryLimits,
@@ -87,6 +140,7 @@
         self.retry_limits = retry_limits
         self.clock = clock
         self.sessions = sessions
+        self.probes = probes
         endpoints.on_drop = self._forget
         self.retries: dict[str, RetryWindow] = {}
 
@@ -105,10 +159,19 @@
         window = self.retry_window(service)
         return window.may_retry(self.retry_limits, entries, self.clock())
 
-    def choose(
-        self, admitted: Admitted, tried: Collection[str]
-    ) -> EndpointState | None:
-        """Return the endpoint for the next attempt, none if there is none left."""
+    async def survey(self, admitted: Admitted, tried: Collection[str]) -> Survey:
+        """Ask about some endpoints and choose one of them."""
+        fit = self._fit(admitted, tried)
+        asked = self._shortlist(admitted, fit)
+        reports = await self.probes.ask(
+            (state.endpoint for state in asked), admitted.priority, admitted.call.parts
+        )
+        offers = [self._offer(admitted, state, reports) for state in asked]
+        told = [offer for offer in offers if offer.is_told]
+        return self._choose(admitted, told or offers)
+
+    def _fit(self, admitted: Admitted, tried: Collection[str]) -> list[EndpointState]:
+        """Return the endpoints that may be sent a call."""
         service = admitted.service
         states = self.endpoints.candidates(service.name)
         share = service.max_connections * CONNECTION_SHARE / self.peers.entry_count()
@@ -118,111 +181,145 @@
             for state in states
             if state.endpoint.name not in tried and state.in_flight < max(1, share)
         ]
-        talking = [state for state in open_to if not state.is_doubted(now)]
-        fit = talking or open_to
-        if not fit:
-            return None
-        if admitted.call.parts:
-            return self._for_prompt(admitted, fit)
-        return min(fit, key=self._load)
+        return [state for state in open_to if not state.is_doubted(now)] or open_to
 
-    def _for_prompt(
+    def _shortlist(
         self, admitted: Admitted, fit: list[EndpointState]
-    ) -> EndpointState:
-        parts = admitted.call.parts
-        session = self.sessions.session_of(parts)
-        by_name = {state.endpoint.name: state for state in fit}
-        ranked = rendezvous(session, by_name, len(by_name))
-        unread = {name: self.sessions.uncached(name, parts) for name in by_name}
-        least = min(unread.values())
-        usual = usual_pace(state.pace for state in fit)
+    ) -> list[EndpointState]:
+        """Return the few endpoints to ask about, the session's first ones first.
+
+        A call without a prompt has no session: those of its own zone come first.
+        """
+        known = [state for state in fit if self.probes.is_known(state.endpoint)]
+        by_name = {state.endpoint.name: state for state in known or fit}
+        if admitted.call.parts:
+            session = self.sessions.session_of(admitted.call.parts)
+            first = list(rendezvous(session, by_name, SESSION_PROBED))
+        else:
+            near = [name for name in by_name if self._is_near(by_name[name])]
+            first = sample(near, min(SESSION_PROBED, len(near)))
+        rest = [name for name in by_name if name not in first]
+        others = sample(rest, min(OTHERS_PROBED, len(rest)))
+        return [by_name[name] for name in (*first, *others)]
+
+    def _offer(
+        self,
+        admitted: Admitted,
+        state: EndpointState,
+        reports: Mapping[str, QueueReport],
+    ) -> Offer:
+        """Return what an endpoint offers, by what is told or by own calls only."""
+        report = reports.get(state.endpoint.name)
+        if report is None:
+            unread = self.sessions.uncached(state.endpoint.name, admitted.call.parts)
+            ahead = state.ahead_of(admitted.priority)
+            own = QueueReport(state.in_flight, ahead, unread, state.pace.seconds)
+            return Offer(state, own, is_told=False)
+        if report.pace is not None:
+            state.pace = Pace(report.pace)
+        return Offer(state, report, is_told=True)
+
+    def _choose(self, admitted: Admitted, offers: list[Offer]) -> Survey:
+        now = self.clock()
+        if not offers:
+            return Survey(now, None, None)
+        if not admitted.call.parts:
+            best = min(offers, key=self._load)
+            return Survey(now, Placement(best.state, 0, 0, None), None)
+        best = self._for_prompt(offers)
+        source = self._fetch_source(best, offers)
+        tokens = best.report.unread
+        if source is not None:
+            tokens = min(tokens, source.report.unread)
+        ahead, pace = best.report.ahead, best.state.pace.seconds
+        placement = Placement(
+            best.state, ahead, tokens, None if source is None else source.state
+        )
+        return Survey(now, placement, None if pace is None else ahead * pace)
+
+    def _for_prompt(self, offers: list[Offer]) -> Offer:
+        least = min(offer.report.unread for offer in offers)
+        states = self.endpoints.states.values()
+        usual = usual_pace(state.pace for state in states)
         places = [
             PromptPlace(
-                name,
-                self._ahead(by_name[name], admitted.priority),
+                offer.state.endpoint.name,
+                offer.report.ahead,
                 least,
-                unread[name] - least,
-                slowness(by_name[name].pace, usual),
-                by_name[name].in_flight + self.peers.load(name).in_flight,
+                offer.report.unread - least,
+                slowness(offer.state.pace, usual),
+                offer.report.running,
             )
-            for name in ranked
+            for offer in offers
         ]
-        return by_name[choose_place(places).name]
-
-    def seconds_ahead(self, admitted: Admitted) -> float | None:
-        """Return how long the prompts ahead of a new one take at its best endpoint.
-
-        None if no endpoint is there, or nothing is known of its pace yet.
-        """
-        state = self.choose(admitted, ())
-        if state is None or state.pace.seconds is None:
-            return None
-        return self._ahead(state, admitted.priority) * state.pace.seconds
-
-    def _ahead(self, state: EndpointState, priority: int) -> int:
-        """Return the tokens that an endpoint reads before a new call's prompt.
+        chosen = choose_place(places)
+        return offers[places.index(chosen)]
 
-        Of all entries; only calls that are as urgent or more count.
-        """
-        others = self.peers.load(state.endpoint.name).ahead_of(priority)
-        return state.load().ahead_of(priority) + others
+    def _load(self, offer: Offer) -> float:
+        bias = 0.0 if self._is_near(offer.state) else ZONE_BIAS
+        return offer.report.running + bias + random() * 0.5
 
-    def _load(self, state: EndpointState) -> float:
-        others = self.peers.load(state.endpoint.name).in_flight
-        bias = 0.0 if state.endpoint.zone == self.zone else ZONE_BIAS
-        return state.in_flight + others + bias + random() * 0.5
+    def _is_near(self, state: EndpointState) -> bool:
+        return state.endpoint.zone == self.zone
 
     @contextmanager
-    def in_flight(self, admitted: Admitted, state: EndpointState) -> Iterator[None]:
-        """Count an attempt at an endpoint while it lasts."""
-        call = admitted.call
-        name = state.endpoint.name
-        source = self._fetch_source(admitted, state)
-        holder = name if source is None else source.endpoint.name
-        tokens = self.sessions.uncached(holder, call.parts)
-        ahead = self._ahead(state, admitted.priority)
+    def in_flight(self, admitted: Admitted, placement: Placement) -> Iterator[None]:
+        """Count an attempt at an endpoint while it lasts, and tell of it."""
+        call, state = admitted.call, placement.state
+        source = placement.source
         fetch_from = None if source is None else source.endpoint.address
         state.add_unread(
             call.request_id,
-            Unread(admitted.priority, tokens, ahead, self.clock(), fetch_from),
+            Unread(
+                admitted.priority,
+                placement.tokens,
+                placement.ahead,
+                self.clock(),
+                fetch_from,
+            ),
         )
         state.on_tried()
         state.in_flight += 1
+        self.probes.on_sent(
+            state.endpoint,
+            call.request_id,
+            admitted.priority,
+            placement.tokens,
+            call.parts,
+        )
         try:
             yield
         finally:
             state.note_silence(self.clock())
             state.in_flight -= 1
             state.take_unread(call.request_id)
+            self.probes.on_ended(state.endpoint, call.request_id)
 
     def on_first_token(self, admitted: Admitted, state: EndpointState) -> None:
         """Note that the prompt of a call has been read, and how long that took."""
         call = state.take_unread(admitted.call.request_id)
         if call is None:
             return
+        self.probes.on_read(state.endpoint, admitted.call.request_id)
         elapsed = self.clock() - call.since
         state.pace = on_first_token(state.pace, elapsed, call.ahead + call.tokens)
         parts = admitted.call.parts
         self.sessions.remember(parts)
         self.sessions.was_read(state.endpoint.name, parts)
 
-    def _fetch_source(
-        self, admitted: Admitted, state: EndpointState
-    ) -> EndpointState | None:
+    def _fetch_source(self, best: Offer, offers: list[Offer]) -> Offer | None:
         """Return the endpoint from which parts of a prompt are to be fetched."""
-        parts = admitted.call.parts
-        if not parts:
-            return None
         now = self.clock()
         others = {
-            other.endpoint.name: other
-            for other in self.endpoints.candidates(admitted.service.name)
-            if other is not state
-            and other.lapsed_at is None
-            and now - other.heard_at < FETCH_HEARD_SECONDS
-            and not other.is_doubted(now)
+            offer.state.endpoint.name: offer
+            for offer in offers
+            if offer is not best
+            and offer.state.lapsed_at is None
+            and not offer.state.is_doubted(now)
+            and (offer.is_told or now - offer.state.heard_at < FETCH_HEARD_SECONDS)
         }
-        source = self.sessions.fetch_source(state.endpoint.name, parts, others)
+        unread = {name: offer.report.unread for name, offer in others.items()}
+        source = best_source(best.report.unread, unread)
         return None if source is None else others[source]
 
     async def open(
--- a/libs/relay/src/clementinebend_relay/endpoint_state.py
+++ b/libs/relay/src/clementinebend_relay/endpoint_state.py
@@ -4,7 +4,6 @@
 from typing import NamedTuple
 
 from clementinebend_relay.decisions import log_decision
-from clementinebend_relay.messages import EndpointLoad
 from clementinebend_relay.models import Endpoint
 from clementinebend_routing.outliers import Health
 from clementinebend_routing.prefill import Pace
@@ -66,10 +65,11 @@
             self.prefill[call.priority] -= call.tokens
         return call
 
-    def load(self) -> EndpointLoad:
-        """Return what this entry has there, to tell the others."""
-        unread = {level: tokens for level, tokens in self.prefill.items() if tokens}
-        return EndpointLoad(self.in_flight, unread)
+    def ahead_of(self, priority: int) -> int:
+        """Return this entry's tokens there that are read before a new call's prompt."""
+        return sum(
+            tokens for level, tokens in self.prefill.items() if level <= priority
+        )
 
     def silent_for(self, now: float) -> float:
         """Return how long something has been owed and no byte has come."""
--- a/libs/relay/src/clementinebend_relay/gateway.py
+++ b/libs/relay/src/clementinebend_relay/gateway.py
@@ -1,7 +1,8 @@
-"""The gateway process: passes bytes between entries and the store.
+"""The gateway process: passes bytes to the store, and keeps endpoints' queues.
 
 An entry that is cut off from the store alone reaches it through a gateway on
-another host. The gateway reads nothing of what it passes on.
+another host. The gateway reads nothing of what it passes on. Beside that it keeps the
+queue of the endpoint on its host for all entries.
 """
 
 from asyncio import (
@@ -9,6 +10,7 @@
     StreamReader,
     StreamWriter,
     create_task,
+    get_running_loop,
     open_connection,
     start_server,
     timeout,
@@ -20,6 +22,9 @@
 
 from clementinebend_platform_client.keyed_log import KeyedLog
 from clementinebend_relay.announcing import Announcement, announce
+from clementinebend_relay.datagrams import DatagramSocket, open_socket
+from clementinebend_relay.messages import Message, QueueMessage
+from clementinebend_relay.queue_desk import QueueDesk
 from clementinebend_transport.client_connection import Address
 from clementinebend_transport.lifecycle import EXIT_OK
 
@@ -74,6 +79,22 @@
             await writer.drain()
 
 
+async def _open_desk(boot: str, address: Address) -> DatagramSocket:
+    """Return a socket at which entries' words about queues are taken."""
+
+    def send(message: Message, to: Address) -> None:
+        socket.send(message, to)
+
+    desk = QueueDesk(boot, send, get_running_loop().time)
+
+    def take(message: Message, sender: Address) -> None:
+        if isinstance(message, QueueMessage):
+            desk.on_message(message, sender)
+
+    socket = await open_socket(address, take)
+    return socket
+
+
 async def run_gateway(
     gateway: Gateway,
     name: str,
@@ -85,10 +106,12 @@
 ) -> int:
     """Serve until ``stop`` is set; return the exit code."""
     server = await start_server(gateway.serve, *address, limit=PIECE_BYTES)
+    socket = await _open_desk(boot, address)
     logger.info("started", extra={"gateway": name})
     announcing = create_task(announce(log, name, Announcement(boot, zone, *address)))
     await stop.wait()
     announcing.cancel()
     server.close()
+    socket.close()
     logger.info("stopped", extra={"code": EXIT_OK})
     return EXIT_OK
--- a/libs/relay/src/clementinebend_relay/handler.py
+++ b/libs/relay/src/clementinebend_relay/handler.py
@@ -72,13 +72,13 @@
         admitted = admit(call, self.configuration.current)
         if isinstance(admitted, Rejection):
             return self._reject(admitted, call.request_id, arrived)
-        turned_away = await self.room.enter(admitted)
-        if turned_away is not None:
-            return self._reject(turned_away, call.request_id, arrived)
+        survey = await self.room.enter(admitted)
+        if isinstance(survey, Rejection):
+            return self._reject(survey, call.request_id, arrived)
         reservation = await self._reserve(admitted)
         if isinstance(reservation, Rejection):
             return self._reject(reservation, call.request_id, arrived)
-        progress = CallProgress(admitted, arrived + admitted.time_limit)
+        progress = CallProgress(admitted, arrived + admitted.time_limit, survey)
         return await self._run(progress, reservation, arrived)
 
     async def _until_known(self) -> None:
--- a/libs/relay/src/clementinebend_relay/homes.py
+++ b/libs/relay/src/clementinebend_relay/homes.py
@@ -77,11 +77,9 @@
         """Note that a boot of another entry was asked for something."""
         self.suspicions.on_asked(boot, self.clock())
 
-    def on_leaving(self, boot: str, is_leaving: bool) -> None:
+    def on_leaving(self, boot: str) -> None:
         """Take a boot that is about to end no more for a home."""
-        if is_leaving == (boot in self.leaving):
-            return
-        self.leaving ^= {boot}
+        self.leaving.add(boot)
         self.homes.clear()
 
     def resign(self) -> None:
--- a/libs/relay/src/clementinebend_relay/messages.py
+++ b/libs/relay/src/clementinebend_relay/messages.py
@@ -1,4 +1,4 @@
-"""Datagrams between entries, and between entries and witnesses.
+"""Datagrams between entries, and to the processes that keep endpoints' queues.
 
 A lost datagram costs balance, a part of a budget until its holder ends, or a
 repetition; nothing that must hold depends on one.
@@ -12,35 +12,58 @@
 from clementinebend_ledger.mark_gifts import Wish
 from clementinebend_ledger.mark_transfers import Transfer
 from clementinebend_ledger.mark_witness import Attestation
+from clementinebend_routing.endpoint_queue import QueueReport
+from clementinebend_routing.sessions import PromptPart
 
 
-class EndpointLoad(NamedTuple):
-    """What one entry has at an endpoint: runs, and tokens still to be read.
+class LeavingMessage(Struct, tag="leaving", array_like=True):
+    """The entry of a boot is stopping."""
 
-    ``prefill`` holds the tokens by the priority of their calls, 0 for the most
-    urgent: an endpoint reads urgent prompts first.
-    """
+    boot: str
 
-    in_flight: int
-    prefill: dict[int, int]
 
-    def ahead_of(self, priority: int) -> int:
-        """Return the tokens that are read before a new call's prompt."""
-        return sum(
-            tokens for level, tokens in self.prefill.items() if level <= priority
-        )
+class ProbeMessage(Struct, tag="probe", array_like=True):
+    """An entry asks what a call would meet at an endpoint; the answer names ``number``.
 
+    ``endpoint`` names one boot of it.
+    """
 
-class LoadMessage(Struct, tag="load", array_like=True):
-    """One entry's load, by endpoint, and whether it is stopping.
+    number: int
+    endpoint: str
+    priority: int
+    parts: tuple[PromptPart, ...]
 
-    ``news`` names endpoints and parts of prompts that they have newly been sent.
-    """
+
+class ReportMessage(Struct, tag="report", array_like=True):
+    """What a call would meet, and the boot of the process that keeps the queue."""
 
     boot: str
-    loads: dict[str, EndpointLoad]
-    is_leaving: bool = False
-    news: list[tuple[str, str]] = []
+    number: int
+    report: QueueReport
+
+
+class SentMessage(Struct, tag="sent", array_like=True):
+    """A call is sent to an endpoint, which has ``tokens`` of its prompt to read."""
+
+    endpoint: str
+    request: str
+    priority: int
+    tokens: int
+    parts: tuple[PromptPart, ...]
+
+
+class ReadMessage(Struct, tag="read", array_like=True):
+    """The first token of a call has come."""
+
+    endpoint: str
+    request: str
+
+
+class EndedMessage(Struct, tag="ended", array_like=True):
+    """A call at an endpoint has ended."""
+
+    endpoint: str
+    request: str
 
 
 class AskMessage(Struct, tag="ask", array_like=True):
@@ -97,8 +120,16 @@
     attestation: Attestation
 
 
+QueueMessage = ProbeMessage | SentMessage | ReadMessage | EndedMessage
+"""What the process that keeps an endpoint's queue is told and asked."""
+
 Message = (
-    LoadMessage
+    LeavingMessage
+    | ProbeMessage
+    | ReportMessage
+    | SentMessage
+    | ReadMessage
+    | EndedMessage
     | AskMessage
     | GiftMessage
     | OpenMessage
--- a/libs/relay/src/clementinebend_relay/peers.py
+++ b/libs/relay/src/clementinebend_relay/peers.py
@@ -1,7 +1,6 @@
-"""Other entries: what they have in flight, and parts of budgets handed over."""
+"""Other entries: who of them lives, and parts of budgets handed over."""
 
 from asyncio import sleep
-from collections import Counter
 from collections.abc import Callable, Iterable
 from random import sample
 from typing import NamedTuple
@@ -9,36 +8,23 @@
 from clementinebend_ledger.mark_gifts import Wish
 from clementinebend_ledger.mark_transfers import TransferBook
 from clementinebend_ledger.mark_witness import NO_EPOCH
-from clementinebend_membership.rendezvous import rendezvous
 from clementinebend_records.identifiers import Incarnation, name_of
 from clementinebend_relay.announcing import Directory
 from clementinebend_relay.budgets import Budgets
 from clementinebend_relay.decisions import log_decision
-from clementinebend_relay.endpoints import EndpointTable
 from clementinebend_relay.homes import WATCH_PAUSE, Homes
 from clementinebend_relay.messages import (
     AskMessage,
-    EndpointLoad,
     FenceMessage,
     GiftMessage,
-    LoadMessage,
+    LeavingMessage,
     Message,
 )
-from clementinebend_routing.sessions import SessionMemory
 from clementinebend_transport.client_connection import Address
 
-TOLD_PEERS = 8
-"""Other entries that are told this one's load. Fleets of up to nine entries know all
-of it; in larger ones the cost to an entry stays as it is with nine."""
-
-SECONDS_PER_PEER = 0.025
-"""Pause between loads for each entry that is told: at 4 entries a message in 0.1 s."""
-
-LEAST_PAUSE = 0.1
-"""Least pause between loads, in seconds."""
-
 HEARD_SECONDS = 3.0
-"""How long a peer's load counts after its last message."""
+"""How long a peer counts as there after its last message: homes hear of each entry
+that has calls more often."""
 
 MOST_ASKED = 8
 """Entries asked at once for a part of a budget while its home is silent: each call
@@ -51,19 +37,10 @@
 UNMET_REMEMBERED = 1_000
 """Lacking parts remembered: all that 400 entries ask of one home in that time."""
 
-NO_LOAD = EndpointLoad(0, {})
-
 Send = Callable[[Message, Address], None]
 SendAll = Callable[[Message, Iterable[Address]], None]
 
 
-class Heard(NamedTuple):
-    """The latest load of a peer, and when it came."""
-
-    at: float
-    loads: dict[str, EndpointLoad]
-
-
 class Unmet(NamedTuple):
     """What an entry has asked a home for, and not got, at some time."""
 
@@ -74,16 +51,14 @@
 
 
 class Peers:
-    """Tells some other entries this one's load, adds up theirs, and shares budgets."""
+    """Knows the homes of budgets, and shares budgets with the other entries."""
 
     def __init__(
         self,
         name: str,
         boot: str,
         directory: Directory,
-        endpoints: EndpointTable,
         budgets: Budgets,
-        sessions: SessionMemory,
         send: Send,
         send_all: SendAll,
         clock: Callable[[], float],
@@ -91,18 +66,12 @@
         self.name = name
         self.boot = boot
         self.directory = directory
-        self.endpoints = endpoints
         self.budgets = budgets
-        self.sessions = sessions
         self.send = send
         self.send_all = send_all
         self.clock = clock
         self.homes = Homes(name, len(budgets.keepers), directory, clock)
-        self.heard: dict[str, Heard] = {}
         self.heard_at: dict[str, float] = {}
-        self.totals: dict[str, EndpointLoad] = {}
-        self.told: tuple[str, ...] = ()
-        self.told_version = -1
         self.transfers = TransferBook()
         self.unmet: dict[tuple[str, str], Unmet] = {}
         budgets.attach(self)
@@ -111,17 +80,6 @@
         """Return how many entries there are, this one included."""
         return len({self.name, *self.directory.announcements})
 
-    def load(self, endpoint: str) -> EndpointLoad:
-        """Return what the other entries have at an endpoint, as far as they tell."""
-        return self.totals.get(endpoint, NO_LOAD)
-
-    async def run(self) -> None:
-        """Tell the load for ever."""
-        while True:
-            self.forget_silent()
-            self._tell(self._told())
-            await sleep(self._pause())
-
     async def watch(self) -> None:
         """Ask for ever whether those live that this entry may have to replace."""
         while True:
@@ -129,6 +87,7 @@
                 self.homes.on_asked(item.boot)
                 question = FenceMessage(item.boot, self.boot, NO_EPOCH)
                 self.send(question, item.address)
+            self._forget_silent()
             await sleep(WATCH_PAUSE)
 
     def resign(self) -> None:
@@ -138,24 +97,19 @@
         to give back its marks, also while the store is slow.
         """
         self.homes.resign()
-        self._tell(self._others())
+        addresses = map(self._address, self._others())
+        self.send_all(LeavingMessage(self.boot), addresses)
+
+    def on_leaving(self, message: LeavingMessage) -> None:
+        """Take an entry that is stopping for no home any more."""
+        self.on_heard(message.boot)
+        self.homes.on_leaving(message.boot)
 
     def on_heard(self, boot: str) -> None:
         """Note that a boot of another entry has sent something."""
         self.heard_at[boot] = self.clock()
         self.homes.on_heard(boot)
 
-    def on_load(self, message: LoadMessage) -> None:
-        """Take a peer's load."""
-        self.on_heard(message.boot)
-        self.homes.on_leaving(message.boot, message.is_leaving)
-        self._forget(message.boot)
-        self.heard[message.boot] = Heard(self.clock(), message.loads)
-        self._add(message.loads, 1)
-        self.sessions.learn(
-            item for item in message.news if item[0] in self.endpoints.states
-        )
-
     def home_of(self, part: int) -> str | None:
         """Return which other entry is home of a partition; none if it is us."""
         return self.homes.home_of(part)
@@ -258,55 +212,12 @@
             self.budgets.on_rest(message.team, message.rest)
         self.budgets.on_gift(message.team, amount, giver)
 
-    def forget_silent(self) -> None:
-        """Count no more what entries told that have been silent since."""
+    def _forget_silent(self) -> None:
         oldest = self.clock() - HEARD_SECONDS
-        silent = [boot for boot, heard in self.heard.items() if heard.at < oldest]
-        for boot in silent:
-            self._forget(boot)
         self.heard_at = {boot: at for boot, at in self.heard_at.items() if at >= oldest}
 
-    def _tell(self, names: Iterable[str]) -> None:
-        """Tell some entries this one's load."""
-        own = {
-            name: state.load()
-            for name, state in self.endpoints.states.items()
-            if state.in_flight
-        }
-        news = self.sessions.take_news()
-        message = LoadMessage(self.boot, own, self.homes.is_leaving, news)
-        self.send_all(message, map(self._address, names))
-
     def _others(self) -> list[str]:
         return [name for name in self.directory.announcements if name != self.name]
 
     def _address(self, name: str) -> Address:
         return self.directory.announcements[name].address
-
-    def _told(self) -> tuple[str, ...]:
-        """Return the entries that are told this one's load."""
-        if self.told_version != self.directory.version:
-            self.told_version = self.directory.version
-            self.told = rendezvous(self.name, self._others(), TOLD_PEERS)
-        return self.told
-
-    def _pause(self) -> float:
-        return max(LEAST_PAUSE, SECONDS_PER_PEER * (len(self.told) + 1))
-
-    def _forget(self, boot: str) -> None:
-        heard = self.heard.pop(boot, None)
-        if heard is not None:
-            self._add(heard.loads, -1)
-
-    def _add(self, loads: dict[str, EndpointLoad], sign: int) -> None:
-        """Keep the sums up to date: they are asked for at each choice."""
-        for endpoint, load in loads.items():
-            total = self.totals.get(endpoint, NO_LOAD)
-            in_flight = total.in_flight + sign * load.in_flight
-            prefill = Counter(total.prefill)
-            for level, tokens in load.prefill.items():
-                prefill[level] += sign * tokens
-            if in_flight or any(prefill.values()):
-                self.totals[endpoint] = EndpointLoad(in_flight, prefill)
-            else:
-                self.totals.pop(endpoint, None)
--- a/libs/relay/src/clementinebend_relay/process.py
+++ b/libs/relay/src/clementinebend_relay/process.py
@@ -24,6 +24,8 @@
 from clementinebend_relay.models import Configuration
 from clementinebend_relay.peers import Peers
 from clementinebend_relay.plain import PlainRelay
+from clementinebend_relay.queue_desk import QueueDesk
+from clementinebend_relay.queue_probes import QueueProbes
 from clementinebend_relay.receiving import receive
 from clementinebend_relay.settings import RelaySettings
 from clementinebend_relay.streams import StreamRelay
@@ -93,13 +95,13 @@
             settings.name,
             boot,
             self.entries,
-            self.endpoints,
             self.budgets,
-            sessions,
             self._send,
             self._send_all,
             clock,
         )
+        self.probes = QueueProbes(self.gateways, self.entries, self._send, clock)
+        self.queues = QueueDesk(boot, self._send, clock)
         self.witnesses.is_needed = self.peers.homes.is_candidate
         self.followers = (
             _follower("configuration", logs.configuration, self.configuration, clock),
@@ -112,6 +114,7 @@
             self.endpoints,
             self.peers,
             sessions,
+            self.probes,
             self.client,
             protocol,
             settings.retries,
@@ -140,7 +143,6 @@
             *followers,
             *keepers,
             announce(self.logs.entries, self.settings.name, own),
-            self.peers.run(),
             self.peers.watch(),
             self.witnesses.run(),
             self.paths.run(self.probe),
@@ -208,7 +210,15 @@
             self.socket.send_all(message, addresses)
 
     def _on_message(self, message: Message, sender: Address) -> None:
-        receive(message, sender, self.peers, self.desk, self.witnesses)
+        receive(
+            message,
+            sender,
+            self.peers,
+            self.desk,
+            self.witnesses,
+            self.probes,
+            self.queues,
+        )
 
     def _on_gateways(self) -> None:
         announced = self.gateways.announcements
--- a/libs/relay/src/clementinebend_relay/progress.py
+++ b/libs/relay/src/clementinebend_relay/progress.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from clementinebend_relay.admission import Admitted
+from clementinebend_relay.dispatch import Survey
 from clementinebend_relay.models import Reason, Rejection, RouteKind
 from clementinebend_transport.http_types import Response
 
@@ -23,11 +24,15 @@
     ``attempts`` counts the endpoints that were there to take it, ``unserved`` those
     that were not, ``sent`` how often it went out to either. ``ahead`` and ``unread``
     are the tokens to be read before its prompt, and of it, where it was sent last.
+    ``survey`` is what was found out for its first attempt.
     """
 
-    def __init__(self, admitted: Admitted, deadline: float) -> None:
+    def __init__(
+        self, admitted: Admitted, deadline: float, survey: Survey | None = None
+    ) -> None:
         self.admitted = admitted
         self.deadline = deadline
+        self.survey = survey
         self.attempts = 0
         self.unserved = 0
         self.sent = 0
--- /dev/null
+++ b/libs/relay/src/clementinebend_relay/queue_probes.py
@@ -0,0 +1,177 @@
+"""Questions to the processes that keep endpoints' queues, and what they are told."""
+
+from asyncio import Future, get_running_loop, timeout
+from collections.abc import Callable, Iterable
+from contextlib import suppress
+from itertools import count
+
+from clementinebend_membership.rendezvous import rendezvous
+from clementinebend_membership.suspicion import Suspicions
+from clementinebend_relay.announcing import Announcement, Directory
+from clementinebend_relay.messages import (
+    EndedMessage,
+    Message,
+    ProbeMessage,
+    QueueMessage,
+    ReadMessage,
+    ReportMessage,
+    SentMessage,
+)
+from clementinebend_relay.models import Endpoint
+from clementinebend_routing.endpoint_queue import QueueReport
+from clementinebend_routing.sessions import PromptPart
+from clementinebend_transport.client_connection import Address
+
+PROBE_SECONDS = 0.015
+"""How long a call waits for reports: they take some 3 ms, and a fortieth of a latency
+target of 0.6 s is little beside what a good choice spares."""
+
+SUSPECTED_PAUSE = 0.5
+"""Seconds between questions to a process that is taken for gone, to notice that it is
+back."""
+
+
+KEEPERS_REMEMBERED = 10_000
+"""Endpoints of which it is remembered who keeps their queue, some 2 MB."""
+
+
+class QueueProbes:
+    """Asks about endpoints' queues, and tells of this entry's calls there.
+
+    The queue of an endpoint is kept by the gateway on its host, else by one gateway
+    that all entries find alike, and where there are none by an entry.
+    """
+
+    def __init__(
+        self,
+        gateways: Directory,
+        entries: Directory,
+        send: Callable[[Message, Address], None],
+        clock: Callable[[], float],
+    ) -> None:
+        self.gateways = gateways
+        self.entries = entries
+        self.send = send
+        self.clock = clock
+        self.numbers = count(1)
+        self.open: dict[int, tuple[Endpoint, Future[QueueReport]]] = {}
+        self.suspicions = Suspicions()
+        self.tried_at: dict[str, float] = {}
+        self.keepers: dict[Endpoint, Announcement | None] = {}
+        self.versions = (-1, -1)
+
+    def is_known(self, endpoint: Endpoint) -> bool:
+        """Tell whether somebody who answers keeps the queue of an endpoint.
+
+        One that is taken for gone is tried now and then.
+        """
+        keeper = self._keeper(endpoint)
+        if keeper is None:
+            return False
+        now = self.clock()
+        if not self.suspicions.is_suspected(keeper.boot, now):
+            return True
+        if now - self.tried_at.get(keeper.boot, 0.0) < SUSPECTED_PAUSE:
+            return False
+        self.tried_at[keeper.boot] = now
+        return True
+
+    async def ask(
+        self,
+        endpoints: Iterable[Endpoint],
+        priority: int,
+        parts: tuple[PromptPart, ...],
+    ) -> dict[str, QueueReport]:
+        """Return the reports that come in time, by the endpoint's name."""
+        numbers = [self._ask(endpoint, priority, parts) for endpoint in endpoints]
+        asked = [self.open[number] for number in numbers if number is not None]
+        try:
+            with suppress(TimeoutError):
+                async with timeout(PROBE_SECONDS):
+                    for _, future in asked:
+                        await future
+        finally:
+            for number in numbers:
+                self.open.pop(number or 0, None)
+        return {
+            endpoint.name: future.result()
+            for endpoint, future in asked
+            if future.done() and not future.cancelled()
+        }
+
+    def on_report(self, message: ReportMessage) -> None:
+        """Take an answer; one that comes late only shows that its sender lives."""
+        self.suspicions.on_heard(message.boot)
+        asked = self.open.get(message.number)
+        if asked is not None and not asked[1].done():
+            asked[1].set_result(message.report)
+
+    def on_sent(
+        self,
+        endpoint: Endpoint,
+        request: str,
+        priority: int,
+        tokens: int,
+        parts: tuple[PromptPart, ...],
+    ) -> None:
+        """Tell that a call is sent to an endpoint."""
+        name = boot_name(endpoint)
+        self._tell(endpoint, SentMessage(name, request, priority, tokens, parts))
+
+    def on_read(self, endpoint: Endpoint, request: str) -> None:
+        """Tell that a call's first token has come."""
+        self._tell(endpoint, ReadMessage(boot_name(endpoint), request))
+
+    def on_ended(self, endpoint: Endpoint, request: str) -> None:
+        """Tell that a call has ended."""
+        self._tell(endpoint, EndedMessage(boot_name(endpoint), request))
+
+    def _ask(
+        self, endpoint: Endpoint, priority: int, parts: tuple[PromptPart, ...]
+    ) -> int | None:
+        keeper = self._keeper(endpoint)
+        if keeper is None:
+            return None
+        number = next(self.numbers)
+        self.open[number] = (endpoint, get_running_loop().create_future())
+        self.suspicions.on_asked(keeper.boot, self.clock())
+        question = ProbeMessage(number, boot_name(endpoint), priority, parts)
+        self.send(question, keeper.address)
+        return number
+
+    def _tell(self, endpoint: Endpoint, message: QueueMessage) -> None:
+        keeper = self._keeper(endpoint)
+        if keeper is not None:
+            self.send(message, keeper.address)
+
+    def _keeper(self, endpoint: Endpoint) -> Announcement | None:
+        versions = (self.gateways.version, self.entries.version)
+        if versions != self.versions:
+            self.versions = versions
+            self.keepers.clear()
+            announced = (*self.gateways.announcements.values(),)
+            self.suspicions.keep(
+                frozenset(
+                    item.boot
+                    for item in (*announced, *self.entries.announcements.values())
+                )
+            )
+        if len(self.keepers) > KEEPERS_REMEMBERED:
+            self.keepers.clear()
+        if endpoint not in self.keepers:
+            self.keepers[endpoint] = self._find_keeper(endpoint)
+        return self.keepers[endpoint]
+
+    def _find_keeper(self, endpoint: Endpoint) -> Announcement | None:
+        gateways = self.gateways.announcements
+        for item in gateways.values():
+            if item.host == endpoint.address.host:
+                return item
+        announced = gateways or self.entries.announcements
+        names = rendezvous(f"queue-{endpoint.name}", announced, 1)
+        return announced[names[0]] if names else None
+
+
+def boot_name(endpoint: Endpoint) -> str:
+    """Return the name of one boot of an endpoint, as queues are kept by it."""
+    return f"{endpoint.name}/{endpoint.boot or ''}"
--- a/libs/relay/src/clementinebend_relay/receiving.py
+++ b/libs/relay/src/clementinebend_relay/receiving.py
@@ -3,13 +3,20 @@
 from clementinebend_relay.messages import (
     AskMessage,
     AttestationMessage,
+    EndedMessage,
     FenceMessage,
     GiftMessage,
-    LoadMessage,
+    LeavingMessage,
     Message,
     OpenMessage,
+    ProbeMessage,
+    ReadMessage,
+    ReportMessage,
+    SentMessage,
 )
 from clementinebend_relay.peers import Peers
+from clementinebend_relay.queue_desk import QueueDesk
+from clementinebend_relay.queue_probes import QueueProbes
 from clementinebend_relay.witness import WitnessDesk
 from clementinebend_relay.witnesses import Witnesses
 from clementinebend_transport.client_connection import Address
@@ -21,11 +28,13 @@
     peers: Peers,
     desk: WitnessDesk,
     witnesses: Witnesses,
+    probes: QueueProbes,
+    queues: QueueDesk,
 ) -> None:
     """Hand a message from ``sender`` to the part of the entry that it is for."""
     match message:
-        case LoadMessage():
-            peers.on_load(message)
+        case LeavingMessage():
+            peers.on_leaving(message)
         case AskMessage():
             peers.on_ask(message, sender)
         case GiftMessage():
@@ -37,3 +46,7 @@
         case AttestationMessage():
             peers.on_heard(message.witness)
             witnesses.on_answer(message)
+        case ReportMessage():
+            probes.on_report(message)
+        case ProbeMessage() | SentMessage() | ReadMessage() | EndedMessage():
+            queues.on_message(message, sender)
--- a/libs/relay/src/clementinebend_relay/waiting_room.py
+++ b/libs/relay/src/clementinebend_relay/waiting_room.py
@@ -6,6 +6,7 @@
 from asyncio import Event, timeout
 from collections import defaultdict
 from collections.abc import Callable
+from contextlib import suppress
 from random import random
 
 from clementinebend_admission.waiting import (
@@ -21,44 +22,33 @@
 )
 from clementinebend_relay.admission import Admitted
 from clementinebend_relay.decisions import log_decision
-from clementinebend_relay.dispatch import Dispatcher
+from clementinebend_relay.dispatch import Dispatcher, Survey
 from clementinebend_relay.models import Reason, Rejection
 
-LOOK_SECONDS = 0.02
-"""How often a prompt that waits looks for room by itself: what other entries have
-sent is heard each 0.1 s, and what this one has sent ends at any time."""
-
-LEAST_LOOK_SECONDS = 0.004
-"""Least time between looks on behalf of all that wait: a look costs some 0.1 ms, and
-lets at most 250 prompts a second go, several times what an entry is sent."""
-
-
-class Waiter:
-    """A call that waits, and the event that lets it go."""
-
-    def __init__(self, prompt: WaitingPrompt, admitted: Admitted) -> None:
-        self.prompt = prompt
-        self.admitted = admitted
-        self.may_start = Event()
+LOOK_SECONDS = 0.03
+"""How often the first prompt that waits looks for room: an endpoint reads some 1,500
+tokens meanwhile, and a look costs eight datagrams."""
 
 
 class WaitingRoom:
     """The prompts that wait in this entry, by service.
 
-    At most one prompt of a service is on its way from here to its endpoint: the next
-    one is judged by what lies before it once the first one is counted there.
+    Only the first of a service looks for room; the next one does so once it has gone.
     """
 
     def __init__(self, dispatcher: Dispatcher, clock: Callable[[], float]) -> None:
         self.dispatcher = dispatcher
         self.clock = clock
-        self.waiters: defaultdict[str, dict[str, Waiter]] = defaultdict(dict)
+        self.waiters: defaultdict[str, dict[str, WaitingPrompt]] = defaultdict(dict)
         self.rates: defaultdict[str, StartRate] = defaultdict(StartRate)
         self.targets: dict[str, float] = {}
-        self.looked_at: defaultdict[str, float] = defaultdict(float)
+        self.left = Event()
+
+    async def enter(self, admitted: Admitted) -> Survey | Rejection | None:
+        """Return once a call may be sent, or why it is turned away unsent.
 
-    async def enter(self, admitted: Admitted) -> Rejection | None:
-        """Return once a call may be sent, or why it is turned away unsent."""
+        With it comes what was found out about endpoints, if the call has a prompt.
+        """
         if not admitted.call.parts:
             return None
         now = self.clock()
@@ -70,10 +60,11 @@
             admitted.route.latency_target,
             now,
         )
-        waiters = self.waiters[service]
-        if not waiters and self._has_room(admitted):
-            self._start(service, prompt)
-            return None
+        if not self.waiters[service]:
+            survey = await self.dispatcher.survey(admitted, ())
+            if self._is_room(admitted, survey):
+                self._start(service, prompt)
+                return survey
         wait = self._expected_wait(service, prompt)
         if not can_start_in_time(prompt, wait, now):
             return self._refuse(prompt, service, wait)
@@ -81,53 +72,42 @@
 
     async def _wait(
         self, admitted: Admitted, prompt: WaitingPrompt
-    ) -> Rejection | None:
+    ) -> Survey | Rejection:
         service = admitted.service.name
         waiters = self.waiters[service]
-        waiter = waiters[prompt.request] = Waiter(prompt, admitted)
+        waiters[prompt.request] = prompt
         try:
             while (now := self.clock()) < prompt.waits_until:
-                self._look(service, now)
-                if waiter.may_start.is_set():
-                    self._start(service, prompt)
-                    self._log_wait(prompt)
-                    return None
-                await self._pause(waiter)
+                if next_prompt(waiters.values(), now) == prompt:
+                    survey = await self.dispatcher.survey(admitted, ())
+                    if self._is_room(admitted, survey):
+                        self._start(service, prompt)
+                        self._log_wait(prompt)
+                        return survey
+                await self._pause()
         finally:
             del waiters[prompt.request]
+            self.left.set()
+            self.left.clear()
         wait = self._expected_wait(service, prompt)
         return self._refuse(prompt, service, wait)
 
     def _expected_wait(self, service: str, prompt: WaitingPrompt) -> float:
-        others = [waiter.prompt for waiter in self.waiters[service].values()]
+        others = list(self.waiters[service].values())
         return expected_wait(prompt, others, self.rates[service], self.clock())
 
-    def _look(self, service: str, now: float) -> None:
-        """Let the first one go if there is room, unless one goes already."""
-        if now - self.looked_at[service] < LEAST_LOOK_SECONDS:
-            return
-        self.looked_at[service] = now
-        waiters = self.waiters[service]
-        first = next_prompt([each.prompt for each in waiters.values()], now)
-        if first is None:
-            return
-        waiter = waiters[first.request]
-        if not waiter.may_start.is_set() and self._has_room(waiter.admitted):
-            waiter.may_start.set()
-
-    async def _pause(self, waiter: Waiter) -> None:
-        try:
+    async def _pause(self) -> None:
+        """Wait a moment, or until one that waits has left."""
+        with suppress(TimeoutError):
             async with timeout(LOOK_SECONDS):
-                await waiter.may_start.wait()
-        except TimeoutError:
-            return
+                await self.left.wait()
 
-    def _has_room(self, admitted: Admitted) -> bool:
+    def _is_room(self, admitted: Admitted, survey: Survey) -> bool:
         """Tell whether little enough lies before a prompt at its best endpoint."""
         service = admitted.service.name
         target = admitted.route.latency_target
         target = self.targets[service] = min(target, self.targets.get(service, target))
-        ahead = self.dispatcher.seconds_ahead(admitted)
+        ahead = survey.seconds_ahead
         return ahead is None or ahead <= LONGEST_AHEAD_PART * target
 
     def _start(self, service: str, prompt: WaitingPrompt) -> None:
--- a/libs/routing/src/clementinebend_routing/sessions.py
+++ b/libs/routing/src/clementinebend_routing/sessions.py
@@ -1,14 +1,13 @@
 """What is known of prompts: their sessions, and which endpoint keeps which parts.
 
 All entries rank the endpoints of a session alike, by highest random weight over the
-deepest part of the prompt that comes again, and tell one another which endpoint
-reads which parts for the first time. Parts that an endpoint lacks are fetched from
-one that keeps them: telling one another halved the parts read again, from 0.0355 to
-0.0179 of what was owed on a day with a release.
+deepest part of the prompt that comes again. Parts that an endpoint lacks are fetched
+from one that keeps them: that halved the parts read again, from 0.0355 to 0.0179 of
+what was owed on a day with a release.
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable, Sequence
+from collections.abc import Container, Iterable, Mapping, Sequence
 from itertools import accumulate
 from typing import NamedTuple
 
@@ -23,14 +22,6 @@
 an engine about as long as reading twice as many."""
 
 
-LEAST_TOLD = 128
-"""Tokens of a part from which on other entries are told where it is read: fetching
-less than some hundred tokens gains nothing."""
-
-MOST_TOLD = 64
-"""Parts told in one message: with names of 8 bytes it stays within one packet."""
-
-
 class PromptPart(NamedTuple):
     """One part of a prompt: its name, and its length in tokens."""
 
@@ -44,7 +35,6 @@
     def __init__(self) -> None:
         self.seen: OrderedDict[str, None] = OrderedDict()
         self.cached: dict[str, OrderedDict[str, None]] = {}
-        self.news: list[tuple[str, str]] = []
 
     def session_of(self, parts: Sequence[PromptPart]) -> str:
         """Return the name that a session's requests share.
@@ -63,53 +53,39 @@
 
     def uncached(self, endpoint: str, parts: Sequence[PromptPart]) -> int:
         """Return the tokens of a prompt that ``endpoint`` has not been sent."""
-        cached = self.cached.get(endpoint, OrderedDict())
-        lengths = [0, *accumulate(part.tokens for part in parts)]
-        hit = next(
-            (place for place, part in enumerate(parts) if part.name not in cached),
-            len(parts),
-        )
-        return lengths[-1] - lengths[hit]
-
-    def fetch_source(
-        self, endpoint: str, parts: Sequence[PromptPart], others: Iterable[str]
-    ) -> str | None:
-        """Return which of ``others`` keeps most of a prompt beyond ``endpoint``.
-
-        None if none keeps enough more for a transfer to be worth its setup.
-        """
-        unread = self.uncached(endpoint, parts)
-        kept = [(unread - self.uncached(name, parts), name) for name in others]
-        gain, name = max(kept, default=(0, ""))
-        return name if gain >= LEAST_FETCHED else None
+        return uncached_tokens(self.cached.get(endpoint, ()), parts)
 
     def was_read(self, endpoint: str, parts: Sequence[PromptPart]) -> None:
-        """Note that ``endpoint`` has read a prompt; its last part is the call's own."""
+        """Note that ``endpoint`` has read a prompt."""
         cached = self.cached.setdefault(endpoint, OrderedDict())
-        told = (
-            (endpoint, part.name)
-            for part in parts[:-1]
-            if part.tokens >= LEAST_TOLD and part.name not in cached
-        )
-        self.news = [*self.news, *told][-MOST_TOLD:]
         _touch(cached, (part.name for part in parts), CACHED_PARTS)
 
-    def take_news(self) -> list[tuple[str, str]]:
-        """Return which parts endpoints were newly sent, to tell other entries."""
-        news, self.news = self.news, []
-        return news
-
-    def learn(self, news: Iterable[tuple[str, str]]) -> None:
-        """Note the parts that endpoints were sent by other entries."""
-        for endpoint, name in news:
-            cached = self.cached.setdefault(endpoint, OrderedDict())
-            _touch(cached, (name,), CACHED_PARTS)
-
     def forget(self, endpoint: str) -> None:
         """Forget the cache of an endpoint that is gone."""
         self.cached.pop(endpoint, None)
 
 
+def best_source(unread: int, others: Mapping[str, int]) -> str | None:
+    """Return which of ``others`` keeps most of what an endpoint lacks of a prompt.
+
+    Given are the tokens that each would have to read, ``unread`` here. None if none
+    keeps enough more for a transfer to be worth its setup.
+    """
+    kept = ((unread - tokens, name) for name, tokens in others.items())
+    gain, name = max(kept, default=(0, ""))
+    return name if gain >= LEAST_FETCHED else None
+
+
+def uncached_tokens(cached: Container[str], parts: Sequence[PromptPart]) -> int:
+    """Return the tokens of a prompt from its first part on that is not ``cached``."""
+    lengths = [0, *accumulate(part.tokens for part in parts)]
+    hit = next(
+        (place for place, part in enumerate(parts) if part.name not in cached),
+        len(parts),
+    )
+    return lengths[-1] - lengths[hit]
+
+
 def _touch(memory: OrderedDict[str, None], names: Iterable[str], limit: int) -> None:
     for name in names:
         memory[name] = None
