Read the store as often as a change must act

Change: the wait of a read and the pause between reads follow from the users' bounds for configuration and leaving endpoints; directories wait 4 s, as what is gone is noticed by unanswered questions. Ruled out: reading less where the bound is 2 s: waits and pauses stay there.

--- a/libs/relay/src/clementinebend_relay/following.py
+++ b/libs/relay/src/clementinebend_relay/following.py
@@ -2,6 +2,7 @@
 
 from asyncio import sleep
 from collections.abc import Callable
+from typing import Protocol
 
 from clementinebend_platform_client.keyed_log import (
     KeyedLog,
@@ -12,41 +13,57 @@
 )
 from clementinebend_relay.decisions import log_dependency
 
-READ_WAIT = 1.0
-"""Seconds that a read waits for a first record; also how soon a connection
-that went silent is noticed, well inside the 2 s in which a change must act."""
+WAIT_PART = 0.5
+"""Part of the time within which a change must act that a read waits for a record: a
+record ends the wait at once, and a connection that went silent is noticed after it."""
 
-BATCH_PAUSE = 0.4
-"""Seconds between reads of a partition that many write to: 32 endpoints that
-announce themselves each 1.2 s would else make 27 reads a second of each entry.
-Well inside the 2 s in which a leaving endpoint must be left alone."""
+BATCH_PART = 0.2
+"""Part of that time between reads of a partition that many write to: 54 endpoints that
+announce themselves each 1.2 s would else make 45 reads a second of each entry. Five
+reads may fail before an endpoint that leaves gets a call too many."""
+
+DIRECTORY_WITHIN = 8.0
+"""Seconds within which an entry or gateway that was added must be known: one that is
+gone is noticed by what it leaves unanswered."""
 
 RETRY_PAUSE = 0.25
 """Seconds after a failed read, as often as the store's limit of reads allows."""
 
 
+class Table(Protocol):
+    """What keeps the records that a follower reads."""
+
+    def on_record(self, record: KeyedRecord) -> None:
+        """Take a record."""
+        ...
+
+    def on_snapshot(self, keys: frozenset[str], end: int) -> None:
+        """Take the names of all keys, and the log's end."""
+        ...
+
+
 class Follower:
     """Reads one partition for ever; the task that runs it owns its state.
 
-    ``on_record`` takes each record, oldest first. ``on_snapshot`` takes the
-    names of all keys there are, after the records of a fresh start. Between
-    reads that find something there is a ``pause`` in seconds.
+    The table takes each record, oldest first, and after those of a fresh start
+    the names of all keys there are. What is written must be known ``within`` some
+    seconds. With ``is_busy`` many write there, and what they write is read together.
     """
 
     def __init__(
         self,
         name: str,
         log: KeyedLog,
-        on_record: Callable[[KeyedRecord], None],
-        on_snapshot: Callable[[frozenset[str], int], None],
+        table: Table,
         clock: Callable[[], float],
-        pause: float = 0.0,
+        within: float,
+        is_busy: bool = False,
     ) -> None:
-        self.pause = pause
+        self.wait = WAIT_PART * within
+        self.pause = BATCH_PART * within if is_busy else 0.0
         self.name = name
         self.log = log
-        self.on_record = on_record
-        self.on_snapshot = on_snapshot
+        self.table = table
         self.clock = clock
         self.offset: int | None = None
         self.read_at: float | None = None
@@ -63,7 +80,7 @@
             outcome: Page | RecordsDropped | StoreFailure = await self.log.newest()
             is_snapshot = True
         else:
-            outcome = await self.log.read(self.offset, READ_WAIT)
+            outcome = await self.log.read(self.offset, self.wait)
             is_snapshot = False
         match outcome:
             case Page():
@@ -83,10 +100,10 @@
             log_dependency(self.name, is_lost=False, lost_for_s=lost_for)
             self.lost_at = None
         for record in page.records:
-            self.on_record(record)
+            self.table.on_record(record)
         if is_snapshot:
             names = frozenset(record.key for record in page.records)
-            self.on_snapshot(names, page.next_offset)
+            self.table.on_snapshot(names, page.next_offset)
         self.offset = page.next_offset
 
     def _lose(self, failure: StoreFailure) -> None:
--- a/libs/relay/src/clementinebend_relay/process.py
+++ b/libs/relay/src/clementinebend_relay/process.py
@@ -1,12 +1,11 @@
 """One entry process on the direct path: its tasks and its planned stop."""
 
 from asyncio import Event, Task, create_task, gather, get_running_loop, sleep
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Coroutine, Iterable
 from logging import getLogger
-from typing import Any, Protocol
+from typing import Any
 
 from clementinebend_membership.rendezvous import rendezvous
-from clementinebend_platform_client.keyed_log import KeyedLog, KeyedRecord
 from clementinebend_platform_client.store_paths import Probe, StorePaths
 from clementinebend_platform_client.supervision import stop_process, watch
 from clementinebend_relay.announcing import Announcement, Directory, announce
@@ -16,7 +15,7 @@
 from clementinebend_relay.datagrams import DatagramSocket, open_socket
 from clementinebend_relay.dispatch import Dispatcher
 from clementinebend_relay.endpoints import EndpointTable
-from clementinebend_relay.following import BATCH_PAUSE, Follower
+from clementinebend_relay.following import DIRECTORY_WITHIN, Follower
 from clementinebend_relay.handler import CallHandler
 from clementinebend_relay.interfaces import HttpProtocol, Logs, Records
 from clementinebend_relay.mark_keeper import MarkKeeper
@@ -104,10 +103,23 @@
         self.queues = QueueDesk(boot, self._send, clock)
         self.witnesses.is_needed = self.peers.homes.is_candidate
         self.followers = (
-            _follower("configuration", logs.configuration, self.configuration, clock),
-            _follower("endpoints", logs.endpoints, self.endpoints, clock, BATCH_PAUSE),
-            _follower("entries", logs.entries, self.entries, clock),
-            _follower("gateways", logs.gateways, self.gateways, clock),
+            Follower(
+                "configuration",
+                logs.configuration,
+                self.configuration,
+                clock,
+                settings.change_within,
+            ),
+            Follower(
+                "endpoints",
+                logs.endpoints,
+                self.endpoints,
+                clock,
+                settings.leaving_within,
+                is_busy=True,
+            ),
+            Follower("entries", logs.entries, self.entries, clock, DIRECTORY_WITHIN),
+            Follower("gateways", logs.gateways, self.gateways, clock, DIRECTORY_WITHIN),
         )
         self.dispatcher = Dispatcher(
             settings.zone,
@@ -255,28 +267,6 @@
         return render_metrics()
 
 
-class Table(Protocol):
-    """What keeps the records that a follower reads."""
-
-    def on_record(self, record: KeyedRecord) -> None:
-        """Take a record."""
-        ...
-
-    def on_snapshot(self, keys: frozenset[str], end: int) -> None:
-        """Take the names of all keys, and the log's end."""
-        ...
-
-
-def _follower(
-    name: str,
-    log: KeyedLog,
-    table: Table,
-    clock: Callable[[], float],
-    pause: float = 0.0,
-) -> Follower:
-    return Follower(name, log, table.on_record, table.on_snapshot, clock, pause)
-
-
 async def run_relay(process: RelayProcess, metrics_port: int, stop: Event) -> int:
     """Serve until ``stop`` is set, then end in order; return the exit code."""
     await process.listen(metrics_port)
--- a/libs/relay/src/clementinebend_relay/settings.py
+++ b/libs/relay/src/clementinebend_relay/settings.py
@@ -11,7 +11,9 @@
 
     ``callers`` takes callers' requests, ``ready`` tells the balancer whether
     this entry is ready, ``peers`` takes datagrams of other entries.
-    ``grace`` is the time between the order to stop and the kill.
+    ``grace`` is the time between the order to stop and the kill. A new
+    configuration must act ``change_within`` its record, and the leaving of an
+    endpoint ``leaving_within``.
     """
 
     name: str
@@ -21,3 +23,5 @@
     peers: Address
     retries: RetryLimits
     grace: float
+    change_within: float
+    leaving_within: float
