--- a/libs/relay/src/clementinebend_relay/attempts.py
+++ b/libs/relay/src/clementinebend_relay/attempts.py
@@ -64,6 +64,7 @@
             if placement is None:
                 return None
             state = placement.state
+            progress.reports = placement.reports
             hold = ExitStack()
             running = None
             try:
--- a/libs/relay/src/clementinebend_relay/dispatch.py
+++ b/libs/relay/src/clementinebend_relay/dispatch.py
@@ -77,13 +77,15 @@
     """The endpoint that a call is sent to.
 
     ``tokens`` of its prompt are to be read there, after ``ahead`` others; what
-    ``source`` keeps of it is fetched instead.
+    ``source`` keeps of it is fetched instead. ``reports`` is how many endpoints were
+    told of.
     """
 
     state: EndpointState
     ahead: int
     tokens: int
     source: EndpointState | None
+    reports: int = 0
 
 
 class Survey(NamedTuple):
@@ -223,18 +225,18 @@
         now = self.clock()
         if not offers:
             return Survey(now, None, None)
+        reports = sum(offer.is_told for offer in offers)
         if not admitted.call.parts:
             best = min(offers, key=self._load)
-            return Survey(now, Placement(best.state, 0, 0, None), None)
+            return Survey(now, Placement(best.state, 0, 0, None, reports), None)
         best = self._for_prompt(offers)
         source = self._fetch_source(best, offers)
         tokens = best.report.unread
         if source is not None:
             tokens = min(tokens, source.report.unread)
         ahead, pace = best.report.ahead, best.state.pace.seconds
-        placement = Placement(
-            best.state, ahead, tokens, None if source is None else source.state
-        )
+        source_state = None if source is None else source.state
+        placement = Placement(best.state, ahead, tokens, source_state, reports)
         return Survey(now, placement, None if pace is None else ahead * pace)
 
     def _for_prompt(self, offers: list[Offer]) -> Offer:
--- a/libs/relay/src/clementinebend_relay/handler.py
+++ b/libs/relay/src/clementinebend_relay/handler.py
@@ -171,6 +171,7 @@
             is_whole=progress.is_whole,
             ahead=round(progress.ahead),
             unread=progress.unread,
+            reports=progress.reports,
             first_event_s=_since(arrived, progress.first_event_at),
             elapsed_s=round(elapsed, 4),
         )
--- a/libs/relay/src/clementinebend_relay/homes.py
+++ b/libs/relay/src/clementinebend_relay/homes.py
@@ -11,6 +11,7 @@
 from clementinebend_membership.rendezvous import rendezvous
 from clementinebend_membership.suspicion import Suspicions
 from clementinebend_relay.announcing import Announcement, Directory
+from clementinebend_relay.decisions import log_decision
 
 CANDIDATES = 6
 """How many entries of a partition's order may become its home: more than are lost at
@@ -59,6 +60,7 @@
         self.orders: dict[int, tuple[str, ...]] = {}
         self.ordered_version = -1
         self.homes: dict[int, Home] = {}
+        self.logged: dict[int, str] = {}
         self.watches_until: dict[int, float] = {}
 
     def home_of(self, part: int) -> str | None:
@@ -67,8 +69,16 @@
         known = self.homes.get(part)
         if known is None or now - known.at > HOME_SECONDS:
             known = self.homes[part] = Home(now, self._home_of(part, now))
+            self._log_change(part, known.entry or self.name)
         return known.entry
 
+    def _log_change(self, part: int, home: str) -> None:
+        before = self.logged.get(part)
+        if home == before:
+            return
+        self.logged[part] = home
+        log_decision("budget home changed", part=part, home=home, before=before)
+
     def on_heard(self, boot: str) -> None:
         """Note that a boot of another entry has sent something."""
         self.suspicions.on_heard(boot)
--- a/libs/relay/src/clementinebend_relay/progress.py
+++ b/libs/relay/src/clementinebend_relay/progress.py
@@ -24,7 +24,8 @@
     ``attempts`` counts the endpoints that were there to take it, ``unserved`` those
     that were not, ``sent`` how often it went out to either. ``ahead`` and ``unread``
     are the tokens to be read before its prompt, and of it, where it was sent last.
-    ``survey`` is what was found out for its first attempt.
+    ``survey`` is what was found out for its first attempt, ``reports`` how many
+    endpoints were told of before the last one.
     """
 
     def __init__(
@@ -41,6 +42,7 @@
         self.events = 0
         self.ahead = 0.0
         self.unread = 0
+        self.reports = 0
         self.first_event_at: float | None = None
         self.last_event = admitted.call.last_event
         self.is_whole = False
--- a/libs/relay/src/clementinebend_relay/queue_probes.py
+++ b/libs/relay/src/clementinebend_relay/queue_probes.py
@@ -8,6 +8,7 @@
 from clementinebend_membership.rendezvous import rendezvous
 from clementinebend_membership.suspicion import Suspicions
 from clementinebend_relay.announcing import Announcement, Directory
+from clementinebend_relay.decisions import log_decision
 from clementinebend_relay.messages import (
     EndedMessage,
     Message,
@@ -57,6 +58,7 @@
         self.open: dict[int, tuple[Endpoint, Future[QueueReport]]] = {}
         self.suspicions = Suspicions()
         self.tried_at: dict[str, float] = {}
+        self.silent: set[str] = set()
         self.keepers: dict[Endpoint, Announcement | None] = {}
         self.versions = (-1, -1)
 
@@ -70,7 +72,9 @@
             return False
         now = self.clock()
         if not self.suspicions.is_suspected(keeper.boot, now):
+            self._log_change(keeper.boot, is_silent=False)
             return True
+        self._log_change(keeper.boot, is_silent=True)
         if now - self.tried_at.get(keeper.boot, 0.0) < SUSPECTED_PAUSE:
             return False
         self.tried_at[keeper.boot] = now
@@ -126,6 +130,13 @@
         """Tell that a call has ended."""
         self._tell(endpoint, EndedMessage(boot_name(endpoint), request))
 
+    def _log_change(self, boot: str, is_silent: bool) -> None:
+        if is_silent == (boot in self.silent):
+            return
+        self.silent ^= {boot}
+        decision = "queue keeper silent" if is_silent else "queue keeper heard again"
+        log_decision(decision, keeper=boot)
+
     def _ask(
         self, endpoint: Endpoint, priority: int, parts: tuple[PromptPart, ...]
     ) -> int | None:
@@ -149,19 +160,22 @@
         if versions != self.versions:
             self.versions = versions
             self.keepers.clear()
-            announced = (*self.gateways.announcements.values(),)
-            self.suspicions.keep(
-                frozenset(
-                    item.boot
-                    for item in (*announced, *self.entries.announcements.values())
-                )
-            )
+            self._forget_ended()
         if len(self.keepers) > KEEPERS_REMEMBERED:
             self.keepers.clear()
         if endpoint not in self.keepers:
             self.keepers[endpoint] = self._find_keeper(endpoint)
         return self.keepers[endpoint]
 
+    def _forget_ended(self) -> None:
+        known = (self.gateways.announcements, self.entries.announcements)
+        boots = frozenset(item.boot for each in known for item in each.values())
+        self.suspicions.keep(boots)
+        self.silent &= boots
+        self.tried_at = {
+            boot: at for boot, at in self.tried_at.items() if boot in boots
+        }
+
     def _find_keeper(self, endpoint: Endpoint) -> Announcement | None:
         gateways = self.gateways.announcements
         for item in gateways.values():
