--- a/tests/unit/membership/test_rendezvous.py
+++ b/tests/unit/membership/test_rendezvous.py
@@ -10,6 +10,7 @@
     rendezvous,
     rendezvous_by_zone,
     subset,
+    weighted_rendezvous,
 )
 
 NAMES = sets(text("abcdef0123", min_size=1, max_size=4), min_size=1, max_size=20)
@@ -81,3 +82,21 @@
         assert len(before - removed) == int(BACK_ENDS[0] in before)
         assert added - before <= {"new"}
         assert len(before - added) == int("new" in added)
+
+
+def test_names_come_first_as_often_as_their_weight() -> None:
+    weights = {"small": 0.5, "large": 2.0, "other": 0.5}
+    first = Counter(
+        weighted_rendezvous(f"key-{number}", weights, 1)[0] for number in range(3_000)
+    )
+    assert 0.62 < first["large"] / 3_000 < 0.72
+    assert 0.12 < first["small"] / 3_000 < 0.21
+
+
+def test_a_weighted_name_that_goes_moves_only_its_own_keys() -> None:
+    weights = {f"n{number}": 1.0 + number for number in range(8)}
+    left = {name: weight for name, weight in weights.items() if name != "n5"}
+    for number in range(300):
+        before = weighted_rendezvous(f"key-{number}", weights, 2)
+        after = weighted_rendezvous(f"key-{number}", left, 1)
+        assert after[0] == (before[1] if before[0] == "n5" else before[0])
