Take a keeper of queues for there as soon as it answers under a later boot

Cause: while the store is away, entries know only the earlier boot of a gateway that started again, and would take it for silent for good. Tests of questions and queues.

--- a/libs/relay/src/clementinebend_relay/queue_probes.py
+++ b/libs/relay/src/clementinebend_relay/queue_probes.py
@@ -73,9 +73,10 @@
         now = self.clock()
         if not self.suspicions.is_suspected(keeper.boot, now):
             self._log_change(keeper.boot, is_silent=False)
+            self.tried_at.pop(keeper.boot, None)
             return True
         self._log_change(keeper.boot, is_silent=True)
-        if now - self.tried_at.get(keeper.boot, 0.0) < SUSPECTED_PAUSE:
+        if now - self.tried_at.setdefault(keeper.boot, now) < SUSPECTED_PAUSE:
             return False
         self.tried_at[keeper.boot] = now
         return True
@@ -107,8 +108,14 @@
         """Take an answer; one that comes late only shows that its sender lives."""
         self.suspicions.on_heard(message.boot)
         asked = self.open.get(message.number)
-        if asked is not None and not asked[1].done():
-            asked[1].set_result(message.report)
+        if asked is None:
+            return
+        endpoint, future = asked
+        keeper = self._keeper(endpoint)
+        if keeper is not None:  # it may have a later boot than the store tells of
+            self.suspicions.on_heard(keeper.boot)
+        if not future.done():
+            future.set_result(message.report)
 
     def on_sent(
         self,
--- /dev/null
+++ b/tests/unit/relay/test_queue_probes.py
@@ -0,0 +1,171 @@
+"""Questions about endpoints' queues: whom they go to, and what an answer is worth."""
+
+from asyncio import get_running_loop, sleep
+from collections.abc import Callable
+
+import pytest
+
+from clementinebend_bench.models.virtual_loop import run_virtually
+from clementinebend_membership.suspicion import MOST_UNANSWERED
+from clementinebend_relay.announcing import Announcement, Directory
+from clementinebend_relay.messages import Message, QueueMessage, ReportMessage
+from clementinebend_relay.models import Endpoint
+from clementinebend_relay.queue_desk import QUEUES_KEPT, QueueDesk
+from clementinebend_relay.queue_probes import (
+    PROBE_SECONDS,
+    SUSPECTED_PAUSE,
+    QueueProbes,
+)
+from clementinebend_routing.sessions import PromptPart
+from clementinebend_transport.client_connection import Address
+
+WAY_SECONDS = 0.001
+PARTS = (PromptPart("session", 4_000), PromptPart("own", 900))
+SENDER = Address("10.0.0.1", 1)
+
+
+def endpoint(number: int) -> Endpoint:
+    return Endpoint(
+        f"e{number}", "pool", Address(f"10.9.0.{number}", 80), "z", 4, False
+    )
+
+
+class World:
+    """Some gateways, one beside each endpoint; those in ``dark`` keep silent."""
+
+    def __init__(self, gateways: int, entries: int = 1) -> None:
+        self.clock = get_running_loop().time
+        self.gateways, self.entries = Directory(), Directory()
+        self.desks: dict[Address, QueueDesk] = {}
+        self.dark: set[Address] = set()
+        self.sent = 0
+        for number in range(gateways):
+            self.add(self.gateways, f"gateway-{number}", f"10.9.0.{number}")
+        for number in range(entries):
+            self.add(self.entries, f"entry-{number}", f"10.1.0.{number}")
+        self.probes = QueueProbes(self.gateways, self.entries, self.send, self.clock)
+
+    def add(self, directory: Directory, name: str, host: str, boot: str = "1") -> None:
+        item = Announcement(f"{name}#{boot}", "z", host, 7)
+        directory.put(name, item)
+        self.desks[item.address] = QueueDesk(item.boot, self.answer, self.clock)
+
+    def send(self, message: Message, to: Address) -> None:
+        self.sent += 1
+        if to not in self.dark and isinstance(message, QueueMessage):
+            later(lambda: self.desks[to].on_message(message, SENDER))
+
+    def answer(self, message: Message, to: Address) -> None:
+        assert to == SENDER
+        if isinstance(message, ReportMessage):
+            later(lambda: self.probes.on_report(message))
+
+    def host(self, number: int) -> Address:
+        return Address(f"10.9.0.{number}", 7)
+
+
+def later(deliver: Callable[[], None]) -> None:
+    get_running_loop().call_later(WAY_SECONDS, deliver)
+
+
+def test_all_that_entries_tell_is_in_the_report() -> None:
+    async def main() -> None:
+        world = World(3)
+        world.probes.on_sent(endpoint(1), "r", 1, 4_900, PARTS)
+        await sleep(2 * WAY_SECONDS)
+        reports = await world.probes.ask([endpoint(0), endpoint(1)], 1, PARTS)
+        assert reports["e0"][:3] == (0, 0, 4_900)
+        assert reports["e1"][:3] == (1, 4_900, 4_900)
+        world.probes.on_read(endpoint(1), "r")
+        world.probes.on_ended(endpoint(1), "r")
+        await sleep(2 * WAY_SECONDS)
+        reports = await world.probes.ask([endpoint(1)], 1, PARTS)
+        assert reports["e1"][:3] == (0, 0, 0)
+
+    run_virtually(main())
+
+
+def test_a_later_boot_of_an_endpoint_starts_with_an_empty_queue() -> None:
+    async def main() -> None:
+        world = World(1)
+        world.probes.on_sent(endpoint(0)._replace(boot=1), "r", 1, 900, PARTS)
+        await sleep(2 * WAY_SECONDS)
+        later_boot = endpoint(0)._replace(boot=2)
+        reports = await world.probes.ask([later_boot], 1, ())
+        assert reports["e0"].running == 0
+
+    run_virtually(main())
+
+
+@pytest.mark.parametrize(("gateways", "entries"), [(0, 4), (0, 400), (48, 4)])
+def test_an_endpoint_without_a_gateway_has_its_queue_where_all_find_it(
+    gateways: int, entries: int
+) -> None:
+    async def main() -> None:
+        world = World(gateways, entries)
+        other = QueueProbes(world.gateways, world.entries, world.send, world.clock)
+        desk = endpoint(200)
+        other.on_sent(desk, "r", 1, 0, ())
+        await sleep(2 * WAY_SECONDS)
+        assert (await world.probes.ask([desk], 1, ()))["e200"].running == 1
+
+    run_virtually(main())
+
+
+def test_a_silent_keeper_costs_a_call_little_and_is_left_out_then() -> None:
+    async def main() -> None:
+        world = World(2)
+        world.dark = {world.host(0)}
+        for _ in range(MOST_UNANSWERED):
+            started = world.clock()
+            reports = await world.probes.ask([endpoint(0), endpoint(1)], 1, PARTS)
+            assert set(reports) == {"e1"}
+            assert world.clock() - started <= PROBE_SECONDS + 0.001
+            await sleep(0.05)
+        assert not world.probes.is_known(endpoint(0))
+        assert world.probes.is_known(endpoint(1))
+        world.dark = set()
+        await sleep(SUSPECTED_PAUSE)
+        assert world.probes.is_known(endpoint(0))
+        assert "e0" in await world.probes.ask([endpoint(0)], 1, ())
+        assert world.probes.is_known(endpoint(0))
+
+    run_virtually(main())
+
+
+def test_a_keeper_that_started_again_is_heard_before_the_store_tells_of_it() -> None:
+    async def main() -> None:
+        world = World(1)
+        world.desks[world.host(0)] = QueueDesk("gateway-0#2", world.answer, world.clock)
+        for _ in range(2 * MOST_UNANSWERED):
+            assert "e0" in await world.probes.ask([endpoint(0)], 1, ())
+            await sleep(0.05)
+        assert world.probes.is_known(endpoint(0))
+
+    run_virtually(main())
+
+
+@pytest.mark.parametrize("entries", [4, 40, 400])
+def test_a_call_costs_the_same_in_each_fleet(entries: int) -> None:
+    async def main() -> None:
+        world = World(48, entries)
+        asked = [endpoint(number) for number in range(4)]
+        assert len(await world.probes.ask(asked, 1, PARTS)) == 4
+        world.probes.on_sent(asked[0], "r", 1, 900, PARTS)
+        world.probes.on_read(asked[0], "r")
+        world.probes.on_ended(asked[0], "r")
+        assert world.sent == 7
+        assert not world.probes.open
+
+    run_virtually(main())
+
+
+def test_the_queues_of_one_keeper_are_bounded() -> None:
+    async def main() -> None:
+        world = World(1)
+        for number in range(3 * QUEUES_KEPT):
+            world.probes.on_sent(endpoint(0)._replace(boot=number), "r", 1, 1, ())
+        await sleep(2 * WAY_SECONDS)
+        assert len(world.desks[world.host(0)].queues) == QUEUES_KEPT
+
+    run_virtually(main())
