--- a/tests/functional/test_platform_entry.py
+++ b/tests/functional/test_platform_entry.py
@@ -228,3 +228,29 @@
     page = (await fleet.client.request("GET", url)).ok.body.decode()
     assert 'rejections_total{reason="unknown_key"} 1.0' in page
     assert "first_byte_seconds_bucket" in page
+
+
+async def test_calls_are_placed_by_what_a_gateway_tells_while_it_lives(
+    fleet: Fleet,
+) -> None:
+    await fleet.start()
+    entry = fleet.entries[0]
+    gateway = await fleet.add_gateway("side-0")
+    await until(lambda: fleet.is_bound(gateway))
+
+    async def is_told() -> bool:
+        """Tell whether a call was placed by reports on both endpoints."""
+        assert (await fleet.call("/stream/x")).ok.status == 200
+        ended = [line for line in entry.lines() if line["message"] == "call ended"]
+        return bool(ended) and ended[-1]["reports"] == 2
+
+    await until(is_told)
+    gateway.process.kill()
+    await gateway.process.wait()
+
+    async def is_silent() -> bool:
+        """Tell whether the entry has noticed; calls are served meanwhile."""
+        assert (await fleet.call("/stream/x")).ok.status == 200
+        return has_logged(entry, "queue keeper silent")
+
+    await until(is_silent)
