Keep what entries lack by team, and let one rule tell when a home may be gone

Cause: each question summed up all that any entry lacked of any budget, up to a thousand; two conditions told the same thing twice. Change: remembered by team; what is too old is forgotten where it is looked at. Before, after: by the code, entries looked at for one question: up to 1,000, up to those that lack the same budget.

--- a/libs/relay/src/clementinebend_relay/budgets.py
+++ b/libs/relay/src/clementinebend_relay/budgets.py
@@ -225,10 +225,9 @@
         account.waiting += amount
         is_set_aside = False
         try:
-            async with timeout(wait):
-                is_set_aside = await self._wait(keeper, team.name, amount)
-        except TimeoutError:
-            pass
+            with suppress(TimeoutError):  # the caller logs why it is refused
+                async with timeout(wait):
+                    is_set_aside = await self._wait(keeper, team.name, amount)
         finally:
             account.waiting -= amount
         if is_set_aside:
@@ -295,13 +294,13 @@
         home = self.neighbours.home_of(self.part(team))
         now = self.clock()
         questions = self.questions[team]
-        if home is None or questions.is_home_gone(now):
+        is_alone = home is None or questions.is_home_gone(now)
+        if is_alone:
             keeper.hurry()
             if keeper.is_stalled() or home is not None:
                 keeper.open_reserve()
         if home is not None:
             self._ask_home(home, team)
-        is_alone = home is None or questions.is_home_gone(now)
         if is_alone and questions.may_ask_all(now):
             asked = wish(keeper.account(team), amount, now)
             self.neighbours.ask_others(team, asked)
--- a/libs/relay/src/clementinebend_relay/peers.py
+++ b/libs/relay/src/clementinebend_relay/peers.py
@@ -34,7 +34,7 @@
 longer, and the entry asks again meanwhile."""
 
 UNMET_REMEMBERED = 1_000
-"""Lacking parts remembered: all that 400 entries ask of one home in that time."""
+"""Entries that are remembered to lack a part of one budget."""
 
 Send = Callable[[Message, Address], None]
 SendAll = Callable[[Message, Iterable[Address]], None]
@@ -71,7 +71,7 @@
         self.homes = Homes(name, len(budgets.keepers), directory, clock)
         self.heard_at: dict[str, float] = {}
         self.transfers = TransferBook()
-        self.unmet: dict[tuple[str, str], Unmet] = {}
+        self.unmet: dict[str, dict[str, Unmet]] = {}
         budgets.attach(self)
 
     def entry_count(self) -> int:
@@ -162,35 +162,36 @@
         An asker gets it some 6 ms after its question, as the store has answered,
         instead of with its next question after 30 ms.
         """
-        oldest = self.clock() - UNMET_SECONDS
-        for key, unmet in list(self.unmet.items()):
-            if unmet.at < oldest:
-                del self.unmet[key]
-                continue
-            team = unmet.message.team
-            if self.budgets.part(team) != part:
-                continue
-            asked = unmet.message.asked
-            amount = self.budgets.spare(team, asked)
-            if amount < asked.amount:
-                continue
-            del self.unmet[key]
-            self.budgets.hand_over(team, amount)
-            self._answer(unmet.message, unmet.sender, amount)
+        for team in [team for team in self.unmet if self.budgets.part(team) == part]:
+            for unmet in self._unmet_of(team):
+                asked = unmet.message.asked
+                if self.budgets.spare(team, asked) < asked.amount:
+                    continue
+                del self.unmet[team][unmet.message.boot]
+                self.budgets.hand_over(team, asked.amount)
+                self._answer(unmet.message, unmet.sender, asked.amount)
 
     def _remember(self, message: AskMessage, sender: Address) -> None:
         """Remember what an entry lacks, so that the mark is raised for all of it."""
-        team, amount = message.team, message.asked.amount
-        self.unmet[(message.boot, team)] = Unmet(self.clock(), message, sender)
-        while len(self.unmet) > UNMET_REMEMBERED:
-            del self.unmet[next(iter(self.unmet))]
+        by_boot = self.unmet.setdefault(message.team, {})
+        by_boot.pop(message.boot, None)
+        by_boot[message.boot] = Unmet(self.clock(), message, sender)
+        if len(by_boot) > UNMET_REMEMBERED:
+            del by_boot[next(iter(by_boot))]
+        lacking = (each.message.asked.amount for each in self._unmet_of(message.team))
+        self.budgets.want(message.team, sum(lacking))
+
+    def _unmet_of(self, team: str) -> list[Unmet]:
+        """Return what entries lack of a team's budget, and forget what is too old."""
         oldest = self.clock() - UNMET_SECONDS
-        others = (
-            each.message.asked.amount
-            for each in self.unmet.values()
-            if each.message.team == team and each.at >= oldest
-        )
-        self.budgets.want(team, max(amount, sum(others)))
+        recent = {
+            boot: unmet
+            for boot, unmet in self.unmet.pop(team, {}).items()
+            if unmet.at >= oldest
+        }
+        if recent:
+            self.unmet[team] = recent
+        return list(recent.values())
 
     def _answer(self, message: AskMessage, sender: Address, amount: int) -> None:
         team = message.team
--- a/tests/unit/relay/test_peers.py
+++ b/tests/unit/relay/test_peers.py
@@ -18,7 +18,7 @@
     LeavingMessage,
     Message,
 )
-from clementinebend_relay.peers import Peers
+from clementinebend_relay.peers import UNMET_SECONDS, Peers
 from clementinebend_relay.witnesses import Witnesses
 from clementinebend_transport.client_connection import Address
 from tests.unit.relay.mark_world import TEAM, Clock, FakeLog
@@ -153,3 +153,24 @@
     answers = [each for each in sent.messages if isinstance(each, GiftMessage)]
     assert len(answers) == 2 * (entries - 1)
     assert len(sent.messages) - len(answers) <= CANDIDATES
+
+
+def test_what_is_lacking_is_handed_over_whole_once_the_home_has_it() -> None:
+    """One that asks again counts once, and what was asked too long ago not at all."""
+    clock = Clock()
+    peers, sent = made_peers(clock, 0, 1)
+    peers.budgets.keepers[0].view.prepaid = {TEAM: 1_000}
+    account = peers.budgets.keepers[0].account(TEAM)
+    for boot, asked in (("a#1", 30), ("a#1", 40), ("b#1", 70)):
+        peers.on_ask(AskMessage(boot, TEAM, Wish(asked)), Address("h", 1))
+    assert account.asked_now(clock()) == 110
+    account.limit = 60
+    sent.messages.clear()
+    peers.serve_unmet(0)
+    gifts = [each for each in sent.messages if isinstance(each, GiftMessage)]
+    assert [(each.to, each.transfer.total) for each in gifts] == [("a#1", 40)]
+    clock.now += UNMET_SECONDS * 2
+    account.limit = 1_000
+    peers.serve_unmet(0)
+    assert len(sent.messages) == 1
+    assert not peers.unmet
