Give the survey of endpoints and the neighbours of budgets modules of their own

Change: survey.py and neighbours.py; no line of a decision changes. Conclusion: moved, tests as before.

--- a/libs/relay/src/clementinebend_relay/attempts.py
+++ b/libs/relay/src/clementinebend_relay/attempts.py
@@ -6,18 +6,12 @@
 
 from clementinebend_relay.bodies import read_body
 from clementinebend_relay.decisions import log_decision
-from clementinebend_relay.dispatch import (
-    SURVEY_SECONDS,
-    Dispatcher,
-    Lost,
-    NotSent,
-    Opened,
-    Placement,
-)
+from clementinebend_relay.dispatch import Dispatcher, Lost, NotSent, Opened
 from clementinebend_relay.endpoint_state import EndpointState
 from clementinebend_relay.interfaces import Verdict
 from clementinebend_relay.models import RouteKind
 from clementinebend_relay.progress import CallProgress
+from clementinebend_relay.survey import SURVEY_SECONDS, Placement
 from clementinebend_transport.http_client import OpenAnswer
 from clementinebend_transport.http_types import Response
 
--- a/libs/relay/src/clementinebend_relay/process.py
+++ b/libs/relay/src/clementinebend_relay/process.py
@@ -190,7 +190,7 @@
             callers=bound.callers, ready=bound.ready, peers=bound.peers
         )
         self.dispatcher.retry_limits = settings.retries
-        self.dispatcher.zone = settings.zone
+        self.dispatcher.surveyor.zone = settings.zone
         self.paths.move(store)
 
     def is_ready(self) -> bool:
--- a/libs/relay/src/clementinebend_relay/progress.py
+++ b/libs/relay/src/clementinebend_relay/progress.py
@@ -3,8 +3,8 @@
 from typing import NamedTuple
 
 from clementinebend_relay.admission import Admitted
-from clementinebend_relay.dispatch import Survey
 from clementinebend_relay.models import Reason, Rejection, RouteKind
+from clementinebend_relay.survey import Survey
 from clementinebend_transport.http_types import Response
 
 NOT_RUN_PAUSE = 0.25
--- a/libs/relay/src/clementinebend_relay/waiting_room.py
+++ b/libs/relay/src/clementinebend_relay/waiting_room.py
@@ -22,8 +22,9 @@
 )
 from clementinebend_relay.admission import Admitted
 from clementinebend_relay.decisions import log_decision
-from clementinebend_relay.dispatch import Dispatcher, Survey
+from clementinebend_relay.dispatch import Dispatcher
 from clementinebend_relay.models import Reason, Rejection
+from clementinebend_relay.survey import Survey
 
 LOOK_SECONDS = 0.03
 """How often the first prompt that waits looks for room: an endpoint reads some 1,500
--- a/tests/unit/relay/test_waiting_room.py
+++ b/tests/unit/relay/test_waiting_room.py
@@ -6,8 +6,9 @@
 
 from clementinebend_bench.models.virtual_loop import run_virtually
 from clementinebend_relay.admission import Admitted
-from clementinebend_relay.dispatch import Dispatcher, Survey
+from clementinebend_relay.dispatch import Dispatcher
 from clementinebend_relay.models import Reason, Rejection, RouteKind
+from clementinebend_relay.survey import Survey
 from clementinebend_relay.waiting_room import WaitingRoom
 from clementinebend_routing.sessions import PromptPart
 from tests.unit.relay import calls
