--- a/libs/relay/src/clementinebend_relay/budgets.py
+++ b/libs/relay/src/clementinebend_relay/budgets.py
@@ -97,6 +97,7 @@
         self.clock = clock
         self.is_succeeded = is_succeeded
         self.neighbours: Neighbours = Alone()
+        self.is_store_lost: Callable[[], bool] = lambda: False
         self.questions: dict[str, Questions] = defaultdict(Questions)
         self.told: dict[str, Told] = {}
         self.rests: dict[str, Told] = {}
@@ -152,8 +153,14 @@
         return min(LONGEST_WAIT, max(BUDGET_WAIT, ANSWERS_WAITED * slowest))
 
     def is_log_away(self) -> bool:
-        """Tell whether some part of the log is out of reach at the moment."""
-        return any(keeper.is_out_of_reach() for keeper in self.keepers)
+        """Tell whether some part of the log is out of reach at the moment.
+
+        An entry that is no home calls it seldom, and goes by what it reads elsewhere
+        in the store.
+        """
+        return self.is_store_lost() or any(
+            keeper.is_out_of_reach() for keeper in self.keepers
+        )
 
     async def reserve(
         self, team: Team, amount: int, wait: float
--- a/libs/relay/src/clementinebend_relay/process.py
+++ b/libs/relay/src/clementinebend_relay/process.py
@@ -121,6 +121,9 @@
             Follower("entries", logs.entries, self.entries, clock, DIRECTORY_WITHIN),
             Follower("gateways", logs.gateways, self.gateways, clock, DIRECTORY_WITHIN),
         )
+        self.budgets.is_store_lost = lambda: any(
+            follower.lost_at is not None for follower in self.followers
+        )
         self.dispatcher = Dispatcher(
             settings.zone,
             self.endpoints,
--- a/tests/unit/relay/test_questions.py
+++ b/tests/unit/relay/test_questions.py
@@ -123,3 +123,11 @@
     assert 2 <= others.asked_home <= WAIT / HOME_PAUSE + 2
     assert others.asked_all <= WAIT / ALL_PAUSE + 1
     assert budgets.keepers[0].urgent.is_set() != answers
+
+
+async def test_an_entry_that_is_no_home_knows_of_an_outage_by_its_other_reads() -> None:
+    budgets = made_budgets(FakeLog([], []))
+    budgets.attach(Others(budgets, answers=True))
+    assert not budgets.is_log_away()
+    budgets.is_store_lost = lambda: True
+    assert budgets.is_log_away()
