Fuzz the new datagrams

Cause: seven kinds of datagram are new. Change: damaged bytes are read as a message or refused; forged, repeated and late ones end no entry and raise nothing beyond its budget.

--- /dev/null
+++ b/tests/unit/relay/test_message_fuzz.py
@@ -0,0 +1,116 @@
+"""Datagrams that are damaged, forged, late or come twice."""
+
+from asyncio import sleep
+from functools import cache
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from clementinebend_bench.models.mark_fleet import FleetEntry, MarkFleet
+from clementinebend_bench.models.mark_store import StoreModel
+from clementinebend_bench.models.virtual_loop import run_virtually
+from clementinebend_ledger.mark_gifts import Wish
+from clementinebend_ledger.mark_transfers import Transfer
+from clementinebend_relay.messages import (
+    AskMessage,
+    BudgetRest,
+    EndedMessage,
+    GiftMessage,
+    LeavingMessage,
+    Message,
+    ProbeMessage,
+    ReadMessage,
+    ReportMessage,
+    SentMessage,
+    Unreadable,
+    decoded,
+    encoded,
+)
+from clementinebend_routing.endpoint_queue import QueueReport
+from clementinebend_routing.sessions import PromptPart
+from clementinebend_transport.client_connection import Address
+
+SENDER = Address("10.0.0.9", 1)
+TEAM = "team-0"
+PREPAID = 10_000
+
+names = st.sampled_from(["entry-1#2", "entry-7#9", "", "x" * 300])
+numbers = st.integers(-(2**40), 2**40)
+parts = st.lists(st.builds(PromptPart, names, numbers), max_size=4).map(tuple)
+messages = st.one_of(
+    st.builds(LeavingMessage, names),
+    st.builds(ProbeMessage, numbers, names, numbers, parts),
+    st.builds(
+        ReportMessage,
+        names,
+        numbers,
+        st.builds(QueueReport, numbers, numbers, numbers, st.none() | st.floats()),
+    ),
+    st.builds(SentMessage, names, names, numbers, numbers, parts),
+    st.builds(ReadMessage, names, names),
+    st.builds(EndedMessage, names, names),
+    st.builds(AskMessage, names, st.just(TEAM), st.builds(Wish, numbers)),
+    st.builds(
+        GiftMessage,
+        names,
+        names,
+        st.just(TEAM),
+        st.builds(Transfer, numbers, numbers),
+        st.booleans(),
+        st.none() | st.builds(BudgetRest, numbers, numbers),
+    ),
+)
+
+
+@cache
+def sample() -> tuple[bytes, ...]:
+    """Return one datagram of each new kind."""
+    report = QueueReport(1, 2, 3, 0.5)
+    kinds: tuple[Message, ...] = (
+        LeavingMessage("a#1"),
+        ProbeMessage(1, "e/", 1, (PromptPart("p", 5),)),
+        ReportMessage("g#1", 1, report),
+        SentMessage("e/", "r", 1, 5, (PromptPart("p", 5),)),
+        ReadMessage("e/", "r"),
+        EndedMessage("e/", "r"),
+        GiftMessage("a#1", "b#1", TEAM, Transfer(1, 5), True, BudgetRest(1, 2)),
+    )
+    return tuple(map(encoded, kinds))
+
+
+@given(st.integers(0, 6), st.integers(0, 200), st.binary(max_size=4))
+def test_a_damaged_datagram_is_read_as_a_message_or_refused(
+    kind: int, place: int, damage: bytes
+) -> None:
+    whole = sample()[kind]
+    place %= len(whole)
+    data = whole[:place] + damage + whole[place + len(damage) :]
+    outcome = decoded(data)
+    assert isinstance(outcome, Unreadable | Message)
+
+
+async def take_all(sent: list[Message]) -> FleetEntry:
+    """Return an entry that has taken messages, each of them twice."""
+    fleet = MarkFleet(StoreModel(()), {TEAM: PREPAID})
+    for number in range(2):
+        fleet.start(number)
+    await sleep(1.0)
+    entry = fleet.entries[0]
+    for message in [*sent, *sent]:
+        entry.receive(message, SENDER)
+        await sleep(0.01)
+    await sleep(1.0)
+    for number in range(2):
+        fleet.end(number)
+    return entry
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(st.lists(messages, max_size=12))
+def test_no_message_ends_an_entry_or_raises_what_it_may_spend(
+    sent: list[Message],
+) -> None:
+    entry = run_virtually(take_all(sent))
+    account = entry.budgets.keepers[0].account(TEAM)
+    assert account.limit <= PREPAID
+    assert account.waiting == 0
