Drop a setting of homes that nobody set, and one check that stood twice

Cause: Homes.cores was never set, so that it always was its default; what a home hands over asked twice whether this is the home before the mark is raised early. Change: the constant in its place, the check where it is needed. Left: Questions.is_home_silent has only its tests as callers; the process and the model of a fleet hand seven parts to receive(). Conclusion: tidied.

--- a/libs/relay/src/clementinebend_relay/budgets.py
+++ b/libs/relay/src/clementinebend_relay/budgets.py
@@ -318,7 +318,7 @@
         account.give(amount)
         if self.is_home_of(team):
             account.lent(amount, self.clock())
-            self._raise_early(self.keeper(team), team)
+        self._raise_early(self.keeper(team), team)
 
     def _raise_early(self, keeper: MarkKeeper, team: str) -> None:
         """Let a home raise its mark before it runs out, off the way of calls."""
--- a/libs/relay/src/clementinebend_relay/homes.py
+++ b/libs/relay/src/clementinebend_relay/homes.py
@@ -58,7 +58,6 @@
         self.parts = parts
         self.directory = directory
         self.clock = clock
-        self.cores = LEAST_CORES
         self.suspicions = Suspicions()
         self.leaving: set[str] = set()
         self.is_leaving = False
@@ -182,7 +181,7 @@
             weights = {
                 name: max(LEAST_CORES, announced[name].cores) for name in announced
             }
-            weights.setdefault(self.name, self.cores)
+            weights.setdefault(self.name, LEAST_CORES)
             self.orders[part] = weighted_rendezvous(
                 f"marks-{part}", weights, CANDIDATES
             )
