Tell how far an answer of the store had come when it was given up

Cause: "the answer took too long" read the same for a silent store and for one whose bytes were coming in over a slow link, so that the logs of a change in force too late could not tell its explanations apart. No logic is changed.

--- a/libs/relay/src/clementinebend_relay/configuration.py
+++ b/libs/relay/src/clementinebend_relay/configuration.py
@@ -6,6 +6,7 @@
 from clementinebend_platform_client.keyed_log import KeyedRecord
 from clementinebend_relay.decisions import log_decision
 from clementinebend_relay.interfaces import CONFIGURATION_KEY, Records, Unusable
+from clementinebend_relay.metrics import configuration_version
 from clementinebend_relay.models import Configuration, Route, Team
 
 
@@ -29,8 +30,12 @@
         elif self.current is None or decoded.version > self.current.version:
             previous = self.current and self.current.version
             self.current = decoded
+            configuration_version.set(decoded.version)
             log_decision(
-                "configuration applied", version=decoded.version, previous=previous
+                "configuration applied",
+                version=decoded.version,
+                previous=previous,
+                bytes=len(record.value),
             )
             self.on_change(decoded)
 
--- a/libs/relay/src/clementinebend_relay/metrics.py
+++ b/libs/relay/src/clementinebend_relay/metrics.py
@@ -1,6 +1,6 @@
 """Counters and latency histograms of the direct path."""
 
-from clementinebend_transport.metrics import counter, histogram
+from clementinebend_transport.metrics import counter, gauge, histogram
 
 LATENCY_BUCKETS = (0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.6, 0.8, 1.0, 2.0, 5.0, 15.0)
 """Upper bounds in seconds, dense around latency targets of 0.15 to 0.6 s."""
@@ -27,3 +27,7 @@
     ("service",),
     LATENCY_BUCKETS,
 )
+configuration_version = gauge(
+    "clementinebend_relay_configuration_version",
+    "Version of the configuration in force.",
+)
--- a/libs/transport/src/clementinebend_transport/http_client.py
+++ b/libs/transport/src/clementinebend_transport/http_client.py
@@ -58,10 +58,14 @@
 
 
 class HttpFailure(NamedTuple):
-    """No whole answer; ``sent`` false proves that no byte of the request left."""
+    """No whole answer; ``sent`` false proves that no byte of the request left.
+
+    ``received`` counts the bytes of the body that had come.
+    """
 
     sent: bool
     message: str
+    received: int = 0
 
 
 class _Target(NamedTuple):
@@ -93,16 +97,18 @@
         if opened.is_error():
             return Error(opened.error)
         answer = opened.ok
+        whole = _Body()
         try:
             async with timeout_at(deadline):
-                whole = await _read_whole(answer.chunks)
+                await whole.read(answer.chunks)
         except TimeoutError:
-            return Error(HttpFailure(True, f"{method} {url}: the answer took too long"))
+            problem = f"the answer took too long, {whole.size} bytes had come"
+            return Error(HttpFailure(True, f"{method} {url}: {problem}", whole.size))
         except TruncatedAnswer as error:
-            return Error(HttpFailure(True, f"{method} {url}: {error}"))
+            return Error(HttpFailure(True, f"{method} {url}: {error}", whole.size))
         finally:
             answer.close()
-        return Ok(Answer(answer.status, answer.headers, whole))
+        return Ok(Answer(answer.status, answer.headers, b"".join(whole.pieces)))
 
     async def open(
         self,
@@ -257,15 +263,22 @@
     return _Target(Address(host, port), request)
 
 
-async def _read_whole(chunks: AsyncIterator[bytes]) -> bytes:
-    pieces: list[bytes] = []
-    size = 0
-    async for piece in chunks:
-        size += len(piece)
-        if size > MAX_ANSWER_BYTES:
-            raise TruncatedAnswer(f"the answer is larger than {MAX_ANSWER_BYTES} bytes")
-        pieces.append(piece)
-    return b"".join(pieces)
+class _Body:
+    """What has come of an answer's body."""
+
+    def __init__(self) -> None:
+        self.pieces: list[bytes] = []
+        self.size = 0
+
+    async def read(self, chunks: AsyncIterator[bytes]) -> None:
+        """Read to the end; raise ``TruncatedAnswer`` if the body is too large."""
+        async for piece in chunks:
+            self.size += len(piece)
+            if self.size > MAX_ANSWER_BYTES:
+                raise TruncatedAnswer(
+                    f"the answer is larger than {MAX_ANSWER_BYTES} bytes"
+                )
+            self.pieces.append(piece)
 
 
 def _all(groups: Iterable[Iterable[ClientConnection]]) -> Iterable[ClientConnection]:
--- a/tests/unit/transport/test_http_client.py
+++ b/tests/unit/transport/test_http_client.py
@@ -241,3 +241,17 @@
         answered.set()
     assert (result.ok.status, result.ok.body) == (413, b"no")
     assert not any(client.idle.values())
+
+
+async def test_an_answer_that_took_too_long_tells_what_had_come() -> None:
+    async def stops_half_way(reader: StreamReader, writer: StreamWriter) -> None:
+        await read_until(reader, b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n" + b"x" * 40)
+        await reader.read()
+
+    client = HttpClient()
+    async with scripted(stops_half_way) as port:
+        failure = await failure_of(client, port, timeout=0.5)
+    await client.close()
+    assert failure.received == 40
+    assert "40 bytes" in failure.message
