Show with failing tests that a large configuration is late on a slow link

An entry on a link of 5 Mbit/s never has a configuration of 1 MB when it starts; a change of that size, written late in the wait of a read, is in force 6.8 s after it was written instead of 3 s when the next path leads to a host that is gone.

--- /dev/null
+++ b/tests/functional/test_large_configuration.py
@@ -0,0 +1,103 @@
+"""A configuration with thousands of routes reaches an entry on a slow link.
+
+A confirmed change was not in force within 3 s at the entries with the slowest
+links, and an entry that started there never had a configuration at all. Their logs
+say "the answer took too long" for the read of the configuration.
+"""
+
+from asyncio import get_running_loop
+from collections.abc import AsyncIterator, Iterator
+from contextlib import suppress
+from pathlib import Path
+from socket import AF_INET, SOCK_STREAM, socket
+from typing import Any
+
+import pytest
+import pytest_asyncio
+from msgspec.json import encode as encode_json
+from msgspec.msgpack import encode
+
+from clementinebend_relay.announcing import Announcement
+from clementinebend_transport.client_connection import Address
+from tests.lib.platform_fleet import ROUTES, Fleet, route
+from tests.lib.slow_link import SlowLink
+from tests.lib.waiting import until
+
+LINK_BYTES_PER_SECOND = 5e6 / 8
+CHANGE_WITHIN = 3.0
+"""Seconds within which a confirmed change must be in force."""
+
+LARGE_ROUTES = 6_600
+"""Routes of a configuration that a slow link carries in 1.7 s."""
+
+SILENT_BACKLOG = 4
+
+
+def large(*more: dict[str, Any]) -> tuple[dict[str, Any], ...]:
+    """Return the usual routes, thousands that nobody calls, and ``more``."""
+    idle = (route(f"/idle-{number}/", "safe", "desk") for number in range(LARGE_ROUTES))
+    return (*ROUTES, *idle, *more)
+
+
+@pytest_asyncio.fixture
+async def fleet(tmp_path: Path) -> AsyncIterator[Fleet]:
+    made = Fleet(tmp_path)
+    try:
+        yield made
+    finally:
+        await made.stop()
+
+
+@pytest_asyncio.fixture
+async def link(fleet: Fleet) -> AsyncIterator[SlowLink]:
+    """Start a store with a small configuration, and a slow link to it."""
+    await fleet.start(entries=0)
+    made = SlowLink(fleet.store.port, LINK_BYTES_PER_SECOND)
+    await made.start()
+    yield made
+    made.close()
+
+
+@pytest.fixture
+def silent() -> Iterator[Address]:
+    """Give an address that takes no connection and says nothing, as a lost host."""
+    with socket(AF_INET, SOCK_STREAM) as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        callers = [socket(AF_INET, SOCK_STREAM) for _ in range(SILENT_BACKLOG)]
+        for caller in callers:
+            caller.setblocking(False)
+            with suppress(BlockingIOError):
+                caller.connect(listener.getsockname())
+        yield Address(*listener.getsockname())
+        for caller in callers:
+            caller.close()
+
+
+async def test_an_entry_on_a_slow_link_starts(fleet: Fleet, link: SlowLink) -> None:
+    fleet.configure(1_000_000, large())
+    entry = await fleet.add_entry("edge-0", "z0", store=link.port)
+    assert (await fleet.call("/safe/x")).ok.status == 200
+    assert entry.process.returncode is None
+
+
+async def test_a_change_late_in_a_wait_is_in_force_in_time(
+    fleet: Fleet, link: SlowLink, silent: Address
+) -> None:
+    lost = Announcement("side-0#1", "z0", silent.host, silent.port)
+    fleet.store.put("gateways", "side-0", encode(lost))
+    await fleet.add_entry("edge-0", "z0", store=link.port, change_within=CHANGE_WITHIN)
+    await until(lambda: fleet.store.waited("op") > CHANGE_WITHIN / 2 - 0.1)
+    fleet.configure(1_000_000, large(route("/new/", "safe", "desk")))
+    confirmed_at = get_running_loop().time()
+
+    async def is_served() -> bool:
+        return (await fleet.call("/new/x")).ok.status == 200
+
+    await until(is_served)
+    assert get_running_loop().time() - confirmed_at < CHANGE_WITHIN
+
+
+def test_the_large_configuration_takes_the_link_most_of_the_time_allowed() -> None:
+    seconds = len(encode_json(large())) / LINK_BYTES_PER_SECOND
+    assert 0.5 * CHANGE_WITHIN < seconds < 0.7 * CHANGE_WITHIN
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -33,6 +33,7 @@
 TEAM = "desk"
 READY_SECONDS = 15.0
 CALL_SECONDS = 5.0
+MILLISECONDS = 1000
 BODY = b"{}"
 
 SETTINGS = """
@@ -47,6 +48,7 @@
 memory_mb = 300
 link_mbps = 1000.0
 [bounds]
+config_apply_ms = {change_ms}
 drain_ms = 2000
 grace_s = {grace}
 retry_budget_ratio = 0.2
@@ -157,11 +159,17 @@
         return engine
 
     async def add_entry(
-        self, name: str, zone: str, grace: float = 5.0, store: int | None = None
+        self,
+        name: str,
+        zone: str,
+        grace: float = 5.0,
+        store: int | None = None,
+        change_within: float = 2.0,
     ) -> Entry:
         """Start an entry and wait until it is ready.
 
-        ``store`` is the port at which it finds the store.
+        ``store`` is the port at which it finds the store; a change must be in force
+        there ``change_within`` some seconds.
         """
         ports = [free_port() for _ in range(4)]
         settings = self.folder / f"{name}.toml"
@@ -175,6 +183,7 @@
                 metrics_port=ports[3],
                 store_port=store or self.store.port,
                 grace=grace,
+                change_ms=round(change_within * MILLISECONDS),
             )
         )
         entry = await self._launch(name, settings, ports)
@@ -203,6 +212,7 @@
                 metrics_port=ports[0],
                 store_port=self.store.port,
                 grace=5.0,
+                change_ms=2000,
             )
         )
         gateway = await self._launch(name, settings, ports, "gateway")
--- a/tests/lib/platform_store.py
+++ b/tests/lib/platform_store.py
@@ -1,6 +1,6 @@
 """A stand-in of the platform's store, by its published protocol."""
 
-from asyncio import Event, sleep, timeout
+from asyncio import Event, get_running_loop, sleep, timeout
 from base64 import b64encode
 from collections import defaultdict
 from contextlib import suppress
@@ -26,6 +26,7 @@
             defaultdict(list)
         )
         self.changed = Event()
+        self.waiting_since: dict[str, float] = {}
         self.fault = ""
         self.server: HttpServer | None = None
         self.port = 0
@@ -45,6 +46,11 @@
         self.topics[(f"keyed.{topic}", part)].append((key, value))
         self._wake()
 
+    def waited(self, topic: str) -> float:
+        """Return the seconds for which the last read of ``topic`` has been waiting."""
+        since = self.waiting_since.get(f"keyed.{topic}")
+        return 0.0 if since is None else get_running_loop().time() - since
+
     def newest(self, topic: str) -> dict[str, bytes]:
         """Return the newest record of each key, over all partitions."""
         records = (
@@ -96,10 +102,12 @@
         self, records: list[tuple[str, bytes]], query: dict[str, str]
     ) -> Response:
         offset = int(query["from"])
+        self.waiting_since[query["topic"]] = get_running_loop().time()
         with suppress(TimeoutError):
             async with timeout(int(query.get("wait_ms", 0)) / 1000):
                 while len(records) <= offset:
                     await self.changed.wait()
+        self.waiting_since.pop(query["topic"], None)
         body = LIMITS.pack(len(records), 0)
         body += b"".join(encoded_record(*record) for record in records[offset:])
         return Response(200, (), body)
