Leave a gateway that is gone without giving it the wait of a read

A change reached an entry seconds after the others when its path to the store led to a host that was gone. Cause: the setting up of a connection had the time limit of the call, which is 1.5 to 4 s longer for a read that may wait for a record. Change: the connection has the limit without the wait; only an answer may be held back.

--- a/libs/platform_client/src/clementinebend_platform_client/store_calls.py
+++ b/libs/platform_client/src/clementinebend_platform_client/store_calls.py
@@ -35,9 +35,10 @@
         """Call the store, which may hold the answer back for ``wait`` seconds."""
         address = self.paths.current
         sent_at = self.paths.clock()
-        head_timeout = self.paths.limit + wait
+        limit = self.paths.limit
+        # Only the answer may be held back: a host that is gone is left at once.
         opened = await self.client.open(
-            method, url_of(address, target), (), body, head_timeout
+            method, url_of(address, target), (), body, limit + wait, limit
         )
         if opened.is_error():
             return self._on_silence(address, sent_at, opened.error)
--- a/libs/transport/src/clementinebend_transport/http_client.py
+++ b/libs/transport/src/clementinebend_transport/http_client.py
@@ -115,15 +115,19 @@
         headers: Iterable[tuple[str, str]] = (),
         body: bytes = b"",
         timeout: float = 10.0,
+        connect_timeout: float | None = None,
     ) -> Result[OpenAnswer, HttpFailure]:
         """Send a request and return the answer as soon as its head has come.
 
         ``timeout`` (seconds) ends with the head: the body has no limit.
+        ``connect_timeout`` bounds the setting up of a new connection.
         """
         target = _target(method, url, headers, body)
         if isinstance(target, str):
             return Error(HttpFailure(False, f"{method} {url}: {target}"))
-        sent = await self.send(target.address, target.request, body, timeout)
+        sent = await self.send(
+            target.address, target.request, body, timeout, connect_timeout
+        )
         return sent.map_error(lambda failure: _about(method, url, failure))
 
     async def send(
--- a/tests/unit/platform_client/test_store_calls.py
+++ b/tests/unit/platform_client/test_store_calls.py
@@ -7,6 +7,7 @@
 from clementinebend_platform_client.store_paths import LEAST_LIMIT, StorePaths
 from clementinebend_transport.client_connection import Address
 from clementinebend_transport.http_client import Answer, HttpClient
+from tests.lib.silent_address import silent_address
 from tests.unit.transport.loopback import HOST, read_until, scripted
 
 PIECES = 8
@@ -14,6 +15,9 @@
 PAUSE = LEAST_LIMIT / 3
 """Seconds between the pieces of a slow answer, which takes three times the limit."""
 
+WAIT = 1.5
+"""Seconds that a read may wait for a record."""
+
 GATEWAY = Address("10.0.0.9", 1)
 HEAD = f"HTTP/1.1 200 OK\r\ncontent-length: {PIECES * len(PIECE)}\r\n\r\n".encode()
 
@@ -64,3 +68,17 @@
     assert f"{PIECES // 2 * len(PIECE)} bytes had come" in failure.message
     assert PIECE_SECONDS < seconds < 1.0
     assert calls.paths.current == GATEWAY
+
+
+async def test_a_host_that_is_gone_is_not_given_the_wait_of_a_read() -> None:
+    # A gateway that was gone held up the last entry that lacked a change for 1.95 s:
+    # "no connection in time" for a read that could wait 1.5 s, its link idle meanwhile.
+    with silent_address() as gone:
+        calls = calls_of(gone.port)
+        started_at = get_running_loop().time()
+        failure = await calls.call("GET", "/gone", wait=WAIT)
+        seconds = get_running_loop().time() - started_at
+    assert isinstance(failure, StoreFailure)
+    assert not failure.maybe_done
+    assert seconds < WAIT
+    assert calls.paths.current == GATEWAY
