Keep pages of newest records when a later one fails

Entries that started where each second call to the store failed never had a whole list of 1,200 endpoints: one page that failed threw the others away. Records written meanwhile are read behind the first page's end.

--- a/libs/bench/src/clementinebend_bench/models/mark_store.py
+++ b/libs/bench/src/clementinebend_bench/models/mark_store.py
@@ -8,6 +8,7 @@
     Appended,
     Conflict,
     KeyedRecord,
+    NewestPage,
     Page,
     RecordsDropped,
     StoreFailure,
@@ -67,13 +68,13 @@
             return StoreFailure(False, "the store is away")
         return Page(tuple(self.store.records[offset:]), len(self.store.records), True)
 
-    async def newest(self) -> Page | StoreFailure:
+    async def newest(self, after: str = "") -> NewestPage | StoreFailure:
         """Read the newest record of each key; see ``KeyedLog``."""
         if not await self._answers():
             return StoreFailure(False, "the store is away")
         newest = {record.key: record for record in self.store.records}
         kept = tuple(sorted(record for record in newest.values() if record.value))
-        return Page(kept, len(self.store.records), True)
+        return NewestPage(kept, len(self.store.records))
 
     async def _answers(self) -> bool:
         """Spend the time of a call; return whether it is answered."""
--- a/libs/platform_client/src/clementinebend_platform_client/keyed_log.py
+++ b/libs/platform_client/src/clementinebend_platform_client/keyed_log.py
@@ -23,6 +23,17 @@
     is_end: bool
 
 
+class NewestPage(NamedTuple):
+    """Newest records of the keys up to ``last_key``, or up to the last key there is.
+
+    ``end_offset`` is where the log ended. Without a ``last_key`` no keys are left.
+    """
+
+    records: tuple[KeyedRecord, ...]
+    end_offset: int
+    last_key: str | None = None
+
+
 class Appended(NamedTuple):
     """The records stand in the log; it ends at ``end_offset``."""
 
@@ -66,10 +77,6 @@
         """Return records from ``offset`` on; wait up to ``wait`` for a first one."""
         ...
 
-    async def newest(self) -> Page | StoreFailure:
-        """Return the newest record of each key.
-
-        The pages behind it are read one after the other: records written
-        meanwhile may be among them, and are read again from ``next_offset``.
-        """
+    async def newest(self, after: str = "") -> NewestPage | StoreFailure:
+        """Return newest records of the keys behind ``after``, in their order."""
         ...
--- a/libs/relay/src/clementinebend_relay/following.py
+++ b/libs/relay/src/clementinebend_relay/following.py
@@ -11,6 +11,7 @@
     RecordsDropped,
     StoreFailure,
 )
+from clementinebend_platform_client.newest_records import NewestRecords
 from clementinebend_relay.decisions import log_dependency
 
 WAIT_PART = 0.5
@@ -63,6 +64,7 @@
         self.pause = BATCH_PART * within if is_busy else 0.0
         self.name = name
         self.log = log
+        self.newest = NewestRecords(log, clock)
         self.table = table
         self.clock = clock
         self.offset: int | None = None
@@ -77,7 +79,7 @@
     async def step(self) -> None:
         """Read once; after a failure, pause."""
         if self.offset is None:
-            outcome: Page | RecordsDropped | StoreFailure = await self.log.newest()
+            outcome: Page | RecordsDropped | StoreFailure = await self.newest.read()
             is_snapshot = True
         else:
             outcome = await self.log.read(self.offset, self.wait)
--- a/libs/relay/src/clementinebend_relay/mark_keeper.py
+++ b/libs/relay/src/clementinebend_relay/mark_keeper.py
@@ -19,6 +19,7 @@
     RecordsDropped,
     StoreFailure,
 )
+from clementinebend_platform_client.newest_records import NewestRecords
 from clementinebend_relay.decisions import log_dependency
 from clementinebend_relay.mark_plan import REWRITE_SECONDS, MarkPlan
 from clementinebend_relay.mark_view import MarkView, Pending, Short
@@ -65,6 +66,7 @@
         self.view = view
         self.log = log
         self.clock = view.clock
+        self.newest = NewestRecords(log, view.clock)
         self.plan = MarkPlan(view)
         self.offset: int | None = None
         self.lost_at: float | None = None
@@ -233,7 +235,7 @@
             sent_at = self.clock()
             age = self.view.age()
             if self.offset is None or age is None or age > LONG_AGO_SECONDS:
-                outcome: Page | RecordsDropped | StoreFailure = await self.log.newest()
+                outcome: Page | RecordsDropped | StoreFailure = await self.newest.read()
             else:
                 outcome = await self.log.read(self.offset, 0.0)
             self._time_of(outcome, sent_at)
--- a/tests/lib/platform_store.py
+++ b/tests/lib/platform_store.py
@@ -13,12 +13,15 @@
 from clementinebend_transport.http_server import HttpServer, serve_http
 from clementinebend_transport.http_types import Request, Response
 
+PAGE_KEYS = 500
+"""The most keys of one answer with the newest records."""
+
 
 class StoreStandin:
     """Keyed topics in memory; ``fault`` says how calls fare.
 
     ``fault`` is ``""``, ``"busy"`` (503), ``"silent"`` (no answer), ``"lost"``
-    (done, no answer) or ``"slow"``.
+    (done, no answer), ``"slow"`` or ``"uneven"`` (503 to each second call).
     """
 
     def __init__(self) -> None:
@@ -28,6 +31,7 @@
         self.changed = Event()
         self.waiting_since: dict[str, float] = {}
         self.fault = ""
+        self.calls = 0
         self.server: HttpServer | None = None
         self.port = 0
 
@@ -63,7 +67,9 @@
 
     async def handle(self, request: Request) -> Response:
         """Answer a call."""
-        if self.fault == "busy":
+        self.calls += 1
+        is_refused = self.fault == "uneven" and self.calls % 2 == 0
+        if self.fault == "busy" or is_refused:
             return Response(503, (), b"")
         if self.fault == "silent":
             await sleep(60)
@@ -78,7 +84,7 @@
             case "log-read":
                 return await self._read(records, query)
             case "log-newest":
-                return self._newest(records)
+                return self._newest(records, query.get("after", ""))
         return Response(404, (), b"")
 
     async def _append(
@@ -112,18 +118,20 @@
         body += b"".join(encoded_record(*record) for record in records[offset:])
         return Response(200, (), body)
 
-    def _newest(self, records: list[tuple[str, bytes]]) -> Response:
+    def _newest(self, records: list[tuple[str, bytes]], after: str) -> Response:
         offsets = {key: place for place, (key, _) in enumerate(records)}
+        kept = sorted(key for key, place in offsets.items() if records[place][1])
+        left = [key for key in kept if key > after]
         entries = [
             {
                 "key": key,
-                "value": b64encode(records[place][1]).decode(),
-                "offset": place,
+                "value": b64encode(records[offsets[key]][1]).decode(),
+                "offset": offsets[key],
             }
-            for key, place in offsets.items()
-            if records[place][1]
+            for key in left[:PAGE_KEYS]
         ]
-        answer = {"entries": entries, "has_more": False, "end_offset": len(records)}
+        has_more = len(left) > PAGE_KEYS
+        answer = {"entries": entries, "has_more": has_more, "end_offset": len(records)}
         return Response(200, (), encode(answer))
 
     def _wake(self) -> None:
--- /dev/null
+++ b/tests/unit/platform/test_store_pages.py
@@ -0,0 +1,51 @@
+"""Partitions with more keys than one answer of the store holds."""
+
+from asyncio import create_task, get_running_loop
+
+from clementinebend_platform.store import PartitionLog
+from clementinebend_platform_client.keyed_log import KeyedRecord
+from clementinebend_platform_client.store_calls import StoreCalls
+from clementinebend_platform_client.store_paths import StorePaths
+from clementinebend_relay.following import Follower
+from clementinebend_transport.client_connection import Address
+from clementinebend_transport.http_client import HttpClient
+from tests.lib.platform_store import PAGE_KEYS, StoreStandin
+from tests.lib.waiting import until
+
+KEYS = 2 * PAGE_KEYS + 200
+WITHIN = 2.0
+
+
+class Table:
+    """Keeps the newest record of each key, and the keys of the last snapshot."""
+
+    def __init__(self) -> None:
+        self.records: dict[str, bytes] = {}
+        self.known: frozenset[str] = frozenset()
+
+    def on_record(self, record: KeyedRecord) -> None:
+        self.records[record.key] = record.value
+
+    def on_snapshot(self, keys: frozenset[str], end: int) -> None:
+        self.known = keys
+
+
+async def test_pages_are_kept_when_a_later_one_fails() -> None:
+    # Entries with slow links began the list of endpoints again at each page that
+    # failed, so that where each second call failed they never had a whole one.
+    store, client = StoreStandin(), HttpClient()
+    await store.start()
+    for number in range(KEYS):
+        store.put("servers", f"e-{number:04}", b"old")
+    store.fault = "uneven"
+    clock = get_running_loop().time
+    calls = StoreCalls(StorePaths(Address("127.0.0.1", store.port), clock), client)
+    table = Table()
+    log = PartitionLog(calls, "servers")
+    following = create_task(Follower("endpoints", log, table, clock, WITHIN).run())
+    await until(lambda: len(table.known) == KEYS)
+    store.put("servers", "e-0000", b"new")
+    await until(lambda: table.records["e-0000"] == b"new")
+    following.cancel()
+    await client.close()
+    await store.stop()
--- a/tests/unit/relay/mark_world.py
+++ b/tests/unit/relay/mark_world.py
@@ -13,6 +13,7 @@
     Appended,
     Conflict,
     KeyedRecord,
+    NewestPage,
     Page,
     RecordsDropped,
     StoreFailure,
@@ -101,12 +102,12 @@
             return StoreFailure(False, "down")
         return Page(tuple(self.records[offset:]), len(self.records), True)
 
-    async def newest(self) -> Page | StoreFailure:
+    async def newest(self, after: str = "") -> NewestPage | StoreFailure:
         if self.mode == "down":
             return StoreFailure(False, "down")
         newest = {record.key: record for record in self.records}
         kept = tuple(sorted(record for record in newest.values() if record.value))
-        return Page(kept, len(self.records), True)
+        return NewestPage(kept, len(self.records))
 
 
 class Sent(NamedTuple):
