Let the soak change large configurations over slow links, and ask for the newest

Entries' direct links to the store carry 625 kB a second, versions have 4,000 routes more, and after the faults each entry must serve a route that only the newest version has. The proxy of the large configuration's tests and that of the soak are one.

--- a/tests/functional/test_large_configuration.py
+++ b/tests/functional/test_large_configuration.py
@@ -24,8 +24,8 @@
 from clementinebend_transport.client_connection import Address
 from tests.lib.platform_fleet import ROUTES, Fleet, route
 from tests.lib.silent_address import silent_address
-from tests.lib.slow_link import SlowLink
 from tests.lib.waiting import until
+from tests.soak.proxy import FaultProxy
 
 LINK_BYTES_PER_SECOND = 5e6 / 8
 CHANGE_WITHIN = 3.0
@@ -51,10 +51,10 @@
 
 
 @pytest_asyncio.fixture
-async def link(fleet: Fleet) -> AsyncIterator[SlowLink]:
+async def link(fleet: Fleet) -> AsyncIterator[FaultProxy]:
     """Start a store with a small configuration, and a slow link to it."""
     await fleet.start(entries=0)
-    made = SlowLink(fleet.store.port, LINK_BYTES_PER_SECOND)
+    made = FaultProxy(fleet.store.port, LINK_BYTES_PER_SECOND)
     await made.start()
     yield made
     made.close()
@@ -67,7 +67,7 @@
         yield address
 
 
-async def test_an_entry_on_a_slow_link_starts(fleet: Fleet, link: SlowLink) -> None:
+async def test_an_entry_on_a_slow_link_starts(fleet: Fleet, link: FaultProxy) -> None:
     fleet.configure(1_000_000, large())
     entry = await fleet.add_entry("edge-0", "z0", store=link.port)
     assert (await fleet.call("/safe/x")).ok.status == 200
@@ -75,7 +75,7 @@
 
 
 async def test_a_change_late_in_a_wait_is_in_force_in_time(
-    fleet: Fleet, link: SlowLink, silent: Address
+    fleet: Fleet, link: FaultProxy, silent: Address
 ) -> None:
     lost = Announcement("side-0#1", "z0", silent.host, silent.port)
     fleet.store.put("gateways", "side-0", encode(lost))
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -7,12 +7,14 @@
     StreamReader,
     StreamWriter,
     create_task,
+    get_running_loop,
     open_connection,
     sleep,
     start_server,
     wait,
 )
 from contextlib import suppress
+from math import inf
 from socket import SO_LINGER, SOL_SOCKET
 
 from clementinebend_transport.channel import RESET_ON_CLOSE
@@ -22,14 +24,19 @@
 or with nothing passed on the way back."""
 
 DELAY_SECONDS = 0.08
-PIECE_BYTES = 16 * 1024
+PIECE_BYTES = 4 * 1024
 
 
 class FaultProxy:
-    """Passes bytes to a port, as ``mode`` says; changes act on open connections."""
+    """Passes bytes to a port, as ``mode`` says; changes act on open connections.
 
-    def __init__(self, target_port: int) -> None:
+    All answers together pass at ``rate`` bytes a second, as over a slow link.
+    """
+
+    def __init__(self, target_port: int, rate: float = inf) -> None:
         self.target_port = target_port
+        self.rate = rate
+        self.free_at = 0.0
         self.writers: set[StreamWriter] = set()
         self.mode = ""
         self.requests = Event()
@@ -95,12 +102,21 @@
     ) -> None:
         with suppress(OSError):
             while piece := await reader.read(PIECE_BYTES):
+                if is_answer:
+                    await self._carry(len(piece))
                 await (self.answers if is_answer else self.requests).wait()
                 if self.mode == "delay":
                     await sleep(DELAY_SECONDS)
                 writer.write(piece)
                 await writer.drain()
 
+    async def _carry(self, size: int) -> None:
+        """Wait until the link has carried ``size`` more bytes."""
+        now = get_running_loop().time()
+        self.free_at = max(now, self.free_at) + size / self.rate
+        if self.free_at > now:
+            await sleep(self.free_at - now)
+
 
 def _reset(writer: StreamWriter) -> None:
     socket = writer.transport.get_extra_info("socket")
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from tests.lib.platform_engine import EngineStandin
-from tests.lib.platform_fleet import Entry, Fleet
+from tests.lib.platform_fleet import ROUTES, Entry, Fleet, route
 from tests.lib.waiting import until
 from tests.soak.promises import Seen, broken_promises
 from tests.soak.proxy import MODES, FaultProxy
@@ -25,6 +25,12 @@
 PATHS = ("/safe/x", "/once/x", "/stream/x", "/stream/x", "/stream-once/x")
 ENGINE_FAULTS = ("full", "fail", "foreign", "cut", "gap", "silent")
 STORE_FAULTS = ("busy", "silent", "lost", "slow")
+IDLE_ROUTES = 4_000
+"""Routes that nobody calls: each change is read over a slow link for 1 s."""
+
+LINK_BYTES_PER_SECOND = 5e6 / 8
+
+IDLE = tuple(route(f"/idle-{number}/", "safe", "desk") for number in range(IDLE_ROUTES))
 
 
 class Soak:
@@ -37,6 +43,7 @@
         self.store_proxies: list[FaultProxy] = []
         self.engine_proxies: list[FaultProxy] = []
         self.prepaid = PREPAID
+        self.newest_path = "/safe/"
         self.has_stopped = False
         self.restarting: set[int] = set()
         self.done: list[str] = []
@@ -65,7 +72,7 @@
             for _ in range(ENGINES):
                 await self._add_engine(service)
         for number in range(ENTRIES):
-            proxy = FaultProxy(fleet.store.port)
+            proxy = FaultProxy(fleet.store.port, LINK_BYTES_PER_SECOND)
             await proxy.start()
             self.store_proxies.append(proxy)
             await fleet.add_entry(f"edge-{number}", f"z{number}", store=proxy.port)
@@ -208,10 +215,12 @@
             entry.process.send_signal(SIGCONT)
 
     async def _change(self) -> None:
-        """Top up the budget by a new version of the configuration."""
+        """Top up the budget and move a route by a new version of the configuration."""
         self.prepaid += self.random.choice((0, 500))
         self._note("configuration")
-        self.fleet.configure(self.prepaid)
+        self.newest_path = f"/new-{len(self.done)}/"
+        newest = route(self.newest_path, "safe", "desk")
+        self.fleet.configure(self.prepaid, (*ROUTES, *IDLE, newest))
 
     async def _heal(self) -> None:
         for proxy in (*self.store_proxies, *self.engine_proxies):
@@ -229,7 +238,7 @@
         ]
 
     async def _unserved(self) -> list[str]:
-        """Return the entries that do not serve again in time."""
+        """Return the entries that do not serve in time as the newest version says."""
         unserved = []
         for number, entry in enumerate(self.fleet.entries[:ENTRIES]):
             try:
@@ -239,5 +248,5 @@
         return unserved
 
     async def _serves(self, number: int) -> bool:
-        outcome = await self.fleet.call("/safe/x", number)
+        outcome = await self.fleet.call(f"{self.newest_path}x", number)
         return bool(outcome.is_ok() and outcome.ok.status == 200)
