End a gateway's connections in order when it stops

Change: the gateway keeps the tasks of its connections and ends them. Before, after: the test's gateway logs one error, none.

--- a/libs/relay/src/clementinebend_relay/gateway.py
+++ b/libs/relay/src/clementinebend_relay/gateway.py
@@ -9,7 +9,9 @@
     Event,
     StreamReader,
     StreamWriter,
+    Task,
     create_task,
+    gather,
     get_running_loop,
     open_connection,
     start_server,
@@ -33,7 +35,7 @@
 """Time for a connection to the store, some hundred round trips."""
 
 IDLE_SECONDS = 20.0
-"""How long a connection may carry nothing; entries' reads wait 1 s at most."""
+"""How long a connection may carry nothing; entries' reads wait a few seconds."""
 
 logger = getLogger(__name__)
 
@@ -46,6 +48,20 @@
 
     def __init__(self, store: Address) -> None:
         self.store = store
+        self.serving: set[Task[None]] = set()
+
+    def accept(self, reader: StreamReader, writer: StreamWriter) -> None:
+        """Serve a connection in a task of its own, which ``close`` ends."""
+        task = create_task(self.serve(reader, writer))
+        self.serving.add(task)
+        task.add_done_callback(self.serving.discard)
+
+    async def close(self) -> None:
+        """End all connections."""
+        tasks = tuple(self.serving)
+        for task in tasks:
+            task.cancel()
+        await gather(*tasks, return_exceptions=True)
 
     async def serve(self, reader: StreamReader, writer: StreamWriter) -> None:
         """Pass bytes both ways until one side ends."""
@@ -60,11 +76,13 @@
             create_task(_pass_on(reader, store_writer)),
             create_task(_pass_on(store_reader, writer)),
         )
-        await wait(ways, return_when=FIRST_COMPLETED)
-        for way in ways:
-            way.cancel()
-        writer.transport.abort()
-        store_writer.transport.abort()
+        try:
+            await wait(ways, return_when=FIRST_COMPLETED)
+        finally:
+            for way in ways:
+                way.cancel()
+            writer.transport.abort()
+            store_writer.transport.abort()
 
 
 async def _pass_on(reader: StreamReader, writer: StreamWriter) -> None:
@@ -105,13 +123,14 @@
     stop: Event,
 ) -> int:
     """Serve until ``stop`` is set; return the exit code."""
-    server = await start_server(gateway.serve, *address, limit=PIECE_BYTES)
+    server = await start_server(gateway.accept, *address, limit=PIECE_BYTES)
     socket = await _open_desk(boot, address)
     logger.info("started", extra={"gateway": name})
     announcing = create_task(announce(log, name, Announcement(boot, zone, *address)))
     await stop.wait()
     announcing.cancel()
     server.close()
+    await gateway.close()
     socket.close()
     logger.info("stopped", extra={"code": EXIT_OK})
     return EXIT_OK
--- a/tests/functional/test_platform_entry.py
+++ b/tests/functional/test_platform_entry.py
@@ -254,3 +254,16 @@
         return has_logged(entry, "queue keeper silent")
 
     await until(is_silent)
+
+
+async def test_a_gateway_stops_in_order_while_entries_use_it(fleet: Fleet) -> None:
+    # Each connection that a stopping gateway still carried became an error in its log,
+    # which hid what else had happened on a host that was replaced.
+    await fleet.start(entries=0)
+    gateway = await fleet.add_gateway("side-0")
+    await until(lambda: fleet.is_bound(gateway))
+    await fleet.add_entry("edge-0", "z0", store=gateway.port)
+    gateway.process.terminate()
+    assert await gateway.process.wait() == EXIT_OK
+    assert has_logged(gateway, "stopped")
+    assert not [line for line in gateway.lines() if line["level"] == "ERROR"]
