Give the store's first answers more time after each failure

Callers met entries without a configuration for seconds after many entries were killed together, the longer the larger fleet and configuration. Cause: the store's reading rate is shared; the first reads of many entries take it seconds, and an answer that had not begun after 0.3 to 0.7 s was given up and asked for anew, behind all others. Where the store spends its time on what was given up, too, most entries never have one. Change: the answer with all newest records may begin 0.7 and then 1.4 s later after a failure; a process that has had no answer yet starts with the longest usual limit.

--- a/libs/bench/src/clementinebend_bench/models/mark_store.py
+++ b/libs/bench/src/clementinebend_bench/models/mark_store.py
@@ -68,7 +68,9 @@
             return StoreFailure(False, "the store is away")
         return Page(tuple(self.store.records[offset:]), len(self.store.records), True)
 
-    async def newest(self, after: str = "") -> NewestPage | StoreFailure:
+    async def newest(
+        self, after: str = "", patience: float = 0.0
+    ) -> NewestPage | StoreFailure:
         """Read the newest record of each key; see ``KeyedLog``."""
         if not await self._answers():
             return StoreFailure(False, "the store is away")
--- a/libs/platform_client/src/clementinebend_platform_client/keyed_log.py
+++ b/libs/platform_client/src/clementinebend_platform_client/keyed_log.py
@@ -77,6 +77,11 @@
         """Return records from ``offset`` on; wait up to ``wait`` for a first one."""
         ...
 
-    async def newest(self, after: str = "") -> NewestPage | StoreFailure:
-        """Return newest records of the keys behind ``after``, in their order."""
+    async def newest(
+        self, after: str = "", patience: float = 0.0
+    ) -> NewestPage | StoreFailure:
+        """Return newest records of the keys behind ``after``, in their order.
+
+        The answer may begin ``patience`` seconds later than usual.
+        """
         ...
--- a/libs/platform_client/src/clementinebend_platform_client/newest_records.py
+++ b/libs/platform_client/src/clementinebend_platform_client/newest_records.py
@@ -27,16 +27,16 @@
         self.pages: list[NewestPage] = []
         self.begun_at = 0.0
 
-    async def read(self) -> Page | StoreFailure:
+    async def read(self, patience: float = 0.0) -> Page | StoreFailure:
         """Return the newest record of each key, and the offset to read on from.
 
         Of more than one page the log must be read on: records written meanwhile may
-        be missing.
+        be missing. Each answer may begin ``patience`` seconds later than usual.
         """
         self._begin()
         while not self.pages or self.pages[-1].last_key is not None:
             after = self.pages[-1].last_key if self.pages else None
-            page = await self.log.newest(after or "")
+            page = await self.log.newest(after or "", patience)
             if isinstance(page, StoreFailure):
                 return page
             self.pages.append(page)
--- a/libs/platform_client/src/clementinebend_platform_client/store_paths.py
+++ b/libs/platform_client/src/clementinebend_platform_client/store_paths.py
@@ -48,11 +48,12 @@
         self.clock = clock
         self.gateways: Sequence[Address] = ()
         self.failed_at: dict[Address, float] = {}
-        self.limit = LEAST_LIMIT
-        """Seconds that an answer may take, beside what a read waits."""
+        self.limit = MOST_LIMIT
+        """Seconds until an answer must begin, beside what a read waits. The first ones
+        may take long: all entries may have started at once."""
 
     def on_answer(self, seconds: float) -> None:
-        """Take how long an answer took, beside what a read waited."""
+        """Take how long it took until an answer began that was not to wait."""
         least = max(LEAST_LIMIT, LIMIT_FACTOR * seconds, self.limit * LIMIT_DECAY)
         self.limit = min(MOST_LIMIT, least)
 
--- a/libs/relay/src/clementinebend_relay/following.py
+++ b/libs/relay/src/clementinebend_relay/following.py
@@ -30,6 +30,14 @@
 RETRY_PAUSE = 0.25
 """Seconds after a failed read, as often as the store's limit of reads allows."""
 
+FIRST_PATIENCE = 0.7
+"""Seconds that an answer with all newest records may begin later than usual after a
+first failure; doubled with each one. When many entries start at once the store takes
+seconds for their first reads, and calls given up early only add to its work."""
+
+MOST_PATIENCE = 1.4
+"""The longest of it: a store that is back after a silent outage is noticed after it."""
+
 
 class Table(Protocol):
     """What keeps the records that a follower reads."""
@@ -70,6 +78,7 @@
         self.offset: int | None = None
         self.read_at: float | None = None
         self.lost_at: float | None = None
+        self.failures = 0
 
     async def run(self) -> None:
         """Follow for ever."""
@@ -79,7 +88,9 @@
     async def step(self) -> None:
         """Read once; after a failure, pause."""
         if self.offset is None:
-            outcome: Page | RecordsDropped | StoreFailure = await self.newest.read()
+            outcome: Page | RecordsDropped | StoreFailure = await self.newest.read(
+                patience_after(self.failures)
+            )
             is_snapshot = True
         else:
             outcome = await self.log.read(self.offset, self.wait)
@@ -97,6 +108,7 @@
 
     def _take(self, page: Page, is_snapshot: bool) -> None:
         self.read_at = self.clock()
+        self.failures = 0
         if self.lost_at is not None:
             lost_for = round(self.read_at - self.lost_at, 3)
             log_dependency(self.name, is_lost=False, lost_for_s=lost_for)
@@ -109,6 +121,13 @@
         self.offset = page.next_offset
 
     def _lose(self, failure: StoreFailure) -> None:
+        self.failures += 1
         if self.lost_at is None:
             self.lost_at = self.clock()
             log_dependency(self.name, is_lost=True, problem=failure.message)
+
+
+def patience_after(failures: int) -> float:
+    """Return the seconds that the next answer may begin late, after some failures."""
+    doublings = min(failures, 10)
+    return min(MOST_PATIENCE, FIRST_PATIENCE * (2.0**doublings - 1))
--- a/tests/unit/platform_client/test_newest_records.py
+++ b/tests/unit/platform_client/test_newest_records.py
@@ -24,7 +24,9 @@
         self.asked: list[str] = []
         self.now = 100.0
 
-    async def newest(self, after: str = "") -> NewestPage | StoreFailure:
+    async def newest(
+        self, after: str = "", patience: float = 0.0
+    ) -> NewestPage | StoreFailure:
         self.asked.append(after)
         return self.pages.pop(0)
 
--- a/tests/unit/platform_client/test_store_calls.py
+++ b/tests/unit/platform_client/test_store_calls.py
@@ -25,6 +25,7 @@
 def calls_of(port: int) -> StoreCalls:
     paths = StorePaths(Address(HOST, port), get_running_loop().time)
     paths.gateways = (GATEWAY,)
+    paths.limit = LEAST_LIMIT
     return StoreCalls(paths, HttpClient())
 
 
--- a/tests/unit/relay/mark_world.py
+++ b/tests/unit/relay/mark_world.py
@@ -102,7 +102,9 @@
             return StoreFailure(False, "down")
         return Page(tuple(self.records[offset:]), len(self.records), True)
 
-    async def newest(self, after: str = "") -> NewestPage | StoreFailure:
+    async def newest(
+        self, after: str = "", patience: float = 0.0
+    ) -> NewestPage | StoreFailure:
         if self.mode == "down":
             return StoreFailure(False, "down")
         newest = {record.key: record for record in self.records}
--- a/tests/unit/relay/test_questions.py
+++ b/tests/unit/relay/test_questions.py
@@ -26,9 +26,9 @@
         super().__init__([], [])
         self.reads = 0
 
-    async def newest(self, after=""):  # type: ignore[no-untyped-def]
+    async def newest(self, after="", patience=0.0):  # type: ignore[no-untyped-def]
         self.reads += 1
-        return await super().newest(after)
+        return await super().newest(after, patience)
 
     async def read(self, offset, wait):  # type: ignore[no-untyped-def]
         self.reads += 1
