--- a/libs/bench/src/clementinebend_bench/experiments/marks.py
+++ b/libs/bench/src/clementinebend_bench/experiments/marks.py
@@ -69,6 +69,7 @@
     hot: tuple[float, float] | None = None
     entries: int = ENTRIES
     prepaid_factor: float = PREPAID_FACTOR
+    has_drafts: bool = False
 
 
 ALL = tuple(range(ENTRIES))
@@ -98,6 +99,12 @@
         (Gone((1,), 15, 17),),
         prepaid_factor=SHORT_FACTOR,
     ),
+    Scenario(
+        "drafts, all lose power, budgets short",
+        (Gone(ALL, 34, 35.6),),
+        prepaid_factor=SHORT_FACTOR,
+        has_drafts=True,
+    ),
 )
 
 
@@ -195,7 +202,9 @@
     """Run one arm through one scenario; the same case gives the same tally."""
     scenario = case.scenario
     seed(case.seed)  # keepers draw their pauses after lost races
-    calls = make_calls(scenario.entries, SECONDS, scenario.hot, case.seed)
+    calls = make_calls(
+        scenario.entries, SECONDS, scenario.hot, case.seed, scenario.has_drafts
+    )
     needed: Counter[str] = Counter()
     for call in calls:
         needed[call.team] += call.cost
