--- a/tests/unit/bench/test_marks.py
+++ b/tests/unit/bench/test_marks.py
@@ -81,9 +81,9 @@
 
 
 def test_drafts_in_progress_at_a_loss_of_power_are_not_refused_for() -> None:
-    # After a loss of all power three teams had 102 to 162 thousand tokens uncertain, and
-    # 52 of 234 calls were served. What long drafts may have cost as they broke off is
-    # held back for the rest of the day.
+    # After a loss of all power three teams had 102 to 162 thousand tokens uncertain,
+    # and 52 of 234 calls were served. What long drafts may have cost as they broke
+    # off is held back for the rest of the day.
     assert refused_share("drafts, all lose power, budgets short") < 0.01
 
 
