Wait until an engine has ended before a run is expected to find nobody there

Traced: the sidecar keeps a second connection to the engine (the stand-in's descriptors: listener 6, run 7, the other 8), and a process that ends closes them one after the other. A run that is sent on the kept one in between may have begun, and the sidecar says so, truly. The test waits on the engine's end; what it asks for stays.

--- a/tests/functional/test_sidecar_process.py
+++ b/tests/functional/test_sidecar_process.py
@@ -109,6 +109,9 @@
         assert isinstance(failed.end, RunFailed)
         assert failed.end.receipt is not None
         assert failed.end.receipt.amount == AMOUNT
+        # An engine that ends closes one connection after the other: until all are
+        # closed, a run sent on a kept one may have begun.
+        await place.processes.exit_code(place.endpoint)
         entry.start("r2")
         refused = await entry.outcome("r2")
         assert isinstance(refused.end, RunRefused)
