--- a/tests/functional/test_large_configuration.py
+++ b/tests/functional/test_large_configuration.py
@@ -12,7 +12,6 @@
 
 from asyncio import get_running_loop
 from collections.abc import AsyncIterator, Iterator
-from pathlib import Path
 from typing import Any
 
 import pytest
@@ -41,15 +40,6 @@
     return (*ROUTES, *idle, *more)
 
 
-@pytest_asyncio.fixture
-async def fleet(tmp_path: Path) -> AsyncIterator[Fleet]:
-    made = Fleet(tmp_path)
-    try:
-        yield made
-    finally:
-        await made.stop()
-
-
 @pytest_asyncio.fixture
 async def link(fleet: Fleet) -> AsyncIterator[FaultProxy]:
     """Start a store with a small configuration, and a slow link to it."""
--- a/tests/functional/test_platform_entry.py
+++ b/tests/functional/test_platform_entry.py
@@ -1,27 +1,14 @@
 """The real entry program before stand-ins of the platform."""
 
 from asyncio import create_task, timeout
-from collections.abc import AsyncIterator
-from pathlib import Path
 from signal import SIGHUP
 
-import pytest_asyncio
-
 from clementinebend_transport.lifecycle import EXIT_OK
 from tests.lib.platform_engine import WHOLE_STREAM
 from tests.lib.platform_fleet import READY_SECONDS, ROUTES, Entry, Fleet
 from tests.lib.waiting import until
 
 
-@pytest_asyncio.fixture
-async def fleet(tmp_path: Path) -> AsyncIterator[Fleet]:
-    made = Fleet(tmp_path)
-    try:
-        yield made
-    finally:
-        await made.stop()
-
-
 async def answers(fleet: Fleet, path: str, status: int) -> bool:
     """Tell whether a request gets ``status``."""
     return (await fleet.call(path)).ok.status == status
