--- a/libs/platform_client/src/clementinebend_platform_client/newest_records.py
+++ b/libs/platform_client/src/clementinebend_platform_client/newest_records.py
@@ -34,12 +34,13 @@
         be missing. Each answer may begin ``patience`` seconds later than usual.
         """
         self._begin()
-        while not self.pages or self.pages[-1].last_key is not None:
-            after = self.pages[-1].last_key if self.pages else None
-            page = await self.log.newest(after or "", patience)
+        after = self.pages[-1].last_key if self.pages else ""
+        while after is not None:
+            page = await self.log.newest(after, patience)
             if isinstance(page, StoreFailure):
                 return page
             self.pages.append(page)
+            after = page.last_key
         pages, self.pages = self.pages, []
         records = sorted(chain.from_iterable(page.records for page in pages))
         return Page(tuple(records), pages[0].end_offset, is_end=len(pages) == 1)
--- a/libs/relay/src/clementinebend_relay/budgets.py
+++ b/libs/relay/src/clementinebend_relay/budgets.py
@@ -48,9 +48,8 @@
 for the same budget a hundred times a second."""
 
 GIVEN_BACK_FROM = 3
-"""Times what an entry keeps at hand from which on it gives the rest back. What 68
-entries kept of ended calls made 784 refusals of 5,700 calls on a calm day, with a
-fortieth of a budget left."""
+"""Times what an entry keeps at hand from which on it gives the rest back. What many
+entries keep of ended calls is lacking elsewhere: calls are refused with budget left."""
 
 PART_MARK = "@"
 """Between an entry's boot and its partition in a holder's name."""
--- a/libs/relay/src/clementinebend_relay/following.py
+++ b/libs/relay/src/clementinebend_relay/following.py
@@ -32,8 +32,9 @@
 
 FIRST_PATIENCE = 0.7
 """Seconds that an answer with all newest records may begin later than usual after a
-first failure; doubled with each one. When many entries start at once the store takes
-seconds for their first reads, and calls given up early only add to its work."""
+first failure, and as much again after each further one. When many entries start at
+once the store takes seconds for their first reads, and calls given up early only add
+to its work."""
 
 MOST_PATIENCE = 1.4
 """The longest of it: a store that is back after a silent outage is noticed after it."""
@@ -129,5 +130,4 @@
 
 def patience_after(failures: int) -> float:
     """Return the seconds that the next answer may begin late, after some failures."""
-    doublings = min(failures, 10)
-    return min(MOST_PATIENCE, FIRST_PATIENCE * (2.0**doublings - 1))
+    return min(MOST_PATIENCE, failures * FIRST_PATIENCE)
--- a/libs/relay/src/clementinebend_relay/peers.py
+++ b/libs/relay/src/clementinebend_relay/peers.py
@@ -76,7 +76,8 @@
 
     def entry_count(self) -> int:
         """Return how many entries there are, this one included."""
-        return len({self.name, *self.directory.announcements})
+        announced = self.directory.announcements
+        return len(announced) + (self.name not in announced)
 
     async def watch(self) -> None:
         """Ask for ever whether those live that this entry may have to replace."""
--- a/libs/relay/src/clementinebend_relay/questions.py
+++ b/libs/relay/src/clementinebend_relay/questions.py
@@ -11,14 +11,13 @@
 
 PROMISED_SECONDS = 0.08
 """Seconds after an empty answer in which the home is not asked again: it remembers the
-question somewhat longer. Repeated each 30 ms by 20 entries, questions took up all of a
-home of 0.4 of a core: 366 of 2,000 calls were refused."""
+question somewhat longer. Repeated by many entries, questions would take up all the
+processor of a small home, and calls would be refused meanwhile."""
 
 GONE_SECONDS = 0.1
 """Seconds of silence after which an entry raises a mark of its own: three questions.
-A home that is held up for 30 ms lives; where 68 entries raised marks then, they and
-the home raced for the log's end, and 150 of 500 calls were refused in a second and a
-half."""
+A home that is held up for one question lives; marks raised too early make many
+entries race with it for the log's end, and calls are refused meanwhile."""
 
 ALL_PAUSE = 0.15
 """Seconds between questions to all entries: what they can spare changes as calls
--- a/libs/transport/src/clementinebend_transport/http_client.py
+++ b/libs/transport/src/clementinebend_transport/http_client.py
@@ -5,7 +5,7 @@
 """
 
 from asyncio import get_running_loop, timeout_at
-from asyncio import timeout as limit
+from asyncio import timeout as time_limit
 from collections import defaultdict, deque
 from collections.abc import AsyncIterator, Callable, Iterable
 from typing import NamedTuple
@@ -271,7 +271,7 @@
     """
     body = _Body()
     try:
-        async with limit(timeout):
+        async with time_limit(timeout):
             await body.read(opened.chunks, piece_timeout)
     except TimeoutError:
         return Error(body.failure("the answer took too long"))
@@ -311,7 +311,7 @@
     chunks: AsyncIterator[bytes], piece_timeout: float | None
 ) -> bytes | None:
     try:
-        async with limit(piece_timeout):
+        async with time_limit(piece_timeout):
             return await anext(chunks, None)
     except TimeoutError as error:
         raise TruncatedAnswer(f"the answer stopped for {piece_timeout} s") from error
--- a/tests/unit/platform_client/test_newest_records.py
+++ b/tests/unit/platform_client/test_newest_records.py
@@ -1,25 +1,24 @@
 """Pages of newest records: which are kept, and for how long."""
 
 from clementinebend_platform_client.keyed_log import (
-    Appended,
-    Conflict,
     KeyedRecord,
     NewestPage,
     Page,
-    RecordsDropped,
     StoreFailure,
 )
 from clementinebend_platform_client.newest_records import KEPT_SECONDS, NewestRecords
+from tests.unit.relay.mark_world import FakeLog
 
 FAILURE = StoreFailure(False, "away")
 FIRST = NewestPage((KeyedRecord(7, "a", b"1"),), 8, "a")
 LAST = NewestPage((KeyedRecord(3, "b", b"2"),), 9)
 
 
-class Script:
+class Script(FakeLog):
     """A log that gives the pages of a script, and notes what was asked for."""
 
     def __init__(self, *pages: NewestPage | StoreFailure) -> None:
+        super().__init__([], [])
         self.pages = list(pages)
         self.asked: list[str] = []
         self.now = 100.0
@@ -30,16 +29,6 @@
         self.asked.append(after)
         return self.pages.pop(0)
 
-    async def append(
-        self, records: tuple[tuple[str, bytes], ...], expected_end: int | None
-    ) -> Appended | Conflict | StoreFailure:
-        raise NotImplementedError
-
-    async def read(
-        self, offset: int, wait: float
-    ) -> Page | RecordsDropped | StoreFailure:
-        raise NotImplementedError
-
 
 async def test_reading_goes_on_behind_the_last_page_that_came() -> None:
     log = Script(FIRST, FAILURE, LAST)
--- a/tests/unit/relay/mark_world.py
+++ b/tests/unit/relay/mark_world.py
@@ -29,6 +29,7 @@
     OpenMessage,
 )
 from clementinebend_relay.models import CallerLimits, Configuration, Team
+from clementinebend_relay.neighbours import Alone
 from clementinebend_relay.witness import WitnessDesk
 from clementinebend_relay.witnesses import Witnesses
 from clementinebend_transport.client_connection import Address
@@ -120,8 +121,11 @@
     sender: Address
 
 
-class FakeEntry:
-    """One boot of an entry."""
+class FakeEntry(Alone):
+    """One boot of an entry; what it would ask of others is lost.
+
+    Tests hand over by ``hand_over``.
+    """
 
     def __init__(self, world: "MarkWorld", number: int) -> None:
         self.world = world
@@ -159,22 +163,6 @@
     def home_of(self, part: int) -> str | None:
         return None if self.is_home else "entry-0"
 
-    def is_heard(self, boot: str) -> bool:
-        return False
-
-    def ask(self, entry: str, team: str, asked: Wish) -> None:
-        """Lose all questions: tests hand over by ``hand_over``."""
-
-    def ask_others(self, team: str, asked: Wish) -> None:
-        """Lose all questions."""
-
-    def give_back(self, entry: str, team: str, amount: int) -> bool:
-        """Keep what is left: tests hand over by ``hand_over``."""
-        return False
-
-    def serve_unmet(self, part: int) -> None:
-        """Nobody is remembered: tests ask again."""
-
     def send(self, message: Message, to: Address) -> None:
         self.world.sent.append(Sent(message, to, self.address))
 
