--- a/tests/lib/books.py
+++ b/tests/lib/books.py
@@ -8,7 +8,7 @@
 from tests.lib.cluster_files import BUDGET, MODEL_SERVICE, PLAIN_COST
 from tests.lib.clusters import Cluster
 from tests.lib.log_readers import ReplayedLedger
-from tests.lib.processes import wait_until
+from tests.lib.processes import DeadlineError, wait_until
 
 BROKEN_RULES = (BillUnfunded, OverrunDetected)
 """Outcomes of replay that only a broken invariant gives."""
@@ -63,7 +63,7 @@
 
     try:
         await wait_until(billed, f"{bills} bills, and {unbilled} runs without one")
-    except AssertionError as error:
+    except (AssertionError, DeadlineError) as error:
         raise AssertionError(f"{error}; {books}") from None
     check_balance(books, bills, unbilled)
     return books
