Tell which request an answer belonged to that an endpoint broke off

What callers saw: a request under which engines ended was sent on to the next ones. The logs could not tell whether two calls are the same request, and an answer that broke off after its head left no line at all. call ended now has a fingerprint that all repetitions share, and answer broke off names the call, the endpoint, and what was in flight there. No decision changes.

--- a/libs/bench/src/clementinebend_bench/experiments/choice.py
+++ b/libs/bench/src/clementinebend_bench/experiments/choice.py
@@ -57,7 +57,7 @@
 def _seconds(size: int) -> float:
     dispatcher = _dispatcher(size)
     admitted = Admitted(
-        _call(), ROUTE, Service(SERVICE, 500, 4), Team("t", None, None), 1, 5.0, 1
+        _call(), ROUTE, Service(SERVICE, 500, 4), Team("t", None, None), 1, 5.0, 1, ""
     )
     choices = max(3, ENDPOINTS_LOOKED_AT // size)
     started = process_time()
--- a/libs/relay/src/clementinebend_relay/admission.py
+++ b/libs/relay/src/clementinebend_relay/admission.py
@@ -4,6 +4,7 @@
 from zlib import crc32
 
 from clementinebend_relay.configuration import find_route, find_team
+from clementinebend_relay.fingerprints import fingerprint_of
 from clementinebend_relay.models import (
     Call,
     Configuration,
@@ -26,6 +27,7 @@
     """A call that may go on, and on what terms.
 
     ``time_limit`` (seconds) is the shorter of the caller's and the route's.
+    ``fingerprint`` is the same for all repetitions of a request.
     """
 
     call: Call
@@ -35,6 +37,7 @@
     priority: int
     time_limit: float
     version: int
+    fingerprint: str
 
 
 def admit(call: Call, configuration: Configuration | None) -> Admitted | Rejection:
@@ -57,9 +60,10 @@
     limit = route.timeout
     if call.time_limit is not None:
         limit = min(limit, call.time_limit)
-    return Admitted(
-        call, route, service, team or NOBODY, priority, limit, configuration.version
-    )
+    team = team or NOBODY
+    fingerprint = fingerprint_of(call, team.name)
+    version = configuration.version
+    return Admitted(call, route, service, team, priority, limit, version, fingerprint)
 
 
 def pick_service(route: Route, request_id: str) -> str:
--- a/libs/relay/src/clementinebend_relay/attempts.py
+++ b/libs/relay/src/clementinebend_relay/attempts.py
@@ -9,6 +9,7 @@
 from clementinebend_relay.dispatch import Dispatcher, Lost, NotSent, Opened
 from clementinebend_relay.endpoint_state import EndpointState
 from clementinebend_relay.interfaces import Verdict
+from clementinebend_relay.metrics import broken_answers
 from clementinebend_relay.models import RouteKind
 from clementinebend_relay.progress import CallProgress
 from clementinebend_relay.survey import SURVEY_SECONDS, Placement
@@ -78,6 +79,23 @@
                 return running
         return None
 
+    def on_broken(
+        self, progress: CallProgress, state: EndpointState, problem: str
+    ) -> None:
+        """Note that an endpoint ended the connection before its answer was whole."""
+        admitted = progress.admitted
+        broken_answers.labels(admitted.service.name).inc()
+        log_decision(
+            "answer broke off",
+            request_id=admitted.call.request_id,
+            fingerprint=admitted.fingerprint,
+            endpoint=state.endpoint.name,
+            events=progress.events,
+            sent_s=round(self.clock() - progress.sent_at, 4),
+            in_flight=state.in_flight,
+            problem=problem,
+        )
+
     async def _place(self, progress: CallProgress) -> Placement | None:
         """Return where the next attempt goes, by a survey made a moment ago."""
         survey, progress.survey = progress.survey, None
@@ -99,6 +117,7 @@
         self, progress: CallProgress, state: EndpointState
     ) -> Opened | NotSent | Lost:
         progress.attempts += 1
+        progress.sent_at = self.clock()
         progress.tried.append(state.endpoint.name)
         sent = state.unread[progress.admitted.call.request_id]
         progress.ahead, progress.unread = sent.ahead, sent.tokens
@@ -117,6 +136,8 @@
             progress.problem = outcome.problem
         elif isinstance(outcome, Lost):
             progress.problem = outcome.problem
+            if outcome.broke_off:
+                self.on_broken(progress, state, outcome.problem)
         elif outcome.verdict in (Verdict.NOT_RUN, Verdict.WRONG_ENDPOINT):
             progress.may_have_run = was_unsure
         return outcome
--- a/libs/relay/src/clementinebend_relay/bodies.py
+++ b/libs/relay/src/clementinebend_relay/bodies.py
@@ -1,6 +1,7 @@
 """Reading of an endpoint's answer as a whole, within bounds of time and size."""
 
 from asyncio import timeout_at
+from typing import NamedTuple
 
 from expression import Error, Ok, Result
 
@@ -8,9 +9,16 @@
 from clementinebend_transport.http_client import OpenAnswer
 
 
+class BodyFailure(NamedTuple):
+    """No whole body; ``broke_off`` tells that the connection ended within it."""
+
+    problem: str
+    broke_off: bool = False
+
+
 async def read_body(
     answer: OpenAnswer, deadline: float, most: int
-) -> Result[bytes, str]:
+) -> Result[bytes, BodyFailure]:
     """Return the body of an answer of at most ``most`` bytes, or what went wrong.
 
     ``deadline`` is a time of the event loop. An answer that is not read to its
@@ -25,12 +33,13 @@
                 pieces.append(piece)
                 size += len(piece)
                 if size > most:
-                    return Error(f"the answer is larger than {most} bytes")
+                    problem = f"the answer is larger than {most} bytes"
+                    return Error(BodyFailure(problem))
         is_whole = True
     except TimeoutError:
-        return Error("the time limit passed within the answer")
+        return Error(BodyFailure("the time limit passed within the answer"))
     except TruncatedAnswer as error:
-        return Error(f"the answer broke off: {error}")
+        return Error(BodyFailure(f"the answer broke off: {error}", broke_off=True))
     finally:
         if not is_whole:
             answer.close()
--- a/libs/relay/src/clementinebend_relay/dispatch.py
+++ b/libs/relay/src/clementinebend_relay/dispatch.py
@@ -46,9 +46,13 @@
 
 
 class Lost(NamedTuple):
-    """The call went out and no usable answer came: it may have run."""
+    """The call went out and no usable answer came: it may have run.
+
+    ``broke_off`` tells that the connection ended before the head of an answer.
+    """
 
     problem: str
+    broke_off: bool = False
 
 
 class Dispatcher:
@@ -190,4 +194,6 @@
             may_have_run=failure.sent,
             problem=failure.message,
         )
-        return Lost(failure.message) if failure.sent else NotSent(failure.message)
+        if not failure.sent:
+            return NotSent(failure.message)
+        return Lost(failure.message, failure.broke_off)
--- a/libs/relay/src/clementinebend_relay/handler.py
+++ b/libs/relay/src/clementinebend_relay/handler.py
@@ -160,6 +160,7 @@
         log_decision(
             "call ended",
             request_id=admitted.call.request_id,
+            fingerprint=admitted.fingerprint,
             route=admitted.route.name,
             team=admitted.team.name,
             version=admitted.version,
--- a/libs/relay/src/clementinebend_relay/metrics.py
+++ b/libs/relay/src/clementinebend_relay/metrics.py
@@ -15,6 +15,11 @@
     "Calls that ended without an endpoint's answer, by reason.",
     ("reason",),
 )
+broken_answers = counter(
+    "clementinebend_relay_broken_answers_total",
+    "Answers that endpoints ended before they were whole, by service.",
+    ("service",),
+)
 first_byte_seconds = histogram(
     "clementinebend_relay_first_byte_seconds",
     "Time from a call's arrival to the first byte of its answer.",
--- a/libs/relay/src/clementinebend_relay/plain.py
+++ b/libs/relay/src/clementinebend_relay/plain.py
@@ -33,7 +33,9 @@
         body = await read_body(running.answer, progress.deadline, MAX_ANSWER_BYTES)
         endpoints.on_end(running.state, ok=body.is_ok())
         if body.is_error():
-            progress.problem = body.error
+            progress.problem = body.error.problem
+            if body.error.broke_off:
+                self.attempts.on_broken(progress, running.state, body.error.problem)
             return None
         headers = self.dispatcher.protocol.caller_headers(running.answer.headers)
         return Response(running.answer.status, headers, body.ok)
--- a/libs/relay/src/clementinebend_relay/progress.py
+++ b/libs/relay/src/clementinebend_relay/progress.py
@@ -22,8 +22,8 @@
     """The state of one call; the task that serves it owns it.
 
     ``attempts`` counts the endpoints that were there to take it, ``unserved`` those
-    that were not, ``sent`` how often it went out to either. ``ahead`` and ``unread``
-    are the tokens to be read before its prompt, and of it, where it was sent last.
+    that were not, ``sent`` how often it went out to either, ``sent_at`` is when it was
+    last sent. ``ahead`` and ``unread`` are the tokens to be read before its prompt, and of it, where it was sent last.
     ``survey`` is what was found out for its first attempt, ``reports`` how many
     endpoints were told of before the last one.
     """
@@ -37,6 +37,7 @@
         self.attempts = 0
         self.unserved = 0
         self.sent = 0
+        self.sent_at = 0.0
         self.tried: list[str] = []
         self.may_have_run = False
         self.events = 0
--- a/libs/relay/src/clementinebend_relay/streams.py
+++ b/libs/relay/src/clementinebend_relay/streams.py
@@ -158,6 +158,7 @@
             except TimeoutError:
                 self._check_silence(running, progress)
             except TruncatedAnswer as error:
+                self.attempts.on_broken(progress, running.state, str(error))
                 raise self._broken(running, str(error)) from error
 
     def _check_silence(self, running: Running, progress: CallProgress) -> None:
--- a/libs/transport/src/clementinebend_transport/http_client.py
+++ b/libs/transport/src/clementinebend_transport/http_client.py
@@ -68,12 +68,14 @@
 class HttpFailure(NamedTuple):
     """No whole answer; ``sent`` false proves that no byte of the request left.
 
-    ``received`` counts the bytes of the body that had come.
+    ``received`` counts the bytes of the body that had come. ``broke_off`` tells that
+    the other side ended the connection, or sent bytes that cannot be read.
     """
 
     sent: bool
     message: str
     received: int = 0
+    broke_off: bool = False
 
 
 class _Target(NamedTuple):
@@ -183,7 +185,7 @@
         except TimeoutError:
             return Error(HttpFailure(True, "no answer in time"))
         except TruncatedAnswer as error:
-            return Error(HttpFailure(True, str(error)))
+            return Error(HttpFailure(True, str(error), broke_off=True))
         finally:
             if head is None:
                 self._drop(connection)
--- a/tests/unit/relay/calls.py
+++ b/tests/unit/relay/calls.py
@@ -31,7 +31,7 @@
 
 def admitted(route: Route, call: Call = CALL) -> Admitted:
     """Return a call that is admitted on the terms of a route."""
-    return Admitted(call, route, SERVICE, TEAM, route.priority, 5.0, 1)
+    return Admitted(call, route, SERVICE, TEAM, route.priority, 5.0, 1, "f")
 
 
 def progress(route: Route) -> CallProgress:
--- a/tests/unit/relay/test_bounds.py
+++ b/tests/unit/relay/test_bounds.py
@@ -52,15 +52,17 @@
 async def test_a_body_above_its_bound_is_refused_and_closed() -> None:
     closed = Closed()
     body = await read_body(answer(pieces(b"ab", b"cde"), closed), later(), 4)
-    assert "larger than 4 bytes" in body.error
+    assert "larger than 4 bytes" in body.error.problem
+    assert not body.error.broke_off
     assert closed.is_closed
 
 
 async def test_a_body_that_breaks_off_or_is_late_is_closed() -> None:
-    for chunks, deadline in ((broken(), later()), (slow(), later() - 9.99)):
+    cases = ((broken(), later(), True), (slow(), later() - 9.99, False))
+    for chunks, deadline, broke_off in cases:
         closed = Closed()
         body = await read_body(answer(chunks, closed), deadline, 100)
-        assert body.is_error()
+        assert body.error.broke_off is broke_off
         assert closed.is_closed
 
 
