Show with failing tests that a request under which endpoints end is sent on

Three entries, six engines, each back as a new boot 1 s after it ended. A request that ends whatever runs it is sent each 0.1 s at the entries in turn, beside requests that harm nothing.

--- a/libs/relay/src/clementinebend_relay/progress.py
+++ b/libs/relay/src/clementinebend_relay/progress.py
@@ -23,7 +23,8 @@
 
     ``attempts`` counts the endpoints that were there to take it, ``unserved`` those
     that were not, ``sent`` how often it went out to either, ``sent_at`` is when it was
-    last sent. ``ahead`` and ``unread`` are the tokens to be read before its prompt, and of it, where it was sent last.
+    last sent. ``ahead`` and ``unread`` are the tokens to be read before its prompt, and
+    of it, where it was sent last.
     ``survey`` is what was found out for its first attempt, ``reports`` how many
     endpoints were told of before the last one.
     """
--- /dev/null
+++ b/tests/lib/crashing_engines.py
@@ -0,0 +1,97 @@
+"""Engines that end under one request, and are back as new boots a moment later."""
+
+from asyncio import Task, create_task, get_running_loop, sleep
+from typing import NamedTuple
+
+from expression import Result
+
+from clementinebend_transport.http_client import Answer, HttpFailure
+from tests.lib.platform_engine import EngineStandin
+from tests.lib.platform_fleet import Fleet
+
+FATAL = b'{"ends": "engines"}'
+BACK_SECONDS = 1.0
+ALLOWED_ENDS = 3
+WINDOW_SECONDS = 3.0
+"""Seconds after the third end from which on few repetitions may reach an engine."""
+
+ALLOWED_LATER = 3
+
+
+class Sent(NamedTuple):
+    """A call that was made at some time, and its outcome."""
+
+    at: float
+    outcome: Task[Result[Answer, HttpFailure]]
+
+
+class CrashingEngines:
+    """The engines of one service; each ends under a request with ``FATAL``."""
+
+    def __init__(self, fleet: Fleet, service: str, way: str) -> None:
+        self.fleet = fleet
+        self.service = service
+        self.way = way
+        self.clock = get_running_loop().time
+        self.ends: list[float] = []
+        self.tasks: list[Task[None]] = []
+        for engine in fleet.engines_of(service):
+            self._prepare(engine)
+
+    def arrivals(self) -> list[float]:
+        """Return when the fatal request has reached an engine."""
+        return sorted(
+            at
+            for engine in self.fleet.engines_of(self.service)
+            for at, request in zip(engine.arrived_at, engine.requests, strict=True)
+            if request.body == FATAL
+        )
+
+    def is_over(self, more: float) -> bool:
+        """Tell whether some seconds have passed since the window's end."""
+        if len(self.ends) < ALLOWED_ENDS:
+            return False
+        return self.clock() > self.window_end() + more
+
+    def window_end(self) -> float:
+        """Return from when on few repetitions may reach an engine."""
+        return self.ends[ALLOWED_ENDS - 1] + WINDOW_SECONDS
+
+    def arrivals_after_window(self) -> int:
+        """Return how many repetitions reached an engine too late."""
+        return sum(at > self.window_end() for at in self.arrivals())
+
+    async def stop(self) -> None:
+        """Bring no more engines back."""
+        for task in self.tasks:
+            task.cancel()
+
+    def _prepare(self, engine: EngineStandin) -> None:
+        engine.fatal_body = FATAL
+        engine.fatal_way = self.way
+        engine.on_end = lambda: self._on_end(engine)
+
+    def _on_end(self, engine: EngineStandin) -> None:
+        self.ends.append(self.clock())
+        self.tasks.append(create_task(self._come_back(engine)))
+
+    async def _come_back(self, ended: EngineStandin) -> None:
+        assert ended.server is not None
+        await sleep(BACK_SECONDS)
+        engine = EngineStandin(self.service)
+        self._prepare(engine)
+        await engine.start(ended.server.port)
+        self.fleet.engines.append(engine)
+        self.fleet.store.put("servers", engine.name, engine.entry())
+
+
+def send(fleet: Fleet, path: str, entry: int, body: bytes) -> Sent:
+    """Make a call without waiting for its outcome."""
+    at = get_running_loop().time()
+    return Sent(at, create_task(fleet.call(path, entry=entry, body=body)))
+
+
+async def served(calls: list[Sent]) -> int:
+    """Return how many calls were served whole."""
+    outcomes = [await call.outcome for call in calls]
+    return sum(outcome.is_ok() and outcome.ok.status == 200 for outcome in outcomes)
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -1,8 +1,8 @@
 """A stand-in of the platform's engines, by their published protocol."""
 
-from asyncio import sleep
+from asyncio import Task, create_task, get_running_loop, sleep
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from itertools import count
 
 from msgspec.json import encode
@@ -20,7 +20,9 @@
 
     ``fault`` is ``""``, ``"full"`` (not run), ``"fail"`` (500), ``"foreign"``
     (another request's answer), ``"cut"`` (a stream breaks off half-way),
-    ``"gap"`` (an event is missing) or ``"silent"``.
+    ``"gap"`` (an event is missing) or ``"silent"``. A request with ``fatal_body`` ends
+    the engine: at once (``fatal_way`` ``"reset"``), after the head of its answer
+    (``"head"``) or after its first event (``"event"``); ``on_end`` is then called.
     """
 
     numbers = count(1)
@@ -32,19 +34,34 @@
         self.pause = 0.005
         self.runs: Counter[str] = Counter()
         self.requests: list[Request] = []
+        self.arrived_at: list[float] = []
         self.cancelled: list[str] = []
         self.announced_port: int | None = None
         self.server: HttpServer | None = None
+        self.fatal_body: bytes | None = None
+        self.fatal_way = "reset"
+        self.on_end: Callable[[], None] | None = None
+        self.has_ended = False
+        self.ending: Task[None] | None = None
 
-    async def start(self) -> None:
-        """Listen on a free port."""
-        self.server = await serve_http(self.handle, "127.0.0.1", 0)
+    async def start(self, port: int = 0) -> None:
+        """Listen on ``port``, or on a free one."""
+        self.server = await serve_http(self.handle, "127.0.0.1", port)
 
     async def stop(self) -> None:
         """Stop at once, as in a crash."""
         if self.server is not None:
             await self.server.close()
 
+    async def crash(self) -> None:
+        """End by itself, and say so."""
+        if self.has_ended:
+            return
+        self.has_ended = True
+        await self.stop()
+        if self.on_end is not None:
+            self.on_end()
+
     def entry(self, state: str = "ready") -> bytes:
         """Return what the engine writes to the store."""
         port = self.announced_port
@@ -72,6 +89,9 @@
             return Response(503, (("x-not-executed", "1"),), b"")
         self.runs[request_id] += 1
         self.requests.append(request)
+        self.arrived_at.append(get_running_loop().time())
+        if request.body == self.fatal_body:
+            return await self._end_under(request)
         if self.fault == "silent":
             await self._sleep(60, request_id)
         echoed = "other" if self.fault == "foreign" else request_id
@@ -83,6 +103,23 @@
         body = self._events(request, request_id)
         return Response(200, (*headers, ("content-type", "text/event-stream")), body)
 
+    async def _end_under(self, request: Request) -> Response:
+        """End under a request, some of whose answer may have gone out."""
+        request_id = request.headers["x-request-id"]
+        headers = (("x-request-id", request_id), ("x-response-signature", self.name))
+        if self.fatal_way == "reset":
+            self.ending = create_task(self.crash())
+            await sleep(60)
+        return Response(200, headers, self._fatal_events())
+
+    async def _fatal_events(self) -> AsyncIterator[bytes]:
+        if self.fatal_way == "event":
+            yield event(1)
+        else:
+            yield b"id"
+        self.ending = create_task(self.crash())
+        await sleep(60)
+
     async def _events(self, request: Request, request_id: str) -> AsyncIterator[bytes]:
         first = int(request.headers.get("last-event-id", 0)) + 1
         for number in range(first, EVENTS + 1):
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -268,6 +268,7 @@
         path: str,
         entry: int = 0,
         tokens: tuple[int, int] = (100, 24),
+        body: bytes = BODY,
         **headers: str,
     ) -> Result[Answer, HttpFailure]:
         """Send a request as a client does."""
@@ -282,18 +283,18 @@
         if "stream" in path:
             sent["x-token-usage"] = f"{tokens[0]},{tokens[1]}"
             sent["x-prefix-hash"] = f"aa:{tokens[0] // 2},bb:{tokens[0] // 2}"
-        pairs = {"host": HOST, "content-length": str(len(BODY)), **sent}
+        pairs = {"host": HOST, "content-length": str(len(body)), **sent}
         request = HttpRequest(method="POST", target=path, headers=[*pairs.items()])
         address = Address("127.0.0.1", self.entries[entry].port)
-        opened = await self.client.send(address, request, BODY, CALL_SECONDS)
+        opened = await self.client.send(address, request, body, CALL_SECONDS)
         if opened.is_error():
             return Error(opened.error)
         answer = opened.ok
         try:
-            body = b"".join([piece async for piece in answer.chunks])
+            whole = b"".join([piece async for piece in answer.chunks])
         except TruncatedAnswer as error:
             return Error(HttpFailure(True, str(error)))
-        return Ok(Answer(answer.status, answer.headers, body))
+        return Ok(Answer(answer.status, answer.headers, whole))
 
     async def terminate(self, entry: int) -> int:
         """Stop an entry as planned; return its exit code."""
