Give tests ports that are free for datagrams, too

A test of the fleet failed once: an entry ended with 'Address already in use' as it bound its datagrams, as only TCP was looked at when its port was chosen and another worker's entry had the same port for UDP (seen in the kept log of edge-2). Now both kinds are looked at.

--- a/libs/bench/src/clementinebend_bench/launcher/processes.py
+++ b/libs/bench/src/clementinebend_bench/launcher/processes.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from random import randrange
 from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
-from socket import AF_INET, SOCK_STREAM, socket
+from socket import AF_INET, SOCK_DGRAM, SOCK_STREAM, SocketKind, socket
 from subprocess import Popen
 from sys import executable
 from typing import NamedTuple
@@ -67,7 +67,7 @@
 
 
 def free_port() -> int:
-    """Return a TCP port on loopback that nobody listens on now.
+    """Return a port on loopback that nobody has bound now, for TCP and UDP.
 
     It is below those that the kernel gives to connections, so that none of
     these can take it before its listener does.
@@ -214,12 +214,18 @@
 def _take_port(port: int) -> bool:
     if port in _given_ports:
         return False
-    with socket(AF_INET, SOCK_STREAM) as probe:
+    if not all(_is_free(port, kind) for kind in (SOCK_STREAM, SOCK_DGRAM)):
+        return False
+    _given_ports.add(port)
+    return True
+
+
+def _is_free(port: int, kind: SocketKind) -> bool:
+    with socket(AF_INET, kind) as probe:
         try:
             probe.bind((LOCALHOST, port))
         except OSError:
             return False
-    _given_ports.add(port)
     return True
 
 
