Keep a request from endpoints once three have ended under it

Callers saw engines end one after the other, and whatever ran there with them.

Now an answer that breaks off is looked into: nobody listening at the endpoint's address, or another boot there, proves its end. The requests that ran there are evidence, told to all entries. Three ends in series, each run begun after the end before, with no whole answer between, quarantine a request; from the second on it runs one at a time, on an endpoint of its own. A whole answer anywhere clears it; ends that a quarantined request explains count against no other; endpoints that answer or announce themselves later take their end back. The store keeps the record for entries that start.

Ruled out: entries that only fail to share what each knows (none knew anything).

--- a/libs/bench/src/clementinebend_bench/experiments/choice.py
+++ b/libs/bench/src/clementinebend_bench/experiments/choice.py
@@ -14,6 +14,7 @@
 from clementinebend_relay.announcing import Directory
 from clementinebend_relay.budgets import Budgets
 from clementinebend_relay.dispatch import Dispatcher
+from clementinebend_relay.endpoint_ends import EndpointEnds
 from clementinebend_relay.endpoint_state import EndpointState
 from clementinebend_relay.endpoints import EndpointTable
 from clementinebend_relay.interfaces import HttpProtocol
@@ -28,6 +29,7 @@
     Team,
 )
 from clementinebend_relay.peers import Peers
+from clementinebend_relay.quarantine import Quarantine
 from clementinebend_relay.queue_probes import QueueProbes
 from clementinebend_relay.witnesses import Witnesses
 from clementinebend_routing.sessions import PromptPart, SessionMemory
@@ -90,6 +92,7 @@
         _send_all,
         monotonic,
     )
+    quarantine = Quarantine(monotonic)
     return Dispatcher(
         "z",
         table,
@@ -99,6 +102,8 @@
         HttpClient(),
         cast(HttpProtocol, None),  # no request is sent
         RetryLimits(0.2, 50, 10),
+        quarantine,
+        EndpointEnds(monotonic, quarantine.running, lambda endpoint, runs: None),
         monotonic,
     )
 
--- a/libs/bench/src/clementinebend_bench/models/mark_fleet.py
+++ b/libs/bench/src/clementinebend_bench/models/mark_fleet.py
@@ -15,6 +15,8 @@
 from clementinebend_relay.messages import Message
 from clementinebend_relay.models import CallerLimits, Configuration, Team
 from clementinebend_relay.peers import Peers
+from clementinebend_relay.quarantine import Quarantine
+from clementinebend_relay.quarantine_news import QuarantineNews
 from clementinebend_relay.queue_desk import QueueDesk
 from clementinebend_relay.queue_probes import QueueProbes
 from clementinebend_relay.receiving import receive
@@ -68,6 +70,15 @@
         )
         self.probes = QueueProbes(Directory(), self.directory, self.send, clock)
         self.queues = QueueDesk(self.boot, self.send, clock)
+        self.quarantine = Quarantine(clock)
+        self.news = QuarantineNews(
+            self.boot,
+            self.quarantine,
+            self.directory,
+            ModelLog(StoreModel(())),
+            self.send_all,
+            clock,
+        )
         self.witnesses.is_needed = self.peers.homes.is_candidate
         self.announcement = Announcement(self.boot, zone, *self.address)
         self.tasks: list[Task[None]] = []
@@ -107,6 +118,7 @@
             self.witnesses,
             self.probes,
             self.queues,
+            self.news,
         )
 
 
--- a/libs/relay/src/clementinebend_relay/attempts.py
+++ b/libs/relay/src/clementinebend_relay/attempts.py
@@ -12,7 +12,9 @@
 from clementinebend_relay.metrics import broken_answers
 from clementinebend_relay.models import RouteKind
 from clementinebend_relay.progress import CallProgress
+from clementinebend_relay.quarantine_news import QuarantineNews
 from clementinebend_relay.survey import SURVEY_SECONDS, Placement
+from clementinebend_routing.fatal_runs import counts_against
 from clementinebend_transport.http_client import OpenAnswer
 from clementinebend_transport.http_types import Response
 
@@ -45,8 +47,15 @@
 class Attempts:
     """Sends a call to one endpoint after the other."""
 
-    def __init__(self, dispatcher: Dispatcher, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        news: QuarantineNews,
+        clock: Callable[[], float],
+    ) -> None:
         self.dispatcher = dispatcher
+        self.quarantine = news.quarantine
+        self.news = news
         self.clock = clock
 
     async def next(self, progress: CallProgress) -> Running | None:
@@ -55,14 +64,21 @@
         What the last endpoint that failed had to say is then in ``progress``.
         """
         while progress.unserved < UNSERVED_TRIES and self._may_go_on(progress):
-            placement = await self._place(progress)
-            if placement is None:
+            fingerprint = progress.admitted.fingerprint
+            progress.refusal = await self.quarantine.turn(
+                fingerprint, progress.deadline
+            )
+            if progress.refusal is not None:
                 return None
-            state = placement.state
-            progress.reports = placement.reports
             hold = ExitStack()
+            hold.enter_context(self.quarantine.running(fingerprint))
             running = None
             try:
+                placement = await self._place(progress)
+                if placement is None:
+                    return None
+                state = placement.state
+                progress.reports = placement.reports
                 sending = self.dispatcher.in_flight(progress.admitted, placement)
                 hold.enter_context(sending)
                 outcome = await self._send(progress, state)
@@ -79,6 +95,10 @@
                 return running
         return None
 
+    def on_whole(self, progress: CallProgress) -> None:
+        """Note that an endpoint has run a call to its end, well or not."""
+        self.news.on_whole(progress.admitted.fingerprint)
+
     def on_broken(
         self, progress: CallProgress, state: EndpointState, problem: str
     ) -> None:
@@ -95,11 +115,18 @@
             in_flight=state.in_flight,
             problem=problem,
         )
+        streamed_from = progress.attempt_event_at
+        streamed = 0.0 if streamed_from is None else self.clock() - streamed_from
+        if counts_against(streamed):
+            ends = self.dispatcher.ends
+            ends.on_broken(state, admitted.fingerprint, progress.sent_at)
 
     async def _place(self, progress: CallProgress) -> Placement | None:
         """Return where the next attempt goes, by a survey made a moment ago."""
         survey, progress.survey = progress.survey, None
-        if survey is None or self.clock() - survey.at > SURVEY_SECONDS:
+        is_suspected = self.quarantine.is_suspected(progress.admitted.fingerprint)
+        is_old = survey is None or self.clock() - survey.at > SURVEY_SECONDS
+        if survey is None or is_old or is_suspected:
             survey = await self.dispatcher.survey(progress.admitted, progress.tried)
         return survey.placement
 
@@ -118,6 +145,7 @@
     ) -> Opened | NotSent | Lost:
         progress.attempts += 1
         progress.sent_at = self.clock()
+        progress.attempt_event_at = None
         progress.tried.append(state.endpoint.name)
         sent = state.unread[progress.admitted.call.request_id]
         progress.ahead, progress.unread = sent.ahead, sent.tokens
@@ -193,6 +221,7 @@
         body = await read_body(answer, progress.deadline, MAX_FAILURE_BYTES)
         if body.is_error():
             return None
+        self.on_whole(progress)
         headers = self.dispatcher.protocol.caller_headers(answer.headers)
         return Response(answer.status, headers, body.ok)
 
--- a/libs/relay/src/clementinebend_relay/dispatch.py
+++ b/libs/relay/src/clementinebend_relay/dispatch.py
@@ -9,11 +9,13 @@
 from clementinebend_admission.retry_window import RetryLimits, RetryWindow
 from clementinebend_relay.admission import Admitted
 from clementinebend_relay.decisions import log_decision
+from clementinebend_relay.endpoint_ends import EndpointEnds
 from clementinebend_relay.endpoint_state import EndpointState, Unread
 from clementinebend_relay.endpoints import EndpointTable
 from clementinebend_relay.interfaces import Dispatch, HttpProtocol, Verdict
-from clementinebend_relay.models import Endpoint
+from clementinebend_relay.models import Endpoint, boot_name
 from clementinebend_relay.peers import Peers
+from clementinebend_relay.quarantine import Quarantine
 from clementinebend_relay.queue_probes import QueueProbes
 from clementinebend_relay.survey import Placement, Survey, Surveyor
 from clementinebend_routing.prefill import (
@@ -68,6 +70,8 @@
         client: HttpClient,
         protocol: HttpProtocol,
         retry_limits: RetryLimits,
+        quarantine: Quarantine,
+        ends: EndpointEnds,
         clock: Callable[[], float],
     ) -> None:
         self.endpoints = endpoints
@@ -78,9 +82,18 @@
         self.clock = clock
         self.sessions = sessions
         self.probes = probes
+        self.quarantine = quarantine
+        self.ends = ends
         self.surveyor = Surveyor(
-            zone, endpoints, sessions, probes, peers.entry_count, clock
+            zone,
+            endpoints,
+            sessions,
+            probes,
+            peers.entry_count,
+            quarantine.is_suspected,
+            clock,
         )
+        endpoints.on_announced = self._on_announced
         endpoints.on_drop = self._forget
         self.retries: dict[str, RetryWindow] = {}
 
@@ -88,6 +101,10 @@
         """Forget the prompts and the idle connections of a boot that is gone."""
         self.sessions.forget(endpoint.name)
         self.client.close_idle(endpoint.address)
+        self.ends.on_gone(endpoint)
+
+    def _on_announced(self, endpoint: Endpoint) -> None:
+        self.quarantine.on_announced(boot_name(endpoint))
 
     def retry_window(self, service: str) -> RetryWindow:
         """Return this entry's retries for a service."""
@@ -181,6 +198,8 @@
             case Result(tag="ok", ok=answer):
                 state.on_heard(self.clock())
                 verdict = self.protocol.judge(call, answer.status, answer.headers)
+                if verdict not in (Verdict.WRONG_ENDPOINT, Verdict.FOREIGN):
+                    self.quarantine.on_alive(boot_name(endpoint))
                 return Opened(state, answer, verdict)
             case _:
                 failure = sent.error
--- /dev/null
+++ b/libs/relay/src/clementinebend_relay/endpoint_ends.py
@@ -0,0 +1,147 @@
+"""Whether an endpoint whose answers broke off has ended, and what ran there.
+
+One connection that ends is no proof: connections are reset and answers spoilt while
+the endpoint lives on. Proof is that nobody listens at its address, or that another
+boot is there.
+"""
+
+from asyncio import Task, create_task, open_connection, sleep, timeout
+from collections.abc import Callable
+from contextlib import AbstractContextManager, ExitStack
+from typing import NamedTuple
+
+from clementinebend_relay.decisions import log_decision
+from clementinebend_relay.endpoint_state import EndpointState
+from clementinebend_relay.metrics import endpoint_ends
+from clementinebend_relay.models import Endpoint, boot_name
+from clementinebend_routing.fatal_runs import FatalRun
+
+LOOK_PAUSES = (0.02, 0.4)
+"""Seconds before the first look whether somebody listens at the address, and before
+the second one: a process that ends closes its connections a little sooner."""
+
+LOOK_SECONDS = 0.4
+"""Time for a connection, as calls have it."""
+
+UNPROVED_SECONDS = 3.0
+"""How long broken answers are remembered while their endpoint's end is not proved."""
+
+GATHER_SECONDS = 0.02
+"""How long the runs of an ended endpoint are gathered before they are told."""
+
+
+class EndedRun(NamedTuple):
+    """A run of the request ``fingerprint`` that an endpoint's end broke off."""
+
+    fingerprint: str
+    run: FatalRun
+
+
+class Broken:
+    """The answers of one boot of an endpoint that broke off since some time."""
+
+    def __init__(self, endpoint: Endpoint, at: float) -> None:
+        self.endpoint = endpoint
+        self.at = at
+        self.runs: list[EndedRun] = []
+        self.has_ended = False
+        self.task: Task[None] | None = None
+        self.hold = ExitStack()
+
+
+class EndpointEnds:
+    """Watches endpoints whose answers broke off.
+
+    ``on_ended`` is called with the runs that were there when one has ended. Until a
+    first look at the endpoint, runs of a request last on, by ``running``.
+    """
+
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        running: Callable[[str], AbstractContextManager[None]],
+        on_ended: Callable[[Endpoint, list[EndedRun]], None],
+    ) -> None:
+        self.clock = clock
+        self.running = running
+        self.on_ended = on_ended
+        self.broken: dict[str, Broken] = {}
+
+    def on_broken(self, state: EndpointState, fingerprint: str, sent_at: float) -> None:
+        """Note that an endpoint ended a connection before its answer was whole.
+
+        One that leaves, or whose announcement has lapsed, is expected to end.
+        """
+        if state.is_leaving or state.lapsed_at is not None:
+            return
+        boot, now = boot_name(state.endpoint), self.clock()
+        self._forget(now)
+        broken = self.broken.setdefault(boot, Broken(state.endpoint, now))
+        run = FatalRun(boot, sent_at, now)
+        broken.runs.append(EndedRun(fingerprint, run))
+        broken.hold.enter_context(self.running(fingerprint))
+        if broken.task is None:
+            broken.task = create_task(self._look(broken))
+
+    def on_gone(self, endpoint: Endpoint) -> None:
+        """Take that a boot of an endpoint is not there any more."""
+        broken = self.broken.get(boot_name(endpoint))
+        if broken is not None and not broken.has_ended:
+            self._end(broken, "another boot is there, or none")
+
+    async def _look(self, broken: Broken) -> None:
+        """Look whether an endpoint has ended, and tell of the runs there."""
+        for pause in LOOK_PAUSES:
+            await sleep(pause)
+            if broken.has_ended:
+                break
+            if await is_refused(broken.endpoint):
+                self._end(broken, "nobody listens at its address")
+                break
+            broken.hold.close()
+        await sleep(GATHER_SECONDS)
+        broken.task = None
+        if broken.has_ended:
+            self._tell(broken)
+        broken.hold.close()
+
+    def _end(self, broken: Broken, proof: str) -> None:
+        broken.has_ended = True
+        endpoint_ends.labels(broken.endpoint.service).inc()
+        log_decision(
+            "endpoint ended",
+            endpoint=broken.endpoint.name,
+            proof=proof,
+            runs=len(broken.runs),
+            fingerprints=sorted({each.fingerprint for each in broken.runs}),
+        )
+        if broken.task is None:
+            self._tell(broken)
+
+    def _tell(self, broken: Broken) -> None:
+        runs, broken.runs = broken.runs, []
+        if runs:
+            self.on_ended(broken.endpoint, runs)
+
+    def _forget(self, now: float) -> None:
+        old = [
+            boot
+            for boot, broken in self.broken.items()
+            if now - broken.at > UNPROVED_SECONDS and broken.task is None
+        ]
+        for boot in old:
+            del self.broken[boot]
+
+
+async def is_refused(endpoint: Endpoint) -> bool:
+    """Tell whether nobody listens at an endpoint's address."""
+    try:
+        async with timeout(LOOK_SECONDS):
+            _, writer = await open_connection(*endpoint.address)
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError) as error:
+        log_decision("endpoint not proved to have ended", problem=str(error))
+        return False
+    writer.close()
+    return False
--- a/libs/relay/src/clementinebend_relay/endpoint_state.py
+++ b/libs/relay/src/clementinebend_relay/endpoint_state.py
@@ -53,6 +53,11 @@
         self.unread: dict[str, Unread] = {}
         self.lapsed_at: float | None = None
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the endpoint is about to end, and should get no work."""
+        return self.endpoint.is_leaving
+
     def add_unread(self, request_id: str, call: Unread) -> None:
         """Count a call that is sent there."""
         self.unread[request_id] = call
--- a/libs/relay/src/clementinebend_relay/endpoints.py
+++ b/libs/relay/src/clementinebend_relay/endpoints.py
@@ -26,6 +26,7 @@
         self.services: frozenset[str] = frozenset()
         self.on_drop: Callable[[Endpoint], None] | None = None
         self.on_known: Callable[[], None] | None = None
+        self.on_announced: Callable[[Endpoint], None] | None = None
         self.is_known = False
 
     def on_record(self, record: KeyedRecord) -> None:
@@ -135,6 +136,8 @@
             )
         elif endpoint.is_leaving and not state.endpoint.is_leaving:
             log_decision("endpoint leaving", endpoint=endpoint.name)
+        elif self.on_announced is not None:
+            self.on_announced(endpoint)
         state.endpoint = endpoint
         state.announced_at = self.clock()
         state.lapsed_at = None
--- a/libs/relay/src/clementinebend_relay/fingerprints.py
+++ b/libs/relay/src/clementinebend_relay/fingerprints.py
@@ -1,11 +1,10 @@
 """What makes two calls the same request."""
 
-from hashlib import blake2b
-
+from clementinebend_records.identifiers import digest_of
 from clementinebend_relay.models import Call
 
-FINGERPRINT_BYTES = 12
-"""Two different requests among a million have the same one in one of 10^17 cases."""
+SEPARATOR = "\0"
+"""Stands in no method, host, target or name of a team."""
 
 
 def fingerprint_of(call: Call, team: str) -> str:
@@ -14,10 +13,5 @@
     That is its method, host, target, team and body: ids, time limits and other
     headers are new each time.
     """
-    digest = blake2b(digest_size=FINGERPRINT_BYTES)
-    for part in (call.method, call.host, call.target, team):
-        encoded = part.encode()
-        digest.update(len(encoded).to_bytes(4, "big"))
-        digest.update(encoded)
-    digest.update(call.body)
-    return digest.hexdigest()
+    head = SEPARATOR.join((call.method, call.host, call.target, team, ""))
+    return digest_of(head.encode() + call.body)
--- a/libs/relay/src/clementinebend_relay/handler.py
+++ b/libs/relay/src/clementinebend_relay/handler.py
@@ -56,6 +56,7 @@
         self.configuration = configuration
         self.budgets = budgets
         self.dispatcher = dispatcher
+        self.quarantine = dispatcher.quarantine
         self.plain = plain
         self.streams = streams
         self.room = room
@@ -72,6 +73,9 @@
         admitted = admit(call, self.configuration.current)
         if isinstance(admitted, Rejection):
             return self._reject(admitted, call.request_id, arrived)
+        refusal = self.quarantine.refusal(admitted.fingerprint)
+        if refusal is not None:
+            return self._reject(refusal, call.request_id, arrived)
         survey = await self.room.enter(admitted)
         if isinstance(survey, Rejection):
             return self._reject(survey, call.request_id, arrived)
--- a/libs/relay/src/clementinebend_relay/interfaces.py
+++ b/libs/relay/src/clementinebend_relay/interfaces.py
@@ -97,6 +97,7 @@
     entries: KeyedLog
     gateways: KeyedLog
     marks: tuple[KeyedLog, ...]
+    quarantine: KeyedLog
 
 
 CONFIGURATION_KEY = "config"
--- a/libs/relay/src/clementinebend_relay/messages.py
+++ b/libs/relay/src/clementinebend_relay/messages.py
@@ -120,6 +120,40 @@
     attestation: Attestation
 
 
+class ToldRun(NamedTuple):
+    """A run that ended with its endpoint; ``sent_ago`` is in seconds."""
+
+    fingerprint: str
+    sent_ago: float
+
+
+class EndpointEndedMessage(Struct, tag="endpoint-ended", array_like=True):
+    """One boot of an endpoint ended under an entry's calls; ages are in seconds."""
+
+    boot: str
+    endpoint: str
+    ended_ago: float
+    runs: tuple[ToldRun, ...]
+
+
+class QuarantineMessage(Struct, tag="quarantine", array_like=True):
+    """A request is to be kept from endpoints; ``endpoints`` are boots that it ended."""
+
+    boot: str
+    fingerprint: str
+    endpoints: tuple[str, ...]
+
+
+class SoundMessage(Struct, tag="sound", array_like=True):
+    """A request was answered whole: nothing is held against it."""
+
+    boot: str
+    fingerprint: str
+
+
+FatalityMessage = EndpointEndedMessage | QuarantineMessage | SoundMessage
+"""What entries tell one another of requests under which endpoints end."""
+
 QueueMessage = ProbeMessage | SentMessage | ReadMessage | EndedMessage
 """What the process that keeps an endpoint's queue is told and asked."""
 
@@ -135,6 +169,9 @@
     | OpenMessage
     | FenceMessage
     | AttestationMessage
+    | EndpointEndedMessage
+    | QuarantineMessage
+    | SoundMessage
 )
 
 
--- a/libs/relay/src/clementinebend_relay/metrics.py
+++ b/libs/relay/src/clementinebend_relay/metrics.py
@@ -20,6 +20,15 @@
     "Answers that endpoints ended before they were whole, by service.",
     ("service",),
 )
+endpoint_ends = counter(
+    "clementinebend_relay_endpoint_ends_total",
+    "Endpoints that ended while calls of this entry ran there, by service.",
+    ("service",),
+)
+quarantined_requests = gauge(
+    "clementinebend_relay_quarantined_requests",
+    "Requests that are kept from endpoints because these end under them.",
+)
 first_byte_seconds = histogram(
     "clementinebend_relay_first_byte_seconds",
     "Time from a call's arrival to the first byte of its answer.",
--- a/libs/relay/src/clementinebend_relay/models.py
+++ b/libs/relay/src/clementinebend_relay/models.py
@@ -110,6 +110,11 @@
     boot: int | None = None
 
 
+def boot_name(endpoint: Endpoint) -> str:
+    """Return the name of one boot of an endpoint."""
+    return f"{endpoint.name}/{endpoint.boot or ''}"
+
+
 class Call(NamedTuple):
     """A caller's request, decoded.
 
@@ -165,3 +170,4 @@
     TIMEOUT_NOT_RUN = "timeout_not_run"
     TIMEOUT_MAY_HAVE_RUN = "timeout_may_have_run"
     MAY_HAVE_RUN = "may_have_run"
+    QUARANTINED = "quarantined"
--- a/libs/relay/src/clementinebend_relay/process.py
+++ b/libs/relay/src/clementinebend_relay/process.py
@@ -14,6 +14,7 @@
 from clementinebend_relay.configuration import ConfigurationTable
 from clementinebend_relay.datagrams import DatagramSocket, open_socket
 from clementinebend_relay.dispatch import Dispatcher
+from clementinebend_relay.endpoint_ends import EndpointEnds
 from clementinebend_relay.endpoints import EndpointTable
 from clementinebend_relay.following import DIRECTORY_WITHIN, Follower
 from clementinebend_relay.handler import CallHandler
@@ -23,6 +24,8 @@
 from clementinebend_relay.models import Configuration
 from clementinebend_relay.peers import Peers
 from clementinebend_relay.plain import PlainRelay
+from clementinebend_relay.quarantine import Quarantine
+from clementinebend_relay.quarantine_news import QuarantineNews
 from clementinebend_relay.queue_desk import QueueDesk
 from clementinebend_relay.queue_probes import QueueProbes
 from clementinebend_relay.receiving import receive
@@ -102,6 +105,10 @@
         self.probes = QueueProbes(self.gateways, self.entries, self._send, clock)
         self.queues = QueueDesk(boot, self._send, clock)
         self.witnesses.is_needed = self.peers.homes.is_candidate
+        quarantine = Quarantine(clock)
+        self.news = QuarantineNews(
+            boot, quarantine, self.entries, logs.quarantine, self._send_all, clock
+        )
         self.followers = (
             Follower(
                 "configuration",
@@ -120,6 +127,7 @@
             ),
             Follower("entries", logs.entries, self.entries, clock, DIRECTORY_WITHIN),
             Follower("gateways", logs.gateways, self.gateways, clock, DIRECTORY_WITHIN),
+            Follower("quarantine", logs.quarantine, self.news, clock, DIRECTORY_WITHIN),
         )
         self.budgets.is_store_lost = lambda: any(
             follower.lost_at is not None for follower in self.followers
@@ -133,9 +141,11 @@
             self.client,
             protocol,
             settings.retries,
+            quarantine,
+            EndpointEnds(clock, quarantine.running, self.news.on_ended),
             clock,
         )
-        attempts = Attempts(self.dispatcher, clock)
+        attempts = Attempts(self.dispatcher, self.news, clock)
         self.handler = CallHandler(
             protocol,
             self.configuration,
@@ -163,6 +173,7 @@
             announce(self.logs.entries, self.settings.name, own),
             self.peers.watch(),
             self.witnesses.run(),
+            self.news.run(),
             self.paths.run(self.probe),
         ]
 
@@ -236,6 +247,7 @@
             self.witnesses,
             self.probes,
             self.queues,
+            self.news,
         )
 
     def _on_gateways(self) -> None:
--- a/libs/relay/src/clementinebend_relay/progress.py
+++ b/libs/relay/src/clementinebend_relay/progress.py
@@ -26,7 +26,8 @@
     last sent. ``ahead`` and ``unread`` are the tokens to be read before its prompt, and
     of it, where it was sent last.
     ``survey`` is what was found out for its first attempt, ``reports`` how many
-    endpoints were told of before the last one.
+    endpoints were told of before the last one. ``attempt_event_at`` is when the first
+    event of the last attempt came, ``refusal`` why no further one was made.
     """
 
     def __init__(
@@ -46,6 +47,8 @@
         self.unread = 0
         self.reports = 0
         self.first_event_at: float | None = None
+        self.attempt_event_at: float | None = None
+        self.refusal: Rejection | None = None
         self.last_event = admitted.call.last_event
         self.is_whole = False
         self.failure: Response | None = None
@@ -77,6 +80,8 @@
         if self.may_have_run:
             reason = Reason.TIMEOUT_MAY_HAVE_RUN if is_late else Reason.MAY_HAVE_RUN
             return Rejection(reason, self.problem)
+        if self.refusal is not None:
+            return self.refusal
         if is_late:
             return Rejection(Reason.TIMEOUT_NOT_RUN, self.problem, NOT_RUN_PAUSE)
         reason = Reason.NOT_RUN if self.attempts else Reason.NO_ENDPOINT
--- a/libs/relay/src/clementinebend_relay/queue_probes.py
+++ b/libs/relay/src/clementinebend_relay/queue_probes.py
@@ -18,7 +18,7 @@
     ReportMessage,
     SentMessage,
 )
-from clementinebend_relay.models import Endpoint
+from clementinebend_relay.models import Endpoint, boot_name
 from clementinebend_routing.endpoint_queue import QueueReport
 from clementinebend_routing.sessions import PromptPart
 from clementinebend_transport.client_connection import Address
@@ -191,8 +191,3 @@
         announced = gateways or self.entries.announcements
         names = rendezvous(f"queue-{endpoint.name}", announced, 1)
         return announced[names[0]] if names else None
-
-
-def boot_name(endpoint: Endpoint) -> str:
-    """Return the name of one boot of an endpoint, as queues are kept by it."""
-    return f"{endpoint.name}/{endpoint.boot or ''}"
--- a/libs/relay/src/clementinebend_relay/receiving.py
+++ b/libs/relay/src/clementinebend_relay/receiving.py
@@ -4,17 +4,21 @@
     AskMessage,
     AttestationMessage,
     EndedMessage,
+    EndpointEndedMessage,
     FenceMessage,
     GiftMessage,
     LeavingMessage,
     Message,
     OpenMessage,
     ProbeMessage,
+    QuarantineMessage,
     ReadMessage,
     ReportMessage,
     SentMessage,
+    SoundMessage,
 )
 from clementinebend_relay.peers import Peers
+from clementinebend_relay.quarantine_news import QuarantineNews
 from clementinebend_relay.queue_desk import QueueDesk
 from clementinebend_relay.queue_probes import QueueProbes
 from clementinebend_relay.witness import WitnessDesk
@@ -30,6 +34,7 @@
     witnesses: Witnesses,
     probes: QueueProbes,
     queues: QueueDesk,
+    news: QuarantineNews,
 ) -> None:
     """Hand a message from ``sender`` to the part of the entry that it is for."""
     match message:
@@ -50,3 +55,5 @@
             probes.on_report(message)
         case ProbeMessage() | SentMessage() | ReadMessage() | EndedMessage():
             queues.on_message(message, sender)
+        case EndpointEndedMessage() | QuarantineMessage() | SoundMessage():
+            news.on_message(message)
--- a/libs/relay/src/clementinebend_relay/streams.py
+++ b/libs/relay/src/clementinebend_relay/streams.py
@@ -121,25 +121,30 @@
                     self._take(event, running, progress)
                     yield event
                 if splitter.is_too_large():
-                    raise self._broken(running, "an event is too large")
+                    raise self._broken(running, progress, "an event is too large")
             if splitter.rest:
-                raise Broken("the stream ended within an event")
+                problem = "the stream ended within an event"
+                self.attempts.on_broken(progress, state, problem)
+                raise Broken(problem)
             is_done = True
         finally:
             running.answer.close()
             running.hold.close()
             if is_done:
                 endpoints.on_end(state, ok=True)
+                self.attempts.on_whole(progress)
 
     def _take(
         self, event: StreamEvent, running: Running, progress: CallProgress
     ) -> None:
         """Count an event, in its place in the stream."""
         if not follows(event.number, progress.last_event):
-            raise self._broken(running, "an event is missing or comes twice")
+            raise self._broken(running, progress, "an event is missing or comes twice")
         if progress.events == 0:
             self.dispatcher.on_first_token(progress.admitted, running.state)
             progress.first_event_at = self.clock()
+        if progress.attempt_event_at is None:
+            progress.attempt_event_at = self.clock()
         progress.events += 1
         progress.last_event = event.number or progress.last_event
 
@@ -158,16 +163,16 @@
             except TimeoutError:
                 self._check_silence(running, progress)
             except TruncatedAnswer as error:
-                self.attempts.on_broken(progress, running.state, str(error))
-                raise self._broken(running, str(error)) from error
+                raise self._broken(running, progress, str(error)) from error
 
     def _check_silence(self, running: Running, progress: CallProgress) -> None:
         now = self.clock()
         if now >= progress.deadline:
             raise Broken("the time limit has passed")
         if now - running.state.heard_at > SILENT_SECONDS:
-            raise self._broken(running, "the endpoint has gone silent")
+            raise self._broken(running, progress, "the endpoint has gone silent")
 
-    def _broken(self, running: Running, problem: str) -> Broken:
+    def _broken(self, running: Running, progress: CallProgress, problem: str) -> Broken:
+        self.attempts.on_broken(progress, running.state, problem)
         self.dispatcher.endpoints.on_end(running.state, ok=False)
         return Broken(problem)
--- a/libs/relay/src/clementinebend_relay/survey.py
+++ b/libs/relay/src/clementinebend_relay/survey.py
@@ -90,6 +90,7 @@
         sessions: SessionMemory,
         probes: QueueProbes,
         entry_count: Callable[[], int],
+        is_suspected: Callable[[str], bool],
         clock: Callable[[], float],
     ) -> None:
         self.zone = zone
@@ -97,6 +98,7 @@
         self.sessions = sessions
         self.probes = probes
         self.entry_count = entry_count
+        self.is_suspected = is_suspected
         self.clock = clock
 
     async def survey(self, admitted: Admitted, tried: Collection[str]) -> Survey:
@@ -132,6 +134,11 @@
         """
         known = [state for state in fit if self.probes.is_known(state.endpoint)]
         by_name = {state.endpoint.name: state for state in known or fit}
+        if self.is_suspected(admitted.fingerprint):
+            # All entries send each suspect to an endpoint of its own, so that an end
+            # tells which of them is the cause, and costs few endpoints.
+            alone = rendezvous(admitted.fingerprint, by_name, 1)
+            return [by_name[name] for name in alone]
         if admitted.call.parts:
             session = self.sessions.session_of(admitted.call.parts)
             first = list(rendezvous(session, by_name, SESSION_PROBED))
--- a/tests/functional/test_crashing_request.py
+++ b/tests/functional/test_crashing_request.py
@@ -1,5 +1,7 @@
 """Requests that end the endpoints that run them, and those that only seem to."""
 
+from asyncio import Task, create_task, gather
+
 import pytest
 
 from tests.lib.crashing_engines import (
@@ -11,12 +13,22 @@
     served,
 )
 from tests.lib.platform_fleet import Fleet
-from tests.lib.waiting import ticks
+from tests.lib.waiting import ticks, until
 
 ENTRIES = 3
 ENGINES = 6
 PAUSE = 0.1
 SECONDS_AFTER_WINDOW = 2.0
+KILLED = 4
+POPULAR_PAUSE = 0.03
+BUSY_PAUSE = 0.002
+"""Seconds between calls so many that all engines get some."""
+
+SLOW_PAUSE = 0.1
+POPULAR_CALLS = 150
+CALLS_BETWEEN_KILLS = 25
+LOST_WITH_EACH = 2
+"""Calls that an end may break off for good: those that ran there may run once more."""
 
 
 @pytest.mark.parametrize(
@@ -47,3 +59,82 @@
     assert engines.arrivals_after_window() <= ALLOWED_LATER
     assert count == len(late)
     await engines.stop()
+
+
+async def test_a_popular_request_is_served_on_while_endpoints_are_killed_in_turn(
+    fleet: Fleet,
+) -> None:
+    """It runs everywhere all the time, and so is there at each of the ends."""
+    await fleet.start(entries=ENTRIES, engines=ENGINES)
+    engines = CrashingEngines(fleet, "pool", "head")
+    killed = fleet.engines_of("pool")[:KILLED]
+    calls: list[Sent] = []
+    kills: list[Task[None]] = []
+    async for number in ticks(POPULAR_PAUSE, lambda: len(calls) >= POPULAR_CALLS):
+        calls.append(send(fleet, "/stream/x", number % ENTRIES, b"popular"))
+        if number % CALLS_BETWEEN_KILLS == CALLS_BETWEEN_KILLS - 1 and killed:
+            kills.append(create_task(killed.pop().crash()))
+    await gather(*kills)
+    assert len(engines.ends) == KILLED
+    assert await served(calls) >= POPULAR_CALLS - LOST_WITH_EACH * KILLED
+    after = [send(fleet, "/stream/x", number, b"popular") for number in range(ENTRIES)]
+    assert await served(after) == ENTRIES
+    await engines.stop()
+
+
+async def test_a_popular_request_is_served_on_after_most_endpoints_ended_at_once(
+    fleet: Fleet,
+) -> None:
+    await fleet.start(entries=ENTRIES, engines=ENGINES)
+    engines = CrashingEngines(fleet, "pool", "head")
+    pool = fleet.engines_of("pool")
+    for engine in pool:
+        engine.pause = SLOW_PAUSE
+    running: list[Sent] = []
+    async for number in ticks(BUSY_PAUSE, lambda: all(e.runs for e in pool)):
+        running.append(send(fleet, "/stream/x", number % ENTRIES, b"popular"))
+    await gather(*[engine.crash() for engine in pool[1:]])
+    await served(running)
+    after = [send(fleet, "/stream/x", number, b"popular") for number in range(ENTRIES)]
+    assert await served(after) == ENTRIES
+    await engines.stop()
+
+
+async def quarantined(fleet: Fleet) -> CrashingEngines:
+    """Let engines end under a request until the store tells that it is kept back."""
+    engines = CrashingEngines(fleet, "pool", "head")
+    async for number in ticks(PAUSE, lambda: bool(fleet.store.newest("quarantine"))):
+        send(fleet, "/stream/x", number % ENTRIES, FATAL)
+    return engines
+
+
+async def test_an_entry_that_starts_anew_keeps_back_what_the_others_do(
+    fleet: Fleet,
+) -> None:
+    await fleet.start(entries=ENTRIES, engines=ENGINES)
+    engines = await quarantined(fleet)
+    fleet.entries[0].process.kill()
+    await fleet.entries[0].process.wait()
+    await fleet.restart_entry(0)
+    await until(lambda: fleet.is_ready(fleet.entries[0]))
+    arrived = sum(len(engine.requests) for engine in fleet.engines)
+    answer = (await fleet.call("/stream/x", entry=0, body=FATAL)).ok
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) >= 10
+    assert sum(len(engine.requests) for engine in fleet.engines) == arrived
+    await engines.stop()
+
+
+async def test_an_operator_ends_a_quarantine_by_its_record(fleet: Fleet) -> None:
+    await fleet.start(entries=ENTRIES, engines=ENGINES)
+    engines = await quarantined(fleet)
+    engines.mend()
+    for fingerprint in fleet.store.newest("quarantine"):
+        fleet.store.put("quarantine", fingerprint, b"")
+
+    async def is_served() -> bool:
+        calls = [send(fleet, "/stream/x", number, FATAL) for number in range(ENTRIES)]
+        return await served(calls) == ENTRIES
+
+    await until(is_served)
+    await engines.stop()
--- a/tests/lib/crashing_engines.py
+++ b/tests/lib/crashing_engines.py
@@ -32,6 +32,7 @@
         self.fleet = fleet
         self.service = service
         self.way = way
+        self.fatal_body: bytes | None = FATAL
         self.clock = get_running_loop().time
         self.ends: list[float] = []
         self.tasks: list[Task[None]] = []
@@ -61,13 +62,19 @@
         """Return how many repetitions reached an engine too late."""
         return sum(at > self.window_end() for at in self.arrivals())
 
+    def mend(self) -> None:
+        """Let no engine end under the request any more."""
+        self.fatal_body = None
+        for engine in self.fleet.engines_of(self.service):
+            engine.fatal_body = None
+
     async def stop(self) -> None:
         """Bring no more engines back."""
         for task in self.tasks:
             task.cancel()
 
     def _prepare(self, engine: EngineStandin) -> None:
-        engine.fatal_body = FATAL
+        engine.fatal_body = self.fatal_body
         engine.fatal_way = self.way
         engine.on_end = lambda: self._on_end(engine)
 
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -110,11 +110,12 @@
         if self.fatal_way == "reset":
             self.ending = create_task(self.crash())
             await sleep(60)
-        return Response(200, headers, self._fatal_events())
+        first = int(request.headers.get("last-event-id", 0)) + 1
+        return Response(200, headers, self._fatal_events(first))
 
-    async def _fatal_events(self) -> AsyncIterator[bytes]:
+    async def _fatal_events(self, first: int) -> AsyncIterator[bytes]:
         if self.fatal_way == "event":
-            yield event(1)
+            yield event(first)
         else:
             yield b"id"
         self.ending = create_task(self.crash())
--- a/tests/unit/relay/test_attempts.py
+++ b/tests/unit/relay/test_attempts.py
@@ -12,6 +12,7 @@
 from clementinebend_relay.interfaces import Verdict
 from clementinebend_relay.models import RouteKind
 from clementinebend_relay.progress import CallProgress
+from clementinebend_relay.quarantine import Quarantine
 from clementinebend_relay.survey import Placement, Survey
 from tests.unit.relay import calls
 from tests.unit.relay.calls import CALL
@@ -53,7 +54,9 @@
 
 
 def attempts(dispatcher: FakeDispatcher) -> Attempts:
-    return Attempts(dispatcher, lambda: 0.0)  # type: ignore[arg-type]
+    quarantine = Quarantine(lambda: 0.0)
+    news = SimpleNamespace(quarantine=quarantine, on_whole=lambda fingerprint: None)
+    return Attempts(dispatcher, news, lambda: 0.0)  # type: ignore[arg-type]
 
 
 async def test_an_endpoint_that_has_ended_is_no_attempt() -> None:
--- a/tests/unit/relay/test_message_fuzz.py
+++ b/tests/unit/relay/test_message_fuzz.py
@@ -15,13 +15,17 @@
     AskMessage,
     BudgetRest,
     EndedMessage,
+    EndpointEndedMessage,
     GiftMessage,
     LeavingMessage,
     Message,
     ProbeMessage,
+    QuarantineMessage,
     ReadMessage,
     ReportMessage,
     SentMessage,
+    SoundMessage,
+    ToldRun,
     Unreadable,
     decoded,
     encoded,
@@ -36,6 +40,7 @@
 
 names = st.sampled_from(["entry-1#2", "entry-7#9", "", "x" * 300])
 numbers = st.integers(-(2**40), 2**40)
+fingerprints = st.sampled_from(["a" * 24, "b" * 24, "", "x" * 300])
 parts = st.lists(st.builds(PromptPart, names, numbers), max_size=4).map(tuple)
 messages = st.one_of(
     st.builds(LeavingMessage, names),
@@ -59,6 +64,15 @@
         st.booleans(),
         st.none() | st.builds(BudgetRest, numbers, numbers),
     ),
+    st.builds(
+        EndpointEndedMessage,
+        names,
+        names,
+        st.floats(),
+        st.lists(st.builds(ToldRun, fingerprints, st.floats()), max_size=4).map(tuple),
+    ),
+    st.builds(QuarantineMessage, names, fingerprints, st.tuples(names, names)),
+    st.builds(SoundMessage, names, fingerprints),
 )
 
 
@@ -74,11 +88,14 @@
         ReadMessage("e/", "r"),
         EndedMessage("e/", "r"),
         GiftMessage("a#1", "b#1", TEAM, Transfer(1, 5), True, BudgetRest(1, 2)),
+        EndpointEndedMessage("a#1", "e/", 0.5, (ToldRun("a" * 24, 0.7),)),
+        QuarantineMessage("a#1", "a" * 24, ("e/",)),
+        SoundMessage("a#1", "a" * 24),
     )
     return tuple(map(encoded, kinds))
 
 
-@given(st.integers(0, 6), st.integers(0, 200), st.binary(max_size=4))
+@given(st.integers(0, 9), st.integers(0, 200), st.binary(max_size=4))
 def test_a_damaged_datagram_is_read_as_a_message_or_refused(
     kind: int, place: int, damage: bytes
 ) -> None:
