--- a/libs/relay/src/clementinebend_relay/quarantine.py
+++ b/libs/relay/src/clementinebend_relay/quarantine.py
@@ -8,6 +8,8 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager, suppress
+from itertools import islice
+from math import inf
 
 from clementinebend_relay.decisions import log_decision
 from clementinebend_relay.metrics import quarantined_requests
@@ -50,6 +52,13 @@
 MOST_SOUND = 5_000
 """Requests that are remembered, some 1 MB in all."""
 
+OLDEST_COMPARED = 50
+"""Suspects compared when one must be forgotten: a flood of requests that ended one
+endpoint each does not push out those that ended several."""
+
+MOST_ALIVE = 10_000
+"""Endpoints of which it is remembered when they were heard last, some 1 MB."""
+
 MOST_QUARANTINED = 1_000
 """Quarantined requests that are remembered; each has ended endpoints, so that nobody
 can push others out by sending different ones."""
@@ -64,6 +73,7 @@
         self.quarantined: dict[str, frozenset[str]] = {}
         self.sound_at: dict[str, float] = {}
         self.ended_at: dict[str, float] = {}
+        self.alive_at: dict[str, float] = {}
         self.judged_at: dict[str, float] = {}
         self.in_flight: Counter[str] = Counter()
         self.changed = Event()
@@ -118,9 +128,11 @@
     def on_run_ended(self, fingerprint: str, run: FatalRun) -> bool:
         """Take that an endpoint ended under a request; return if that is evidence.
 
-        It is none shortly after a whole answer to the request, or if the end is
-        explained by one that is quarantined.
+        It is none shortly after a whole answer to the request, if the end is explained
+        by a request that is quarantined, or if the endpoint was heard since.
         """
+        if self.alive_at.get(run.endpoint, -inf) > run.ended_at:
+            return False
         self.ended_at.setdefault(run.endpoint, run.ended_at)
         if fingerprint in self.quarantined:
             self.quarantined[fingerprint] |= {run.endpoint}
@@ -166,6 +178,10 @@
 
     def on_alive(self, endpoint: str) -> None:
         """Take that an endpoint has answered: it has not ended."""
+        self.alive_at.pop(endpoint, None)
+        self.alive_at[endpoint] = self.clock()
+        if len(self.alive_at) > MOST_ALIVE:
+            del self.alive_at[next(iter(self.alive_at))]
         if self.ended_at.pop(endpoint, None) is None:
             return
         log_decision("endpoint not ended", endpoint=endpoint)
@@ -180,7 +196,11 @@
 
     def judge(self) -> list[str]:
         """Quarantine requests that end endpoints; return those that are new."""
-        found = [name for name in self.evidence if self._is_fatal(name)]
+        found = [
+            name
+            for name, evidence in self.evidence.items()
+            if len(evidence) >= FATAL_ENDS and self._is_fatal(name)
+        ]
         for fingerprint in found:
             self.put(fingerprint, "endpoints ended under it")
         now = self.clock()
@@ -219,10 +239,10 @@
             self.evidence.pop(fingerprint, None)
 
     def _bound(self) -> None:
-        """Forget the oldest of those with the least evidence, if there are too many."""
+        """Forget the one with least evidence of the oldest, if there are too many."""
         if len(self.evidence) > MOST_SUSPECTS:
-            least = min(self.evidence, key=lambda name: len(self.evidence[name]))
-            del self.evidence[least]
+            oldest = islice(self.evidence, OLDEST_COMPARED)
+            del self.evidence[min(oldest, key=lambda name: len(self.evidence[name]))]
         if len(self.ended_at) > MOST_SUSPECTS:
             del self.ended_at[next(iter(self.ended_at))]
 
--- a/libs/relay/src/clementinebend_relay/quarantine_news.py
+++ b/libs/relay/src/clementinebend_relay/quarantine_news.py
@@ -4,7 +4,7 @@
 a record in the store, for entries that start later or are cut off from the others.
 """
 
-from asyncio import Queue, get_running_loop, sleep
+from asyncio import Queue, TimerHandle, get_running_loop, sleep
 from collections.abc import Callable, Iterable
 from random import random
 from re import compile as pattern
@@ -98,6 +98,7 @@
         self.clock = clock
         self.recorded: set[str] = set()
         self.writes: Queue[str] = Queue()
+        self.judging: TimerHandle | None = None
         quarantine.on_lift = self.writes.put_nowait
 
     async def run(self) -> None:
@@ -182,10 +183,12 @@
         self.writes.put_nowait(fingerprint)
 
     def _judge_soon(self) -> None:
-        pause = SETTLE_SECONDS + random() * SETTLE_SPREAD
-        get_running_loop().call_later(pause, self._judge)
+        if self.judging is None:
+            pause = SETTLE_SECONDS + random() * SETTLE_SPREAD
+            self.judging = get_running_loop().call_later(pause, self._judge)
 
     def _judge(self) -> None:
+        self.judging = None
         for fingerprint in self.quarantine.judge():
             self.writes.put_nowait(fingerprint)
             self._tell_quarantine(fingerprint)
--- a/libs/routing/src/clementinebend_routing/fatal_runs.py
+++ b/libs/routing/src/clementinebend_routing/fatal_runs.py
@@ -33,7 +33,7 @@
 """How much earlier than the end before a run may seem to begin: times of different
 entries differ by what a datagram takes."""
 
-LONGEST_FATAL_STREAM = 2.0
+LONGEST_FATAL_STREAM = 1.0
 """Seconds after the first event of a stream from which on the end of its endpoint is no
 evidence against it: it ran well that long, and long streams are at more ends than
 others."""
--- a/tests/lib/crashing_engines.py
+++ b/tests/lib/crashing_engines.py
@@ -88,6 +88,7 @@
         engine = EngineStandin(self.service)
         self._prepare(engine)
         await engine.start(ended.server.port)
+        engine.announced_port = ended.announced_port
         self.fleet.engines.append(engine)
         self.fleet.store.put("servers", engine.name, engine.entry())
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -25,7 +25,7 @@
     served = sum(call.status == 200 for call in soak.calls)
     stdout.write(
         f"seed {seed}: {len(soak.calls)} calls, {served} served, "
-        f"{len(soak.done)} faults, {len(problems)} broken\n"
+        f"{len(soak.done)} faults, {len(problems)} broken; {_crashes(soak)}\n"
     )
     for problem in problems[:5]:
         stdout.write(f"  {problem}\n")
@@ -34,6 +34,17 @@
     return bool(problems)
 
 
+def _crashes(soak: Soak) -> str:
+    if soak.crashes is None:
+        return "not started"
+    arrivals, ends = soak.crashes.engines.arrivals(), soak.crashes.engines.ends
+    kept = "" if soak.fleet.store.newest("quarantine") else "not "
+    return (
+        f"{len(ends)} engines ended, {len(arrivals)} fatal requests arrived, "
+        f"{kept}kept back"
+    )
+
+
 if __name__ == "__main__":
     numbers = [int(word) for word in argv[1:]]
     raise SystemExit(min(1, run(main(*(numbers + [1, 1, 4][len(numbers) :])))))
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -11,6 +11,7 @@
 from tests.lib.platform_engine import EngineStandin
 from tests.lib.platform_fleet import ROUTES, Entry, Fleet, route
 from tests.lib.waiting import until
+from tests.soak.crashes import Crashes
 from tests.soak.promises import Seen, broken_promises
 from tests.soak.proxy import MODES, FaultProxy
 
@@ -37,6 +38,7 @@
     """The programs, their proxies, and the calls made so far."""
 
     def __init__(self, seed: int, folder: Path) -> None:
+        self.seed = seed
         self.random = Random(seed)
         self.fleet = Fleet(folder)
         self.calls: list[Seen] = []
@@ -47,18 +49,23 @@
         self.has_stopped = False
         self.restarting: set[int] = set()
         self.done: list[str] = []
+        self.crashes: Crashes | None = None
 
     async def run(self) -> list[str]:
         """Play the seed; return the promises that were broken."""
         try:
             await self._start()
             clients = [create_task(self._client(number)) for number in range(CLIENTS)]
+            crashes = self.crashes = Crashes(self.seed, self.fleet, self.calls)
+            crashing = crashes.run(ENTRIES, lambda: self.has_stopped)
+            clients.append(create_task(crashing))
             await self._disturb()
             await self._heal()
             self.has_stopped = True
             await gather(*clients)
             problems = broken_promises(self.calls, self.fleet.engines, self.prepaid)
-            return problems + self._ended() + await self._unserved()
+            problems += self._ended() + await self._unserved()
+            return problems + await crashes.problems(ENTRIES)
         finally:
             await self.fleet.stop()
             for proxy in (*self.store_proxies, *self.engine_proxies):
