Tell what endpoints' answers say of them: that they leave, or want a pause

What callers saw: calls reached an endpoint seconds after it had said that it leaves. No log line told what its answers held. endpoint notice now does. No decision changes.

--- a/libs/relay/src/clementinebend_relay/dispatch.py
+++ b/libs/relay/src/clementinebend_relay/dispatch.py
@@ -12,7 +12,12 @@
 from clementinebend_relay.endpoint_ends import EndpointEnds
 from clementinebend_relay.endpoint_state import EndpointState, Unread
 from clementinebend_relay.endpoints import EndpointTable
-from clementinebend_relay.interfaces import Dispatch, HttpProtocol, Verdict
+from clementinebend_relay.interfaces import (
+    Dispatch,
+    HttpProtocol,
+    Notice,
+    Verdict,
+)
 from clementinebend_relay.models import Endpoint, boot_name
 from clementinebend_relay.peers import Peers
 from clementinebend_relay.quarantine import Quarantine
@@ -153,6 +158,21 @@
             state.take_unread(call.request_id)
             self.probes.on_ended(state.endpoint, call.request_id)
 
+    def _take_notice(
+        self, request_id: str, state: EndpointState, answer: OpenAnswer
+    ) -> None:
+        """Take what an endpoint says about itself in an answer."""
+        notice = self.protocol.notice(answer.status, answer.headers)
+        if notice != Notice():
+            log_decision(
+                "endpoint notice",
+                request_id=request_id,
+                endpoint=state.endpoint.name,
+                status=answer.status,
+                is_leaving=notice.is_leaving,
+                pause_s=notice.pause,
+            )
+
     def on_first_token(self, admitted: Admitted, state: EndpointState) -> None:
         """Note that the prompt of a call has been read, and how long that took."""
         call = state.take_unread(admitted.call.request_id)
@@ -200,6 +220,7 @@
                 verdict = self.protocol.judge(call, answer.status, answer.headers)
                 if verdict not in (Verdict.WRONG_ENDPOINT, Verdict.FOREIGN):
                     self.quarantine.on_alive(boot_name(endpoint))
+                    self._take_notice(call.request_id, state, answer)
                 return Opened(state, answer, verdict)
             case _:
                 failure = sent.error
--- a/libs/relay/src/clementinebend_relay/interfaces.py
+++ b/libs/relay/src/clementinebend_relay/interfaces.py
@@ -43,6 +43,16 @@
     FOREIGN = "foreign"
 
 
+class Notice(NamedTuple):
+    """What the head of an endpoint's answer says about the endpoint itself.
+
+    It leaves, or wants nothing from this entry for ``pause`` seconds.
+    """
+
+    is_leaving: bool = False
+    pause: float | None = None
+
+
 class Unusable(NamedTuple):
     """A record that cannot be decoded, and why."""
 
@@ -68,6 +78,10 @@
         """Tell what the head of an answer says."""
         ...
 
+    def notice(self, status: int, headers: Mapping[str, str]) -> Notice:
+        """Tell what the head of an answer says about its endpoint."""
+        ...
+
     def caller_headers(self, headers: Mapping[str, str]) -> tuple[tuple[str, str], ...]:
         """Return the headers of an endpoint's answer that the caller gets."""
         ...
--- a/tests/unit/platform/test_http_protocol.py
+++ b/tests/unit/platform/test_http_protocol.py
@@ -5,7 +5,7 @@
 import pytest
 
 from clementinebend_platform.http_protocol import STATUSES, PlatformProtocol
-from clementinebend_relay.interfaces import Dispatch, Verdict
+from clementinebend_relay.interfaces import Dispatch, Notice, Verdict
 from clementinebend_relay.models import Call, Endpoint, Reason, Rejection
 from clementinebend_routing.sessions import PromptPart
 from clementinebend_transport.client_connection import Address
@@ -135,3 +135,15 @@
 def test_only_what_has_not_run_is_told_so() -> None:
     unsure = (Reason.MAY_HAVE_RUN, Reason.TIMEOUT_MAY_HAVE_RUN)
     assert not {STATUSES[reason] for reason in unsure} & {408, 421, 429, 503}
+
+
+def test_what_an_answer_says_about_its_engine_is_decoded() -> None:
+    notice = PROTOCOL.notice
+    assert notice(200, {}) == Notice()
+    assert notice(200, {"server-leaving": "1"}) == Notice(is_leaving=True)
+    assert notice(200, {"server-leaving": "0"}) == Notice()
+    assert notice(503, {"retry-after": "2.5"}) == Notice(pause=2.5)
+    assert notice(503, {"retry-after": "2", "server-leaving": "1"}) == Notice(True, 2)
+    assert notice(500, {"retry-after": "2"}) == Notice()
+    for value in ("-1", "0", "nan", "inf", "soon", "Wed, 21 Oct 2026 07:28:00 GMT"):
+        assert notice(503, {"retry-after": value}) == Notice()
