--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -23,6 +23,8 @@
     ``"gap"`` (an event is missing) or ``"silent"``. A request with ``fatal_body`` ends
     the engine: at once (``fatal_way`` ``"reset"``), after the head of its answer
     (``"head"``) or after its first event (``"event"``); ``on_end`` is then called.
+    With ``says_leaving`` all its answers say that it leaves; with ``wants_pause`` it
+    turns each request away for so many seconds.
     """
 
     numbers = count(1)
@@ -38,6 +40,9 @@
         self.cancelled: list[str] = []
         self.announced_port: int | None = None
         self.server: HttpServer | None = None
+        self.says_leaving = False
+        self.wants_pause: float | None = None
+        self.reached_at: list[float] = []
         self.fatal_body: bytes | None = None
         self.fatal_way = "reset"
         self.on_end: Callable[[], None] | None = None
@@ -82,11 +87,28 @@
 
     async def handle(self, request: Request) -> Response:
         """Answer a request."""
-        request_id = request.headers["x-request-id"]
+        self.reached_at.append(get_running_loop().time())
+        answer = await self._answer(request)
+        if not self.says_leaving:
+            return answer
+        return answer._replace(headers=(*answer.headers, ("server-leaving", "1")))
+
+    def _refusal(self, request: Request) -> Response | None:
+        """Return why a request is not run, if it is not."""
         if request.headers.get("x-expect-instance") != self.name:
             return Response(421, (("x-instance-id", self.name),), b"")
         if self.fault == "full":
             return Response(503, (("x-not-executed", "1"),), b"")
+        if self.wants_pause is not None:
+            pause = ("retry-after", str(self.wants_pause))
+            return Response(503, (("x-not-executed", "1"), pause), b"")
+        return None
+
+    async def _answer(self, request: Request) -> Response:
+        refusal = self._refusal(request)
+        if refusal is not None:
+            return refusal
+        request_id = request.headers["x-request-id"]
         self.runs[request_id] += 1
         self.requests.append(request)
         self.arrived_at.append(get_running_loop().time())
