Count against a request only what ran at an endpoint as it ended

Now a run counts that was sent before the first answer broke off since the endpoint was heard last; what another entry saw later is taken off when the earlier time is told. Of several runs at one endpoint the first one counts, whatever the order of word; a stream that has run well for 1 s clears its request.

--- a/libs/relay/src/clementinebend_relay/attempts.py
+++ b/libs/relay/src/clementinebend_relay/attempts.py
@@ -97,9 +97,11 @@
                 return running
         return None
 
-    def on_whole(self, progress: CallProgress) -> None:
-        """Note that an endpoint has run a call to its end, well or not."""
-        self.news.on_whole(progress.admitted.fingerprint)
+    def on_sound(self, progress: CallProgress) -> None:
+        """Note that a call did not end its endpoint: it has run to its end, or long."""
+        if not progress.is_sound:
+            progress.is_sound = True
+            self.news.on_sound(progress.admitted.fingerprint)
 
     def on_broken(
         self, progress: CallProgress, state: EndpointState, problem: str
@@ -148,6 +150,7 @@
         progress.attempts += 1
         progress.sent_at = self.clock()
         progress.attempt_event_at = None
+        progress.is_sound = False
         progress.tried.append(state.endpoint.name)
         sent = state.unread[progress.admitted.call.request_id]
         progress.ahead, progress.unread = sent.ahead, sent.tokens
@@ -223,7 +226,7 @@
         body = await read_body(answer, progress.deadline, MAX_FAILURE_BYTES)
         if body.is_error():
             return None
-        self.on_whole(progress)
+        self.on_sound(progress)
         headers = self.dispatcher.protocol.caller_headers(answer.headers)
         return Response(answer.status, headers, body.ok)
 
--- a/libs/relay/src/clementinebend_relay/dispatch.py
+++ b/libs/relay/src/clementinebend_relay/dispatch.py
@@ -161,6 +161,11 @@
             state.take_unread(call.request_id)
             self.probes.on_ended(state.endpoint, call.request_id)
 
+    def _on_alive(self, boot: str) -> None:
+        """Note that an endpoint has answered, and so has not ended."""
+        self.ends.on_alive(boot)
+        self.quarantine.on_alive(boot)
+
     def _take_notice(
         self, request_id: str, state: EndpointState, answer: OpenAnswer
     ) -> None:
@@ -227,7 +232,7 @@
                 state.on_heard(self.clock())
                 verdict = self.protocol.judge(call, answer.status, answer.headers)
                 if verdict not in (Verdict.WRONG_ENDPOINT, Verdict.FOREIGN):
-                    self.quarantine.on_alive(boot_name(endpoint))
+                    self._on_alive(boot_name(endpoint))
                     self._take_notice(call.request_id, state, answer)
                 return Opened(state, answer, verdict)
             case _:
--- a/libs/relay/src/clementinebend_relay/endpoint_ends.py
+++ b/libs/relay/src/clementinebend_relay/endpoint_ends.py
@@ -38,13 +38,18 @@
 
 
 class Broken:
-    """The answers of one boot of an endpoint that broke off since some time."""
+    """The answers of one boot of an endpoint that broke off.
+
+    ``at`` is when the first one did since the endpoint was heard last: if it has ended,
+    then. ``is_void`` once it was heard again.
+    """
 
     def __init__(self, endpoint: Endpoint, at: float) -> None:
         self.endpoint = endpoint
         self.at = at
         self.runs: list[EndedRun] = []
         self.has_ended = False
+        self.is_void = False
         self.task: Task[None] | None = None
         self.hold = ExitStack()
 
@@ -70,19 +75,27 @@
     def on_broken(self, state: EndpointState, fingerprint: str, sent_at: float) -> None:
         """Note that an endpoint ended a connection before its answer was whole.
 
-        One that leaves, or whose announcement has lapsed, is expected to end.
+        One that leaves, or whose announcement has lapsed, is expected to end. A call
+        that was sent after the first answer broke off did not run there as it ended.
         """
         if state.is_leaving(self.clock()) or state.lapsed_at is not None:
             return
         boot, now = boot_name(state.endpoint), self.clock()
         self._forget(now)
         broken = self.broken.setdefault(boot, Broken(state.endpoint, now))
-        run = FatalRun(boot, sent_at, now)
-        broken.runs.append(EndedRun(fingerprint, run))
+        if sent_at <= broken.at:
+            run = FatalRun(boot, sent_at, broken.at)
+            broken.runs.append(EndedRun(fingerprint, run))
         broken.hold.enter_context(self.running(fingerprint))
         if broken.task is None:
             broken.task = create_task(self._look(broken))
 
+    def on_alive(self, boot: str) -> None:
+        """Take that an endpoint has answered: what broke off had other causes."""
+        broken = self.broken.pop(boot, None)
+        if broken is not None:
+            broken.is_void = True
+
     def on_gone(self, endpoint: Endpoint) -> None:
         """Take that a boot of an endpoint is not there any more."""
         broken = self.broken.get(boot_name(endpoint))
@@ -93,9 +106,9 @@
         """Look whether an endpoint has ended, and tell of the runs there."""
         for pause in LOOK_PAUSES:
             await sleep(pause)
-            if broken.has_ended:
+            if broken.has_ended or broken.is_void:
                 break
-            if await is_refused(broken.endpoint):
+            if await is_refused(broken.endpoint) and not broken.is_void:
                 self._end(broken, "nobody listens at its address")
                 break
             broken.hold.close()
--- a/libs/relay/src/clementinebend_relay/messages.py
+++ b/libs/relay/src/clementinebend_relay/messages.py
@@ -152,7 +152,7 @@
 
 
 class SoundMessage(Struct, tag="sound", array_like=True):
-    """A request was answered whole: nothing is held against it."""
+    """A request ran well: nothing is held against it."""
 
     boot: str
     fingerprint: str
--- a/libs/relay/src/clementinebend_relay/plain.py
+++ b/libs/relay/src/clementinebend_relay/plain.py
@@ -37,6 +37,6 @@
             if body.error.broke_off:
                 self.attempts.on_broken(progress, running.state, body.error.problem)
             return None
-        self.attempts.on_whole(progress)
+        self.attempts.on_sound(progress)
         headers = self.dispatcher.protocol.caller_headers(running.answer.headers)
         return Response(running.answer.status, headers, body.ok)
--- a/libs/relay/src/clementinebend_relay/progress.py
+++ b/libs/relay/src/clementinebend_relay/progress.py
@@ -33,7 +33,8 @@
     of it, where it was sent last.
     ``survey`` is what was found out for its first attempt, ``reports`` how many
     endpoints were told of before the last one. ``attempt_event_at`` is when the first
-    event of the last attempt came, ``refusal`` why no further one was made.
+    event of the last attempt came, ``is_sound`` whether it was seen to harm nothing,
+    ``refusal`` why no further one was made.
     ``pause`` is in how many seconds an endpoint takes work again, if all want a pause.
     """
 
@@ -55,6 +56,7 @@
         self.reports = 0
         self.first_event_at: float | None = None
         self.attempt_event_at: float | None = None
+        self.is_sound = False
         self.refusal: Rejection | None = None
         self.pause: float | None = None
         self.last_event = admitted.call.last_event
--- a/libs/relay/src/clementinebend_relay/quarantine.py
+++ b/libs/relay/src/clementinebend_relay/quarantine.py
@@ -16,6 +16,7 @@
 from clementinebend_relay.models import Reason, Rejection
 from clementinebend_routing.fatal_runs import (
     FATAL_ENDS,
+    OVERLAP_SECONDS,
     Evidence,
     FatalRun,
     endpoints_of,
@@ -24,6 +25,7 @@
     is_suspected,
     with_run,
     without_endpoints,
+    without_later,
 )
 
 QUARANTINE_PAUSE = 30.0
@@ -129,11 +131,14 @@
         """Take that an endpoint ended under a request; return if that is evidence.
 
         It is none shortly after a whole answer to the request, if the end is explained
-        by a request that is quarantined, or if the endpoint was heard since.
+        by a request that is quarantined, or if the endpoint was heard since. Nor is it
+        if the run was sent after the end, as another entry saw it.
         """
         if self.alive_at.get(run.endpoint, -inf) > run.ended_at:
             return False
-        self.ended_at.setdefault(run.endpoint, run.ended_at)
+        run = run._replace(ended_at=self._first_end(run))
+        if run.sent_at > run.ended_at + OVERLAP_SECONDS:
+            return False
         if fingerprint in self.quarantined:
             self.quarantined[fingerprint] |= {run.endpoint}
             return True
@@ -149,9 +154,9 @@
         self._bound()
         return True
 
-    def on_whole(self, fingerprint: str) -> bool:
-        """Take a whole answer to a request; return if that changes what is believed."""
-        return self.clear(fingerprint, "it was answered whole")
+    def on_sound(self, fingerprint: str) -> bool:
+        """Take that a request ran well; return if that changes what is believed."""
+        return self.clear(fingerprint, "it ran well")
 
     def clear(self, fingerprint: str, reason: str) -> bool:
         """Hold nothing against a request any more; return if something was held.
@@ -228,6 +233,21 @@
             self._keep(name, without_endpoints(other, ended))
         self._wake()
 
+    def _first_end(self, run: FatalRun) -> float:
+        """Return when an endpoint ended by all that is told of it.
+
+        What is told first may be of runs that were sent when it had ended already.
+        """
+        known = self.ended_at.get(run.endpoint, inf)
+        if run.ended_at >= known:
+            return known
+        self.ended_at[run.endpoint] = run.ended_at
+        if known < inf:
+            latest = run.ended_at + OVERLAP_SECONDS
+            for name, evidence in list(self.evidence.items()):
+                self._keep(name, without_later(evidence, run.endpoint, latest))
+        return run.ended_at
+
     def _is_fatal(self, fingerprint: str) -> bool:
         others = (self.evidence[name] for name in self.evidence if name != fingerprint)
         return is_fatal(self.evidence[fingerprint], others)
--- a/libs/relay/src/clementinebend_relay/quarantine_news.py
+++ b/libs/relay/src/clementinebend_relay/quarantine_news.py
@@ -117,9 +117,9 @@
             self._tell_ended(endpoint, taken[start : start + MOST_RUNS_TOLD])
         self._judge_soon()
 
-    def on_whole(self, fingerprint: str) -> None:
-        """Take a whole answer to a request, and tell of it if that matters."""
-        if self.quarantine.on_whole(fingerprint):
+    def on_sound(self, fingerprint: str) -> None:
+        """Take that a request ran well, and tell of it if that matters."""
+        if self.quarantine.on_sound(fingerprint):
             self._repeat(lambda: SoundMessage(self.boot, fingerprint))
 
     def on_message(self, message: FatalityMessage) -> None:
@@ -133,7 +133,7 @@
             case QuarantineMessage():
                 self._take_quarantine(message)
             case SoundMessage() if FINGERPRINT.fullmatch(message.fingerprint):
-                self.quarantine.on_whole(message.fingerprint)
+                self.quarantine.on_sound(message.fingerprint)
 
     def on_record(self, record: KeyedRecord) -> None:
         """Take a record of the store; an empty one ends a quarantine."""
--- a/libs/relay/src/clementinebend_relay/streams.py
+++ b/libs/relay/src/clementinebend_relay/streams.py
@@ -13,6 +13,7 @@
 from clementinebend_relay.dispatch import Dispatcher
 from clementinebend_relay.events import EventSplitter, StreamEvent, follows
 from clementinebend_relay.progress import CallProgress
+from clementinebend_routing.fatal_runs import counts_against
 from clementinebend_routing.silence import SILENT_SECONDS
 from clementinebend_transport.exceptions import AnswerCutError, TruncatedAnswer
 from clementinebend_transport.http_types import Response
@@ -132,7 +133,7 @@
             running.hold.close()
             if is_done:
                 endpoints.on_end(state, ok=True)
-                self.attempts.on_whole(progress)
+                self.attempts.on_sound(progress)
 
     def _take(
         self, event: StreamEvent, running: Running, progress: CallProgress
@@ -145,6 +146,8 @@
             progress.first_event_at = self.clock()
         if progress.attempt_event_at is None:
             progress.attempt_event_at = self.clock()
+        if not counts_against(self.clock() - progress.attempt_event_at):
+            self.attempts.on_sound(progress)
         progress.events += 1
         progress.last_event = event.number or progress.last_event
 
--- a/libs/routing/src/clementinebend_routing/fatal_runs.py
+++ b/libs/routing/src/clementinebend_routing/fatal_runs.py
@@ -52,10 +52,15 @@
 
 
 def with_run(evidence: Evidence, run: FatalRun) -> Evidence:
-    """Return the evidence with one run more."""
-    if any(known.endpoint == run.endpoint for known in evidence):
-        return evidence
-    return (*evidence, run)[-MOST_RUNS:]
+    """Return the evidence with one run more.
+
+    Of several at one endpoint the first one counts: if the request ends endpoints, the
+    others only waited there.
+    """
+    others = [known for known in evidence if known.endpoint != run.endpoint]
+    same = [known for known in evidence if known.endpoint == run.endpoint]
+    first = min((*same, run), key=lambda known: (known.sent_at, known.ended_at))
+    return (*others, first)[-MOST_RUNS:]
 
 
 def without_endpoints(evidence: Evidence, endpoints: Iterable[str]) -> Evidence:
@@ -64,6 +69,13 @@
     return tuple(run for run in evidence if run.endpoint not in dropped)
 
 
+def without_later(evidence: Evidence, endpoint: str, latest: float) -> Evidence:
+    """Return the evidence without what was sent to ``endpoint`` after some time."""
+    return tuple(
+        run for run in evidence if run.endpoint != endpoint or run.sent_at <= latest
+    )
+
+
 def endpoints_of(evidence: Evidence) -> frozenset[str]:
     """Return the endpoints that ended."""
     return frozenset(run.endpoint for run in evidence)
--- a/tests/functional/test_crashing_request.py
+++ b/tests/functional/test_crashing_request.py
@@ -29,6 +29,14 @@
 SLOW_PAUSE = 0.1
 POPULAR_CALLS = 150
 CALLS_BETWEEN_KILLS = 25
+LONG_PAUSE = 0.45
+"""Seconds between the events of a long stream, which takes 3.6 s."""
+
+LONG_CALLS = 36
+LONG_CALLS_BETWEEN_KILLS = 6
+LONG_KILLED = 2
+LONG_CALLS_PAUSE = 0.2
+LONG_DEADLINE_MS = 8_000
 LOST_WITH_EACH = 2
 """Calls that an end may break off for good: those that ran there may run once more."""
 
@@ -102,6 +110,35 @@
     await engines.stop()
 
 
+async def test_a_popular_long_stream_is_served_on_while_endpoints_are_killed_in_turn(
+    fleet: Fleet,
+) -> None:
+    """No run of it ends between the kills, but many go well meanwhile."""
+    await fleet.start(entries=ENTRIES, engines=ENGINES)
+    engines = CrashingEngines(fleet, "pool", "head")
+    pool = fleet.engines_of("pool")
+    for engine in pool:
+        engine.pause = LONG_PAUSE
+    left = LONG_KILLED
+    calls: list[Sent] = []
+    kills: list[Task[None]] = []
+    async for number in ticks(LONG_CALLS_PAUSE, lambda: len(calls) >= LONG_CALLS):
+        entry = number % ENTRIES
+        calls.append(send(fleet, "/stream/x", entry, b"popular", LONG_DEADLINE_MS))
+        if left and number % LONG_CALLS_BETWEEN_KILLS == LONG_CALLS_BETWEEN_KILLS - 1:
+            left -= 1
+            alive = [engine for engine in pool if not engine.has_ended]
+            busiest = max(alive, key=lambda engine: len(engine.requests))
+            kills.append(create_task(busiest.crash()))
+    await gather(*kills)
+    assert len(engines.ends) == LONG_KILLED
+    outcomes = [await call.outcome for call in calls]
+    refused = [each.ok.status for each in outcomes if each.is_ok()]
+    assert set(refused) == {200}
+    assert await served(calls) >= LONG_CALLS - LOST_WITH_EACH * LONG_KILLED
+    await engines.stop()
+
+
 async def quarantined(fleet: Fleet) -> CrashingEngines:
     """Let engines end under a request until the store tells that it is kept back."""
     engines = CrashingEngines(fleet, "pool", "head")
--- a/tests/lib/crashing_engines.py
+++ b/tests/lib/crashing_engines.py
@@ -16,6 +16,7 @@
 """Seconds after the third end from which on few repetitions may reach an engine."""
 
 ALLOWED_LATER = 3
+DEADLINE_MS = 3_000
 
 
 class Sent(NamedTuple):
@@ -93,10 +94,13 @@
         self.fleet.store.put("servers", engine.name, engine.entry())
 
 
-def send(fleet: Fleet, path: str, entry: int, body: bytes) -> Sent:
+def send(
+    fleet: Fleet, path: str, entry: int, body: bytes, deadline_ms: int = DEADLINE_MS
+) -> Sent:
     """Make a call without waiting for its outcome."""
     at = get_running_loop().time()
-    return Sent(at, create_task(fleet.call(path, entry=entry, body=body)))
+    call = fleet.call(path, entry=entry, body=body, x_deadline_ms=str(deadline_ms))
+    return Sent(at, create_task(call))
 
 
 async def served(calls: list[Sent]) -> int:
--- a/tests/soak/crashes.py
+++ b/tests/soak/crashes.py
@@ -8,6 +8,7 @@
 from clementinebend_relay.fingerprints import fingerprint_of
 from clementinebend_relay.models import Call
 from tests.lib.crashing_engines import ALLOWED_ENDS, FATAL, CrashingEngines
+from tests.lib.platform_engine import EngineStandin
 from tests.lib.platform_fleet import HOST, TEAM, Fleet
 from tests.soak.promises import Seen
 
@@ -16,6 +17,12 @@
 SERVICE = "pool"
 PROMPT = 20
 
+ENDS_SHARE = 0.2
+"""Part of the turns in which an engine is disturbed, too."""
+
+LONGEST_LEAVING = 1.0
+LONGEST_PAUSE = 2.0
+
 FATAL_CALL = Call("", "POST", PATH, HOST, (), FATAL, None, None, (), 0, 0, None)
 
 
@@ -33,11 +40,24 @@
         """Send the fatal request, and end engines, until the load ends."""
         while not has_stopped():
             await self._send(self.random.randrange(entries))
-            if self.random.random() < 0.1:
-                pool = self.fleet.engines_of(SERVICE)
-                await self.random.choice(pool).crash()
+            if self.random.random() < ENDS_SHARE:
+                await self._disturb(self.random.choice(self.fleet.engines_of(SERVICE)))
             await sleep(self.random.uniform(0.05, 0.6))
 
+    async def _disturb(self, engine: EngineStandin) -> None:
+        """Let an engine end, leave with a word before, or ask for a pause."""
+        match self.random.choice(("end", "leave", "pause")):
+            case "end":
+                await engine.crash()
+            case "leave":
+                engine.says_leaving = True
+                await sleep(self.random.uniform(0.1, LONGEST_LEAVING))
+                await engine.crash()
+            case "pause":
+                engine.wants_pause = self.random.uniform(0.1, LONGEST_PAUSE)
+                await sleep(engine.wants_pause)
+                engine.wants_pause = None
+
     async def problems(self, entries: int) -> list[str]:
         """Return what is kept back falsely, and what is not kept back, at the end."""
         fatal = fingerprint_of(FATAL_CALL, TEAM)
--- a/tests/unit/relay/test_attempts.py
+++ b/tests/unit/relay/test_attempts.py
@@ -55,7 +55,7 @@
 
 def attempts(dispatcher: FakeDispatcher) -> Attempts:
     quarantine = Quarantine(lambda: 0.0)
-    news = SimpleNamespace(quarantine=quarantine, on_whole=lambda fingerprint: None)
+    news = SimpleNamespace(quarantine=quarantine, on_sound=lambda fingerprint: None)
     return Attempts(dispatcher, news, lambda: 0.0)  # type: ignore[arg-type]
 
 
--- a/tests/unit/relay/test_quarantine.py
+++ b/tests/unit/relay/test_quarantine.py
@@ -1,9 +1,10 @@
 """Which requests an entry keeps back, and how entries tell one another."""
 
-from asyncio import create_task, sleep
+from asyncio import create_task, get_running_loop, sleep
 
 from clementinebend_bench.models.mark_store import ModelLog, Outage
 from clementinebend_bench.models.virtual_loop import run_virtually
+from clementinebend_relay.endpoint_ends import EndedRun
 from clementinebend_relay.messages import (
     EndpointEndedMessage,
     QuarantineMessage,
@@ -23,6 +24,7 @@
     HARMLESS,
     QuarantineEntry,
     QuarantineWorld,
+    endpoint,
 )
 
 PAUSE = 0.5
@@ -112,7 +114,7 @@
     async def play() -> None:
         world = QuarantineWorld(4)
         await end_in_turn(world, HARMLESS, ends=2)
-        world.all()[3].news.on_whole(HARMLESS)
+        world.all()[3].news.on_sound(HARMLESS)
         await sleep(SOUND_SECONDS + PAUSE)
         await end_in_turn(world, HARMLESS, ends=2)
         assert not any(entry.keeps_back(HARMLESS) for entry in world.all())
@@ -126,7 +128,7 @@
         world = QuarantineWorld(4)
         popular = world.all()[3]
         for _ in range(4):
-            popular.news.on_whole(HARMLESS)
+            popular.news.on_sound(HARMLESS)
             world.end_endpoint(world.all()[0], HARMLESS)
             await sleep(PAUSE)
         await sleep(SPREAD_SECONDS)
@@ -142,7 +144,7 @@
         world = QuarantineWorld(3)
         await end_in_turn(world, HARMLESS)
         await sleep(SPREAD_SECONDS)
-        world.all()[1].news.on_whole(HARMLESS)
+        world.all()[1].news.on_sound(HARMLESS)
         await sleep(SPREAD_SECONDS)
         assert not any(entry.keeps_back(HARMLESS) for entry in world.all())
         assert not world.start(0).keeps_back(HARMLESS)
@@ -207,6 +209,31 @@
     run_virtually(play())
 
 
+def test_what_was_sent_to_an_endpoint_that_had_ended_is_no_evidence() -> None:
+    """A balancer takes connections for an endpoint that has ended; word comes late."""
+
+    async def play() -> None:
+        world = QuarantineWorld(2)
+        first, second = world.all()
+        now = get_running_loop().time
+        for number in range(3):
+            ended = endpoint(number)
+            boot = boot_name(ended)
+            late = FatalRun(boot, now() - 0.1, now() - 0.05)
+            second.news.on_ended(ended, [EndedRun(HARMLESS, late)])
+            await sleep(0.05)
+            culprit = FatalRun(boot, now() - 0.5, now() - 0.3)
+            first.news.on_ended(ended, [EndedRun(FATAL, culprit)])
+            await sleep(PAUSE)
+        await sleep(SPREAD_SECONDS)
+        for entry in world.all():
+            assert entry.keeps_back(FATAL)
+            assert HARMLESS not in entry.quarantine.evidence
+        world.end()
+
+    run_virtually(play())
+
+
 def test_an_endpoint_that_lives_takes_its_end_back() -> None:
     async def play() -> None:
         world = QuarantineWorld(2)
--- a/tests/unit/routing/test_fatal_runs.py
+++ b/tests/unit/routing/test_fatal_runs.py
@@ -71,13 +71,13 @@
 
 @given(st.lists(runs, max_size=12))
 def test_the_order_in_which_word_comes_changes_nothing(taken: list[FatalRun]) -> None:
-    by_endpoint = {run.endpoint: run for run in taken}
     forwards: Evidence = ()
     backwards: Evidence = ()
-    for run in by_endpoint.values():
+    for run in taken:
         forwards = with_run(forwards, run)
+    for run in reversed(taken):
         backwards = with_run(backwards, run)
-    assert ends_in_series(forwards) == ends_in_series(backwards[::-1])
+    assert ends_in_series(forwards) == ends_in_series(backwards)
 
 
 @given(st.lists(runs, max_size=8))
