Count no calls that may have been sent to an endpoint after it had ended

Its logs tell why: three entries that had just started sent calls to engines that had ended before, whose proxies take connections all the same; all broke off, and when the store was back a later boot at each address proved ends at a time that nobody knew. Where another boot is the proof, a run now counts only if the endpoint had sent something since, or at most 1 s before the run was sent. Where nobody listens at the address the end lies between the connection and the look, and nothing changes. The new unit test fails without it.

--- a/libs/relay/src/clementinebend_relay/endpoint_ends.py
+++ b/libs/relay/src/clementinebend_relay/endpoint_ends.py
@@ -37,6 +37,11 @@
 """Seconds after an endpoint's end for which its last words may still come."""
 
 
+SIGN_SECONDS = 1.0
+"""An endpoint that sent something so shortly before a call was sent, or since, still
+lived then."""
+
+
 class EndedRun(NamedTuple):
     """A run of the request ``fingerprint`` that an endpoint's end broke off."""
 
@@ -47,7 +52,8 @@
 class Broken:
     """The answers of one boot of an endpoint that broke off since it was heard last.
 
-    ``runs`` has the time of each break as that of the run's end. ``ended_at`` is when
+    ``runs`` has the time of each break as that of the run's end; ``with_sign`` those
+    before which the endpoint had shown that it lives. ``ended_at`` is when
     the endpoint ended, once that is proved.
     """
 
@@ -55,6 +61,7 @@
         self.endpoint = endpoint
         self.at = at
         self.runs: list[EndedRun] = []
+        self.with_sign: set[EndedRun] = set()
         self.ended_at: float | None = None
         self.is_void = False
         self.task: Task[None] | None = None
@@ -106,7 +113,10 @@
         self._forget(now)
         broken = self.broken.setdefault(boot, Broken(state.endpoint, now))
         run = FatalRun(boot, sent_at, now)
-        broken.runs.append(EndedRun(fingerprint, run))
+        ended = EndedRun(fingerprint, run)
+        broken.runs.append(ended)
+        if state.answered_at > sent_at - SIGN_SECONDS:
+            broken.with_sign.add(ended)
         broken.hold.enter_context(self.running(fingerprint))
         if broken.task is None:
             broken.task = create_task(self._look(broken))
@@ -122,7 +132,9 @@
         """Take that a boot of an endpoint is not there any more."""
         broken = self.broken.get(boot_name(endpoint))
         if broken is not None and broken.ended_at is None:
-            # Calls that were sent there since may have broken off as well.
+            # When it ended is not known: perhaps before these calls were sent, to
+            # something that takes connections for it.
+            broken.runs = [each for each in broken.runs if each in broken.with_sign]
             self._end(broken, broken.at, "another boot is there, or none")
 
     async def _look(self, broken: Broken) -> None:
--- a/libs/relay/src/clementinebend_relay/endpoint_state.py
+++ b/libs/relay/src/clementinebend_relay/endpoint_state.py
@@ -45,7 +45,8 @@
     """What this entry knows of one endpoint; times on the steady clock.
 
     ``prefill`` is the tokens to be read of all ``unread`` calls, by priority.
-    ``heard_at`` is when the endpoint last sent bytes.
+    ``heard_at`` is when the endpoint last sent bytes, or became known; ``answered_at``
+    the same, if it ever has sent any.
     """
 
     def __init__(self, endpoint: Endpoint, now: float) -> None:
@@ -56,6 +57,7 @@
         self.health = Health()
         self.pace = Pace()
         self.heard_at = now
+        self.answered_at = -inf
         self.announced_at = now
         self.doubt = Doubt()
         self.unread: dict[str, Unread] = {}
@@ -129,7 +131,7 @@
 
     def on_heard(self, now: float) -> None:
         """Take note that bytes of an answer have come."""
-        self.heard_at = now
+        self.heard_at = self.answered_at = now
         if self.doubt.since is not None:
             log_decision("endpoint trusted again", endpoint=self.endpoint.name)
         if self.doubt.in_a_row:
--- a/tests/unit/relay/test_endpoint_ends.py
+++ b/tests/unit/relay/test_endpoint_ends.py
@@ -104,6 +104,7 @@
 ) -> None:
     """Something in front of the endpoint takes connections all the while."""
     server = await listen(watched)
+    watched.state.on_heard(99.5)
     watched.ends.on_broken(watched.state, "cause", 99.0)
     await looked(watched)
     watched.set_clock(101.0)
@@ -115,6 +116,18 @@
     server.close()
 
 
+async def test_calls_to_an_endpoint_that_may_have_ended_before_are_not_told(
+    watched: Watched,
+) -> None:
+    """An entry that has just started never heard from it; its connections are taken."""
+    server = await listen(watched)
+    watched.ends.on_broken(watched.state, "harmless", 99.0)
+    await looked(watched)
+    watched.ends.on_gone(watched.state.endpoint)
+    assert not watched.told
+    server.close()
+
+
 async def test_an_endpoint_that_answers_later_had_not_ended(watched: Watched) -> None:
     server = await listen(watched)
     watched.ends.on_broken(watched.state, "a", 99.0)
