Limit the rate of calls to a cold endpoint across all entries

Cause: no code evaluated the cold time in endpoint announcements. When the endpoints of a zone come back cold and idle, all entries choose them at once.

Change: the process that keeps an endpoint's queue (the gateway on its host, else one that all entries select alike) counts the calls sent there in the last second and the permits granted in the last 60 ms. A probe of an endpoint also requests a permit; without one, no call is sent there. An endpoint counts as cold by its announcement, and for the service's cold time after it was added, became available again after a silence or a lapsed record, or the evacuation of its zone ended. A cold endpoint gets permits up to the tolerated rate, and up to 0.75 of the bound including outstanding permits. Any other endpoint gets up to 0.95 of the bound, as it may turn cold seconds before its announcement says so. A process that began to count within the last second neither grants nor refuses permits; then 0 to a few entries, the same ones at all entries, send a cold endpoint one call per 1.1 s each. Prompts wait in the waiting room, other calls up to 1 s in their attempt. Services that name no tolerated rate have no limit.

Permits are requested in the probes that each call sends already, so they cost no extra datagram.

--- a/libs/bench/src/clementinebend_bench/experiments/choice.py
+++ b/libs/bench/src/clementinebend_bench/experiments/choice.py
@@ -13,6 +13,7 @@
 from clementinebend_relay.admission import Admitted
 from clementinebend_relay.announcing import Directory
 from clementinebend_relay.budgets import Budgets
+from clementinebend_relay.cold_endpoints import ColdEndpoints
 from clementinebend_relay.dispatch import Dispatcher
 from clementinebend_relay.endpoint_ends import EndpointEnds
 from clementinebend_relay.endpoint_state import EndpointState
@@ -78,7 +79,8 @@
     witnesses = Witnesses(boot, "z", directory, _send, monotonic)
     log = ModelLog(StoreModel(()))
     budgets = Budgets(boot, (log,), witnesses, lambda holder: False, monotonic)
-    table = EndpointTable(NoRecords(), monotonic)
+    cold = ColdEndpoints("entry", directory, monotonic)
+    table = EndpointTable(NoRecords(), cold, monotonic)
     for number in range(size):
         name = f"endpoint-{number}"
         endpoint = Endpoint(name, SERVICE, Address("10.0.0.1", 1), "z", 64, False)
--- a/libs/bench/src/clementinebend_bench/models/mark_fleet.py
+++ b/libs/bench/src/clementinebend_bench/models/mark_fleet.py
@@ -11,6 +11,7 @@
 from clementinebend_records.identifiers import Incarnation
 from clementinebend_relay.announcing import Announcement, Directory
 from clementinebend_relay.budgets import Budgets, Reservation
+from clementinebend_relay.cold_endpoints import ColdEndpoints
 from clementinebend_relay.endpoints import EndpointTable
 from clementinebend_relay.evacuations import Evacuations
 from clementinebend_relay.interfaces import Unusable
@@ -86,7 +87,8 @@
             self.send_all,
             clock,
         )
-        table = EndpointTable(NoRecords(), clock)
+        cold = ColdEndpoints(self.name, self.directory, clock)
+        table = EndpointTable(NoRecords(), cold, clock)
         self.leaving = LeavingNews(self.boot, table, self.directory, self.send_all)
         self.evacuations = Evacuations(
             self.boot,
--- a/libs/relay/src/clementinebend_relay/attempts.py
+++ b/libs/relay/src/clementinebend_relay/attempts.py
@@ -1,5 +1,6 @@
 """Attempts of a call until one has an answer worth relaying."""
 
+from asyncio import sleep
 from collections.abc import Callable
 from contextlib import ExitStack
 from typing import NamedTuple
@@ -13,7 +14,7 @@
 from clementinebend_relay.models import RouteKind
 from clementinebend_relay.progress import CallProgress
 from clementinebend_relay.quarantine_news import QuarantineNews
-from clementinebend_relay.survey import SURVEY_SECONDS, Placement
+from clementinebend_relay.survey import Placement
 from clementinebend_routing.fatal_runs import counts_against
 from clementinebend_transport.http_client import OpenAnswer
 from clementinebend_transport.http_types import Response
@@ -33,6 +34,14 @@
 up. They are no attempts: no endpoint of the call's service was asked to run it."""
 
 
+RATE_LIMIT_WAIT = 1.0
+"""Longest time in seconds that an attempt waits while all endpoints asked about are at
+their call rate limit."""
+
+RATE_LIMIT_PAUSE = 0.05
+"""Seconds between two surveys of an attempt that waits for the rate limit."""
+
+
 class Running(NamedTuple):
     """An attempt whose answer is a success so far.
 
@@ -126,12 +135,24 @@
             ends.on_broken(state, admitted.fingerprint, progress.sent_at)
 
     async def _place(self, progress: CallProgress) -> Placement | None:
-        """Return where the next attempt goes, by a survey made a moment ago."""
+        """Return where the next attempt goes, by a survey that is still usable.
+
+        Waits up to ``RATE_LIMIT_WAIT`` while the endpoints are at their rate limit.
+        """
         survey, progress.survey = progress.survey, None
-        is_suspected = self.quarantine.is_suspected(progress.admitted.fingerprint)
-        is_old = survey is None or self.clock() - survey.at > SURVEY_SECONDS
-        if survey is None or is_old or is_suspected:
-            survey = await self.dispatcher.survey(progress.admitted, progress.tried)
+        if self.quarantine.is_suspected(progress.admitted.fingerprint):
+            survey = None
+        until = min(progress.deadline, self.clock() + RATE_LIMIT_WAIT)
+        dispatcher = self.dispatcher
+        while (
+            survey is None or survey.is_rate_limited or not dispatcher.is_usable(survey)
+        ):
+            survey = await dispatcher.survey(progress.admitted, progress.tried)
+            if survey.is_rate_limited and self.clock() + RATE_LIMIT_PAUSE >= until:
+                progress.problem = "the endpoints take no more calls in this second"
+                break
+            if survey.is_rate_limited:
+                await sleep(RATE_LIMIT_PAUSE)
         return survey.placement
 
     def _may_go_on(self, progress: CallProgress) -> bool:
--- a/libs/relay/src/clementinebend_relay/dispatch.py
+++ b/libs/relay/src/clementinebend_relay/dispatch.py
@@ -128,6 +128,10 @@
         """Ask about some endpoints and choose one of them."""
         return await self.surveyor.survey(admitted, tried)
 
+    def is_usable(self, survey: Survey) -> bool:
+        """Tell whether a call may still be sent by a survey."""
+        return self.surveyor.is_usable(survey)
+
     @contextmanager
     def in_flight(self, admitted: Admitted, placement: Placement) -> Iterator[None]:
         """Count an attempt at an endpoint while it lasts, and tell of it."""
@@ -145,6 +149,7 @@
             ),
         )
         state.on_tried()
+        state.last_sent_at = self.clock()
         state.in_flight += 1
         self.probes.on_sent(
             state.endpoint,
--- a/libs/relay/src/clementinebend_relay/endpoint_state.py
+++ b/libs/relay/src/clementinebend_relay/endpoint_state.py
@@ -46,7 +46,10 @@
 
     ``prefill`` is the tokens to be read of all ``unread`` calls, by priority.
     ``heard_at`` is when the endpoint last sent bytes, or became known; ``answered_at``
-    the same, if it ever has sent any.
+    the same, if it ever has sent any. ``available_since`` is when it was added or
+    became available again: it may be cold from then on; ``cold_until`` is the end of
+    the cold time that it announced. ``last_sent_at`` is when this entry last sent it a
+    call.
     """
 
     def __init__(self, endpoint: Endpoint, now: float) -> None:
@@ -64,6 +67,9 @@
         self.lapsed_at: float | None = None
         self.leaving_until = -inf
         self.paused_until = -inf
+        self.cold_until = -inf
+        self.available_since = now
+        self.last_sent_at = -inf
 
     def is_leaving(self, now: float) -> bool:
         """Tell whether the endpoint is about to end, by its announcement or answers.
@@ -133,6 +139,7 @@
         """Take note that bytes of an answer have come."""
         self.heard_at = self.answered_at = now
         if self.doubt.since is not None:
+            self.available_since = now
             log_decision("endpoint trusted again", endpoint=self.endpoint.name)
         if self.doubt.in_a_row:
             self.doubt = on_heard(self.doubt)
--- a/libs/relay/src/clementinebend_relay/endpoints.py
+++ b/libs/relay/src/clementinebend_relay/endpoints.py
@@ -3,10 +3,11 @@
 from collections.abc import Callable, Iterable
 
 from clementinebend_platform_client.keyed_log import KeyedRecord
+from clementinebend_relay.cold_endpoints import ColdEndpoints
 from clementinebend_relay.decisions import log_decision
 from clementinebend_relay.endpoint_state import EndpointState
 from clementinebend_relay.interfaces import Records, Unusable
-from clementinebend_relay.models import Endpoint, boot_name
+from clementinebend_relay.models import Endpoint, boot_name, endpoint_name
 from clementinebend_routing.outliers import ejection_allowed, is_ejected, on_result
 
 LAPSED_SECONDS = 2.0
@@ -26,8 +27,14 @@
 class EndpointTable:
     """Endpoints by name; the tasks that follow and dispatch share it."""
 
-    def __init__(self, records: Records, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        records: Records,
+        cold_endpoints: ColdEndpoints,
+        clock: Callable[[], float],
+    ) -> None:
         self.records = records
+        self.cold_endpoints = cold_endpoints
         self.clock = clock
         self.states: dict[str, EndpointState] = {}
         self.offsets: dict[str, int] = {}
@@ -109,6 +116,9 @@
             self.evacuated_zones.add(zone)
         else:
             self.evacuated_zones.discard(zone)
+            self.cold_endpoints.on_evacuation_ended(zone)
+            for state in self.states.values():
+                self.cold_endpoints.record_status(state)
 
     def on_leaving(self, state: EndpointState) -> bool:
         """Take an endpoint's word that it leaves; return whether that is new."""
@@ -119,7 +129,7 @@
 
     def on_told_leaving(self, boot: str) -> None:
         """Take another entry's word that one boot of an endpoint leaves."""
-        name = boot.rpartition("/")[0]
+        name = endpoint_name(boot)
         state = self.states.get(name)
         if state is not None and boot_name(state.endpoint) == boot:
             self.on_leaving(state)
@@ -147,6 +157,7 @@
             return
         del self.states[name]
         log_decision("endpoint dropped", endpoint=name, reason=reason)
+        self.cold_endpoints.forget(state.endpoint)
         if self.on_drop is not None:
             self.on_drop(state.endpoint)
 
@@ -193,9 +204,13 @@
             log_decision("endpoint leaving", endpoint=endpoint.name)
         elif self.on_announced is not None:
             self.on_announced(endpoint)
+        now = self.clock()
+        if state.lapsed_at is not None:
+            state.available_since = now
         state.endpoint = endpoint
-        state.announced_at = self.clock()
+        state.announced_at = now
         state.lapsed_at = None
+        self.cold_endpoints.on_announced(state)
 
     def _drop_predecessors(self, endpoint: Endpoint) -> None:
         """Drop earlier boots at the address of a new one; they have ended.
--- a/libs/relay/src/clementinebend_relay/messages.py
+++ b/libs/relay/src/clementinebend_relay/messages.py
@@ -12,6 +12,7 @@
 from clementinebend_ledger.mark_gifts import Wish
 from clementinebend_ledger.mark_transfers import Transfer
 from clementinebend_ledger.mark_witness import Attestation
+from clementinebend_routing.cold_start import PermitLimit
 from clementinebend_routing.endpoint_queue import QueueReport
 from clementinebend_routing.sessions import PromptPart
 
@@ -25,13 +26,15 @@
 class ProbeMessage(Struct, tag="probe", array_like=True):
     """An entry asks what a call would meet at an endpoint; the answer names ``number``.
 
-    ``endpoint`` names one boot of it.
+    ``endpoint`` names one boot of it. With a ``permit_limit`` the entry also requests a
+    permit to send the call.
     """
 
     number: int
     endpoint: str
     priority: int
     parts: tuple[PromptPart, ...]
+    permit_limit: PermitLimit | None = None
 
 
 class ReportMessage(Struct, tag="report", array_like=True):
--- a/libs/relay/src/clementinebend_relay/metrics.py
+++ b/libs/relay/src/clementinebend_relay/metrics.py
@@ -33,6 +33,15 @@
     "clementinebend_relay_evacuated_zones",
     "Availability zones whose endpoints get nothing new, as operators want it.",
 )
+cold_endpoints = gauge(
+    "clementinebend_relay_cold_endpoints",
+    "Endpoints that are cold, or may be, and get few calls.",
+)
+full_surveys = counter(
+    "clementinebend_relay_full_surveys_total",
+    "Times that no endpoint asked about took another call in that second, by service.",
+    ("service",),
+)
 first_byte_seconds = histogram(
     "clementinebend_relay_first_byte_seconds",
     "Time from a call's arrival to the first byte of its answer.",
--- a/libs/relay/src/clementinebend_relay/models.py
+++ b/libs/relay/src/clementinebend_relay/models.py
@@ -55,12 +55,16 @@
 class Service(NamedTuple):
     """A service's limits: connections to one endpoint, from all entries.
 
-    ``event_tokens`` is how many tokens one event of a stream may hold.
+    ``event_tokens`` is how many tokens one event of a stream may hold. An endpoint is
+    cold for ``cold_seconds`` after its start and tolerates ``cold_rate`` calls a second
+    in that time; 0 stands for no limit.
     """
 
     name: str
     max_connections: int
     event_tokens: int
+    cold_seconds: float = 0.0
+    cold_rate: float = 0.0
 
 
 class Team(NamedTuple):
@@ -99,6 +103,7 @@
     """One boot of an endpoint, as it announced itself.
 
     ``boot`` tells apart boots that keep the name, if the endpoint says so.
+    ``cold_seconds`` is the remaining time for which it is cold.
     """
 
     name: str
@@ -108,6 +113,7 @@
     slots: int
     is_leaving: bool
     boot: int | None = None
+    cold_seconds: float = 0.0
 
 
 def boot_name(endpoint: Endpoint) -> str:
@@ -115,6 +121,11 @@
     return f"{endpoint.name}/{endpoint.boot or ''}"
 
 
+def endpoint_name(boot: str) -> str:
+    """Return the endpoint's name from the name of one of its boots."""
+    return boot.rpartition("/")[0]
+
+
 class Call(NamedTuple):
     """A caller's request, decoded.
 
--- a/libs/relay/src/clementinebend_relay/process.py
+++ b/libs/relay/src/clementinebend_relay/process.py
@@ -11,6 +11,7 @@
 from clementinebend_relay.announcing import Announcement, Directory, announce
 from clementinebend_relay.attempts import Attempts
 from clementinebend_relay.budgets import Budgets
+from clementinebend_relay.cold_endpoints import ColdEndpoints
 from clementinebend_relay.configuration import ConfigurationTable
 from clementinebend_relay.datagrams import DatagramSocket, open_socket
 from clementinebend_relay.dispatch import Dispatcher
@@ -81,10 +82,11 @@
         self.is_stopping = False
         self.known = Event()
         self.client = HttpClient()
-        self.endpoints = EndpointTable(records, clock)
+        self.entries = Directory()
+        self.cold_endpoints = ColdEndpoints(settings.name, self.entries, clock)
+        self.endpoints = EndpointTable(records, self.cold_endpoints, clock)
         self.endpoints.on_known = self._on_known
         self.configuration = ConfigurationTable(records, self._configure)
-        self.entries = Directory()
         self.paths = paths
         self.probe = probe
         self.gateways = Directory(self._on_gateways)
@@ -272,6 +274,9 @@
     def _configure(self, configuration: Configuration) -> None:
         self._on_known()
         self.endpoints.configure(configuration.services)
+        self.cold_endpoints.configure(
+            configuration.services.values(), self.settings.cold_bound
+        )
         self.budgets.configure(configuration)
         limits = configuration.limits
         if self.servers:
--- a/libs/relay/src/clementinebend_relay/queue_desk.py
+++ b/libs/relay/src/clementinebend_relay/queue_desk.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
+from typing import TypeVar
 
 from clementinebend_relay.messages import (
     EndedMessage,
@@ -12,6 +13,8 @@
     ReportMessage,
     SentMessage,
 )
+from clementinebend_relay.models import endpoint_name
+from clementinebend_routing.cold_start import RecentCalls
 from clementinebend_routing.endpoint_queue import EndpointQueue
 from clementinebend_transport.client_connection import Address
 
@@ -20,6 +23,9 @@
 each boot that ended leaves one behind."""
 
 
+Item = TypeVar("Item")
+
+
 class QueueDesk:
     """Keeps queues from what entries tell, in the memory of this boot."""
 
@@ -33,16 +39,23 @@
         self.send = send
         self.clock = clock
         self.queues: OrderedDict[str, EndpointQueue] = OrderedDict()
+        self.recent_calls: OrderedDict[str, RecentCalls] = OrderedDict()
+        """By endpoint name, as entries may know different boots of an endpoint."""
 
     def on_message(self, message: QueueMessage, sender: Address) -> None:
         """Take what an entry tells, or answer what it asks."""
         queue = self._queue(message.endpoint)
+        recent = self._recent_calls(message.endpoint)
         now = self.clock()
         match message:
             case ProbeMessage():
                 report = queue.report(message.priority, message.parts, now)
+                if message.permit_limit is not None:
+                    has_permit = recent.request_permit(message.permit_limit, now)
+                    report = report._replace(has_permit=has_permit)
                 self.send(ReportMessage(self.boot, message.number, report), sender)
             case SentMessage():
+                recent.on_sent(now)
                 queue.on_sent(
                     message.request,
                     message.priority,
@@ -56,10 +69,22 @@
                 queue.on_ended(message.request)
 
     def _queue(self, endpoint: str) -> EndpointQueue:
-        queue = self.queues.get(endpoint)
-        if queue is None:
-            queue = self.queues[endpoint] = EndpointQueue()
-        self.queues.move_to_end(endpoint)
-        if len(self.queues) > QUEUES_KEPT:
-            self.queues.popitem(last=False)
-        return queue
+        return _get_or_create(self.queues, endpoint, EndpointQueue)
+
+    def _recent_calls(self, endpoint: str) -> RecentCalls:
+        name = endpoint_name(endpoint)
+        return _get_or_create(
+            self.recent_calls, name, lambda: RecentCalls(self.clock())
+        )
+
+
+def _get_or_create(
+    items: OrderedDict[str, Item], name: str, create: Callable[[], Item]
+) -> Item:
+    """Return the item of a name, and evict the least recently used one if needed."""
+    if name not in items:
+        items[name] = create()
+    items.move_to_end(name)
+    if len(items) > QUEUES_KEPT:
+        items.popitem(last=False)
+    return items[name]
--- a/libs/relay/src/clementinebend_relay/queue_probes.py
+++ b/libs/relay/src/clementinebend_relay/queue_probes.py
@@ -19,6 +19,7 @@
     SentMessage,
 )
 from clementinebend_relay.models import Endpoint, boot_name
+from clementinebend_routing.cold_start import PermitLimit
 from clementinebend_routing.endpoint_queue import QueueReport
 from clementinebend_routing.sessions import PromptPart
 from clementinebend_transport.client_connection import Address
@@ -86,9 +87,16 @@
         endpoints: Iterable[Endpoint],
         priority: int,
         parts: tuple[PromptPart, ...],
+        limit_of: Callable[[Endpoint], PermitLimit | None] = lambda endpoint: None,
     ) -> dict[str, QueueReport]:
-        """Return the reports that come in time, by the endpoint's name."""
-        numbers = [self._ask(endpoint, priority, parts) for endpoint in endpoints]
+        """Return the reports that come in time, by the endpoint's name.
+
+        Also requests a permit where ``limit_of`` returns a limit.
+        """
+        numbers = [
+            self._ask(endpoint, priority, parts, limit_of(endpoint))
+            for endpoint in endpoints
+        ]
         asked = [self.open[number] for number in numbers if number is not None]
         try:
             with suppress(TimeoutError):
@@ -145,7 +153,11 @@
         log_decision(decision, keeper=boot)
 
     def _ask(
-        self, endpoint: Endpoint, priority: int, parts: tuple[PromptPart, ...]
+        self,
+        endpoint: Endpoint,
+        priority: int,
+        parts: tuple[PromptPart, ...],
+        permit_limit: PermitLimit | None,
     ) -> int | None:
         keeper = self._keeper(endpoint)
         if keeper is None:
@@ -153,7 +165,9 @@
         number = next(self.numbers)
         self.open[number] = (endpoint, get_running_loop().create_future())
         self.suspicions.on_asked(keeper.boot, self.clock())
-        question = ProbeMessage(number, boot_name(endpoint), priority, parts)
+        question = ProbeMessage(
+            number, boot_name(endpoint), priority, parts, permit_limit
+        )
         self.send(question, keeper.address)
         return number
 
--- a/libs/relay/src/clementinebend_relay/settings.py
+++ b/libs/relay/src/clementinebend_relay/settings.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from clementinebend_admission.retry_window import RetryLimits
+from clementinebend_routing.cold_start import ColdBound
 from clementinebend_transport.client_connection import Address
 
 
@@ -14,7 +15,8 @@
     ``grace`` is the time between the order to stop and the kill. A new
     configuration must act ``change_within`` its record, the leaving of an endpoint
     ``leaving_within`` and the evacuation of a zone ``evacuation_within``. ``cores`` is
-    the processor that the host has.
+    the processor that the host has, ``cold_bound`` the bound on calls a second to a
+    cold endpoint.
     """
 
     name: str
@@ -28,3 +30,4 @@
     leaving_within: float
     evacuation_within: float
     cores: float
+    cold_bound: ColdBound = ColdBound()
--- a/libs/relay/src/clementinebend_relay/survey.py
+++ b/libs/relay/src/clementinebend_relay/survey.py
@@ -8,7 +8,10 @@
 from clementinebend_relay.admission import Admitted
 from clementinebend_relay.endpoint_state import EndpointState
 from clementinebend_relay.endpoints import EndpointTable
+from clementinebend_relay.metrics import full_surveys
+from clementinebend_relay.models import Endpoint
 from clementinebend_relay.queue_probes import QueueProbes
+from clementinebend_routing.cold_start import PermitLimit
 from clementinebend_routing.endpoint_queue import QueueReport
 from clementinebend_routing.prefill import (
     Pace,
@@ -59,7 +62,7 @@
 
     ``tokens`` of its prompt are to be read there, after ``ahead`` others; what
     ``source`` keeps of it is fetched instead. ``reports`` is how many endpoints were
-    told of.
+    told of, ``has_permit`` whether a permit was granted there, if calls are limited.
     """
 
     state: EndpointState
@@ -67,17 +70,21 @@
     tokens: int
     source: EndpointState | None
     reports: int = 0
+    has_permit: bool | None = None
 
 
 class Survey(NamedTuple):
     """Where a call would go now, none if there is no endpoint left.
 
     ``seconds_ahead`` is how long the prompts ahead of it take there, if that is known.
+    ``is_rate_limited`` is set if endpoints were asked about and none of them accepts
+    another call in this second.
     """
 
     at: float
     placement: Placement | None
     seconds_ahead: float | None
+    is_rate_limited: bool = False
 
 
 class Surveyor:
@@ -95,20 +102,45 @@
     ) -> None:
         self.zone = zone
         self.endpoints = endpoints
+        self.cold_endpoints = endpoints.cold_endpoints
         self.sessions = sessions
         self.probes = probes
         self.entry_count = entry_count
         self.is_suspected = is_suspected
         self.clock = clock
 
+    def is_usable(self, survey: Survey) -> bool:
+        """Tell whether a call may still be sent by a survey."""
+        if self.clock() - survey.at > SURVEY_SECONDS:
+            return False
+        placement = survey.placement
+        return placement is None or self.cold_endpoints.may_send(
+            placement.state, placement.has_permit
+        )
+
+    def _permit_limit(self, endpoint: Endpoint) -> PermitLimit | None:
+        state = self.endpoints.states.get(endpoint.name)
+        return None if state is None else self.cold_endpoints.permit_limit(state)
+
     async def survey(self, admitted: Admitted, tried: Collection[str]) -> Survey:
         """Ask about some endpoints and choose one of them."""
         fit = self._fit(admitted, tried)
         asked = self._shortlist(admitted, fit)
         reports = await self.probes.ask(
-            (state.endpoint for state in asked), admitted.priority, admitted.call.parts
+            (state.endpoint for state in asked),
+            admitted.priority,
+            admitted.call.parts,
+            self._permit_limit,
         )
-        offers = [self._offer(admitted, state, reports) for state in asked]
+        offered = [self._offer(admitted, state, reports) for state in asked]
+        offers = [
+            offer
+            for offer in offered
+            if self.cold_endpoints.may_send(offer.state, offer.report.has_permit)
+        ]
+        if offered and not offers:
+            full_surveys.labels(admitted.service.name).inc()
+            return Survey(self.clock(), None, None, is_rate_limited=True)
         told = [offer for offer in offers if offer.is_told]
         return self._choose(admitted, told or offers)
 
@@ -173,7 +205,10 @@
         reports = sum(offer.is_told for offer in offers)
         if not admitted.call.parts:
             best = min(offers, key=self._load)
-            return Survey(now, Placement(best.state, 0, 0, None, reports), None)
+            placement = Placement(
+                best.state, 0, 0, None, reports, best.report.has_permit
+            )
+            return Survey(now, placement, None)
         best = self._for_prompt(offers)
         source = self._fetch_source(best, offers)
         tokens = best.report.unread
@@ -181,7 +216,9 @@
             tokens = min(tokens, source.report.unread)
         ahead, pace = best.report.ahead, best.state.pace.seconds
         source_state = None if source is None else source.state
-        placement = Placement(best.state, ahead, tokens, source_state, reports)
+        placement = Placement(
+            best.state, ahead, tokens, source_state, reports, best.report.has_permit
+        )
         return Survey(now, placement, None if pace is None else ahead * pace)
 
     def _for_prompt(self, offers: list[Offer]) -> Offer:
--- a/libs/relay/src/clementinebend_relay/waiting_room.py
+++ b/libs/relay/src/clementinebend_relay/waiting_room.py
@@ -105,6 +105,8 @@
 
     def _is_room(self, admitted: Admitted, survey: Survey) -> bool:
         """Tell whether little enough lies before a prompt at its best endpoint."""
+        if survey.is_rate_limited:
+            return False
         service = admitted.service.name
         target = admitted.route.latency_target
         target = self.targets[service] = min(target, self.targets.get(service, target))
--- a/libs/routing/src/clementinebend_routing/endpoint_queue.py
+++ b/libs/routing/src/clementinebend_routing/endpoint_queue.py
@@ -41,13 +41,15 @@
     """What a new call would meet: ``running`` calls, and ``ahead`` tokens unread.
 
     ``unread`` is what would have to be read of its prompt, ``pace`` the seconds that
-    each token before a first token took lately, if that is known.
+    each token before a first token took lately, ``has_permit`` whether a permit to
+    send the call was granted, if one was requested; both if they are known.
     """
 
     running: int
     ahead: int
     unread: int
     pace: float | None
+    has_permit: bool | None = None
 
 
 class EndpointQueue:
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -34,6 +34,7 @@
 READY_SECONDS = 15.0
 CALL_SECONDS = 5.0
 MILLISECONDS = 1000
+COLD_SECONDS = 3.0
 BODY = b"{}"
 
 SETTINGS = """
@@ -54,6 +55,8 @@
 retry_budget_ratio = 0.2
 budget_window_s = 10
 budget_slack = 56
+cold_overage = 1.5
+cold_slack = 5
 [platform]
 address = "127.0.0.1:{store_port}"
 """
@@ -108,6 +111,7 @@
         self.entries: list[Entry] = []
         self.engines: list[EngineStandin] = []
         self.version = 0
+        self.cold_per_s = 0.0
         self.ids = count(1)
         self.launches = count(1)
 
@@ -150,7 +154,13 @@
             "version": self.version,
             "routes": list(routes),
             "services": [
-                {"name": "pool", "max_connections": 100, "engine": {"stride": 3}},
+                {
+                    "name": "pool",
+                    "max_connections": 100,
+                    "engine": {"stride": 3},
+                    "cold_s": COLD_SECONDS,
+                    "cold_per_s": self.cold_per_s,
+                },
                 {"name": "desk", "max_connections": 100},
             ],
             "tenants": [{"name": TEAM, "api_keys": [KEY], "prepaid": prepaid}],
--- a/tests/unit/platform/test_records.py
+++ b/tests/unit/platform/test_records.py
@@ -151,3 +151,25 @@
     assert isinstance(RECORDS.endpoint("i-1", encode({"service": 1})), Unusable)
     wrong = encode({**SERVER, "address": "nowhere"})
     assert isinstance(RECORDS.endpoint("i-1", wrong), Unusable)
+
+
+def test_the_cold_time_and_rate_are_read() -> None:
+    service = {"name": "pool", "cold_s": 3.0, "cold_per_s": 13.0}
+    configuration = RECORDS.configuration(encode({**DOCUMENT, "services": [service]}))
+    assert isinstance(configuration, Configuration)
+    pool = configuration.services["pool"]
+    assert (pool.cold_seconds, pool.cold_rate) == (3.0, 13.0)
+    endpoint = RECORDS.endpoint("i", encode({**SERVER, "cold_remaining_ms": 1500}))
+    assert isinstance(endpoint, Endpoint)
+    assert endpoint.cold_seconds == 1.5
+
+
+@mark.parametrize("cold", [-1, "soon", None])
+def test_an_announcement_with_an_invalid_cold_time_is_unusable(cold: object) -> None:
+    record = encode({**SERVER, "cold_remaining_ms": cold})
+    assert isinstance(RECORDS.endpoint("i", record), Unusable)
+
+
+def test_the_zone_of_an_evacuation_is_read() -> None:
+    assert RECORDS.evacuated_zone("evacuate/zone-a") == "zone-a"
+    assert RECORDS.evacuated_zone("config") is None
--- a/tests/unit/relay/test_attempts.py
+++ b/tests/unit/relay/test_attempts.py
@@ -37,6 +37,9 @@
         state = SimpleNamespace(endpoint=endpoint, unread={CALL.request_id: UNREAD})
         return Survey(0.0, Placement(state, 0, 100, None), None)  # type: ignore[arg-type]
 
+    def is_usable(self, survey: Survey) -> bool:
+        return True
+
     @contextmanager
     def in_flight(self, admitted: Admitted, placement: Placement) -> Iterator[None]:
         yield
--- a/tests/unit/relay/test_endpoints.py
+++ b/tests/unit/relay/test_endpoints.py
@@ -1,6 +1,10 @@
 """The endpoints that an entry knows, as their announcements come and go."""
 
+from collections.abc import Callable
+
 from clementinebend_platform_client.keyed_log import KeyedRecord
+from clementinebend_relay.announcing import Directory
+from clementinebend_relay.cold_endpoints import ColdEndpoints
 from clementinebend_relay.endpoint_state import (
     LEAVING_SECONDS,
     LONGEST_PAUSE,
@@ -35,8 +39,13 @@
         return Endpoint(name, service, address, "a", 4, False, boot)
 
 
+def table_at(clock: Callable[[], float]) -> EndpointTable:
+    cold = ColdEndpoints("entry-0", Directory(), clock)
+    return EndpointTable(Announced(), cold, clock)
+
+
 def table_of(*records: tuple[str, bytes]) -> EndpointTable:
-    table = EndpointTable(Announced(), lambda: 100.0)
+    table = table_at(lambda: 100.0)
     table.configure(["pool", "desk"])
     for record in records:
         put(table, *record)
@@ -119,7 +128,7 @@
 
 def test_a_dark_endpoint_is_doubted_beyond_the_calls_that_were_given_up() -> None:
     now = [100.0]
-    table = EndpointTable(Announced(), lambda: now[0])
+    table = table_at(lambda: now[0])
     put(table, "a", b"1")
     state = table.states["a"]
     state.add_unread("r", Unread(1, 900, 0.0, now[0], None))
--- a/tests/unit/relay/test_message_fuzz.py
+++ b/tests/unit/relay/test_message_fuzz.py
@@ -32,6 +32,7 @@
     decoded,
     encoded,
 )
+from clementinebend_routing.cold_start import PermitLimit
 from clementinebend_routing.endpoint_queue import QueueReport
 from clementinebend_routing.sessions import PromptPart
 from clementinebend_transport.client_connection import Address
@@ -46,12 +47,26 @@
 parts = st.lists(st.builds(PromptPart, names, numbers), max_size=4).map(tuple)
 messages = st.one_of(
     st.builds(LeavingMessage, names),
-    st.builds(ProbeMessage, numbers, names, numbers, parts),
+    st.builds(
+        ProbeMessage,
+        numbers,
+        names,
+        numbers,
+        parts,
+        st.none() | st.builds(PermitLimit, numbers, numbers),
+    ),
     st.builds(
         ReportMessage,
         names,
         numbers,
-        st.builds(QueueReport, numbers, numbers, numbers, st.none() | st.floats()),
+        st.builds(
+            QueueReport,
+            numbers,
+            numbers,
+            numbers,
+            st.none() | st.floats(),
+            st.none() | st.booleans(),
+        ),
     ),
     st.builds(SentMessage, names, names, numbers, numbers, parts),
     st.builds(ReadMessage, names, names),
@@ -86,7 +101,7 @@
     report = QueueReport(1, 2, 3, 0.5)
     kinds: tuple[Message, ...] = (
         LeavingMessage("a#1"),
-        ProbeMessage(1, "e/", 1, (PromptPart("p", 5),)),
+        ProbeMessage(1, "e/", 1, (PromptPart("p", 5),), PermitLimit(13, 18)),
         ReportMessage("g#1", 1, report),
         SentMessage("e/", "r", 1, 5, (PromptPart("p", 5),)),
         ReadMessage("e/", "r"),
