Extend the budget wait while the home's store is slow

Cause: the time that a call waits for its budget was derived from the store's answer times as seen by the call's own entry. 27 of 28 entries are not the home of a budget and do not call the store for it, so their calls were refused after 0.25 s while the home's append took 0.3 s.

Change: a home reports the store's answer time with each part of a budget that it hands over; the longest report of the last 2 s applies. A report also extends waits that have already begun, since entries with few calls receive it only during the wait. The maximum wait is raised from 0.5 s to 0.8 s, which covers an append in progress and the next one; a refused caller would take about as long until it is back.

--- a/libs/bench/src/clementinebend_bench/models/mark_fleet.py
+++ b/libs/bench/src/clementinebend_bench/models/mark_fleet.py
@@ -10,7 +10,7 @@
 from clementinebend_bench.models.mark_store import ModelLog, StoreModel
 from clementinebend_records.identifiers import Incarnation
 from clementinebend_relay.announcing import Announcement, Directory
-from clementinebend_relay.budgets import Budgets, Reservation
+from clementinebend_relay.budgets import LONGEST_WAIT, Budgets, Reservation
 from clementinebend_relay.cold_endpoints import ColdEndpoints
 from clementinebend_relay.endpoints import EndpointTable
 from clementinebend_relay.evacuations import Evacuations
@@ -178,7 +178,9 @@
         entry = self.entries[number]
         customer = Team(team, self.prepaid[team], None)
         budgets = entry.budgets
-        outcome = await budgets.reserve(customer, amount, budgets.patience())
+        outcome = await budgets.reserve(
+            customer, amount, budgets.patience(), LONGEST_WAIT
+        )
         return outcome if isinstance(outcome, Reservation) else None
 
     def settle(self, number: int, reservation: Reservation, cost: int) -> None:
--- a/libs/bench/src/clementinebend_bench/models/mark_store.py
+++ b/libs/bench/src/clementinebend_bench/models/mark_store.py
@@ -28,11 +28,22 @@
     end: float
 
 
+class Slowdown(NamedTuple):
+    """A period, in seconds, in which each store call takes ``answer_seconds``."""
+
+    start: float
+    end: float
+    answer_seconds: float
+
+
 class StoreModel:
     """What the log holds; all entries' logs share it."""
 
-    def __init__(self, outages: Sequence[Outage]) -> None:
+    def __init__(
+        self, outages: Sequence[Outage], slowdowns: Sequence[Slowdown] = ()
+    ) -> None:
         self.outages = outages
+        self.slowdowns = slowdowns
         self.records: list[KeyedRecord] = []
         self.calls = 0
 
@@ -41,6 +52,16 @@
         now = get_running_loop().time()
         return any(outage.start <= now < outage.end for outage in self.outages)
 
+    def answer_seconds(self) -> float:
+        """Return the duration, in seconds, of a call that starts now."""
+        now = get_running_loop().time()
+        active = (
+            slowdown.answer_seconds
+            for slowdown in self.slowdowns
+            if slowdown.start <= now < slowdown.end
+        )
+        return max(active, default=ANSWER_SECONDS)
+
 
 class ModelLog:
     """One partition of the store, as one entry calls it."""
@@ -84,5 +105,5 @@
         if self.store.is_away():
             await sleep(CALL_SECONDS)
             return False
-        await sleep(ANSWER_SECONDS)
+        await sleep(self.store.answer_seconds())
         return not self.store.is_away()
--- a/libs/relay/src/clementinebend_relay/budgets.py
+++ b/libs/relay/src/clementinebend_relay/budgets.py
@@ -1,6 +1,6 @@
 """Budgets in this entry's hands: reservation and settlement of calls."""
 
-from asyncio import gather, timeout
+from asyncio import Timeout, gather, get_running_loop, timeout
 from collections import defaultdict
 from collections.abc import Callable
 from contextlib import suppress
@@ -31,9 +31,12 @@
 ANSWERS_WAITED = 2.5
 """The same in answers of a slow store: one that is on its way, and the next."""
 
-LONGEST_WAIT = 0.5
-"""The most that a call waits for its budget; later it would miss its latency
-target of some 0.6 s anyway."""
+LONGEST_WAIT = 0.8
+"""Longest time in seconds that a call waits for its budget: two answers of a slow
+store. A refused caller would take about as long until it is back."""
+
+ANSWER_TIME_REPORT_SECONDS = 2.0
+"""Seconds for which a store answer time reported by a home remains valid."""
 
 LOW_PART = 0.5
 """Part of what a home may spend at once below which it raises its mark: what is left
@@ -62,6 +65,13 @@
     rest: BudgetRest
 
 
+class AnswerTimeReport(NamedTuple):
+    """A store answer time reported by a home, and when the report arrived."""
+
+    answer_seconds: float
+    at: float
+
+
 class Reservation(NamedTuple):
     """Tokens set aside for one call."""
 
@@ -99,6 +109,7 @@
         self.is_store_lost: Callable[[], bool] = lambda: False
         self.questions: dict[str, Questions] = defaultdict(Questions)
         self.told: dict[str, Told] = {}
+        self.answer_time_report = AnswerTimeReport(0.0, clock())
         self.rests: dict[str, Told] = {}
         self.keepers = tuple(
             MarkKeeper(self._view(holder_name(boot, part), part, witnesses), log)
@@ -149,8 +160,24 @@
         """Return how many seconds a call should wait for its budget."""
         answering = (keeper for keeper in self.keepers if not keeper.is_out_of_reach())
         slowest = max((keeper.answer_seconds for keeper in answering), default=0.0)
+        slowest = max(slowest, self._home_answer_seconds())
         return min(LONGEST_WAIT, max(BUDGET_WAIT, ANSWERS_WAITED * slowest))
 
+    def answer_seconds(self, team: str) -> float:
+        """Return how long the store takes to answer calls for a team's marks."""
+        return self.keeper(team).answer_seconds
+
+    def on_home_answer_seconds(self, seconds: float) -> None:
+        """Record a home's store answer time, unless a longer one is still valid."""
+        seconds = min(LONGEST_WAIT, seconds)
+        if seconds >= self._home_answer_seconds():
+            self.answer_time_report = AnswerTimeReport(seconds, self.clock())
+
+    def _home_answer_seconds(self) -> float:
+        report = self.answer_time_report
+        is_recent = self.clock() - report.at < ANSWER_TIME_REPORT_SECONDS
+        return report.answer_seconds if is_recent else 0.0
+
     def is_log_away(self) -> bool:
         """Tell whether some part of the log is out of reach at the moment.
 
@@ -162,9 +189,13 @@
         )
 
     async def reserve(
-        self, team: Team, amount: int, wait: float
+        self, team: Team, amount: int, wait: float, longest_wait: float = 0.0
     ) -> Reservation | Short:
-        """Set ``amount`` aside, waiting up to ``wait`` seconds for it."""
+        """Set ``amount`` aside, waiting up to ``wait`` seconds for it.
+
+        The wait is extended, up to ``longest_wait`` seconds in all, if the home reports
+        a slow store in the meantime.
+        """
         if team.prepaid is None or amount == 0:
             return Reservation(team.name, 0)
         keeper = self.keeper(team.name)
@@ -180,8 +211,11 @@
         is_set_aside = False
         try:
             with suppress(TimeoutError):  # the caller logs why it is refused
-                async with timeout(wait):
-                    is_set_aside = await self._wait(keeper, team.name, amount)
+                async with timeout(wait) as wait_timeout:
+                    latest_deadline = get_running_loop().time() + longest_wait
+                    is_set_aside = await self._wait(
+                        keeper, team.name, amount, wait_timeout, latest_deadline
+                    )
         finally:
             account.waiting -= amount
         if is_set_aside:
@@ -221,16 +255,28 @@
         if is_low and self.questions[team].may_ask_home(now):
             self.neighbours.ask(home, team, Wish(usual))
 
-    async def _wait(self, keeper: MarkKeeper, team: str, amount: int) -> bool:
+    async def _wait(
+        self,
+        keeper: MarkKeeper,
+        team: str,
+        amount: int,
+        wait_timeout: Timeout,
+        latest_deadline: float,
+    ) -> bool:
         """Return true once ``amount`` is set aside: by the home, the store, or others.
 
         The first turn is the home's, or the store's where this is the home. False as
-        soon as the home says that too little is left.
+        soon as the home says that too little is left. ``wait_timeout`` is extended, to
+        ``latest_deadline`` at most, when ``patience`` grows during the wait.
         """
+        started_at = get_running_loop().time()
         self._seek_first(keeper, team)
         while not await self._turn(keeper, team, amount):
             if self._final_short(keeper, team, amount) is not None:
                 return False
+            deadline = min(latest_deadline, started_at + self.patience())
+            if deadline > (wait_timeout.when() or 0.0):
+                wait_timeout.reschedule(deadline)
             self._seek_further(keeper, team, amount)
         return True
 
--- a/libs/relay/src/clementinebend_relay/handler.py
+++ b/libs/relay/src/clementinebend_relay/handler.py
@@ -95,8 +95,9 @@
 
     async def _reserve(self, admitted: Admitted) -> Reservation | Rejection:
         team, most = admitted.team, admitted.call.most_tokens
-        wait = min(self.budgets.patience(), admitted.time_limit / 2)
-        outcome = await self.budgets.reserve(team, most, wait)
+        longest_wait = admitted.time_limit / 2
+        wait = min(self.budgets.patience(), longest_wait)
+        outcome = await self.budgets.reserve(team, most, wait, longest_wait)
         if isinstance(outcome, Reservation):
             return outcome
         return self._short(outcome, admitted)
--- a/libs/relay/src/clementinebend_relay/messages.py
+++ b/libs/relay/src/clementinebend_relay/messages.py
@@ -89,7 +89,11 @@
 
 
 class GiftMessage(Struct, tag="gift", array_like=True):
-    """Tokens handed to the entry ``to``, in all, and what a home knows beside them."""
+    """Tokens handed to the entry ``to``, in all, and what a home knows beside them.
+
+    ``answer_seconds`` is the current answer time of the store as seen by the home, 0
+    if the sender is not the home.
+    """
 
     boot: str
     to: str
@@ -97,6 +101,7 @@
     transfer: Transfer
     is_home: bool
     rest: BudgetRest | None = None
+    answer_seconds: float = 0.0
 
 
 class OpenMessage(Struct, tag="open", array_like=True):
--- a/libs/relay/src/clementinebend_relay/peers.py
+++ b/libs/relay/src/clementinebend_relay/peers.py
@@ -200,7 +200,10 @@
         is_home = self.budgets.is_home_of(team)
         is_lacking = is_home and amount < message.asked.amount
         rest = self.budgets.rest(team) if is_lacking else None
-        gift = GiftMessage(self.boot, message.boot, team, transfer, is_home, rest)
+        answer_seconds = self.budgets.answer_seconds(team) if is_home else 0.0
+        gift = GiftMessage(
+            self.boot, message.boot, team, transfer, is_home, rest, answer_seconds
+        )
         self.send(gift, sender)
 
     def on_gift(self, message: GiftMessage) -> None:
@@ -215,6 +218,8 @@
             self.homes.on_no_home(part)
         if message.rest is not None:
             self.budgets.on_rest(message.team, message.rest)
+        if message.is_home:
+            self.budgets.on_home_answer_seconds(message.answer_seconds)
         self.budgets.on_gift(message.team, amount, giver)
 
     def _forget_silent(self) -> None:
--- a/tests/unit/relay/test_mark_keeper.py
+++ b/tests/unit/relay/test_mark_keeper.py
@@ -226,6 +226,19 @@
     assert budgets.is_log_away()
 
 
+def test_calls_wait_longer_while_their_home_reports_a_slow_log(
+    world: MarkWorld,
+) -> None:
+    budgets = world.entries[0].budgets
+    budgets.on_home_answer_seconds(0.2)
+    assert budgets.patience() == pytest.approx(0.5)
+    budgets.on_home_answer_seconds(0.0)
+    assert budgets.patience() == pytest.approx(0.5)
+    for invalid in (-1.0, float("nan"), float("inf")):
+        budgets.on_home_answer_seconds(invalid)
+        assert BUDGET_WAIT <= budgets.patience() <= LONGEST_WAIT
+
+
 def test_a_call_that_lacks_little_beside_a_large_one_is_written_for(
     world: MarkWorld,
 ) -> None:
--- a/tests/unit/relay/test_message_fuzz.py
+++ b/tests/unit/relay/test_message_fuzz.py
@@ -80,6 +80,7 @@
         st.builds(Transfer, numbers, numbers),
         st.booleans(),
         st.none() | st.builds(BudgetRest, numbers, numbers),
+        st.floats(),
     ),
     st.builds(
         EndpointEndedMessage,
