Initialize a new home's rates from recent marks of the budget

Cause: a home sizes its mark by the rate of the calls it has received. An entry that takes a budget over has received none, and what it may hand over bounds the demand it then sees.

Change: when an entry becomes the home of a budget, its rates are raised to at least the largest rate in the three newest marks of other holders, and decay as usual without demand.

--- a/libs/ledger/src/clementinebend_ledger/mark_account.py
+++ b/libs/ledger/src/clementinebend_ledger/mark_account.py
@@ -85,6 +85,12 @@
         self.fast_rate += amount / FAST_SECONDS
         self.slow_rate += amount / SLOW_SECONDS
 
+    def raise_rates(self, rate: float, now: float) -> None:
+        """Raise both rates to at least ``rate``; they decay from there as usual."""
+        self._decay(now)
+        self.fast_rate = max(self.fast_rate, rate)
+        self.slow_rate = max(self.slow_rate, rate)
+
     def ask(self, amount: int, now: float) -> None:
         """Note that another holder asks for a part, for a short time."""
         self.asked = amount
--- a/libs/ledger/src/clementinebend_ledger/marks.py
+++ b/libs/ledger/src/clementinebend_ledger/marks.py
@@ -15,8 +15,13 @@
 Invariants", 2015).
 """
 
+from heapq import nlargest
 from typing import NamedTuple
 
+RECENT_MARKS = 3
+"""How many of the newest marks of a budget are searched for its current rate.
+More than one, as holders other than the last home also write marks."""
+
 
 class Mark(NamedTuple):
     """One holder's part of a team's budget, as the log has it.
@@ -101,6 +106,17 @@
     return {name: mark for name, mark in marks.items() if name != holder}
 
 
+def max_recent_rate(book: MarkBook, team: str, holder: str) -> int:
+    """Return the largest rate in the newest marks of ``team``, or 0 without marks.
+
+    The mark of ``holder`` is excluded: its account has its own rate.
+    """
+    marks = others(book, team, holder)
+    offsets = {name: book.offsets[MarkKey(team, name)] for name in marks}
+    newest = nlargest(RECENT_MARKS, offsets, key=offsets.__getitem__)
+    return max((marks[name].rate for name in newest), default=0)
+
+
 def reclaimable(book: MarkBook, holder: str) -> dict[str, Mark]:
     """Return the marks of a holder without its reserves, where it has any.
 
--- a/libs/relay/src/clementinebend_relay/mark_view.py
+++ b/libs/relay/src/clementinebend_relay/mark_view.py
@@ -17,6 +17,7 @@
     Mark,
     MarkKey,
     empty_book,
+    max_recent_rate,
     others,
     put_holder,
     put_mark,
@@ -94,6 +95,7 @@
         self.append_seconds = 0.0
         self.read_at: float | None = None
         self.heard: dict[str, float] = {}
+        self.taken_over: set[str] = set()
 
     def account(self, team: str) -> MarkAccount:
         """Return the account of a team; a new one holds nothing."""
@@ -176,6 +178,7 @@
 
         ``live`` is worked out once for all teams of a commit.
         """
+        self._raise_rates_on_takeover(team)
         return allot(
             self.account(team),
             self.mark(team),
@@ -187,6 +190,18 @@
             self.clock(),
         )
 
+    def _raise_rates_on_takeover(self, team: str) -> None:
+        """Raise the account's rates to the recent one when this holder becomes home.
+
+        Without it a new home sizes its mark from no demand and refuses calls.
+        """
+        if not self.is_home():
+            self.taken_over.discard(team)
+        elif team not in self.taken_over:
+            self.taken_over.add(team)
+            rate = max_recent_rate(self.book, team, self.holder)
+            self.account(team).raise_rates(rate, self.clock())
+
     def _put(self, record: KeyedRecord) -> None:
         team, _, holder = record.key.rpartition(SEPARATOR)
         try:
