--- a/libs/admission/src/clementinebend_admission/waiting.py
+++ b/libs/admission/src/clementinebend_admission/waiting.py
@@ -20,9 +20,7 @@
 
 ON_TIME_PART = 0.25
 """Part of a latency target that a prompt may wait here and still be on time: what is
-ahead of it at its endpoint, and reading it, take the rest. With these two parts 1,358
-calls were on time in bursts of three times the load with two fifths of the pool dark or
-slow; 1,324 with halves."""
+ahead of it at its endpoint, and reading it, take the rest."""
 
 LEAST_PATIENCE = 2.0
 TARGETS_OF_PATIENCE = 4.0
--- a/libs/ledger/src/clementinebend_ledger/mark_sizing.py
+++ b/libs/ledger/src/clementinebend_ledger/mark_sizing.py
@@ -19,9 +19,7 @@
 BUDGET_PART = 0.0125
 """Largest part of a whole budget that is kept at hand. What is lost beyond the 3 %
 of slack that a budget has is refused to its team for good, so the loss of all
-holders must stay within it. False refusals with 0.01, 0.0125 and 0.015 (experiment
-``marks``, seeds 1 and 5): log away for 2.7 s 5.1 and 4.6, 4.9 and 4.2, 4.6 and 3.9 %;
-all lose power and budgets run out 3.5 and 3.7, 3.5 and 3.7, 5.5 and 3.9 %."""
+holders must stay within it."""
 
 RESERVE_PART = 0.2
 """Largest part of what is left of a budget that is kept at hand: what is lost
--- a/libs/routing/src/clementinebend_routing/prefill.py
+++ b/libs/routing/src/clementinebend_routing/prefill.py
@@ -32,8 +32,7 @@
 
 LONG_TOKENS = 20_000
 """Prompts longer than this hold up the streams beside them for several events in a
-row, beyond the pause that callers accept. That they go where few streams run made
-late calls fewer on four days: 111, 130, 188, 48 instead of 134, 163, 207, 53."""
+row, beyond the pause that callers accept, and go where few streams run."""
 
 STREAM_TOKENS = 3_000
 """What holding up one stream counts for, in tokens ahead of the prompt."""
