--- a/tests/functional/test_crashing_request.py
+++ b/tests/functional/test_crashing_request.py
@@ -1,8 +1,6 @@
 """Requests that end the endpoints that run them, and those that only seem to."""
 
-import os
-import sys
-from asyncio import Task, create_subprocess_exec, create_task, gather, subprocess
+from asyncio import Task, create_task, gather
 from itertools import chain
 from typing import Any
 
@@ -185,31 +183,15 @@
     await engines.stop()
 
 
-async def operator(fleet: Fleet, *words: str) -> str:
-    """Run the operators' command on an entry's host; return what it says."""
-    settings = str(fleet.folder / "edge-0.toml")
-    process = await create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "clementinebend_platform.quarantine_main",
-        *words,
-        env={**os.environ, "CLEMENTINEBEND_SETTINGS": settings},
-        stdout=subprocess.PIPE,
-    )
-    output, _ = await process.communicate()
-    assert process.returncode == 0
-    return output.decode()
-
-
 async def test_an_operator_sees_and_ends_a_quarantine(fleet: Fleet) -> None:
     await fleet.start(entries=ENTRIES, engines=ENGINES)
     engines = await quarantined(fleet)
     engines.mend()
     (fingerprint,) = fleet.store.newest("quarantine")
-    listed = await operator(fleet, "list")
+    listed = await fleet.run_operator_command("quarantine_main", "list")
     assert f"{fingerprint} since" in listed
-    await operator(fleet, "lift", fingerprint)
-    assert await operator(fleet, "list") == ""
+    await fleet.run_operator_command("quarantine_main", "lift", fingerprint)
+    assert await fleet.run_operator_command("quarantine_main", "list") == ""
 
     await until(lambda: is_served_everywhere(fleet, FATAL))
     await engines.stop()
--- a/tests/functional/test_evacuations.py
+++ b/tests/functional/test_evacuations.py
@@ -155,3 +155,18 @@
     answer = (await running).ok
     assert answer.status == 200
     assert answer.body.count(b"data:") == EVENTS
+
+
+async def test_an_operator_sees_evacuated_zones_and_cold_endpoints(
+    fleet: Fleet,
+) -> None:
+    await fleet.start(entries=1, engines=1, zones=ZONES)
+    assert await fleet.run_operator_command("zones_main", "list") == ""
+    fleet.evacuate("b")
+    engine = fleet.engines[0]
+    engine.cold_remaining_ms = 1_500
+    fleet.store.put("servers", engine.name, engine.entry())
+    listed = (await fleet.run_operator_command("zones_main", "list")).splitlines()
+    assert len(listed) == 2
+    assert listed[0].startswith("b is evacuated")
+    assert listed[1] == f"{engine.name} in a: cold for 1.5 s"
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -33,6 +33,7 @@
         self.zone = zone
         self.name = f"i-{next(EngineStandin.numbers)}"
         self.service = service
+        self.cold_remaining_ms = 0
         self.fault = ""
         self.pause = 0.005
         self.runs: Counter[str] = Counter()
@@ -81,7 +82,7 @@
                 "version": "v1",
                 "slots": 4,
                 "state": state,
-                "cold_remaining_ms": 0,
+                "cold_remaining_ms": self.cold_remaining_ms,
                 "sequence": 1,
             }
         )
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -327,3 +327,21 @@
         process = self.entries[entry].process
         process.send_signal(SIGTERM)
         return await process.wait()
+
+    async def run_operator_command(self, module: str, *args: str) -> str:
+        """Run an operators' command with the first entry's settings.
+
+        Returns its standard output.
+        """
+        settings = self.folder / f"{self.entries[0].name}.toml"
+        process = await create_subprocess_exec(
+            sys.executable,
+            "-m",
+            f"clementinebend_platform.{module}",
+            *args,
+            env={**os.environ, "CLEMENTINEBEND_SETTINGS": str(settings)},
+            stdout=subprocess.PIPE,
+        )
+        output, _ = await process.communicate()
+        assert process.returncode == 0
+        return output.decode()
