Log unanswered requests with a change of home, and count appends of quotas

Cause: after a home of budgets was killed, most calls were refused while the store was slow. The logs told that the home had changed, not on which evidence, and not who appends to the quotas' partition. Change: 'budget home changed' has the requests that the new and the former home have left unanswered; clementinebend_relay_quota_appends_total counts appends by role and outcome. Checked: unit tests of relay and membership, 199 passed, 1 known red; mypy and linter.

--- a/libs/membership/src/clementinebend_membership/suspicion.py
+++ b/libs/membership/src/clementinebend_membership/suspicion.py
@@ -42,6 +42,10 @@
         """Record a message from a process; it is no longer suspected."""
         self.unanswered.pop(boot, None)
 
+    def unanswered_in_a_row(self, boot: str) -> int:
+        """Return how many requests a process has left unanswered since it was heard."""
+        return self.unanswered.get(boot, UnansweredRequests()).in_a_row
+
     def is_suspected(self, boot: str, now: float) -> bool:
         """Return whether a process has left too many requests unanswered."""
         known = self.unanswered.get(boot)
--- a/libs/relay/src/clementinebend_relay/homes.py
+++ b/libs/relay/src/clementinebend_relay/homes.py
@@ -82,7 +82,19 @@
         if home == before:
             return
         self.logged_homes[part] = home
-        log_decision("budget home changed", part=part, home=home, before=before)
+        log_decision(
+            "budget home changed",
+            part=part,
+            home=home,
+            home_unanswered=self._unanswered(home),
+            before=before,
+            before_unanswered=self._unanswered(before),
+        )
+
+    def _unanswered(self, name: str | None) -> int:
+        """Return how many requests in a row an entry has left unanswered."""
+        item = self.directory.announcements.get(name or "")
+        return 0 if item is None else self.suspicions.unanswered_in_a_row(item.boot)
 
     def on_heard(self, boot: str) -> None:
         """Record that a boot of another entry has sent a message."""
--- a/libs/relay/src/clementinebend_relay/metrics.py
+++ b/libs/relay/src/clementinebend_relay/metrics.py
@@ -43,6 +43,12 @@
     "Times that no endpoint asked about took another call in that second, by service.",
     ("service",),
 )
+quota_appends = counter(
+    "clementinebend_relay_quota_appends_total",
+    "Appends of quotas to the store, by the entry's role in the partition (home or "
+    "borrower) and outcome (appended, conflict or failed).",
+    ("role", "outcome"),
+)
 first_byte_seconds = histogram(
     "clementinebend_relay_first_byte_seconds",
     "Time from a call's arrival to the first byte of its answer.",
--- a/libs/relay/src/clementinebend_relay/quota_manager.py
+++ b/libs/relay/src/clementinebend_relay/quota_manager.py
@@ -21,6 +21,7 @@
 )
 from clementinebend_platform_client.newest_records import NewestRecords
 from clementinebend_relay.decisions import log_dependency
+from clementinebend_relay.metrics import quota_appends
 from clementinebend_relay.quota_plan import REWRITE_SECONDS, QuotaPlan
 from clementinebend_relay.quota_view import Pending, QuotaView, Shortfall
 
@@ -178,6 +179,8 @@
         view.refresh_limits()
         sent_at = self.clock()
         outcome = await self.log.append(pending.records, pending.at)
+        role = "home" if view.is_home() else "borrower"
+        quota_appends.labels(role, _outcome_name(outcome)).inc()
         taken = self._record_answer_time(outcome, sent_at)
         view.append_seconds = _expected_seconds(view.append_seconds, taken)
         match outcome:
@@ -284,6 +287,17 @@
             log_dependency("marks", is_lost=True, problem=failure.message)
 
 
+def _outcome_name(outcome: Appended | Conflict | StoreFailure) -> str:
+    """Return the name of an append's outcome in the metrics."""
+    match outcome:
+        case Appended():
+            return "appended"
+        case Conflict():
+            return "conflict"
+        case StoreFailure():
+            return "failed"
+
+
 def _expected_seconds(known: float, taken: float) -> float:
     """Return the expected duration of the next call in seconds."""
     return max(taken, known + (taken - known) * SMOOTHING_WEIGHT)
