Keep suspecting a dead process while it is asked again

Cause: each further request to a suspected process moved the time from which its answer is missing, so that it counted as live for 30 ms, and was cached as home for 50 ms. All entries check a dead home every 0.2 s. The successor thus resigned several times a second and denied being the home, and entries borrowed from nobody and wrote quotas of their own. With six entry processes, whose home is killed as the store slows down, 56 to 61 lines 'budget home changed' name the killed home again within 4 s, 30 to 36 of them with home_unanswered 3, which is the number from which a process is suspected. Ruled out: that the writers alone cause it. Change: a request to a suspected process changes nothing; only a message from it does. Elsewhere: the same detector serves queue probes, where a retry of a dead keeper made it count as heard again; a test shows it. The three new tests fail without the change.

--- a/libs/membership/src/clementinebend_membership/suspicion.py
+++ b/libs/membership/src/clementinebend_membership/suspicion.py
@@ -32,11 +32,15 @@
         self.unanswered: dict[str, UnansweredRequests] = {}
 
     def on_asked(self, boot: str, now: float) -> None:
-        """Record a request to a process that must reply."""
+        """Record a request to a process that must reply.
+
+        A request to a suspected process changes nothing: only a message from it does.
+        """
         known = self.unanswered.get(boot, UnansweredRequests())
+        if known.in_a_row >= MAX_UNANSWERED:
+            return
         if now - known.asked_at >= ANSWER_TIMEOUT:
-            in_a_row = min(known.in_a_row + 1, MAX_UNANSWERED)
-            self.unanswered[boot] = UnansweredRequests(in_a_row, now)
+            self.unanswered[boot] = UnansweredRequests(known.in_a_row + 1, now)
 
     def on_heard(self, boot: str) -> None:
         """Record a message from a process; it is no longer suspected."""
--- a/tests/unit/membership/test_suspicion.py
+++ b/tests/unit/membership/test_suspicion.py
@@ -41,6 +41,15 @@
     assert not detector.is_suspected("b", now)
 
 
+def test_a_further_request_does_not_clear_the_suspicion() -> None:
+    """Guards against a dead process that counts as live whenever it is checked."""
+    detector, now = after_requests(MAX_UNANSWERED)
+    for _ in range(20):
+        detector.on_asked("b", now)
+        assert detector.is_suspected("b", now)
+        now += ANSWER_TIMEOUT / 2
+
+
 def test_state_of_ended_boots_is_dropped() -> None:
     detector, _ = after_requests(MAX_UNANSWERED)
     detector.retain_only(frozenset({"other"}))
--- a/tests/unit/relay/test_peers.py
+++ b/tests/unit/relay/test_peers.py
@@ -132,6 +132,20 @@
     assert peers.home_of(0) == order[0]
 
 
+def test_a_dead_home_is_not_chosen_again_while_it_is_checked() -> None:
+    """Guards against checks of a dead home that make its successor resign."""
+    clock = Clock()
+    order = make_peers(clock, 0, 40)[0].homes._order(0)
+    peers, _ = make_peers(clock, int(order[1].partition("-")[2]), 40)
+    for _ in range(MAX_UNANSWERED):
+        peers._check_liveness(peers.homes.watched())
+        clock.now += LIVENESS_CHECK_INTERVAL
+    for _ in range(20):
+        assert peers.home_of(0) is None
+        peers._check_liveness(peers.homes.watched())
+        clock.now += ANSWER_TIMEOUT / 2
+
+
 def test_a_repeated_transfer_is_applied_once() -> None:
     peers, _ = make_peers(Clock(), entries=2)
     account = peers.budgets.managers[0].account(TEAM)
--- a/tests/unit/relay/test_queue_probes.py
+++ b/tests/unit/relay/test_queue_probes.py
@@ -133,6 +133,24 @@
     run_virtually(main())
 
 
+def test_a_retry_of_a_silent_keeper_delays_one_call_only() -> None:
+    """Guards against a retry that makes a dead keeper count as live for a while."""
+
+    async def main() -> None:
+        fleet = FakeFleet(1)
+        fleet.unreachable = {fleet.host(0)}
+        for _ in range(MAX_UNANSWERED):
+            await fleet.probes.ask([endpoint(0)], 1, PARTS)
+            await sleep(0.05)
+        assert not fleet.probes.is_known(endpoint(0))
+        await sleep(SUSPECTED_RETRY_SECONDS)
+        assert fleet.probes.is_known(endpoint(0))
+        await fleet.probes.ask([endpoint(0)], 1, PARTS)
+        assert not fleet.probes.is_known(endpoint(0))
+
+    run_virtually(main())
+
+
 def test_a_restarted_keeper_is_accepted_before_its_announcement() -> None:
     async def main() -> None:
         fleet = FakeFleet(1)
