Leave the tokens that calls wait for in a quota that is returned

Cause: an entry that is no longer the home reduces a large quota to what it wants at hand, and left nothing for calls that wait there although its quota covers them. Change: it keeps at least what its waiting calls need.

--- a/libs/ledger/src/clementinebend_ledger/quota_sizing.py
+++ b/libs/ledger/src/clementinebend_ledger/quota_sizing.py
@@ -147,5 +147,5 @@
     if account.waiting > free:
         free = account.waiting + min(target, max(0, pool) // 4)
     elif free > 3 * target:
-        free = target
+        free = max(target, account.waiting)
     return free, free
