Return quotas to the log only while the store answers quickly

Cause: in the moment without a home some entries write quotas of their own, and return them 2 s later. Each return that lands makes the home's append fail, which costs it a read and an append, 0.6 s. Change: an entry that is not the home, and for which no call waits, postpones its append if the read just before took over 50 ms, by 20 to 40 s at most. Cost: a read every 2 s at each entry that holds such a quota, as before; its tokens serve its own calls only while the store is slow.

--- a/libs/relay/src/clementinebend_relay/quota_manager.py
+++ b/libs/relay/src/clementinebend_relay/quota_manager.py
@@ -41,6 +41,10 @@
 """Seconds between commits of an entry that is not the home of a partition and still has
 quotas of its own there, until it has returned them."""
 
+MIN_POSTPONED_SECONDS = 20.0
+"""Minimum seconds for which an entry that is not the home postpones returning tokens
+while the store is slow, and half the maximum: entries return theirs one by one."""
+
 BORROWER_COMMIT_INTERVAL = 0.1
 """Minimum seconds between commits of an entry that is not the home, even while calls
 wait: 26 of 30 entries are not the home, and the store handles 6,000 reads a second."""
@@ -74,6 +78,8 @@
         self.call_started_at: float | None = None
         self.written_at: float | None = None
         self.answer_seconds = 0.0
+        self.last_answer_seconds = 0.0
+        self.return_due_at: float | None = None
         self.commit_lock = Lock()
         self.commit_requested = Event()
         self.changed = Event()
@@ -156,6 +162,8 @@
         for attempt in count(1):
             if (attempt > 1 or not self._knows_end()) and not await self._read():
                 return False
+            if self._should_postpone_return():
+                return True
             pending = self.view.pending or self.plan.next_append(self.written_at)
             if pending is None:
                 return True
@@ -165,6 +173,27 @@
             await sleep(CONFLICT_PAUSE * attempt * random())
         return False
 
+    def _should_postpone_return(self) -> bool:
+        """Return whether an append would only return tokens while the store is slow.
+
+        It would compete with the appends of the home, for which calls wait. It is
+        postponed for a limited time, as a store may be slow for good.
+        """
+        is_postponable = (
+            self.view.pending is None
+            and not self.view.is_home()
+            and not self.plan.is_closing
+            and not self.view.has_waiting_calls()
+            and self.last_answer_seconds > STALLED_SECONDS
+        )
+        if not is_postponable:
+            self.return_due_at = None
+            return False
+        if self.return_due_at is None:
+            delay = MIN_POSTPONED_SECONDS * (1 + random())
+            self.return_due_at = self.clock() + delay
+        return self.clock() < self.return_due_at
+
     def _knows_end(self) -> bool:
         """Return whether this home used the log recently enough to know its end."""
         view = self.view
@@ -272,6 +301,7 @@
         """Return how long a call took; record it if the log answered."""
         taken = self.clock() - sent_at
         if not isinstance(outcome, StoreFailure):
+            self.last_answer_seconds = taken
             self.answer_seconds = _expected_seconds(self.answer_seconds, taken)
         return taken
 
--- a/libs/relay/src/clementinebend_relay/quota_view.py
+++ b/libs/relay/src/clementinebend_relay/quota_view.py
@@ -150,6 +150,10 @@
             quota.ceiling > quota.spent for quota in own
         )
 
+    def has_waiting_calls(self) -> bool:
+        """Return whether calls wait for tokens of some budget."""
+        return any(account.waiting for account in self.accounts.values())
+
     def record(self) -> HolderRecord:
         """Return this holder's record in the log."""
         return self.book.holders.get(self.holder, NO_RECORD)
--- a/tests/unit/relay/test_quota_manager.py
+++ b/tests/unit/relay/test_quota_manager.py
@@ -6,10 +6,12 @@
 
 from clementinebend_ledger.quota_requests import TokenRequest
 from clementinebend_relay.budgets import BUDGET_WAIT, MAX_BUDGET_WAIT
+from clementinebend_relay.quota_manager import MIN_POSTPONED_SECONDS, RETURN_INTERVAL
 from clementinebend_relay.quota_view import LIVE_SECONDS
 from tests.unit.relay.simulated_fleet import TEAM, SimulatedFleet
 
 PREPAID = 100_000
+SLOW_ANSWER_SECONDS = 0.3
 
 
 @pytest.fixture
@@ -171,6 +173,50 @@
     assert fleet.quotas()[entry.boot].spent == entry.account.spent
 
 
+def test_an_entry_returns_its_quota_only_while_the_store_is_fast(
+    fleet: SimulatedFleet,
+) -> None:
+    """Guards against returns that make a home lose the race for the log's end."""
+    borrower = fleet.entries[1]
+    fleet.commit(1)
+    borrower.is_home = False
+    borrower.log.seconds = SLOW_ANSWER_SECONDS
+    before = len(fleet.records)
+    for _ in range(3):
+        fleet.clock.now += RETURN_INTERVAL
+        assert fleet.commit(1)
+    assert len(fleet.records) == before
+    borrower.log.seconds = 0.0
+    assert fleet.commit(1)
+    assert len(fleet.records) > before
+    assert not borrower.manager.view.has_open_quotas()
+
+
+def test_an_entry_returns_its_quota_at_last_to_a_store_that_stays_slow(
+    fleet: SimulatedFleet,
+) -> None:
+    borrower = fleet.entries[1]
+    fleet.commit(1)
+    borrower.is_home = False
+    borrower.log.seconds = SLOW_ANSWER_SECONDS
+    assert fleet.commit(1)
+    assert borrower.manager.view.has_open_quotas()
+    fleet.clock.now += 2 * MIN_POSTPONED_SECONDS
+    assert fleet.commit(1)
+    assert not borrower.manager.view.has_open_quotas()
+
+
+def test_a_waiting_call_raises_a_quota_also_while_the_store_is_slow(
+    fleet: SimulatedFleet,
+) -> None:
+    borrower = fleet.entries[1]
+    borrower.is_home = False
+    borrower.log.seconds = SLOW_ANSWER_SECONDS
+    borrower.account.waiting = 500
+    assert fleet.commit(1)
+    assert borrower.account.free >= 500
+
+
 def test_a_spent_budget_is_reported_as_spent(fleet: SimulatedFleet) -> None:
     shortfall = fleet.entries[0].manager.shortfall(TEAM, PREPAID + 1)
     assert shortfall.is_spent
