Let the next candidate say that it takes over from a silent home

Cause: an entry gave up on a home after 0.1 s, before the next candidate could have noticed, and wrote a quota of its own; a candidate that had not noticed yet denied being the home, which sent entries back to the dead one; and a home that had become suspected stayed cached for up to 50 ms. Evidence: appends of entries other than the home in the first half second after the kill, by entry; lines 'budget home changed' back to the killed home with home_unanswered 0, 1 and 2, that is after a denial. Change: a candidate that is asked as home, and has no answer of those before it, says so in its answer, checks them every 30 ms and reads the log meanwhile; who asks stays with it. A quota of one's own is written after 0.17 s, when the next candidate has had its request too. A suspected home is not taken from the cache.

--- a/libs/relay/src/clementinebend_relay/budgets.py
+++ b/libs/relay/src/clementinebend_relay/budgets.py
@@ -364,6 +364,12 @@
         if manager.is_stalled():
             manager.open_reserve()
 
+    def prepare_home(self, part: int) -> None:
+        """Read the quotas of a partition, as this entry is about to be its home."""
+        manager = self.managers[part]
+        if not manager.is_fresh():
+            manager.request_commit()
+
     def transferable(self, team: str, asked: TokenRequest) -> int:
         """Return how many of the requested tokens could be transferred now.
 
@@ -391,11 +397,17 @@
         if account.free < LOW_FRACTION * unwitnessed_target(account, 0.0, self.clock()):
             manager.request_commit()
 
-    def on_transfer(self, team: str, amount: int, giver: str) -> None:
-        """Apply a transfer, possibly of no tokens, from the entry ``giver``."""
+    def on_transfer(
+        self, team: str, amount: int, giver: str, is_taking_over: bool = False
+    ) -> None:
+        """Apply a transfer, possibly of no tokens, from the entry ``giver``.
+
+        A giver that is taking over as home is asked again soon.
+        """
         manager = self.manager(team)
         if giver == self.budget_peers.home_of(self.part(team)):
-            self.request_pacing[team].on_home_answer(self.clock(), bool(amount))
+            is_asked_soon = bool(amount) or is_taking_over
+            self.request_pacing[team].on_home_answer(self.clock(), is_asked_soon)
         account = manager.account(team)
         if amount:
             account.take(amount)
--- a/libs/relay/src/clementinebend_relay/homes.py
+++ b/libs/relay/src/clementinebend_relay/homes.py
@@ -72,11 +72,17 @@
         """Return the other entry that is a partition's home, or None if this one is."""
         now = self.clock()
         known = self.homes.get(part)
-        if known is None or now - known.at > HOME_CACHE_SECONDS:
+        if known is None or not self._is_valid(known, now):
             known = self.homes[part] = Home(now, self._home_of(part, now))
             self._log_change(part, known.entry or self.name)
         return known.entry
 
+    def _is_valid(self, known: Home, now: float) -> bool:
+        """Return whether a cached home need not be determined again."""
+        if now - known.at > HOME_CACHE_SECONDS:
+            return False
+        return known.entry is None or self._is_available(known.entry, now)
+
     def _log_change(self, part: int, home: str) -> None:
         before = self.logged_homes.get(part)
         if home == before:
@@ -129,6 +135,28 @@
         self.asked_at[part] = now
         return self._announced(self._watched(part))
 
+    def is_taking_over(self, part: int) -> bool:
+        """Return whether this entry is the next home unless one before it answers.
+
+        Each entry before it is down, or has not answered the last check yet.
+        """
+        order = self._order(part)
+        if self.is_leaving or self.name not in order or self.home_of(part) is None:
+            return False
+        now = self.clock()
+        return all(
+            not self._is_available(name, now) or self._unanswered(name) > 0
+            for name in order[: order.index(self.name)]
+        )
+
+    def is_any_taken_over(self) -> bool:
+        """Return whether this entry is taking over a partition it was asked for."""
+        now = self.clock()
+        return any(
+            until > now and self.is_taking_over(part)
+            for part, until in self.watched_until.items()
+        )
+
     def on_home_denied(self, part: int) -> None:
         """Handle a supposed home's answer that it is none: one before it is alive."""
         for name in self._order(part):
--- a/libs/relay/src/clementinebend_relay/messages.py
+++ b/libs/relay/src/clementinebend_relay/messages.py
@@ -92,7 +92,8 @@
     """The total transferred to the entry ``to``, and what a home reports with it.
 
     ``answer_seconds`` is the current answer time of the store as seen by the home, 0 if
-    the sender is not the home.
+    the sender is not the home. ``is_taking_over`` is true if the sender is the next
+    home unless one of the entries before it answers its checks.
     """
 
     boot: str
@@ -102,6 +103,7 @@
     is_home: bool
     remaining: RemainingBudget | None = None
     answer_seconds: float = 0.0
+    is_taking_over: bool = False
 
 
 class OpenMessage(Struct, tag="open", array_like=True):
--- a/libs/relay/src/clementinebend_relay/peers.py
+++ b/libs/relay/src/clementinebend_relay/peers.py
@@ -1,13 +1,15 @@
 """Other entries: their liveness, and transfers of budget tokens between entries."""
 
-from asyncio import sleep
+from asyncio import Event, sleep, timeout
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from random import sample
 from typing import NamedTuple
 
 from clementinebend_ledger.quota_requests import TokenRequest
 from clementinebend_ledger.quota_transfers import TransferBook
 from clementinebend_ledger.quota_witness import NO_EPOCH
+from clementinebend_membership.suspicion import ANSWER_TIMEOUT
 from clementinebend_records.identifiers import Incarnation, process_name_of
 from clementinebend_relay.budgets import Budgets
 from clementinebend_relay.discovery import Announcement, Directory
@@ -73,6 +75,7 @@
         self.heard_at: dict[str, float] = {}
         self.transfers = TransferBook()
         self.unmet: dict[str, dict[str, UnmetRequest]] = {}
+        self.asked_as_home = Event()
         budgets.attach(self)
 
     def entry_count(self) -> int:
@@ -85,7 +88,17 @@
         while True:
             self._check_liveness(self.homes.watched())
             self._drop_silent()
-            await sleep(LIVENESS_CHECK_INTERVAL)
+            await self._pause()
+
+    async def _pause(self) -> None:
+        """Pause until the next check, which is soon if this entry is taking over."""
+        self.asked_as_home.clear()
+        if not self.homes.is_any_taken_over():
+            with suppress(TimeoutError):
+                async with timeout(LIVENESS_CHECK_INTERVAL):
+                    await self.asked_as_home.wait()
+        if self.homes.is_any_taken_over():
+            await sleep(ANSWER_TIMEOUT)
 
     def _check_liveness(self, watched: Iterable[Announcement]) -> None:
         for item in watched:
@@ -152,9 +165,11 @@
     def on_request(self, message: TokenRequestMessage, sender: Address) -> None:
         """Transfer what can be spared and, as home, report the remaining budget."""
         self.on_heard(message.boot)
-        self._check_liveness(
-            self.homes.on_request_as_home(self.budgets.part(message.team))
-        )
+        part = self.budgets.part(message.team)
+        self._check_liveness(self.homes.on_request_as_home(part))
+        if self.homes.is_taking_over(part):
+            self.asked_as_home.set()
+            self.budgets.prepare_home(part)
         amount = self.budgets.on_request(message.team, message.asked)
         if amount < message.asked.amount and self.budgets.is_home_of(message.team):
             self._record_unmet(message, sender)
@@ -207,7 +222,14 @@
         remaining = self.budgets.remaining(team) if is_shortfall else None
         answer_seconds = self.budgets.answer_seconds(team) if is_home else 0.0
         transfer_message = TransferMessage(
-            self.boot, message.boot, team, transfer, is_home, remaining, answer_seconds
+            self.boot,
+            message.boot,
+            team,
+            transfer,
+            is_home,
+            remaining,
+            answer_seconds,
+            self.homes.is_taking_over(self.budgets.part(team)),
         )
         self.send(transfer_message, sender)
 
@@ -219,13 +241,14 @@
         amount = self.transfers.take(message.boot, message.team, message.transfer)
         giver = process_name_of(Incarnation(message.boot))
         part = self.budgets.part(message.team)
-        if not message.is_home and giver == self.home_of(part):
+        is_denied = not (message.is_home or message.is_taking_over)
+        if is_denied and giver == self.home_of(part):
             self.homes.on_home_denied(part)
         if message.remaining is not None:
             self.budgets.on_remaining(message.team, message.remaining)
         if message.is_home:
             self.budgets.on_home_answer_seconds(message.answer_seconds)
-        self.budgets.on_transfer(message.team, amount, giver)
+        self.budgets.on_transfer(message.team, amount, giver, message.is_taking_over)
 
     def _drop_silent(self) -> None:
         oldest = self.clock() - HEARD_SECONDS
--- a/libs/relay/src/clementinebend_relay/request_pacing.py
+++ b/libs/relay/src/clementinebend_relay/request_pacing.py
@@ -14,10 +14,11 @@
 the request somewhat longer. Repeated by many entries, requests would use up the
 processor of a small home, and calls would be refused meanwhile."""
 
-HOME_GONE_SECONDS = 0.1
-"""Seconds without an answer, or three requests, after which an entry raises a quota of
-its own. A home that is late for one request is alive; quotas raised too early make many
-entries compete with it for the log's end, and calls are refused meanwhile."""
+HOME_GONE_SECONDS = 0.17
+"""Seconds without an answer after which an entry raises a quota of its own. A home that
+is gone is suspected after three requests, and the next candidate answers the fourth;
+quotas raised sooner compete with that candidate for the log's end, and calls are
+refused meanwhile."""
 
 ALL_REQUEST_INTERVAL = 0.15
 """Seconds between requests to all entries. What they can spare changes as calls end,
--- a/tests/lib/platform_store.py
+++ b/tests/lib/platform_store.py
@@ -21,7 +21,8 @@
     """Keyed topics in memory; ``fault`` says how calls fare.
 
     ``fault`` is ``""``, ``"busy"`` (503), ``"silent"`` (no answer), ``"lost"``
-    (done, no answer), ``"slow"`` or ``"uneven"`` (503 to each second call).
+    (done, no answer), ``"slow"`` (after ``slow_seconds``) or ``"uneven"`` (503 to each
+    second call).
     """
 
     def __init__(self) -> None:
@@ -32,6 +33,7 @@
         self.first_offsets: defaultdict[str, int] = defaultdict(int)
         self.waiting_since: dict[str, float] = {}
         self.fault = ""
+        self.slow_seconds = 0.3
         self.calls = 0
         self.server: HttpServer | None = None
         self.port = 0
@@ -80,7 +82,7 @@
         if self.fault == "silent":
             await sleep(60)
         if self.fault == "slow":
-            await sleep(0.3)
+            await sleep(self.slow_seconds)
         parts = urlsplit(request.target)
         query = dict(parse_qsl(parts.query))
         records = self.topics[(query["topic"], query["part"])]
--- a/tests/unit/relay/test_message_fuzz.py
+++ b/tests/unit/relay/test_message_fuzz.py
@@ -5,6 +5,7 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgpack import packb, unpackb
 
 from clementinebend_bench.models.mark_fleet import FleetEntry, MarkFleet
 from clementinebend_bench.models.mark_store import StoreModel
@@ -134,6 +135,15 @@
     assert isinstance(outcome, InvalidMessage | Message)
 
 
+def test_fields_that_other_versions_lack_are_left_out_or_ignored() -> None:
+    """Guards against versions side by side that refuse each other's transfers."""
+    transfer = TransferMessage("a#1", "b#1", TEAM, Transfer(1, 5), True)
+    earlier = unpackb(encode_message(transfer))[:-1]
+    assert decode_message(packb(earlier)) == transfer
+    later = [*unpackb(encode_message(transfer)), "a field of a later version"]
+    assert decode_message(packb(later)) == transfer
+
+
 async def receive_all(sent: list[Message]) -> FleetEntry:
     """Return an entry that has received messages, each of them twice."""
     fleet = MarkFleet(StoreModel(()), {TEAM: PREPAID})
--- a/tests/unit/relay/test_peers.py
+++ b/tests/unit/relay/test_peers.py
@@ -1,10 +1,12 @@
 """Tests the choice of homes and the transfers between entries."""
 
-from collections.abc import Iterable
+from asyncio import create_task, get_running_loop, sleep
+from collections.abc import Callable, Iterable
 from itertools import product
 
 import pytest
 
+from clementinebend_bench.models.virtual_loop import run_virtually
 from clementinebend_ledger.quota_requests import TokenRequest
 from clementinebend_ledger.quota_transfers import Transfer
 from clementinebend_membership.suspicion import ANSWER_TIMEOUT, MAX_UNANSWERED
@@ -46,7 +48,9 @@
         self.messages.extend(message for _ in to)
 
 
-def make_peers(clock: Clock, number: int = 0, entries: int = 1) -> tuple[Peers, Sent]:
+def make_peers(
+    clock: Callable[[], float], number: int = 0, entries: int = 1
+) -> tuple[Peers, Sent]:
     """Return the ``Peers`` of one entry of a fleet, and the datagrams it sends."""
     boot, directory, sent = new_incarnation(f"entry-{number}"), Directory(), Sent()
     witnesses = Witnesses(boot, "z", directory, sent.one, clock)
@@ -146,6 +150,86 @@
         clock.now += ANSWER_TIMEOUT / 2
 
 
+def candidate(
+    clock: Callable[[], float], place: int, entries: int
+) -> tuple[Peers, Sent]:
+    """Return the entry at a place in the ranking of partition 0."""
+    name = make_peers(clock, 0, entries)[0].homes._order(0)[place]
+    return make_peers(clock, int(name.partition("-")[2]), entries)
+
+
+def ask_as_home(peers: Peers) -> TransferMessage:
+    """Let another entry ask ``peers`` for tokens; return the answer."""
+    asked = TokenRequestMessage("asker#1", TEAM, TokenRequest(5))
+    outbox: list[Message] = []
+    peers.send = lambda message, to: outbox.append(message)
+    peers.on_request(asked, Address("h", 1))
+    (answer,) = (each for each in outbox if isinstance(each, TransferMessage))
+    return answer
+
+
+@pytest.mark.parametrize("entries", SIZES)
+def test_the_next_candidate_says_that_it_takes_over_until_the_home_answers(
+    entries: int,
+) -> None:
+    """Guards against entries that ask a dead home again, since the next denies it."""
+    clock = Clock()
+    peers, _ = candidate(clock, 1, entries)
+    home = peers.homes._order(0)[0]
+    answer = ask_as_home(peers)
+    assert (answer.is_home, answer.is_taking_over) == (False, True)
+    peers.on_heard(peers.directory.announcements[home].boot)
+    answer = ask_as_home(peers)
+    assert (answer.is_home, answer.is_taking_over) == (False, False)
+
+
+def test_neither_a_stopping_entry_nor_one_that_is_no_candidate_takes_over() -> None:
+    clock = Clock()
+    stopping, _ = candidate(clock, 1, 40)
+    stopping.homes.is_leaving = True
+    assert not ask_as_home(stopping).is_taking_over
+    order = stopping.homes._order(0)
+    outside = next(n for n in range(40) if f"entry-{n}" not in order)
+    assert not ask_as_home(make_peers(clock, outside, 40)[0]).is_taking_over
+
+
+def test_an_entry_keeps_asking_the_candidate_that_takes_over() -> None:
+    clock = Clock()
+    peers, _ = make_peers(clock, 0, 40)
+    order = peers.homes._order(0)
+    for _ in range(MAX_UNANSWERED):
+        peers.ask(order[0], TEAM, TokenRequest(5))
+        clock.now += 1.5 * ANSWER_TIMEOUT
+    assert peers.home_of(0) == order[1]
+    peers.on_transfer(
+        TransferMessage(
+            peers.directory.announcements[order[1]].boot,
+            peers.boot,
+            TEAM,
+            Transfer(1, 0),
+            is_home=False,
+            is_taking_over=True,
+        )
+    )
+    assert peers.home_of(0) == order[1]
+
+
+def test_a_candidate_takes_over_soon_after_it_is_asked() -> None:
+    """Guards against checks that wait for the next regular one."""
+
+    async def main() -> str | None:
+        peers, _ = candidate(get_running_loop().time, 1, 40)
+        watching = create_task(peers.watch())
+        await sleep(3 * LIVENESS_CHECK_INTERVAL + 0.1)
+        peers.on_heard(peers.directory.announcements[peers.homes._order(0)[0]].boot)
+        ask_as_home(peers)
+        await sleep((MAX_UNANSWERED + 1) * ANSWER_TIMEOUT)
+        watching.cancel()
+        return peers.home_of(0)
+
+    assert run_virtually(main()) is None
+
+
 def test_a_repeated_transfer_is_applied_once() -> None:
     peers, _ = make_peers(Clock(), entries=2)
     account = peers.budgets.managers[0].account(TEAM)
