Repeat the notice of a stopping entry to those that ask it

Callers saw (in virtual time only): calls refused for budget at an entry that missed the one datagram by which a stopping home says so, for as long as that home takes to stop. Cause: looked for beside the missed evacuations: a notice that is sent once and that nothing repairs. Who missed it asks the home that has resigned; its answer that it is none makes the asker turn to the same entry again. Change: a stopping entry answers requests and liveness checks with its notice, too. Both new tests fail without the change.

--- a/libs/relay/src/clementinebend_relay/peers.py
+++ b/libs/relay/src/clementinebend_relay/peers.py
@@ -115,6 +115,11 @@
         addresses = map(self._address, self._others())
         self.send_all(LeavingMessage(self.boot), addresses)
 
+    def repeat_leaving(self, sender: Address) -> None:
+        """Notify an entry again if this one is stopping, as notices may be lost."""
+        if self.homes.is_leaving:
+            self.send(LeavingMessage(self.boot), sender)
+
     def on_leaving(self, message: LeavingMessage) -> None:
         """Exclude an entry that is stopping from being a home."""
         self.on_heard(message.boot)
@@ -165,6 +170,7 @@
     def on_request(self, message: TokenRequestMessage, sender: Address) -> None:
         """Transfer what can be spared and, as home, report the remaining budget."""
         self.on_heard(message.boot)
+        self.repeat_leaving(sender)
         part = self.budgets.part(message.team)
         self._check_liveness(self.homes.on_request_as_home(part))
         if self.homes.is_taking_over(part):
--- a/libs/relay/src/clementinebend_relay/receiving.py
+++ b/libs/relay/src/clementinebend_relay/receiving.py
@@ -52,6 +52,7 @@
         case OpenMessage():
             witness_desk.on_open(message, sender)
         case FenceMessage():
+            peers.repeat_leaving(sender)
             witness_desk.on_fence(message, sender)
         case AttestationMessage():
             peers.on_heard(message.witness)
--- a/tests/unit/relay/test_home_succession.py
+++ b/tests/unit/relay/test_home_succession.py
@@ -19,6 +19,10 @@
 HOME_ENDS_AT = 2.0
 SPARE_FACTOR = 3.0
 SLOW_ANSWER_SECONDS = 0.3
+TEAM = "team"
+PREPAID = 1_000_000
+ENTRIES = 6
+NOTICED_SECONDS = 1.0
 MAX_OTHER_WRITERS = 1.0
 """Maximum mean number of entries that append although they are not the home."""
 
@@ -86,3 +90,28 @@
         run_virtually(other_writers(entries, seed, is_store_slow)) for seed in SEEDS
     ]
     assert mean(writers) <= MAX_OTHER_WRITERS
+
+
+def test_a_stopping_home_is_replaced_though_its_notice_is_lost() -> None:
+    """Guards against entries that ask a stopping home until it has ended."""
+
+    async def main() -> set[str]:
+        fleet = MarkFleet(StoreModel(()), {TEAM: PREPAID})
+        for number in range(ENTRIES):
+            fleet.start(number)
+        await sleep(LEAD_SECONDS)
+        stopping = fleet.entries[home_number(fleet)]
+        stopping.peers.send_all = lambda message, to: None
+        stopping.peers.resign()
+        for number in fleet.entries:
+            await fleet.reserve(number, TEAM, PREPAID // (2 * ENTRIES))
+        await sleep(NOTICED_SECONDS)
+        homes = {
+            entry.peers.home_of(0) or entry.name for entry in fleet.entries.values()
+        }
+        for number in range(ENTRIES):
+            fleet.end(number)
+        assert stopping.name not in homes
+        return homes
+
+    assert len(run_virtually(main())) == 1
--- a/tests/unit/relay/test_peers.py
+++ b/tests/unit/relay/test_peers.py
@@ -193,6 +193,23 @@
     assert not ask_as_home(make_peers(clock, outside, 40)[0]).is_taking_over
 
 
+def test_an_entry_that_missed_a_stop_learns_of_it_with_its_next_request() -> None:
+    """Guards against calls refused until a stopping home has ended."""
+    clock = Clock()
+    stopping, _ = candidate(clock, 0, 40)
+    asker, _ = candidate(clock, HOME_CANDIDATES - 1, 40)
+    stopping.resign()
+    assert asker.home_of(0) == stopping.name
+    outbox: list[Message] = []
+    stopping.send = lambda message, to: outbox.append(message)
+    asked = TokenRequestMessage(asker.boot, TEAM, TokenRequest(5))
+    stopping.on_request(asked, Address("h", 1))
+    (notice,) = (each for each in outbox if isinstance(each, LeavingMessage))
+    asker.directory.put(stopping.name, Announcement(stopping.boot, "z", "h", 1))
+    asker.on_leaving(notice)
+    assert asker.home_of(0) == stopping.homes._order(0)[1]
+
+
 def test_an_entry_keeps_asking_the_candidate_that_takes_over() -> None:
     clock = Clock()
     peers, _ = make_peers(clock, 0, 40)
