Log runs that an entry has lost, and print the trail of runs without a bill

Cause: bills that did not balance were seen once, with no line in any log: an entry that loses a run and runs the call elsewhere says nothing, and the test printed counts only. Two runs of one call and a bill that is missing could not be told apart. Change: an entry logs 'run lost' with run, key, endpoint and what is known of the run; the failure of a balance prints the endpoints' rows of runs without a bill, and the log lines that name them or tell of lost runs.

--- a/libs/entry/src/clementinebend_entry/call_state.py
+++ b/libs/entry/src/clementinebend_entry/call_state.py
@@ -3,6 +3,7 @@
 Owned by the call's ``Execution``; only its task modifies the state.
 """
 
+from logging import getLogger
 from time import monotonic
 
 from clementinebend_entry.answer_output import AnswerOutput
@@ -17,6 +18,8 @@
 from clementinebend_entry.services import Services
 from clementinebend_records.identifiers import RunId, new_run_id
 
+logger = getLogger(__name__)
+
 
 class CallState:
     """The state of one call; ``output`` collects the answer for its caller."""
@@ -41,6 +44,16 @@
     def lose(self, result: RunResult) -> None:
         """Continue under a new run id; this run's cost may still be charged."""
         if self.follower is not None:
+            logger.warning(
+                "run lost",
+                extra={
+                    "run": self.run_id,
+                    "key": str(self.call.key),
+                    "endpoint": self.follower.link.name,
+                    "result": type(result).__name__,
+                    "problem": getattr(result, "message", ""),
+                },
+            )
             self.account.lose(result, self.follower)
         self.run_id = new_run_id()
 
--- a/tests/lib/books.py
+++ b/tests/lib/books.py
@@ -64,11 +64,30 @@
     try:
         await wait_until(billed, f"{bills} bills, and {unbilled} runs without one")
     except (AssertionError, DeadlineError) as error:
-        raise AssertionError(f"{error}; {books}") from None
+        trail = await audit_trail(cluster, books)
+        raise AssertionError(f"{error}; {books}; {trail}") from None
     check_balance(books, bills, unbilled)
     return books
 
 
+async def audit_trail(cluster: Cluster, books: Books) -> list[str]:
+    """Return what is known of runs without a bill, and how often entries lost runs."""
+    trail: list[str] = []
+    for name, place in cluster.endpoints.items():
+        behind = cluster.running[f"{name}-endpoint"]
+        if place.service != MODEL_SERVICE or behind.handle.poll() is not None:
+            continue
+        rows = await cluster.caller(behind.name).get("/ran")
+        trail.extend(f"{name}: {row}" for row in rows if row["run"] in books.unbilled)
+    for process in cluster.running.values():
+        trail.extend(
+            f"{process.name}: {line}"
+            for line in process.log_text().splitlines()
+            if "run lost" in line or any(run in line for run in books.unbilled)
+        )
+    return trail
+
+
 async def settled_books(cluster: Cluster) -> Books:
     """Return the books once each run of earlier tests has its bill."""
     books = await books_of(cluster)
--- a/tests/unit/entry/test_execution.py
+++ b/tests/unit/entry/test_execution.py
@@ -93,13 +93,19 @@
         assert (await entry.until_settled()).billed == 3
 
 
-async def test_a_run_of_uncertain_outcome_is_held_and_unknown() -> None:
+async def test_a_run_of_uncertain_outcome_is_held_and_unknown(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
     async with scripted_entry(ScriptedSidecar("engine-1", fail_uncertain)) as entry:
         answer = await entry.ask(chat_request())
         assert answer.status == 504
         summary = await entry.until_settled()
         assert summary.billed == 0
         assert summary.held > 0
+    (lost,) = (each for each in caplog.records if each.message == "run lost")
+    assert (
+        vars(lost).items() >= {"endpoint": "engine-1", "result": "RunUncertain"}.items()
+    )
 
 
 async def test_a_stream_with_a_lost_piece_is_cut_off_and_billed() -> None:
