Let the model of budgets deliver an answer in a step of its own

Cause: the model admits a call, waits and settles it. A product that does something before it delivers an answer that is ready cannot be modelled. Change: each way to hold budgets is asked whether an answer may be delivered; one that may not counts as a false refusal if the call was owed. All present ways say yes, as they reserve on admission.

--- a/libs/bench/src/clementinebend_bench/experiments/marks.py
+++ b/libs/bench/src/clementinebend_bench/experiments/marks.py
@@ -3,7 +3,8 @@
 The product's own keepers of marks run in virtual time through the same seeded
 demand as two simple ways. A call is owed if what is truly spent, and what calls
 in progress may cost, leaves room for it in 97 % of the budget; a refusal of a
-call that is owed is false.
+call that is owed is false, and so is one whose answer is ready and is not
+delivered. A call costs nothing until its answer is delivered.
 """
 
 from asyncio import create_task, get_running_loop, sleep
@@ -180,9 +181,15 @@
             return
         truth.in_progress[call.team] += call.most
         await sleep(call.seconds)
+        is_delivered = self.boots.get(call.entry) == boot and await self.arm.deliver(
+            call.entry, reservation
+        )
         truth.in_progress[call.team] -= call.most
         if self.boots.get(call.entry) != boot:
             return
+        if not is_delivered:
+            truth.falsely_refused += is_owed
+            return
         truth.spent[call.team] += call.cost
         self.arm.settle(call.entry, reservation, call.cost)
 
--- a/libs/bench/src/clementinebend_bench/models/mark_arms.py
+++ b/libs/bench/src/clementinebend_bench/models/mark_arms.py
@@ -23,17 +23,29 @@
         """Reserve for a call; none if it is refused."""
         ...
 
+    async def deliver(self, entry: int, reservation: Reservation) -> bool:
+        """Return whether a call's answer, which is ready, may be delivered."""
+        ...
+
     def settle(self, entry: int, reservation: Reservation, cost: int) -> None:
-        """Settle a call that has ended."""
+        """Settle a call whose answer was delivered."""
         ...
 
 
+class ReservedOnAdmission:
+    """Delivers each answer, as its tokens were reserved when it was admitted."""
+
+    async def deliver(self, entry: int, reservation: Reservation) -> bool:
+        """Return true."""
+        return True
+
+
 def marks_arm(entries: int, store: StoreModel, prepaid: dict[str, int]) -> MarkArm:
     """Return the product's way."""
     return MarkFleet(store, prepaid)
 
 
-class StaticSplit:
+class StaticSplit(ReservedOnAdmission):
     """Each entry has an equal part; a new boot knows nothing of what is left."""
 
     def __init__(self, entries: int, store: StoreModel, prepaid: dict[str, int]):
@@ -64,7 +76,7 @@
         self.left[entry][reservation.team] += reservation.amount - cost
 
 
-class AppendEach:
+class AppendEach(ReservedOnAdmission):
     """Each reservation is written to the store before its call goes on."""
 
     def __init__(self, entries: int, store: StoreModel, prepaid: dict[str, int]):
--- a/libs/bench/src/clementinebend_bench/models/mark_fleet.py
+++ b/libs/bench/src/clementinebend_bench/models/mark_fleet.py
@@ -183,6 +183,10 @@
         )
         return outcome if isinstance(outcome, Reservation) else None
 
+    async def deliver(self, number: int, reservation: Reservation) -> bool:
+        """Return true: the tokens were reserved on admission."""
+        return True
+
     def settle(self, number: int, reservation: Reservation, cost: int) -> None:
         """Settle a call at its entry."""
         self.entries[number].budgets.settle(reservation, cost)
