Reserve the tokens of a call when its answer is ready

Cause: a call reserved its most on admission, and nobody can tell what a dead entry has delivered, so all that it had reserved counts as spent, also for calls that delivered, and so cost, nothing. Evidence: of what is held back in the model, 3.8 to 4.2 % of the budgets are calls in progress, 1.1 to 1.3 % tokens at hand and 0.1 to 0.2 % reserves; 3 % are slack. With two entry processes and eight calls in progress 31,110 of 40,000 tokens could be delivered after the loss.

--- a/libs/bench/src/clementinebend_bench/experiments/marks.py
+++ b/libs/bench/src/clementinebend_bench/experiments/marks.py
@@ -17,8 +17,8 @@
 from clementinebend_bench.models.mark_arms import (
     AppendEach,
     MarkArm,
+    ProductArm,
     StaticSplit,
-    marks_arm,
 )
 from clementinebend_bench.models.mark_demand import MarkCall, make_calls
 from clementinebend_bench.models.mark_store import Outage, StoreModel
@@ -47,7 +47,7 @@
 PRODUCT = "marks"
 
 ARMS: dict[str, Callable[[int, StoreModel, dict[str, int]], MarkArm]] = {
-    PRODUCT: marks_arm,
+    PRODUCT: ProductArm,
     "static split": StaticSplit,
     "append each": AppendEach,
 }
@@ -175,23 +175,22 @@
             return
         is_owed = truth.is_owed(call)
         truth.owed += is_owed
-        reservation = await self.arm.reserve(call.entry, call.team, call.most)
-        if reservation is None:
+        admission = await self.arm.reserve(call.entry, call.team, call.most)
+        if admission is None:
             truth.falsely_refused += is_owed and self.boots.get(call.entry) == boot
             return
         truth.in_progress[call.team] += call.most
         await sleep(call.seconds)
-        is_delivered = self.boots.get(call.entry) == boot and await self.arm.deliver(
-            call.entry, reservation
-        )
+        if self.boots.get(call.entry) == boot:
+            admission = await self.arm.deliver(call.entry, admission)
         truth.in_progress[call.team] -= call.most
         if self.boots.get(call.entry) != boot:
             return
-        if not is_delivered:
+        if admission is None:
             truth.falsely_refused += is_owed
             return
         truth.spent[call.team] += call.cost
-        self.arm.settle(call.entry, reservation, call.cost)
+        self.arm.settle(call.entry, admission, call.cost)
 
 
 def run(seed_of_run: int) -> tuple[Row, ...]:
--- a/libs/relay/src/clementinebend_relay/deferred_reservations.py
+++ b/libs/relay/src/clementinebend_relay/deferred_reservations.py
@@ -8,6 +8,7 @@
 """
 
 from asyncio import sleep
+from collections import Counter
 from typing import NamedTuple
 
 from clementinebend_relay.budgets import MAX_BUDGET_WAIT, Budgets, Reservation
@@ -31,13 +32,17 @@
 
     def __init__(self, budgets: Budgets) -> None:
         self.budgets = budgets
+        self.deferred: Counter[str] = Counter()
 
     async def admit(
         self, team: Team, amount: int, wait: float, longest_wait: float = 0.0
     ) -> Admission | Shortfall:
         """Admit a call that may cost ``amount`` tokens; see ``Budgets.reserve``."""
-        if amount and self.budgets.is_ample(team.name):
+        if amount and self.budgets.is_ample(
+            team.name, self.deferred[team.name] + amount
+        ):
             self.budgets.record_demand(team, amount)
+            self.deferred[team.name] += amount
             return Admission(team, amount, True)
         outcome = await self.budgets.reserve(team, amount, wait, longest_wait)
         if isinstance(outcome, Shortfall):
@@ -47,7 +52,7 @@
     async def cover(self, admission: Admission) -> Admission:
         """Reserve the tokens of a call whose answer is about to be delivered.
 
-        Waits for them until it is cancelled at the call's deadline.
+        Waits for them until cancelled, as the call's deadline is reached.
         """
         while admission.is_deferred:
             wait = self.budgets.wait_seconds()
@@ -55,6 +60,7 @@
                 admission.team, admission.amount, wait, MAX_BUDGET_WAIT
             )
             if isinstance(outcome, Reservation):
+                self.deferred[admission.team.name] -= admission.amount
                 return admission._replace(is_deferred=False)
             await sleep(COVER_RETRY_SECONDS)
         return admission
@@ -64,6 +70,8 @@
 
         A call that has delivered nothing has reserved and used nothing.
         """
-        if not admission.is_deferred:
-            reservation = Reservation(admission.team.name, admission.amount)
-            self.budgets.settle(reservation, spent)
+        if admission.is_deferred:
+            self.deferred[admission.team.name] -= admission.amount
+            return
+        reservation = Reservation(admission.team.name, admission.amount)
+        self.budgets.settle(reservation, spent)
--- a/tests/unit/relay/test_message_fuzz.py
+++ b/tests/unit/relay/test_message_fuzz.py
@@ -86,6 +86,7 @@
         st.none() | st.builds(RemainingBudget, numbers, numbers),
         st.floats(),
         st.booleans(),
+        numbers,
     ),
     st.builds(
         EndpointEndedMessage,
