Add the listed faults to the soak, and log how long answers wait for tokens

Cause: the soak did not bring about a home killed while the store is slow, all entries killed while answers take long, nor an evacuation while entries cannot read the store; and nothing told how long a ready answer waited for tokens. Change: three more kinds of faults, in series and overlapping with the others; 'call ended' has budget_wait_s.

--- a/libs/relay/src/clementinebend_relay/handler.py
+++ b/libs/relay/src/clementinebend_relay/handler.py
@@ -137,7 +137,9 @@
 
         async def cover() -> None:
             nonlocal admission
+            ready_at = self.clock()
             admission = await self.reservations.cover(admission)
+            progress.budget_wait = self.clock() - ready_at
 
         def settle() -> None:
             self._settle(progress, admission, arrived_at)
@@ -196,6 +198,7 @@
             events=progress.events,
             tokens=usage.tokens,
             reserved=0 if admission.is_deferred else admission.amount,
+            budget_wait_s=round(progress.budget_wait, 4),
             is_whole=progress.is_whole,
             ahead=round(progress.ahead),
             unread=progress.unread,
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -8,9 +8,11 @@
 from random import Random
 from signal import SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM
 from typing import Any
+from zlib import crc32
 
+from clementinebend_platform.main import QUOTA_PARTITIONS
 from tests.lib.platform_engine import EngineStandin
-from tests.lib.platform_fleet import ROUTES, Entry, Fleet, route
+from tests.lib.platform_fleet import ROUTES, TEAM, Entry, Fleet, route
 from tests.lib.waiting import until
 from tests.soak.crashes import Crashes
 from tests.soak.promises import Seen, broken_promises
@@ -28,6 +30,10 @@
 """Seconds after which an evacuation must be in force at each entry."""
 
 DROP_PART = 0.3
+USUAL_PAUSE_SECONDS = 0.005
+LONG_PAUSE_SECONDS = 0.4
+"""Seconds between events of an engine, usually and while its answers take long."""
+
 PREPAID = 60_000
 PATHS = ("/safe/x", "/once/x", "/stream/x", "/stream/x", "/stream-once/x")
 ENGINE_FAULTS = ("full", "fail", "foreign", "cut", "gap", "silent")
@@ -138,6 +144,9 @@
             self._reload,
             self._kill_all,
             self._evacuate,
+            self._kill_home,
+            self._kill_all_drafting,
+            self._evacuate_unread,
         )
         end = get_running_loop().time() + SECONDS
         faults: list[Task[Any]] = []
@@ -211,6 +220,47 @@
         for number, entry in enumerate(killed):
             await self._restart(number, entry)
 
+    async def _kill_home(self) -> None:
+        """Kill the home of the team's budget while the store is slow."""
+        self._note("home killed, store slow")
+        self.fleet.store.fault = "slow"
+        number = self._home_number()
+        entry = self.fleet.entries[number]
+        with suppress(ProcessLookupError):
+            entry.process.kill()
+        await self._span()
+        self.fleet.store.fault = ""
+        await self._restart(number, entry)
+
+    def _home_number(self) -> int:
+        """Return the entry that keeps the team's budget as the first entry sees it."""
+        part = crc32(TEAM.encode()) % QUOTA_PARTITIONS
+        homes = [
+            line["home"]
+            for line in self.fleet.entries[0].lines()
+            if line["message"] == "budget home changed" and line["part"] == part
+        ]
+        names = [entry.name for entry in self.fleet.entries[:ENTRIES]]
+        return names.index(homes[-1]) if homes and homes[-1] in names else 0
+
+    async def _kill_all_drafting(self) -> None:
+        """Kill all entries while answers take long."""
+        for engine in self.fleet.engines:
+            engine.pause = LONG_PAUSE_SECONDS
+        await self._span()
+        await self._kill_all()
+        for engine in self.fleet.engines:
+            engine.pause = USUAL_PAUSE_SECONDS
+
+    async def _evacuate_unread(self) -> None:
+        """Evacuate a zone while all entries but one cannot read the store."""
+        cut = self.random.sample(self.store_proxies, ENTRIES - 1)
+        for proxy in cut:
+            proxy.change("silent")
+        await self._evacuate()
+        for proxy in cut:
+            proxy.change("")
+
     async def _reload(self) -> None:
         """Order some programs to reload; an entry is bound before it is loaded."""
         self._note("reload")
@@ -251,6 +301,7 @@
             proxy.change("")
         for engine in self.fleet.engines:
             engine.fault = ""
+            engine.pause = USUAL_PAUSE_SECONDS
         self.fleet.store.fault = ""
 
     def _ended(self) -> list[str]:
