--- a/libs/bench/src/clementinebend_bench/experiments/marks.py
+++ b/libs/bench/src/clementinebend_bench/experiments/marks.py
@@ -17,8 +17,8 @@
 from clementinebend_bench.models.mark_arms import (
     AppendEach,
     MarkArm,
-    ProductArm,
     StaticSplit,
+    marks_arm,
 )
 from clementinebend_bench.models.mark_demand import MarkCall, make_calls
 from clementinebend_bench.models.mark_store import Outage, StoreModel
@@ -47,7 +47,7 @@
 PRODUCT = "marks"
 
 ARMS: dict[str, Callable[[int, StoreModel, dict[str, int]], MarkArm]] = {
-    PRODUCT: ProductArm,
+    PRODUCT: marks_arm,
     "static split": StaticSplit,
     "append each": AppendEach,
 }
@@ -175,22 +175,23 @@
             return
         is_owed = truth.is_owed(call)
         truth.owed += is_owed
-        admission = await self.arm.reserve(call.entry, call.team, call.most)
-        if admission is None:
+        reservation = await self.arm.reserve(call.entry, call.team, call.most)
+        if reservation is None:
             truth.falsely_refused += is_owed and self.boots.get(call.entry) == boot
             return
         truth.in_progress[call.team] += call.most
         await sleep(call.seconds)
-        if self.boots.get(call.entry) == boot:
-            admission = await self.arm.deliver(call.entry, admission)
+        is_delivered = self.boots.get(call.entry) == boot and await self.arm.deliver(
+            call.entry, reservation
+        )
         truth.in_progress[call.team] -= call.most
         if self.boots.get(call.entry) != boot:
             return
-        if admission is None:
+        if not is_delivered:
             truth.falsely_refused += is_owed
             return
         truth.spent[call.team] += call.cost
-        self.arm.settle(call.entry, admission, call.cost)
+        self.arm.settle(call.entry, reservation, call.cost)
 
 
 def run(seed_of_run: int) -> tuple[Row, ...]:
--- a/libs/bench/src/clementinebend_bench/models/mark_fleet.py
+++ b/libs/bench/src/clementinebend_bench/models/mark_fleet.py
@@ -4,14 +4,13 @@
 the store, the datagrams and the callers are modelled.
 """
 
-from asyncio import Task, create_task, get_running_loop, wait
+from asyncio import Task, create_task, get_running_loop
 from collections.abc import Iterable
 
 from clementinebend_bench.models.mark_store import ModelLog, StoreModel
 from clementinebend_records.identifiers import Incarnation
 from clementinebend_relay.budgets import MAX_BUDGET_WAIT, Budgets, Reservation
 from clementinebend_relay.cold_endpoints import ColdEndpoints
-from clementinebend_relay.deferred_reservations import Admission, DeferredReservations
 from clementinebend_relay.discovery import Announcement, Directory
 from clementinebend_relay.endpoints import EndpointTable
 from clementinebend_relay.evacuations import Evacuations
@@ -32,9 +31,6 @@
 DATAGRAM_SECONDS = 0.0005
 """One way between availability zones, by the users' sheet."""
 
-DELIVERY_SECONDS = 5.0
-"""For how long an answer that is ready waits for its tokens at most."""
-
 LIMITS = CallerLimits(1, 1, 1.0, 1.0)
 
 
@@ -104,8 +100,6 @@
         self.witnesses.is_needed = self.peers.homes.is_candidate
         self.announcement = Announcement(self.boot, zone, *self.address)
         self.tasks: list[Task[None]] = []
-        self.calls: set[Task[Admission]] = set()
-        self.reservations = DeferredReservations(self.budgets)
 
     def start(self, prepaid: dict[str, int]) -> None:
         """Run the entry's own tasks."""
@@ -120,7 +114,7 @@
 
     def end(self) -> None:
         """Lose all that the entry knows."""
-        for task in (*self.tasks, *self.calls):
+        for task in self.tasks:
             task.cancel()
 
     def send(self, message: Message, to: Address) -> None:
@@ -189,37 +183,14 @@
         )
         return outcome if isinstance(outcome, Reservation) else None
 
-    async def admit(self, number: int, team: str, amount: int) -> Admission | None:
-        """Admit one call at an entry; none if it refuses."""
-        entry = self.entries[number]
-        customer = Team(team, self.prepaid[team], None)
-        outcome = await entry.reservations.admit(
-            customer, amount, entry.budgets.wait_seconds(), MAX_BUDGET_WAIT
-        )
-        return outcome if isinstance(outcome, Admission) else None
-
-    async def cover(self, number: int, admission: Admission) -> Admission | None:
-        """Reserve the tokens of an answer that is ready; none if that takes too long.
-
-        The entry's end also ends its calls.
-        """
-        entry = self.entries[number]
-        covering = create_task(entry.reservations.cover(admission))
-        entry.calls.add(covering)
-        await wait({covering}, timeout=DELIVERY_SECONDS)
-        covering.cancel()
-        entry.calls.discard(covering)
-        is_covered = covering.done() and not covering.cancelled()
-        return covering.result() if is_covered else None
+    async def deliver(self, number: int, reservation: Reservation) -> bool:
+        """Return true: the tokens were reserved on admission."""
+        return True
 
     def settle(self, number: int, reservation: Reservation, cost: int) -> None:
         """Settle a call at its entry."""
         self.entries[number].budgets.settle(reservation, cost)
 
-    def release(self, number: int, admission: Admission, cost: int) -> None:
-        """Settle an admitted call at its entry."""
-        self.entries[number].reservations.settle(admission, cost)
-
     def _deliver(self, sender: Address, message: Message, to: Address) -> None:
         for entry in self.entries.values():
             if entry.address == to:
--- a/libs/ledger/src/clementinebend_ledger/quota_sizing.py
+++ b/libs/ledger/src/clementinebend_ledger/quota_sizing.py
@@ -16,7 +16,7 @@
 """Seconds of demand reserved for outages of the log itself, of some 4 s; a host that
 alone has lost its connection reaches the log through a gateway."""
 
-MAX_BUDGET_FRACTION = 0.0175
+MAX_BUDGET_FRACTION = 0.0125
 """Maximum fraction of a whole budget kept in reserve. Losses beyond the 3 % of slack
 that a budget has are refused to its team for good, so the loss of all holders must stay
 within it."""
--- a/libs/relay/src/clementinebend_relay/budgets.py
+++ b/libs/relay/src/clementinebend_relay/budgets.py
@@ -56,16 +56,6 @@
 """Seconds for which the remaining budget is cached: a home on a small host may be asked
 for the same budget a hundred times a second."""
 
-SPARE_DEMAND_SECONDS = 4.0
-"""Seconds of demand that are not spare: those of the calls that wait for their first
-event, of a report's age, and of a home that is replaced."""
-
-SPARE_VALID_SECONDS = 2.0
-"""Seconds for which a home's report of spare tokens remains valid."""
-
-AMPLE_CALLS = 2
-"""Number of the largest calls that the spare tokens of an ample budget cover."""
-
 RETURN_FACTOR = 3
 """An entry returns its surplus to the home once it has more than this multiple of its
 borrow target. Tokens that many entries keep after their calls have ended are missing
@@ -82,13 +72,6 @@
     remaining: RemainingBudget
 
 
-class SpareReport(NamedTuple):
-    """The spare tokens that the home reported, and when the report arrived."""
-
-    at: float
-    spare: int
-
-
 class AnswerTimeReport(NamedTuple):
     """A store answer time reported by a home, and when the report arrived."""
 
@@ -134,7 +117,6 @@
         self.request_pacing: dict[str, RequestPacing] = defaultdict(RequestPacing)
         self.reported: dict[str, RemainingReport] = {}
         self.answer_time_report = AnswerTimeReport(0.0, clock())
-        self.spare_reports: dict[str, SpareReport] = {}
         self.remaining_cache: dict[str, RemainingReport] = {}
         self.managers = tuple(
             QuotaManager(self._view(holder_name(boot, part), part, witnesses), log)
@@ -223,23 +205,11 @@
         The wait is extended, up to ``longest_wait`` seconds in all, if the home reports
         a slow store in the meantime.
         """
-        self.record_demand(team, amount)
-        return await self.acquire(team, amount, wait, longest_wait)
-
-    def record_demand(self, team: Team, amount: int) -> None:
-        """Record a call that may cost ``amount``, whether or not it is admitted."""
-        if team.prepaid is not None and amount:
-            account = self.manager(team.name).account(team.name)
-            account.record_demand(amount, self.clock())
-
-    async def acquire(
-        self, team: Team, amount: int, wait: float, longest_wait: float = 0.0
-    ) -> Reservation | Shortfall:
-        """Reserve tokens of a call whose demand is recorded; see ``reserve``."""
         if team.prepaid is None or amount == 0:
             return Reservation(team.name, 0)
         manager = self.manager(team.name)
         account = manager.account(team.name)
+        account.record_demand(amount, self.clock())
         if account.reserve(amount):
             self._borrow(team.name)
             self._raise_before_empty(manager, team.name)
@@ -482,40 +452,6 @@
         if self.budget_peers.return_tokens(home, team, surplus):
             account.give(surplus)
 
-    def is_ample(self, team: str, amount: int) -> bool:
-        """Return whether a budget certainly suffices for ``amount`` tokens soon.
-
-        Entries that are not the home go by its last report while it answers.
-        """
-        largest = max(amount, self.manager(team).account(team).largest)
-        return self._known_spare(team) >= AMPLE_CALLS * largest
-
-    def _known_spare(self, team: str) -> int:
-        if self.is_home_of(team):
-            return self.spare(team)
-        now = self.clock()
-        report = self.spare_reports.get(team)
-        if report is None or now - report.at > SPARE_VALID_SECONDS:
-            return 0
-        is_silent = self.request_pacing[team].is_home_silent(now)
-        return 0 if is_silent else report.spare
-
-    def on_spare(self, team: str, spare: int) -> None:
-        """Record the home's report of a budget's spare tokens."""
-        self.spare_reports[team] = SpareReport(self.clock(), spare)
-
-    def spare(self, team: str) -> int:
-        """Return the tokens left, as home, beyond the demand of the next seconds.
-
-        Returns 0 while that is not known for certain.
-        """
-        manager = self.manager(team)
-        remaining = self.remaining(team)
-        if remaining is None or not manager.is_fast():
-            return 0
-        rate = manager.account(team).peak_rate(self.clock())
-        return max(0, remaining.left - int(SPARE_DEMAND_SECONDS * rate))
-
     def is_home_of(self, team: str) -> bool:
         """Return whether this entry is the home of a team's budget."""
         return self._is_home(self.part(team))
--- a/libs/relay/src/clementinebend_relay/handler.py
+++ b/libs/relay/src/clementinebend_relay/handler.py
@@ -1,14 +1,13 @@
 """Handles a call: admission, budget reservation, dispatch, relay and settlement."""
 
 from asyncio import Event, timeout, timeout_at
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from contextlib import suppress
 
 from clementinebend_relay.admission import Admitted, admit
-from clementinebend_relay.budgets import Budgets
+from clementinebend_relay.budgets import Budgets, Reservation
 from clementinebend_relay.configuration import ConfigurationTable
 from clementinebend_relay.decisions import log_decision
-from clementinebend_relay.deferred_reservations import Admission, DeferredReservations
 from clementinebend_relay.dispatch import Dispatcher
 from clementinebend_relay.interfaces import HttpProtocol
 from clementinebend_relay.metrics import (
@@ -59,7 +58,6 @@
         self.protocol = protocol
         self.configuration = configuration
         self.budgets = budgets
-        self.reservations = DeferredReservations(budgets)
         self.dispatcher = dispatcher
         self.quarantine = dispatcher.quarantine
         self.plain = plain
@@ -84,11 +82,11 @@
         survey = await self.prompt_queue.enter(admitted)
         if isinstance(survey, Rejection):
             return self._reject(survey, call.request_id, arrived_at)
-        admission = await self._reserve(admitted)
-        if isinstance(admission, Rejection):
-            return self._reject(admission, call.request_id, arrived_at)
+        reservation = await self._reserve(admitted)
+        if isinstance(reservation, Rejection):
+            return self._reject(reservation, call.request_id, arrived_at)
         progress = CallProgress(admitted, arrived_at + admitted.time_limit, survey)
-        return await self._run(progress, admission, arrived_at)
+        return await self._run(progress, reservation, arrived_at)
 
     async def _wait_for_startup(self) -> None:
         """Wait up to ``STARTUP_WAIT`` for the configuration and endpoints to load."""
@@ -98,12 +96,12 @@
             async with timeout(STARTUP_WAIT):
                 await self.is_loaded.wait()
 
-    async def _reserve(self, admitted: Admitted) -> Admission | Rejection:
+    async def _reserve(self, admitted: Admitted) -> Reservation | Rejection:
         team, max_cost = admitted.team, admitted.call.max_total_tokens
         max_wait = admitted.time_limit / 2
         wait = min(self.budgets.wait_seconds(), max_wait)
-        outcome = await self.reservations.admit(team, max_cost, wait, max_wait)
-        if isinstance(outcome, Admission):
+        outcome = await self.budgets.reserve(team, max_cost, wait, max_wait)
+        if isinstance(outcome, Reservation):
             return outcome
         return self._budget_rejection(outcome, admitted)
 
@@ -129,23 +127,17 @@
         return Rejection(Reason.BUDGET_BUSY, message, pause)
 
     async def _run(
-        self, progress: CallProgress, admission: Admission, arrived_at: float
+        self, progress: CallProgress, reservation: Reservation, arrived_at: float
     ) -> Response:
         admitted = progress.admitted
         self.dispatcher.retry_window(admitted.service.name).on_request(arrived_at)
         is_stream = False
 
-        async def cover() -> None:
-            nonlocal admission
-            ready_at = self.clock()
-            admission = await self.reservations.cover(admission)
-            progress.budget_wait = self.clock() - ready_at
-
         def settle() -> None:
-            self._settle(progress, admission, arrived_at)
+            self._settle(progress, reservation, arrived_at)
 
         try:
-            response = await self._answer(progress, cover, settle)
+            response = await self._answer(progress, settle)
             is_stream = response is not None and not isinstance(response.body, bytes)
         finally:
             if not is_stream:
@@ -160,29 +152,22 @@
         return response
 
     async def _answer(
-        self,
-        progress: CallProgress,
-        cover: Callable[[], Awaitable[None]],
-        settle: Callable[[], None],
+        self, progress: CallProgress, settle: Callable[[], None]
     ) -> Response | None:
-        """Return the response to a call, once its tokens are reserved."""
         try:
             async with timeout_at(progress.deadline):
                 if progress.admitted.route.kind is RouteKind.STREAM:
-                    return await self.streams.answer(progress, cover, settle)
-                response = await self.plain.answer(progress)
-                if progress.is_whole:
-                    await cover()
-                return response
+                    return await self.streams.answer(progress, settle)
+                return await self.plain.answer(progress)
         except TimeoutError:
             progress.problem = "the time limit has passed"
             return None
 
     def _settle(
-        self, progress: CallProgress, admission: Admission, arrived_at: float
+        self, progress: CallProgress, reservation: Reservation, arrived_at: float
     ) -> None:
         usage = progress.usage()
-        self.reservations.settle(admission, usage.tokens)
+        self.budgets.settle(reservation, usage.tokens)
         admitted = progress.admitted
         elapsed = self.clock() - arrived_at
         whole_seconds.labels(admitted.service.name).observe(elapsed)
@@ -197,8 +182,7 @@
             attempts=usage.attempts,
             events=progress.events,
             tokens=usage.tokens,
-            reserved=0 if admission.is_deferred else admission.amount,
-            budget_wait_s=round(progress.budget_wait, 4),
+            reserved=reservation.amount,
             is_whole=progress.is_whole,
             ahead=round(progress.ahead),
             unread=progress.unread,
--- a/libs/relay/src/clementinebend_relay/messages.py
+++ b/libs/relay/src/clementinebend_relay/messages.py
@@ -93,8 +93,7 @@
 
     ``answer_seconds`` is the current answer time of the store as seen by the home, 0 if
     the sender is not the home. ``is_taking_over`` is true if the sender is the next
-    home unless one of the entries before it answers its checks. ``spare`` is what is
-    left beyond the demand of the next seconds, 0 if the sender is not the home.
+    home unless one of the entries before it answers its checks.
     """
 
     boot: str
@@ -105,7 +104,6 @@
     remaining: RemainingBudget | None = None
     answer_seconds: float = 0.0
     is_taking_over: bool = False
-    spare: int = 0
 
 
 class OpenMessage(Struct, tag="open", array_like=True):
--- a/libs/relay/src/clementinebend_relay/peers.py
+++ b/libs/relay/src/clementinebend_relay/peers.py
@@ -236,7 +236,6 @@
             remaining,
             answer_seconds,
             self.homes.is_taking_over(self.budgets.part(team)),
-            self.budgets.spare(team) if is_home else 0,
         )
         self.send(transfer_message, sender)
 
@@ -254,7 +253,6 @@
         if message.remaining is not None:
             self.budgets.on_remaining(message.team, message.remaining)
         if message.is_home:
-            self.budgets.on_spare(message.team, message.spare)
             self.budgets.on_home_answer_seconds(message.answer_seconds)
         self.budgets.on_transfer(message.team, amount, giver, message.is_taking_over)
 
--- a/libs/relay/src/clementinebend_relay/progress.py
+++ b/libs/relay/src/clementinebend_relay/progress.py
@@ -38,8 +38,6 @@
     how many endpoints' queues were reported before it. ``attempt_event_at`` is when its
     first event arrived, and ``is_sound`` is set once it is known to do no harm.
 
-    ``budget_wait`` is for how many seconds the answer waited for tokens once ready.
-
     ``refusal`` is why no further attempt was made. ``pause`` is the time in seconds
     until an endpoint accepts calls again, if all have asked for a pause.
     """
@@ -61,7 +59,6 @@
         self.unread = 0
         self.reports = 0
         self.first_event_at: float | None = None
-        self.budget_wait = 0.0
         self.attempt_event_at: float | None = None
         self.is_sound = False
         self.refusal: Rejection | None = None
--- a/libs/relay/src/clementinebend_relay/quota_manager.py
+++ b/libs/relay/src/clementinebend_relay/quota_manager.py
@@ -149,10 +149,6 @@
         )
         return waited > STALLED_SECONDS
 
-    def is_fast(self) -> bool:
-        """Return whether the log answers as quickly as usual."""
-        return not self.is_stalled() and self.last_answer_seconds <= STALLED_SECONDS
-
     async def commit(self) -> bool:
         """Read the log and append changed quotas; return whether that succeeded."""
         async with self.commit_lock:
--- a/libs/relay/src/clementinebend_relay/streams.py
+++ b/libs/relay/src/clementinebend_relay/streams.py
@@ -5,7 +5,7 @@
 """
 
 from asyncio import timeout_at
-from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncGenerator, AsyncIterator, Callable
 from contextlib import aclosing
 
 from clementinebend_relay.attempts import Attempts, OpenAttempt
@@ -40,24 +40,18 @@
         self.clock = clock
 
     async def answer(
-        self,
-        progress: CallProgress,
-        cover: Callable[[], Awaitable[None]],
-        on_end: Callable[[], None],
+        self, progress: CallProgress, on_end: Callable[[], None]
     ) -> Response | None:
         """Return a streamed response once its first event has arrived.
 
         If no attempt leads to one, returns the last failure response of an endpoint,
-        or None. ``cover`` reserves the call's tokens before its first event is
-        delivered. ``on_end`` is called when the stream ends for any reason, but not if
+        or None. ``on_end`` is called when the stream ends for any reason, but not if
         there is no stream.
         """
         while (running := await self.attempts.next(progress)) is not None:
             source = self._read_events(running, progress)
             try:
                 first = await anext(source, None)
-                if first is not None:
-                    await cover()
             except StreamBroken:
                 continue
             except BaseException:
--- a/tests/unit/relay/test_message_fuzz.py
+++ b/tests/unit/relay/test_message_fuzz.py
@@ -86,7 +86,6 @@
         st.none() | st.builds(RemainingBudget, numbers, numbers),
         st.floats(),
         st.booleans(),
-        numbers,
     ),
     st.builds(
         EndpointEndedMessage,
