Log the request limits that endpoints name in their answers

Cause of the gap: no line told whether an answer named `Server-Limit`, which figure, or when it changed or ended, so that the hypotheses of the incident could not be told apart. The limit is decoded in `platform/`, ordered by versions instead of clocks, logged and counted at each change; nothing else follows from it yet.

--- a/libs/relay/src/clementinebend_relay/dispatch.py
+++ b/libs/relay/src/clementinebend_relay/dispatch.py
@@ -10,6 +10,7 @@
 from clementinebend_relay.admission import Admitted
 from clementinebend_relay.decisions import log_decision
 from clementinebend_relay.end_detector import EndDetector
+from clementinebend_relay.endpoint_limits import EndpointLimits
 from clementinebend_relay.endpoint_state import EndpointState, UnreadCall
 from clementinebend_relay.endpoints import EndpointTable
 from clementinebend_relay.interfaces import (
@@ -97,6 +98,7 @@
         self.quarantine = quarantine
         self.ends = ends
         self.leaving = leaving
+        self.limits = EndpointLimits(clock)
         self.surveyor = Surveyor(
             zone,
             endpoints,
@@ -115,6 +117,7 @@
         self.sessions.remove_endpoint(endpoint.name)
         self.client.close_idle(endpoint.address)
         self.ends.on_gone(endpoint)
+        self.limits.forget(boot_name(endpoint))
 
     def _on_announced(self, endpoint: Endpoint) -> None:
         self.quarantine.on_announced(boot_name(endpoint))
@@ -155,6 +158,7 @@
         )
         state.on_tried()
         state.last_sent_at = self.clock()
+        state.sent += 1
         state.in_flight += 1
         self.probes.on_sent(
             state.endpoint,
@@ -177,11 +181,16 @@
         self.quarantine.on_alive(boot)
 
     def _apply_notice(
-        self, request_id: str, state: EndpointState, answer: OpenAnswer
+        self,
+        request_id: str,
+        state: EndpointState,
+        answer: OpenAnswer,
+        notice: Notice,
+        sent_version: int,
     ) -> None:
-        """Apply an endpoint's notice that it is leaving or asks for a pause."""
-        notice = self.protocol.notice(answer.status, answer.headers)
-        if notice == Notice():
+        """Apply an endpoint's notice that it leaves, wants a pause or is limited."""
+        self.limits.on_answer(request_id, state, sent_version, notice.max_rate)
+        if not notice.is_leaving and notice.pause is None:
             return
         log_decision(
             "endpoint notice",
@@ -231,6 +240,7 @@
         idle_limit = (
             {} if admitted.route.may_repeat else {"max_idle": NON_REPEATABLE_MAX_IDLE}
         )
+        sent_version = state.limit.version
         sent = await self.client.send(
             endpoint.address,
             request,
@@ -245,9 +255,12 @@
                 verdict = self.protocol.classify_response(
                     call, answer.status, answer.headers
                 )
-                if verdict not in (Verdict.WRONG_ENDPOINT, Verdict.FOREIGN):
+                notice = self.protocol.notice(answer.status, answer.headers)
+                if _is_of_endpoint(verdict, notice, endpoint):
                     self._mark_alive(boot_name(endpoint))
-                    self._apply_notice(call.request_id, state, answer)
+                    self._apply_notice(
+                        call.request_id, state, answer, notice, sent_version
+                    )
                 return ResponseStarted(state, answer, verdict)
             case _:
                 failure = sent.error
@@ -264,3 +277,10 @@
         if not failure.sent:
             return NotSent(failure.message)
         return ResponseLost(failure.message, failure.broke_off)
+
+
+def _is_of_endpoint(verdict: Verdict, notice: Notice, endpoint: Endpoint) -> bool:
+    """Return whether a response is of the endpoint that the call was sent to."""
+    if verdict is Verdict.WRONG_ENDPOINT:
+        return notice.endpoint == endpoint.name
+    return verdict is not Verdict.FOREIGN
--- a/libs/relay/src/clementinebend_relay/endpoint_state.py
+++ b/libs/relay/src/clementinebend_relay/endpoint_state.py
@@ -11,6 +11,7 @@
 from clementinebend_relay.models import Endpoint
 from clementinebend_routing.outliers import Health
 from clementinebend_routing.prefill import Pace
+from clementinebend_routing.request_limits import NO_LIMIT
 from clementinebend_routing.silence import (
     SILENT_SECONDS,
     STREAM_SILENT_SECONDS,
@@ -54,7 +55,9 @@
     added; ``answered_at`` is when it last sent bytes, initially minus infinity.
     ``available_since`` is when it was added or became available again: it may be cold
     from then on; ``cold_until`` is the end of the cold time that it announced.
-    ``last_sent_at`` is when this entry last sent it a call.
+    ``last_sent_at`` is when this entry last sent it a call, ``sent`` how many calls it
+    has sent. ``limit`` is the request limit known since ``limit_since``, before
+    which this entry had sent ``sent_before_limit`` calls.
     """
 
     def __init__(self, endpoint: Endpoint, now: float) -> None:
@@ -75,6 +78,10 @@
         self.cold_until = -inf
         self.available_since = now
         self.last_sent_at = -inf
+        self.sent = 0
+        self.limit = NO_LIMIT
+        self.limit_since = now
+        self.sent_before_limit = 0
 
     def is_leaving(self, now: float) -> bool:
         """Return whether the endpoint is about to stop, by its announcement or answers.
--- a/libs/relay/src/clementinebend_relay/interfaces.py
+++ b/libs/relay/src/clementinebend_relay/interfaces.py
@@ -46,14 +46,25 @@
     FOREIGN = "foreign"
 
 
+class InvalidRate(NamedTuple):
+    """A request limit that can't be decoded; ``text`` is what was named, shortened."""
+
+    text: str
+
+
 class Notice(NamedTuple):
     """What the head of an endpoint's response says about the endpoint itself.
 
     The endpoint is leaving, or asks this entry for a pause of ``pause`` seconds.
+    ``max_rate`` is the number of requests per second that it takes from all entries
+    together, or None if it names no limit. ``endpoint`` is the name of the endpoint
+    that responded, if the head contains it.
     """
 
     is_leaving: bool = False
     pause: float | None = None
+    max_rate: float | InvalidRate | None = None
+    endpoint: str | None = None
 
 
 class InvalidRecord(NamedTuple):
--- a/libs/relay/src/clementinebend_relay/metrics.py
+++ b/libs/relay/src/clementinebend_relay/metrics.py
@@ -38,6 +38,15 @@
     "clementinebend_relay_cold_endpoints",
     "Endpoints that are cold, or may be, and get few calls.",
 )
+limited_endpoints = gauge(
+    "clementinebend_relay_limited_endpoints",
+    "Endpoints in need that name a limit of requests a second.",
+)
+invalid_limits = counter(
+    "clementinebend_relay_invalid_limits_total",
+    "Answers that name a limit which is no number, by service.",
+    ("service",),
+)
 full_surveys = counter(
     "clementinebend_relay_full_surveys_total",
     "Times that no endpoint asked about took another call in that second, by service.",
--- a/tests/unit/platform/test_http_protocol.py
+++ b/tests/unit/platform/test_http_protocol.py
@@ -5,7 +5,7 @@
 import pytest
 
 from clementinebend_platform.http_protocol import REJECTION_STATUSES, PlatformProtocol
-from clementinebend_relay.interfaces import Dispatch, Notice, Verdict
+from clementinebend_relay.interfaces import Dispatch, InvalidRate, Notice, Verdict
 from clementinebend_relay.models import Call, Endpoint, Reason, Rejection
 from clementinebend_routing.sessions import PromptPart
 from clementinebend_transport.client_connection import Address
@@ -157,3 +157,24 @@
     assert notice(500, {"retry-after": "2"}) == Notice()
     for value in ("-1", "0", "nan", "inf", "soon", "Wed, 21 Oct 2026 07:28:00 GMT"):
         assert notice(503, {"retry-after": value}) == Notice()
+
+
+@pytest.mark.parametrize(
+    ("text", "rate"),
+    [("1.8", 1.8), ("0", 0.0), (" 0.20 ", 0.2), ("1000000", 1e6), ("00.5", 0.5)],
+)
+@pytest.mark.parametrize("status", [200, 421, 500, 503])
+def test_a_request_limit_is_decoded_from_any_answer(
+    text: str, rate: float, status: int
+) -> None:
+    assert PROTOCOL.notice(status, {"server-limit": text}).max_rate == rate
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "soon", "nan", "inf", "-1", "+1", "1e3", "1_0", "1.8, 1.8", "٣", "1" * 400],
+)
+def test_a_request_limit_that_is_no_decimal_number_is_invalid(text: str) -> None:
+    assert isinstance(
+        PROTOCOL.notice(200, {"server-limit": text}).max_rate, InvalidRate
+    )
