--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -24,7 +24,9 @@
     the engine: at once (``fatal_way`` ``"reset"``), after the head of its answer
     (``"head"``) or after its first event (``"event"``); ``on_end`` is then called.
     With ``says_leaving`` all its answers say that it leaves; with ``wants_pause`` it
-    turns each request away for so many seconds.
+    turns each request away for so many seconds. ``server_limit`` is the text with which
+    all its answers name how many requests a second it takes. ``fault`` may also be
+    ``"other"``: it turns requests away as meant for other weights, under its own id.
     """
 
     numbers = count(1)
@@ -44,6 +46,7 @@
         self.server: HttpServer | None = None
         self.says_leaving = False
         self.wants_pause: float | None = None
+        self.server_limit: str | None = None
         self.reached_at: list[float] = []
         self.fatal_body: bytes | None = None
         self.fatal_way = "reset"
@@ -91,14 +94,19 @@
         """Answer a request."""
         self.reached_at.append(get_running_loop().time())
         answer = await self._answer(request)
-        if not self.says_leaving:
-            return answer
-        return answer._replace(headers=(*answer.headers, ("server-leaving", "1")))
+        said: tuple[tuple[str, str], ...] = ()
+        if self.says_leaving:
+            said = (("server-leaving", "1"),)
+        if self.server_limit is not None:
+            said = (*said, ("server-limit", self.server_limit))
+        return answer._replace(headers=(*answer.headers, *said))
 
     def _refusal(self, request: Request) -> Response | None:
         """Return why a request is not run, if it is not."""
         if request.headers.get("x-expect-instance") != self.name:
             return Response(421, (("x-instance-id", self.name),), b"")
+        if self.fault == "other":
+            return Response(421, (("x-instance-id", self.name),), b"")
         if self.fault == "full":
             return Response(503, (("x-not-executed", "1"),), b"")
         if self.wants_pause is not None:
