Keep one request limit for an endpoint, in all entries together

Callers saw endpoints in need slow down and fail under requests that others could have taken. Cause: an answer says how many requests a second its endpoint takes from all entries together, and no code read it; even read, it would have been obeyed by the entry that heard it and not by the fleet. Change: who keeps an endpoint's queue grants permits from a token bucket at the limit; entries learn it from answers, reports and one another, ordered by versions instead of clocks. Full endpoints are passed over, a call that no endpoint can take is rejected at once. Why it works: no call goes to an endpoint known as limited without a token, and the tokens of keeper and backup together stay below the bound at any number of entries (hypothesis over lost, late and repeated messages and restarts).

--- a/libs/bench/src/clementinebend_bench/experiments/choice.py
+++ b/libs/bench/src/clementinebend_bench/experiments/choice.py
@@ -31,6 +31,7 @@
     Team,
 )
 from clementinebend_relay.peers import Peers
+from clementinebend_relay.permit_requests import new_permit_requests
 from clementinebend_relay.quarantine import Quarantine
 from clementinebend_relay.queue_probes import QueueProbes
 from clementinebend_relay.witnesses import Witnesses
@@ -96,18 +97,20 @@
         monotonic,
     )
     quarantine = Quarantine(monotonic)
+    probes = QueueProbes(Directory(), directory, _send, monotonic)
     return Dispatcher(
         "z",
         table,
         peers,
         sessions,
-        QueueProbes(Directory(), directory, _send, monotonic),
+        probes,
         HttpClient(),
         cast(HttpProtocol, None),  # no request is sent
         RetryLimits(0.2, 50, 10),
         quarantine,
         EndDetector(monotonic, quarantine.running, lambda endpoint, runs: None),
         LeavingNotifier(boot, table, directory, _send_all),
+        new_permit_requests(boot, table.states, probes, _send, _send_all, monotonic),
         monotonic,
     )
 
--- a/libs/bench/src/clementinebend_bench/models/mark_fleet.py
+++ b/libs/bench/src/clementinebend_bench/models/mark_fleet.py
@@ -19,6 +19,7 @@
 from clementinebend_relay.messages import Message
 from clementinebend_relay.models import CallerLimits, Configuration, Team
 from clementinebend_relay.peers import Peers
+from clementinebend_relay.permit_requests import new_permit_requests
 from clementinebend_relay.quarantine import Quarantine
 from clementinebend_relay.quarantine_sync import QuarantineSync
 from clementinebend_relay.queue_keeper import QueueKeeper
@@ -90,6 +91,9 @@
         cold = ColdEndpoints(self.name, self.directory, clock)
         table = EndpointTable(NoRecords(), cold, clock)
         self.leaving = LeavingNotifier(self.boot, table, self.directory, self.send_all)
+        self.permits = new_permit_requests(
+            self.boot, table.states, self.probes, self.send, self.send_all, clock
+        )
         self.evacuations = Evacuations(
             self.boot,
             NoRecords(),
@@ -139,6 +143,7 @@
             self.news,
             self.leaving,
             self.evacuations,
+            self.permits,
         )
 
 
--- a/libs/relay/src/clementinebend_relay/admission.py
+++ b/libs/relay/src/clementinebend_relay/admission.py
@@ -14,6 +14,7 @@
     Service,
     Team,
 )
+from clementinebend_routing.request_permits import CallClass
 
 NO_CONFIGURATION_RETRY_AFTER = 0.5
 """Retry-after delay in seconds of a process that has no configuration yet.
@@ -42,6 +43,11 @@
     version: int
     fingerprint: str
 
+    @property
+    def call_class(self) -> CallClass:
+        """What decides on the call's turn at endpoints in need."""
+        return CallClass(self.priority, self.team.name)
+
 
 def admit(call: Call, configuration: Configuration | None) -> Admitted | Rejection:
     """Return the admitted call, or why it is rejected."""
--- a/libs/relay/src/clementinebend_relay/attempts.py
+++ b/libs/relay/src/clementinebend_relay/attempts.py
@@ -19,7 +19,7 @@
 from clementinebend_relay.models import RouteKind
 from clementinebend_relay.progress import CallProgress
 from clementinebend_relay.quarantine_sync import QuarantineSync
-from clementinebend_relay.survey import Placement
+from clementinebend_relay.survey import Placement, Survey
 from clementinebend_routing.fatal_runs import counts_as_evidence
 from clementinebend_transport.http_client import OpenAnswer
 from clementinebend_transport.http_types import Response
@@ -151,6 +151,25 @@
     async def _choose_placement(self, progress: CallProgress) -> Placement | None:
         """Return the endpoint for the next attempt, from a survey that is still valid.
 
+        An endpoint in need is returned only with a permit. If all endpoints are in
+        need, the call is refused at once.
+        """
+        dispatcher, admitted = self.dispatcher, progress.admitted
+        while self.clock() < progress.deadline:
+            survey = await self._valid_survey(progress)
+            if survey.limit_wait is not None:
+                progress.refusal = dispatcher.reject_limited(admitted, survey)
+                return None
+            placement = survey.placement
+            if placement is None or await dispatcher.has_permit(
+                admitted, placement.state
+            ):
+                return placement
+        return None
+
+    async def _valid_survey(self, progress: CallProgress) -> Survey:
+        """Return a survey by which a call may be sent now.
+
         Waits up to ``RATE_LIMIT_WAIT`` while the endpoints are at their rate limit.
         """
         survey, progress.survey = progress.survey, None
@@ -167,7 +186,7 @@
                 break
             if survey.is_rate_limited:
                 await sleep(RATE_LIMIT_PAUSE)
-        return survey.placement
+        return survey
 
     def _may_attempt(self, progress: CallProgress) -> bool:
         if progress.attempts_left <= 0 or self.clock() >= progress.deadline:
--- a/libs/relay/src/clementinebend_relay/dispatch.py
+++ b/libs/relay/src/clementinebend_relay/dispatch.py
@@ -2,15 +2,16 @@
 
 from collections.abc import Callable, Collection, Iterator
 from contextlib import contextmanager
+from random import random
 from typing import NamedTuple
 
 from expression import Result
 
 from clementinebend_admission.retry_window import RetryLimits, RetryWindow
+from clementinebend_admission.return_schedule import ReturnSchedule
 from clementinebend_relay.admission import Admitted
 from clementinebend_relay.decisions import log_decision
 from clementinebend_relay.end_detector import EndDetector
-from clementinebend_relay.endpoint_limits import EndpointLimits
 from clementinebend_relay.endpoint_state import EndpointState, UnreadCall
 from clementinebend_relay.endpoints import EndpointTable
 from clementinebend_relay.interfaces import (
@@ -20,8 +21,10 @@
     Verdict,
 )
 from clementinebend_relay.leaving_notifier import LeavingNotifier
-from clementinebend_relay.models import Endpoint, boot_name
+from clementinebend_relay.metrics import limited_rejections
+from clementinebend_relay.models import Endpoint, Reason, Rejection, boot_name
 from clementinebend_relay.peers import Peers
+from clementinebend_relay.permit_requests import PermitRequests
 from clementinebend_relay.quarantine import Quarantine
 from clementinebend_relay.queue_probes import QueueProbes
 from clementinebend_relay.survey import Placement, Survey, Surveyor
@@ -85,6 +88,7 @@
         quarantine: Quarantine,
         ends: EndDetector,
         leaving: LeavingNotifier,
+        permits: PermitRequests,
         clock: Callable[[], float],
     ) -> None:
         self.endpoints = endpoints
@@ -98,12 +102,15 @@
         self.quarantine = quarantine
         self.ends = ends
         self.leaving = leaving
-        self.limits = EndpointLimits(clock)
+        self.limits = permits.limits
+        self.permits = permits
+        self.returns: dict[str, ReturnSchedule] = {}
         self.surveyor = Surveyor(
             zone,
             endpoints,
             sessions,
             probes,
+            permits.limits,
             peers.entry_count,
             quarantine.is_suspected,
             clock,
@@ -140,6 +147,41 @@
         """Return whether a survey is recent enough to send a call by it."""
         return self.surveyor.is_usable(survey)
 
+    async def has_permit(self, admitted: Admitted, state: EndpointState) -> bool:
+        """Return whether a call may be sent to an endpoint by its request limit.
+
+        The permit is for one request, which must be sent at once.
+        """
+        if not self.limits.needs_permit(state):
+            return True
+        request_id = admitted.call.request_id
+        return await self.permits.request(request_id, state, admitted.call_class)
+
+    def reject_limited(self, admitted: Admitted, survey: Survey) -> Rejection:
+        """Reject a call as all endpoints of its service are at their request limits.
+
+        Callers are told to return at the rate at which this entry can serve them.
+        """
+        service = admitted.service.name
+        states = self.endpoints.candidates(service)
+        rate = sum(state.limit.rate or 0.0 for state in states)
+        returns = self.returns.setdefault(service, ReturnSchedule())
+        now = self.clock()
+        delay = returns.next_delay(rate / self.peers.entry_count(), now, random())
+        limited_rejections.labels(service).inc()
+        log_decision(
+            "endpoints limited",
+            request_id=admitted.call.request_id,
+            service=service,
+            priority=admitted.priority,
+            team=admitted.team.name,
+            endpoints=len(states),
+            max_rate=rate,
+            wait_s=survey.limit_wait,
+        )
+        message = "all endpoints take no more requests now"
+        return Rejection(Reason.OVERLOADED, message, delay)
+
     @contextmanager
     def in_flight(self, admitted: Admitted, placement: Placement) -> Iterator[None]:
         """Count an attempt as in flight, and report it to the queue keeper."""
@@ -256,7 +298,11 @@
                     call, answer.status, answer.headers
                 )
                 notice = self.protocol.notice(answer.status, answer.headers)
-                if _is_of_endpoint(verdict, notice, endpoint):
+                if verdict is Verdict.WRONG_ENDPOINT and (
+                    notice.endpoint == endpoint.name
+                ):
+                    verdict = Verdict.NOT_RUN
+                if verdict not in (Verdict.WRONG_ENDPOINT, Verdict.FOREIGN):
                     self._mark_alive(boot_name(endpoint))
                     self._apply_notice(
                         call.request_id, state, answer, notice, sent_version
@@ -277,10 +323,3 @@
         if not failure.sent:
             return NotSent(failure.message)
         return ResponseLost(failure.message, failure.broke_off)
-
-
-def _is_of_endpoint(verdict: Verdict, notice: Notice, endpoint: Endpoint) -> bool:
-    """Return whether a response is of the endpoint that the call was sent to."""
-    if verdict is Verdict.WRONG_ENDPOINT:
-        return notice.endpoint == endpoint.name
-    return verdict is not Verdict.FOREIGN
--- a/libs/relay/src/clementinebend_relay/messages.py
+++ b/libs/relay/src/clementinebend_relay/messages.py
@@ -14,6 +14,7 @@
 from clementinebend_ledger.quota_witness import Attestation
 from clementinebend_routing.cold_start import PermitLimit
 from clementinebend_routing.endpoint_queue import QueueReport
+from clementinebend_routing.request_limits import RequestLimit
 from clementinebend_routing.sessions import PromptPart
 
 
@@ -27,7 +28,8 @@
     """Asks what a call would find at an endpoint; the answer repeats ``number``.
 
     ``endpoint`` names one boot of it. With a ``permit_limit`` the entry also requests a
-    permit to send the call.
+    permit to send the call. ``limit`` is the request limit that the entry knows, and
+    ``team`` is the team of the call.
     """
 
     number: int
@@ -35,14 +37,62 @@
     priority: int
     parts: tuple[PromptPart, ...]
     permit_limit: PermitLimit | None = None
+    limit: RequestLimit | None = None
+    team: str = ""
+
+
+class LimitReport(NamedTuple):
+    """The request limit that a keeper knows, and what it means for one call.
+
+    The call may get a permit in ``wait`` seconds, or needs none if that is None.
+    """
+
+    limit: RequestLimit
+    wait: float | None
 
 
 class ReportMessage(Struct, tag="report", array_like=True):
-    """What a call would find at an endpoint, and the boot of the queue's process."""
+    """What a call would find at an endpoint, and the boot of the queue's process.
+
+    ``limit`` is None if the endpoint has named no limit recently.
+    """
 
     boot: str
     number: int
     report: QueueReport
+    limit: LimitReport | None = None
+
+
+class PermitRequestMessage(Struct, tag="permit-asked", array_like=True):
+    """Requests a permit to send a call to one boot of a limited endpoint.
+
+    With ``is_backup`` the receiver stands in for a keeper that is silent.
+    """
+
+    number: int
+    endpoint: str
+    request: str
+    priority: int
+    team: str
+    limit: RequestLimit
+    is_backup: bool
+
+
+class PermitMessage(Struct, tag="permit", array_like=True):
+    """The answer to a permit request, which has the same ``number``."""
+
+    boot: str
+    number: int
+    is_granted: bool
+    limit: LimitReport
+
+
+class LimitMessage(Struct, tag="limit", array_like=True):
+    """One boot of an endpoint has named a request limit, or ended it."""
+
+    boot: str
+    endpoint: str
+    limit: RequestLimit
 
 
 class SentMessage(Struct, tag="sent", array_like=True):
@@ -189,7 +239,14 @@
 FatalityMessage = EndpointEndedMessage | QuarantineMessage | SoundMessage
 """Messages about requests during which endpoints ended."""
 
-QueueMessage = ProbeMessage | SentMessage | ReadMessage | EndedMessage
+QueueMessage = (
+    ProbeMessage
+    | SentMessage
+    | ReadMessage
+    | EndedMessage
+    | PermitRequestMessage
+    | LimitMessage
+)
 """Messages to the process that keeps an endpoint's queue."""
 
 Message = (
@@ -199,6 +256,9 @@
     | SentMessage
     | ReadMessage
     | EndedMessage
+    | PermitRequestMessage
+    | PermitMessage
+    | LimitMessage
     | TokenRequestMessage
     | TransferMessage
     | OpenMessage
--- a/libs/relay/src/clementinebend_relay/metrics.py
+++ b/libs/relay/src/clementinebend_relay/metrics.py
@@ -42,6 +42,17 @@
     "clementinebend_relay_limited_endpoints",
     "Endpoints in need that name a limit of requests a second.",
 )
+request_permits = counter(
+    "clementinebend_relay_request_permits_total",
+    "Permits that this entry asked for to send a call to a limited endpoint, by "
+    "outcome (granted, refused, or unanswered in time).",
+    ("outcome",),
+)
+limited_rejections = counter(
+    "clementinebend_relay_limited_rejections_total",
+    "Calls rejected since all endpoints of their service are in need, by service.",
+    ("service",),
+)
 invalid_limits = counter(
     "clementinebend_relay_invalid_limits_total",
     "Answers that name a limit which is no number, by service.",
--- /dev/null
+++ b/libs/relay/src/clementinebend_relay/permit_requests.py
@@ -0,0 +1,136 @@
+"""Requests for permits to send calls to endpoints that name a request limit."""
+
+from asyncio import Future, get_running_loop, timeout
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import suppress
+from itertools import count
+
+from clementinebend_membership.rendezvous import rendezvous
+from clementinebend_relay.decisions import log_decision
+from clementinebend_relay.discovery import Announcement
+from clementinebend_relay.endpoint_limits import EndpointLimits
+from clementinebend_relay.endpoint_state import EndpointState
+from clementinebend_relay.messages import Message, PermitMessage, PermitRequestMessage
+from clementinebend_relay.metrics import request_permits
+from clementinebend_relay.models import Endpoint, boot_name
+from clementinebend_relay.queue_probes import QueueProbes
+from clementinebend_routing.request_permits import CallClass
+from clementinebend_transport.client_connection import Address
+
+PERMIT_TIMEOUT = 0.03
+"""How long a call waits for a permit, in seconds, about ten times a usual answer. A
+permit that comes later is lost."""
+
+UNANSWERED_WAIT = 0.1
+"""Seconds for which an endpoint gets no call of a class after a permit request for it
+was not answered."""
+
+
+class PermitRequests:
+    """Requests permits from the processes that keep endpoints' queues.
+
+    While such a keeper is silent, an entry stands in for it. It grants a part of the
+    limit only, as the keeper may still be granting permits to other entries.
+    """
+
+    def __init__(
+        self,
+        probes: QueueProbes,
+        limits: EndpointLimits,
+        send: Callable[[Message, Address], None],
+        clock: Callable[[], float],
+    ) -> None:
+        self.probes = probes
+        self.entries = probes.entries
+        self.limits = limits
+        self.send = send
+        self.clock = clock
+        self.numbers = count(1)
+        self.pending: dict[int, Future[PermitMessage]] = {}
+
+    async def request(
+        self, request_id: str, state: EndpointState, call_class: CallClass
+    ) -> bool:
+        """Return whether a call may be sent to a limited endpoint now."""
+        for keeper, is_backup in self._granting(state.endpoint):
+            answer = await self._ask(keeper, request_id, state, call_class, is_backup)
+            if answer is not None:
+                self.limits.on_report(state.endpoint, call_class, answer.limit)
+                outcome = "granted" if answer.is_granted else "refused"
+                break
+        else:
+            self.limits.on_refused(state, call_class, UNANSWERED_WAIT)
+            outcome = "unanswered"
+        request_permits.labels(outcome).inc()
+        if outcome != "granted":
+            log_decision(
+                "permit refused",
+                request_id=request_id,
+                endpoint=state.endpoint.name,
+                max_rate=state.limit.rate,
+                outcome=outcome,
+                wait_s=round(self.limits.wait(state, call_class), 3),
+            )
+        return outcome == "granted"
+
+    def on_permit(self, message: PermitMessage) -> None:
+        """Accept the answer to a request; one that is late is ignored."""
+        self.probes.on_alive(message.boot)
+        future = self.pending.get(message.number)
+        if future is not None and not future.done():
+            future.set_result(message)
+
+    async def _ask(
+        self,
+        keeper: Announcement,
+        request_id: str,
+        state: EndpointState,
+        call_class: CallClass,
+        is_backup: bool,
+    ) -> PermitMessage | None:
+        number = next(self.numbers)
+        self.pending[number] = get_running_loop().create_future()
+        message = PermitRequestMessage(
+            number,
+            boot_name(state.endpoint),
+            request_id,
+            call_class.priority,
+            call_class.team,
+            state.limit,
+            is_backup,
+        )
+        self.send(message, keeper.address)
+        try:
+            with suppress(TimeoutError):
+                async with timeout(PERMIT_TIMEOUT):
+                    return await self.pending[number]
+        finally:
+            del self.pending[number]
+        return None
+
+    def _granting(self, endpoint: Endpoint) -> Iterator[tuple[Announcement, bool]]:
+        """Yield who grants permits for an endpoint, and whether as a backup."""
+        keeper = self.probes.keeper(endpoint)
+        if keeper is not None and self.probes.is_known(endpoint):
+            yield keeper, False
+        announced = self.entries.announcements
+        names = rendezvous(f"queue-{endpoint.name}", announced, 2)
+        others = [announced[name] for name in names if announced[name] != keeper]
+        yield from ((item, True) for item in others[:1])
+
+
+def new_permit_requests(
+    boot: str,
+    states: dict[str, EndpointState],
+    probes: QueueProbes,
+    send: Callable[[Message, Address], None],
+    send_all: Callable[[Message, Iterable[Address]], None],
+    clock: Callable[[], float],
+) -> PermitRequests:
+    """Return the permit requests of an entry, which share its probes' messages."""
+    limits = EndpointLimits(
+        boot, states, probes.entries, send_all, probes.notify, clock
+    )
+    probes.limit_of = limits.limit_of
+    probes.on_limit = limits.on_report
+    return PermitRequests(probes, limits, send, clock)
--- a/libs/relay/src/clementinebend_relay/process.py
+++ b/libs/relay/src/clementinebend_relay/process.py
@@ -29,6 +29,7 @@
     PartitionReader,
 )
 from clementinebend_relay.peers import Peers
+from clementinebend_relay.permit_requests import new_permit_requests
 from clementinebend_relay.plain import PlainRelay
 from clementinebend_relay.prompt_queues import PromptQueues
 from clementinebend_relay.quarantine import Quarantine
@@ -120,6 +121,14 @@
         self.leaving = LeavingNotifier(
             boot, self.endpoints, self.entries, self._send_all
         )
+        self.permits = new_permit_requests(
+            boot,
+            self.endpoints.states,
+            self.probes,
+            self._send,
+            self._send_all,
+            clock,
+        )
         self.evacuations = Evacuations(
             boot, records, self.entries, self._send_all, self.endpoints.on_evacuation
         )
@@ -165,6 +174,7 @@
             quarantine,
             EndDetector(clock, quarantine.running, self.sync.on_ended),
             self.leaving,
+            self.permits,
             clock,
         )
         attempts = Attempts(self.dispatcher, self.sync, clock)
@@ -273,6 +283,7 @@
             self.sync,
             self.leaving,
             self.evacuations,
+            self.permits,
         )
 
     def _on_gateways(self) -> None:
--- a/libs/relay/src/clementinebend_relay/prompt_queues.py
+++ b/libs/relay/src/clementinebend_relay/prompt_queues.py
@@ -67,6 +67,8 @@
         )
         if not self.waiters[service]:
             survey = await self.dispatcher.survey(admitted, ())
+            if survey.limit_wait is not None:
+                return self.dispatcher.reject_limited(admitted, survey)
             if self._has_room(admitted, survey):
                 self._record_start(service, prompt)
                 return survey
@@ -85,6 +87,8 @@
             while (now := self.clock()) < prompt.wait_deadline:
                 if next_prompt(waiters.values(), now) == prompt:
                     survey = await self.dispatcher.survey(admitted, ())
+                    if survey.limit_wait is not None:
+                        return self.dispatcher.reject_limited(admitted, survey)
                     if self._has_room(admitted, survey):
                         self._record_start(service, prompt)
                         self._log_wait(prompt)
--- a/libs/relay/src/clementinebend_relay/queue_keeper.py
+++ b/libs/relay/src/clementinebend_relay/queue_keeper.py
@@ -1,12 +1,16 @@
-"""Keeps endpoints' queues for all entries, and answers their probes."""
+"""Keeps endpoints' queues and permits for all entries, and answers their probes."""
 
 from collections import OrderedDict
 from collections.abc import Callable
 from typing import TypeVar
 
+from clementinebend_relay.limit_keeper import LimitKeeper
 from clementinebend_relay.messages import (
     EndedMessage,
+    LimitMessage,
     Message,
+    PermitMessage,
+    PermitRequestMessage,
     ProbeMessage,
     QueueMessage,
     ReadMessage,
@@ -16,6 +20,7 @@
 from clementinebend_relay.models import endpoint_name
 from clementinebend_routing.cold_start import RecentCalls
 from clementinebend_routing.endpoint_queue import EndpointQueue
+from clementinebend_routing.request_permits import CallClass
 from clementinebend_transport.client_connection import Address
 
 MAX_QUEUES = 64
@@ -42,32 +47,56 @@
         self.queues: OrderedDict[str, EndpointQueue] = OrderedDict()
         self.recent_calls: OrderedDict[str, RecentCalls] = OrderedDict()
         """By endpoint name, as entries may know different boots of one endpoint."""
+        self.limits = LimitKeeper(clock)
 
     def on_message(self, message: QueueMessage, sender: Address) -> None:
         """Apply an entry's report of a call, or answer its probe."""
-        queue = self._queue_of(message.endpoint)
-        recent = self._recent_calls_of(message.endpoint)
-        now = self.clock()
         match message:
             case ProbeMessage():
-                report = queue.report(message.priority, message.parts, now)
-                if message.permit_limit is not None:
-                    has_permit = recent.request_permit(message.permit_limit, now)
-                    report = report._replace(has_permit=has_permit)
-                self.send(ReportMessage(self.boot, message.number, report), sender)
+                self._on_probe(message, sender)
             case SentMessage():
-                recent.on_sent(now)
-                queue.on_sent(
-                    message.request,
-                    message.priority,
-                    message.tokens,
-                    message.parts,
-                    now,
-                )
+                self._on_sent(message)
             case ReadMessage():
-                queue.on_read(message.request, now)
+                self._queue_of(message.endpoint).on_read(message.request, self.clock())
             case EndedMessage():
-                queue.on_ended(message.request)
+                self._queue_of(message.endpoint).on_ended(message.request)
+            case PermitRequestMessage():
+                self._on_permit_request(message, sender)
+            case LimitMessage():
+                self.limits.on_limit(message.endpoint, message.limit, message.boot)
+
+    def _on_probe(self, message: ProbeMessage, sender: Address) -> None:
+        now = self.clock()
+        queue = self._queue_of(message.endpoint)
+        report = queue.report(message.priority, message.parts, now)
+        if message.permit_limit is not None:
+            recent = self._recent_calls_of(message.endpoint)
+            has_permit = recent.request_permit(message.permit_limit, now)
+            report = report._replace(has_permit=has_permit)
+        if message.limit is not None:
+            self.limits.on_limit(message.endpoint, message.limit, str(sender))
+        call_class = CallClass(message.priority, message.team)
+        limit = self.limits.report(message.endpoint, call_class)
+        self.send(ReportMessage(self.boot, message.number, report, limit), sender)
+
+    def _on_sent(self, message: SentMessage) -> None:
+        now = self.clock()
+        self._recent_calls_of(message.endpoint).on_sent(now)
+        self.limits.on_sent(message.endpoint, message.request)
+        self._queue_of(message.endpoint).on_sent(
+            message.request, message.priority, message.tokens, message.parts, now
+        )
+
+    def _on_permit_request(
+        self, message: PermitRequestMessage, sender: Address
+    ) -> None:
+        self.limits.on_limit(message.endpoint, message.limit, str(sender))
+        call_class = CallClass(message.priority, message.team)
+        is_granted, limit = self.limits.request_permit(
+            message.endpoint, message.request, call_class, message.is_backup
+        )
+        answer = PermitMessage(self.boot, message.number, is_granted, limit)
+        self.send(answer, sender)
 
     def _queue_of(self, endpoint: str) -> EndpointQueue:
         return _get_or_create(self.queues, endpoint, EndpointQueue)
--- a/libs/relay/src/clementinebend_relay/queue_probes.py
+++ b/libs/relay/src/clementinebend_relay/queue_probes.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable
 from contextlib import suppress
 from itertools import count
+from typing import NamedTuple
 
 from clementinebend_membership.rendezvous import rendezvous
 from clementinebend_membership.suspicion import FailureDetector
@@ -11,6 +12,7 @@
 from clementinebend_relay.discovery import Announcement, Directory
 from clementinebend_relay.messages import (
     EndedMessage,
+    LimitReport,
     Message,
     ProbeMessage,
     QueueMessage,
@@ -21,6 +23,8 @@
 from clementinebend_relay.models import Endpoint, boot_name
 from clementinebend_routing.cold_start import PermitLimit
 from clementinebend_routing.endpoint_queue import QueueReport
+from clementinebend_routing.request_limits import RequestLimit
+from clementinebend_routing.request_permits import CallClass
 from clementinebend_routing.sessions import PromptPart
 from clementinebend_transport.client_connection import Address
 
@@ -38,12 +42,26 @@
 """Maximum number of endpoints whose queue keeper is cached, about 2 MB."""
 
 
+OnLimit = Callable[[Endpoint, CallClass, LimitReport], None]
+
+
+class PendingProbe(NamedTuple):
+    """A probe that may still be answered, and the class of the call it is for."""
+
+    endpoint: Endpoint
+    call_class: CallClass
+    future: Future[QueueReport]
+
+
 class QueueProbes:
     """Probes endpoints' queues, and reports this entry's calls to their keepers.
 
     The queue of an endpoint is kept by the gateway on its host. Without one there, all
     entries choose the same gateway by rendezvous hashing, or the same entry if there
     are no gateways.
+
+    ``limit_of`` returns the request limit to tell a keeper with a probe, and
+    ``on_limit`` is called with what a keeper reports of one.
     """
 
     def __init__(
@@ -58,19 +76,21 @@
         self.send = send
         self.clock = clock
         self.numbers = count(1)
-        self.pending: dict[int, tuple[Endpoint, Future[QueueReport]]] = {}
+        self.pending: dict[int, PendingProbe] = {}
         self.suspicions = FailureDetector()
         self.retried_at: dict[str, float] = {}
         self.silent: set[str] = set()
         self.keepers: dict[Endpoint, Announcement | None] = {}
         self.versions = (-1, -1)
+        self.limit_of: Callable[[Endpoint], RequestLimit | None] = lambda _: None
+        self.on_limit: OnLimit = lambda *_: None
 
     def is_known(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint's queue has a keeper that is expected to respond.
 
         A suspected keeper counts as such once every ``SUSPECTED_RETRY_SECONDS``.
         """
-        keeper = self._keeper(endpoint)
+        keeper = self.keeper(endpoint)
         if keeper is None:
             return False
         now = self.clock()
@@ -92,42 +112,55 @@
         permit_limit_of: Callable[[Endpoint], PermitLimit | None] = lambda endpoint: (
             None
         ),
+        team: str = "",
     ) -> dict[str, QueueReport]:
         """Return the reports that arrive in time, by endpoint name.
 
         Also requests a permit where ``permit_limit_of`` returns a limit.
         """
+        call_class = CallClass(priority, team)
         numbers = [
-            self._send_probe(endpoint, priority, parts, permit_limit_of(endpoint))
+            self._send_probe(endpoint, call_class, parts, permit_limit_of(endpoint))
             for endpoint in endpoints
         ]
         asked = [self.pending[number] for number in numbers if number is not None]
         try:
             with suppress(TimeoutError):
                 async with timeout(PROBE_TIMEOUT):
-                    for _, future in asked:
-                        await future
+                    for probe in asked:
+                        await probe.future
         finally:
             for number in numbers:
                 self.pending.pop(number or 0, None)
         return {
-            endpoint.name: future.result()
-            for endpoint, future in asked
-            if future.done() and not future.cancelled()
+            probe.endpoint.name: probe.future.result()
+            for probe in asked
+            if probe.future.done() and not probe.future.cancelled()
         }
 
     def on_report(self, message: ReportMessage) -> None:
         """Accept a report; a late one only shows that its sender is alive."""
-        self.suspicions.on_heard(message.boot)
+        self.on_alive(message.boot)
         asked = self.pending.get(message.number)
         if asked is None:
             return
-        endpoint, future = asked
-        keeper = self._keeper(endpoint)
+        keeper = self.keeper(asked.endpoint)
         if keeper is not None:  # its boot may be newer than the one announced
             self.suspicions.on_heard(keeper.boot)
-        if not future.done():
-            future.set_result(message.report)
+        if message.limit is not None:
+            self.on_limit(asked.endpoint, asked.call_class, message.limit)
+        if not asked.future.done():
+            asked.future.set_result(message.report)
+
+    def on_alive(self, boot: str) -> None:
+        """Record a message of a process that keeps queues."""
+        self.suspicions.on_heard(boot)
+
+    def notify(self, endpoint: Endpoint, message: QueueMessage) -> None:
+        """Send a message to the keeper of an endpoint's queue, if one is known."""
+        keeper = self.keeper(endpoint)
+        if keeper is not None:
+            self.send(message, keeper.address)
 
     def on_sent(
         self,
@@ -139,15 +172,15 @@
     ) -> None:
         """Report that a call is sent to an endpoint."""
         name = boot_name(endpoint)
-        self._notify(endpoint, SentMessage(name, request, priority, tokens, parts))
+        self.notify(endpoint, SentMessage(name, request, priority, tokens, parts))
 
     def on_read(self, endpoint: Endpoint, request: str) -> None:
         """Report that a call's first token has arrived."""
-        self._notify(endpoint, ReadMessage(boot_name(endpoint), request))
+        self.notify(endpoint, ReadMessage(boot_name(endpoint), request))
 
     def on_ended(self, endpoint: Endpoint, request: str) -> None:
         """Report that a call has ended."""
-        self._notify(endpoint, EndedMessage(boot_name(endpoint), request))
+        self.notify(endpoint, EndedMessage(boot_name(endpoint), request))
 
     def _log_change(self, boot: str, is_silent: bool) -> None:
         if is_silent == (boot in self.silent):
@@ -159,28 +192,31 @@
     def _send_probe(
         self,
         endpoint: Endpoint,
-        priority: int,
+        call_class: CallClass,
         parts: tuple[PromptPart, ...],
         permit_limit: PermitLimit | None,
     ) -> int | None:
-        keeper = self._keeper(endpoint)
+        keeper = self.keeper(endpoint)
         if keeper is None:
             return None
         number = next(self.numbers)
-        self.pending[number] = (endpoint, get_running_loop().create_future())
+        future: Future[QueueReport] = get_running_loop().create_future()
+        self.pending[number] = PendingProbe(endpoint, call_class, future)
         self.suspicions.on_asked(keeper.boot, self.clock())
         question = ProbeMessage(
-            number, boot_name(endpoint), priority, parts, permit_limit
+            number,
+            boot_name(endpoint),
+            call_class.priority,
+            parts,
+            permit_limit,
+            self.limit_of(endpoint),
+            call_class.team,
         )
         self.send(question, keeper.address)
         return number
 
-    def _notify(self, endpoint: Endpoint, message: QueueMessage) -> None:
-        keeper = self._keeper(endpoint)
-        if keeper is not None:
-            self.send(message, keeper.address)
-
-    def _keeper(self, endpoint: Endpoint) -> Announcement | None:
+    def keeper(self, endpoint: Endpoint) -> Announcement | None:
+        """Return the process that keeps an endpoint's queue, if any is known."""
         versions = (self.gateways.version, self.entries.version)
         if versions != self.versions:
             self.versions = versions
--- a/libs/relay/src/clementinebend_relay/receiving.py
+++ b/libs/relay/src/clementinebend_relay/receiving.py
@@ -11,8 +11,11 @@
     FatalityMessage,
     FenceMessage,
     LeavingMessage,
+    LimitMessage,
     Message,
     OpenMessage,
+    PermitMessage,
+    PermitRequestMessage,
     ProbeMessage,
     ReadMessage,
     ReportMessage,
@@ -21,6 +24,7 @@
     TransferMessage,
 )
 from clementinebend_relay.peers import Peers
+from clementinebend_relay.permit_requests import PermitRequests
 from clementinebend_relay.quarantine_sync import QuarantineSync
 from clementinebend_relay.queue_keeper import QueueKeeper
 from clementinebend_relay.queue_probes import QueueProbes
@@ -28,6 +32,9 @@
 from clementinebend_relay.witnesses import Witnesses
 from clementinebend_transport.client_connection import Address
 
+ZoneMessage = EvacuationMessage | EvacuationRequestMessage
+EndpointMessage = FatalityMessage | EndpointLeavingMessage
+
 
 def receive(
     message: Message,
@@ -40,6 +47,7 @@
     sync: QuarantineSync,
     leaving: LeavingNotifier,
     evacuations: Evacuations,
+    permits: PermitRequests,
 ) -> None:
     """Pass a message from ``sender`` to the part of the entry that handles it."""
     match message:
@@ -61,29 +69,40 @@
             probes.on_report(message)
         case ProbeMessage() | SentMessage() | ReadMessage() | EndedMessage():
             queues.on_message(message, sender)
-        case EvacuationMessage() | EvacuationRequestMessage():
-            _receive_evacuation_message(message, evacuations)
+        case PermitRequestMessage() | PermitMessage() | LimitMessage():
+            _receive_limit_message(message, sender, queues, permits)
         case _:
-            _receive_endpoint_message(message, sync, leaving)
+            _receive_zone_or_endpoint_message(message, sync, leaving, evacuations)
 
 
-def _receive_evacuation_message(
-    message: EvacuationMessage | EvacuationRequestMessage, evacuations: Evacuations
+def _receive_limit_message(
+    message: PermitRequestMessage | PermitMessage | LimitMessage,
+    sender: Address,
+    queues: QueueKeeper,
+    permits: PermitRequests,
 ) -> None:
-    """Pass on a status of a zone, or a request for such statuses."""
-    if isinstance(message, EvacuationMessage):
-        evacuations.on_message(message)
-    else:
-        evacuations.on_request(message)
+    """Pass on a message about permits or request limits."""
+    if isinstance(message, PermitMessage):
+        permits.on_permit(message)
+        return
+    queues.on_message(message, sender)
+    if isinstance(message, LimitMessage):
+        permits.limits.on_message(message)
 
 
-def _receive_endpoint_message(
-    message: FatalityMessage | EndpointLeavingMessage,
+def _receive_zone_or_endpoint_message(
+    message: ZoneMessage | EndpointMessage,
     sync: QuarantineSync,
     leaving: LeavingNotifier,
+    evacuations: Evacuations,
 ) -> None:
-    """Pass on a message about endpoints or about requests that end them."""
-    if isinstance(message, EndpointLeavingMessage):
-        leaving.on_message(message)
-    else:
-        sync.on_message(message)
+    """Pass on a message about zones, endpoints or requests that end endpoints."""
+    match message:
+        case EvacuationMessage():
+            evacuations.on_message(message)
+        case EvacuationRequestMessage():
+            evacuations.on_request(message)
+        case EndpointLeavingMessage():
+            leaving.on_message(message)
+        case _:
+            sync.on_message(message)
--- a/libs/relay/src/clementinebend_relay/survey.py
+++ b/libs/relay/src/clementinebend_relay/survey.py
@@ -1,11 +1,13 @@
 """Selects the endpoint for a call by the queues of a few candidate endpoints."""
 
 from collections.abc import Callable, Collection, Mapping
+from itertools import count
 from random import random, sample
 from typing import NamedTuple
 
 from clementinebend_membership.rendezvous import rendezvous
 from clementinebend_relay.admission import Admitted
+from clementinebend_relay.endpoint_limits import EndpointLimits
 from clementinebend_relay.endpoint_state import EndpointState
 from clementinebend_relay.endpoints import EndpointTable
 from clementinebend_relay.metrics import full_surveys
@@ -88,13 +90,15 @@
 
     ``at`` is when it was made. ``seconds_ahead`` is how long the endpoint takes to read
     the prompts ahead of the call's, if known. ``is_rate_limited`` is set if endpoints
-    were queried and none of them accepts another call in this second.
+    were queried and none of them accepts another call in this second. ``limit_wait`` is
+    set if all endpoints are in need: the seconds until the first one may take the call.
     """
 
     at: float
     placement: Placement | None
     seconds_ahead: float | None
     is_rate_limited: bool = False
+    limit_wait: float | None = None
 
 
 class Surveyor:
@@ -106,6 +110,7 @@
         endpoints: EndpointTable,
         sessions: SessionTracker,
         probes: QueueProbes,
+        limits: EndpointLimits,
         entry_count: Callable[[], int],
         is_suspected: Callable[[str], bool],
         clock: Callable[[], float],
@@ -115,6 +120,7 @@
         self.cold_endpoints = endpoints.cold_endpoints
         self.sessions = sessions
         self.probes = probes
+        self.limits = limits
         self.entry_count = entry_count
         self.is_suspected = is_suspected
         self.clock = clock
@@ -133,16 +139,43 @@
         return None if state is None else self.cold_endpoints.permit_limit(state)
 
     async def survey(self, admitted: Admitted, tried: Collection[str]) -> Survey:
-        """Query the queues of some eligible endpoints and choose one of them."""
+        """Query the queues of some eligible endpoints and choose one of them.
+
+        Endpoints that were found at their request limit are passed over, and further
+        ones are queried in their place, more of them each time.
+        """
+        call_class = admitted.call_class
         eligible = self._eligible(admitted, tried)
-        queried = self._shortlist(admitted, eligible)
+        if self.is_suspected(admitted.fingerprint):
+            eligible = self._assigned(admitted, eligible)
+        for round_number in count():
+            free = self.limits.free(eligible, call_class)
+            if eligible and not free:
+                break
+            survey = await self._query(admitted, free, OTHERS_PROBED << round_number)
+            if survey is not None:
+                return survey
+        waits = (self.limits.wait(each, call_class) for each in eligible)
+        return Survey(self.clock(), None, None, limit_wait=min(waits))
+
+    async def _query(
+        self, admitted: Admitted, free: list[EndpointState], others: int
+    ) -> Survey | None:
+        """Query some endpoints; return None if all are at their request limit."""
+        queried = self._shortlist(admitted, free, others)
         reports = await self.probes.ask(
             (state.endpoint for state in queried),
             admitted.priority,
             admitted.call.parts,
             self._permit_limit,
+            admitted.team.name,
         )
-        offered = [self._make_offer(admitted, state, reports) for state in queried]
+        offered = [
+            self._make_offer(admitted, state, reports)
+            for state in self.limits.free(queried, admitted.call_class)
+        ]
+        if queried and not offered:
+            return None
         offers = [
             offer
             for offer in offered
@@ -169,23 +202,33 @@
         ]
         return [state for state in open_to if not state.is_doubted(now)] or open_to
 
-    def _shortlist(
+    def _with_known_queue(
+        self, eligible: list[EndpointState]
+    ) -> dict[str, EndpointState]:
+        """Return the endpoints whose queue keeper is not silent, or all, by name."""
+        known = [state for state in eligible if self.probes.is_known(state.endpoint)]
+        return {state.endpoint.name: state for state in known or eligible}
+
+    def _assigned(
         self, admitted: Admitted, eligible: list[EndpointState]
+    ) -> list[EndpointState]:
+        """Return the one endpoint to which all entries send a suspected request.
+
+        If an endpoint ends, this shows which of the suspected requests is the cause,
+        and few endpoints are lost.
+        """
+        by_name = self._with_known_queue(eligible)
+        names = rendezvous(admitted.fingerprint, by_name, 1)
+        return [by_name[name] for name in names]
+
+    def _shortlist(
+        self, admitted: Admitted, eligible: list[EndpointState], max_others: int
     ) -> list[EndpointState]:
         """Return the endpoints to query: the session's first, then random ones.
 
         A call without a prompt has no session; endpoints in this zone come first then.
         """
-        with_known_queue = [
-            state for state in eligible if self.probes.is_known(state.endpoint)
-        ]
-        by_name = {state.endpoint.name: state for state in with_known_queue or eligible}
-        if self.is_suspected(admitted.fingerprint):
-            # All entries send a suspected request to one endpoint, chosen by its
-            # fingerprint. If an endpoint ends, this shows which of the suspected
-            # requests is the cause, and few endpoints are lost.
-            assigned = rendezvous(admitted.fingerprint, by_name, 1)
-            return [by_name[name] for name in assigned]
+        by_name = self._with_known_queue(eligible)
         if admitted.call.parts:
             session = self.sessions.session_of(admitted.call.parts)
             first = list(rendezvous(session, by_name, SESSION_PROBED))
@@ -195,7 +238,7 @@
             ]
             first = sample(in_own_zone, min(SESSION_PROBED, len(in_own_zone)))
         rest = [name for name in by_name if name not in first]
-        others = sample(rest, min(OTHERS_PROBED, len(rest)))
+        others = sample(rest, min(max_others, len(rest)))
         return [by_name[name] for name in (*first, *others)]
 
     def _make_offer(
--- a/tests/unit/relay/cold_world.py
+++ b/tests/unit/relay/cold_world.py
@@ -8,6 +8,7 @@
 from clementinebend_platform.records import PlatformRecords
 from clementinebend_relay.cold_endpoints import ColdEndpoints
 from clementinebend_relay.discovery import Announcement, Directory
+from clementinebend_relay.endpoint_limits import EndpointLimits
 from clementinebend_relay.endpoint_state import EndpointState
 from clementinebend_relay.endpoints import EndpointTable
 from clementinebend_relay.messages import Message, QueueMessage, ReportMessage
@@ -143,6 +144,14 @@
             self.table,
             SessionTracker(),
             self.probes,
+            EndpointLimits(
+                f"entry-{number}#1",
+                self.table.states,
+                world.directory,
+                lambda message, addresses: None,
+                self.probes.notify,
+                clock,
+            ),
             lambda: len(world.entries),
             lambda fingerprint: False,
             clock,
--- a/tests/unit/relay/limit_world.py
+++ b/tests/unit/relay/limit_world.py
@@ -187,7 +187,7 @@
         self.clock = get_running_loop().time
         self.loss = 0.0
         self.datagrams = 0
-        self.cut: set[Address] = set()
+        self.cut_links: set[tuple[Address, Address]] = set()
         self.receivers: dict[Address, Any] = {}
         self.gateways: dict[str, Announcement] = {}
         self.teams = [f"team-{each}" for each in range(teams)]
@@ -211,7 +211,9 @@
     def deliver(self, message: Message, sender: Address, to: Address) -> None:
         """Deliver a datagram later, unless it is lost or cut off."""
         self.datagrams += 1
-        if {sender, to} & self.cut or self.random.random() < self.loss:
+        if {(sender, to), (to, sender)} & self.cut_links:
+            return
+        if self.random.random() < self.loss:
             return
         get_running_loop().call_later(self.delay(), self._receive, message, sender, to)
 
--- a/tests/unit/relay/test_attempts.py
+++ b/tests/unit/relay/test_attempts.py
@@ -40,6 +40,9 @@
     def is_usable(self, survey: Survey) -> bool:
         return True
 
+    async def has_permit(self, admitted: Admitted, state: Any) -> bool:
+        return True
+
     @contextmanager
     def in_flight(self, admitted: Admitted, placement: Placement) -> Iterator[None]:
         yield
