Count calls to more cold endpoints than queues in one process

Where it keeps more, an endpoint's count began anew, and calls went there without a permit for a second. A count is small, so its own bound is 10,000. The test failed before (permits not granted or refused but unknown), and passes.

--- a/libs/relay/src/clementinebend_relay/queue_keeper.py
+++ b/libs/relay/src/clementinebend_relay/queue_keeper.py
@@ -29,6 +29,10 @@
 A host runs a few endpoints, and each ended boot leaves one queue behind.
 """
 
+MAX_COUNTED = 10_000
+"""Maximum number of endpoints whose recent calls one process counts, about 10 MB. An
+evicted count would let calls through to a cold endpoint for a second."""
+
 Item = TypeVar("Item")
 
 
@@ -99,22 +103,22 @@
         self.send(answer, sender)
 
     def _queue_of(self, endpoint: str) -> EndpointQueue:
-        return _get_or_create(self.queues, endpoint, EndpointQueue)
+        return _get_or_create(self.queues, endpoint, EndpointQueue, MAX_QUEUES)
 
     def _recent_calls_of(self, endpoint: str) -> RecentCalls:
         name = endpoint_name(endpoint)
         return _get_or_create(
-            self.recent_calls, name, lambda: RecentCalls(self.clock())
+            self.recent_calls, name, lambda: RecentCalls(self.clock()), MAX_COUNTED
         )
 
 
 def _get_or_create(
-    items: OrderedDict[str, Item], name: str, create: Callable[[], Item]
+    items: OrderedDict[str, Item], name: str, create: Callable[[], Item], most: int
 ) -> Item:
-    """Return the item of a name; evict the least recently used one above the limit."""
+    """Return the item of a name; evict the least recently used one above ``most``."""
     if name not in items:
         items[name] = create()
     items.move_to_end(name)
-    if len(items) > MAX_QUEUES:
+    if len(items) > most:
         items.popitem(last=False)
     return items[name]
--- a/tests/unit/relay/test_queue_probes.py
+++ b/tests/unit/relay/test_queue_probes.py
@@ -16,6 +16,7 @@
     SUSPECTED_RETRY_SECONDS,
     QueueProbes,
 )
+from clementinebend_routing.cold_start import WINDOW_SECONDS, PermitLimit
 from clementinebend_routing.sessions import PromptPart
 from clementinebend_transport.client_connection import Address
 
@@ -189,3 +190,27 @@
         assert len(fleet.keepers[fleet.host(0)].queues) == MAX_QUEUES
 
     run_virtually(main())
+
+
+def test_counts_of_more_cold_endpoints_than_queues_are_kept() -> None:
+    """Guards against a count that is evicted and lets calls through for a second."""
+
+    async def main() -> None:
+        fleet = FakeFleet(1)
+        limit = PermitLimit(1, 1)
+        detached = [
+            endpoint(0)._replace(name=f"e{number}") for number in range(4 * MAX_QUEUES)
+        ]
+
+        async def permits() -> list[bool | None]:
+            reports = [
+                await fleet.probes.ask([each], 1, (), lambda _: limit)
+                for each in detached
+            ]
+            return [each.has_permit for report in reports for each in report.values()]
+
+        await permits()
+        await sleep(WINDOW_SECONDS)
+        assert await permits() == [True] * len(detached)
+
+    run_virtually(main())
