Let the soak draw endpoints that name request limits

Beside kills, cuts and evacuations, one engine after the other names a limit of 0, 0.4, 1.8 or a million a second for 3.5 to 7 s; what reaches it is held against the users' rule, summed over all entries. Spans in which an engine's link was cut are left out, as requests that were held up arrive together.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -15,6 +15,7 @@
 from tests.lib.platform_fleet import ROUTES, TEAM, Entry, Fleet, route
 from tests.lib.waiting import until
 from tests.soak.crashes import Crashes
+from tests.soak.limits import Limits
 from tests.soak.promises import Seen, broken_promises
 from tests.soak.proxy import MODES, FaultProxy
 
@@ -61,6 +62,7 @@
         self.has_stopped = False
         self.restarting: set[int] = set()
         self.done: list[str] = []
+        self.engine_cuts: list[tuple[float, float]] = []
         self.crashes: Crashes | None = None
 
     async def run(self) -> list[str]:
@@ -71,12 +73,15 @@
             crashes = self.crashes = Crashes(self.seed, self.fleet, self.calls)
             crashing = crashes.run(ENTRIES, lambda: self.has_stopped)
             clients.append(create_task(crashing))
+            limits = Limits(self.seed, self.fleet)
+            clients.append(create_task(limits.run(lambda: self.has_stopped)))
             await self._disturb()
             await self._heal()
             self.has_stopped = True
             await gather(*clients)
             problems = broken_promises(self.calls, self.fleet.engines, self.prepaid)
             problems += self._ended() + await self._unserved()
+            problems += limits.problems(self.engine_cuts)
             problems += await self._calls_to_evacuated_zones()
             return problems + await crashes.problems(ENTRIES)
         finally:
@@ -170,7 +175,9 @@
 
     async def _cut_engine(self) -> None:
         proxy = self.random.choice(self.engine_proxies)
+        began = get_running_loop().time()
         await self._cut(proxy, "engine")
+        self.engine_cuts.append((began, get_running_loop().time()))
 
     async def _cut(self, proxy: FaultProxy, name: str) -> None:
         mode = self.random.choice(MODES[1:])
