Let a full endpoint look busy to entries of an older build

Cause, found in a trial of both builds beside one another: entries of an older build ask for no permits, so that one old entry of three sent 17 requests in 4 s to an endpoint that takes 0.4 a second (7.4 allowed). They do ask about its queue; the report of an endpoint at its limit now shows a long one, and they choose others. Unit test fails before.

--- a/libs/relay/src/clementinebend_relay/queue_keeper.py
+++ b/libs/relay/src/clementinebend_relay/queue_keeper.py
@@ -33,6 +33,10 @@
 """Maximum number of endpoints whose recent calls one process counts, about 10 MB. An
 evicted count would let calls through to a cold endpoint for a second."""
 
+FULL_CALLS, FULL_TOKENS = 10_000, 10_000_000
+"""Calls and tokens added to the queue that is reported of an endpoint at its request
+limit: entries of an older build don't read the limit, and choose by the queue."""
+
 Item = TypeVar("Item")
 
 
@@ -81,6 +85,10 @@
             self.limits.on_limit(message.endpoint, message.limit, str(sender))
         call_class = CallClass(message.priority, message.team)
         limit = self.limits.report(message.endpoint, call_class)
+        if limit is not None and limit.wait:
+            report = report._replace(
+                running=report.running + FULL_CALLS, ahead=report.ahead + FULL_TOKENS
+            )
         self.send(ReportMessage(self.boot, message.number, report, limit), sender)
 
     def _on_sent(self, message: SentMessage) -> None:
--- a/tests/unit/relay/test_queue_probes.py
+++ b/tests/unit/relay/test_queue_probes.py
@@ -9,7 +9,7 @@
 from clementinebend_membership.suspicion import MAX_UNANSWERED
 from clementinebend_relay.discovery import Announcement, Directory
 from clementinebend_relay.messages import Message, QueueMessage, ReportMessage
-from clementinebend_relay.models import Endpoint
+from clementinebend_relay.models import Endpoint, boot_name
 from clementinebend_relay.queue_keeper import MAX_QUEUES, QueueKeeper
 from clementinebend_relay.queue_probes import (
     PROBE_TIMEOUT,
@@ -17,6 +17,7 @@
     QueueProbes,
 )
 from clementinebend_routing.cold_start import WINDOW_SECONDS, PermitLimit
+from clementinebend_routing.request_limits import RequestLimit
 from clementinebend_routing.sessions import PromptPart
 from clementinebend_transport.client_connection import Address
 
@@ -214,3 +215,17 @@
         assert await permits() == [True] * len(detached)
 
     run_virtually(main())
+
+
+def test_an_endpoint_at_its_request_limit_looks_busy() -> None:
+    """Entries of an older build choose by the queue, as they don't read the limit."""
+
+    async def main() -> None:
+        fleet = FakeFleet(2)
+        keeper = fleet.keepers[fleet.host(0)]
+        keeper.limits.on_limit(boot_name(endpoint(0)), RequestLimit(1, 0.4), "entry")
+        reports = await fleet.probes.ask([endpoint(0), endpoint(1)], 1, PARTS)
+        assert reports["e0"].running > reports["e1"].running
+        assert reports["e0"].ahead > reports["e1"].ahead
+
+    run_virtually(main())
