--- a/libs/relay/src/clementinebend_relay/budgets.py
+++ b/libs/relay/src/clementinebend_relay/budgets.py
@@ -16,6 +16,7 @@
 from clementinebend_ledger.quota_sizing import borrow_target, unwitnessed_target
 from clementinebend_platform_client.keyed_log import KeyedLog
 from clementinebend_relay.budget_peers import BudgetPeers, NoPeers
+from clementinebend_relay.home_reports import HomeReports, RemainingReport
 from clementinebend_relay.messages import RemainingBudget
 from clementinebend_relay.models import Configuration, Team
 from clementinebend_relay.quota_manager import QuotaManager
@@ -40,9 +41,6 @@
 """Maximum seconds that a call waits for its budget: two answers of a slow store. A
 refused caller would take about as long to retry."""
 
-ANSWER_TIME_REPORT_SECONDS = 2.0
-"""Seconds for which a store answer time reported by a home remains valid."""
-
 LOW_FRACTION = 0.5
 """Fraction of the unwitnessed target below which a home raises its quota early. The
 remainder lasts for the duration of the append."""
@@ -65,20 +63,6 @@
 """Separates the boot of an entry from the partition in a holder's name."""
 
 
-class RemainingReport(NamedTuple):
-    """The remaining budget that the home reported, and when the report arrived."""
-
-    at: float
-    remaining: RemainingBudget
-
-
-class AnswerTimeReport(NamedTuple):
-    """A store answer time reported by a home, and when the report arrived."""
-
-    answer_seconds: float
-    at: float
-
-
 class Reservation(NamedTuple):
     """Tokens reserved for one call."""
 
@@ -115,8 +99,7 @@
         self.budget_peers: BudgetPeers = NoPeers()
         self.is_store_lost: Callable[[], bool] = lambda: False
         self.request_pacing: dict[str, RequestPacing] = defaultdict(RequestPacing)
-        self.reported: dict[str, RemainingReport] = {}
-        self.answer_time_report = AnswerTimeReport(0.0, clock())
+        self.home_reports = HomeReports(clock)
         self.remaining_cache: dict[str, RemainingReport] = {}
         self.managers = tuple(
             QuotaManager(self._view(holder_name(boot, part), part, witnesses), log)
@@ -131,7 +114,7 @@
 
     def configure(self, configuration: Configuration) -> None:
         """Apply the budgets of a configuration."""
-        self.reported.clear()
+        self.home_reports.forget_remaining()
         self.remaining_cache.clear()
         for manager in self.managers:
             manager.configure(
@@ -169,7 +152,7 @@
             manager for manager in self.managers if not manager.is_unavailable()
         )
         slowest = max((manager.answer_seconds for manager in answering), default=0.0)
-        slowest = max(slowest, self._home_answer_seconds())
+        slowest = max(slowest, self.home_reports.answer_seconds())
         return min(MAX_BUDGET_WAIT, max(BUDGET_WAIT, STORE_ANSWERS_AWAITED * slowest))
 
     def answer_seconds(self, team: str) -> float:
@@ -178,14 +161,7 @@
 
     def on_home_answer_seconds(self, seconds: float) -> None:
         """Record a home's store answer time, unless a longer one is still valid."""
-        seconds = min(MAX_BUDGET_WAIT, seconds)
-        if seconds >= self._home_answer_seconds():
-            self.answer_time_report = AnswerTimeReport(seconds, self.clock())
-
-    def _home_answer_seconds(self) -> float:
-        report = self.answer_time_report
-        is_recent = self.clock() - report.at < ANSWER_TIME_REPORT_SECONDS
-        return report.answer_seconds if is_recent else 0.0
+        self.home_reports.on_answer_seconds(min(MAX_BUDGET_WAIT, seconds))
 
     def is_log_unavailable(self) -> bool:
         """Return whether some partition of the log is currently unavailable.
@@ -247,7 +223,7 @@
 
     def _shortfall(self, manager: QuotaManager, team: str, amount: int) -> Shortfall:
         """Return why ``amount`` cannot be reserved, going by the home's last report."""
-        reported = self.reported.get(team)
+        reported = self.home_reports.remaining.get(team)
         if reported is None or self.is_home_of(team):
             return manager.shortfall(team, amount)
         age = self.clock() - reported.at
@@ -417,7 +393,7 @@
 
     def on_remaining(self, team: str, remaining: RemainingBudget) -> None:
         """Record the remaining budget that the home reported."""
-        self.reported[team] = RemainingReport(self.clock(), remaining)
+        self.home_reports.on_remaining(team, remaining)
 
     def remaining(self, team: str) -> RemainingBudget | None:
         """Return the remaining budget, or None if the store was not read recently.
--- a/libs/relay/src/clementinebend_relay/endpoint_limits.py
+++ b/libs/relay/src/clementinebend_relay/endpoint_limits.py
@@ -6,11 +6,11 @@
 """
 
 from collections.abc import Callable, Iterable
-from random import sample
 
 from clementinebend_relay.decisions import log_decision
 from clementinebend_relay.discovery import Directory
 from clementinebend_relay.endpoint_state import EndpointState
+from clementinebend_relay.gossip import gossip_receivers
 from clementinebend_relay.interfaces import InvalidRate
 from clementinebend_relay.messages import LimitMessage, LimitReport, Message
 from clementinebend_relay.metrics import invalid_limits, limited_endpoints
@@ -30,10 +30,6 @@
 """Seconds for which calls ask for permits after a report that they are still needed,
 though the limit has ended."""
 
-RING_FANOUT, RANDOM_FANOUT = 2, 2
-"""Other entries that are told of a limit: the next ones on the ring, and some others at
-random. Each of them tells as many, so that the cost does not grow with the fleet."""
-
 NOTICE_INTERVAL = 1.0
 """Minimum seconds between two notices about one endpoint from this entry."""
 
@@ -231,10 +227,8 @@
             return
         known.noticed_at = now
         others = self.directory.ring_successors(self.boot)
-        next_ones, rest = others[:RING_FANOUT], others[RING_FANOUT:]
-        receivers = [*next_ones, *sample(rest, min(RANDOM_FANOUT, len(rest)))]
         message = LimitMessage(self.boot, boot_name(state.endpoint), state.limit)
-        self.send_all(message, receivers)
+        self.send_all(message, gossip_receivers(others))
 
 
 def _change(before: RequestLimit, limit: RequestLimit) -> str:
--- a/libs/relay/src/clementinebend_relay/evacuations.py
+++ b/libs/relay/src/clementinebend_relay/evacuations.py
@@ -12,12 +12,12 @@
 from asyncio import get_running_loop, sleep
 from collections.abc import Callable, Iterable
 from heapq import nlargest
-from random import sample
 from typing import NamedTuple
 
 from clementinebend_platform_client.keyed_log import KeyedRecord
 from clementinebend_relay.decisions import log_decision
 from clementinebend_relay.discovery import Directory
+from clementinebend_relay.gossip import gossip_receivers
 from clementinebend_relay.interfaces import RecordDecoder
 from clementinebend_relay.messages import (
     EvacuationMessage,
@@ -27,14 +27,6 @@
 from clementinebend_relay.metrics import evacuated_zones
 from clementinebend_transport.client_connection import Address
 
-RING_FANOUT = 2
-"""Next entries on the ring to which each entry forwards a change: two, so that one dead
-entry does not end the chain."""
-
-RANDOM_FANOUT = 2
-"""Other entries, chosen at random, to which each entry forwards a change: it spreads
-through the fleet in a few rounds, and datagrams per entry do not grow with its size."""
-
 REPEAT_DELAYS = (0.0, 1.0)
 """Delays in seconds after which a change is sent; twice, as datagrams may be lost. Each
 time goes to the following entries on the ring."""
@@ -170,12 +162,5 @@
     def _send_status(self, zone: str, repetition: int) -> None:
         """Send the newest status of a zone to some other entries."""
         message = EvacuationMessage(self.boot, zone, *self.statuses[zone])
-        self.send_all(message, self._receivers(repetition))
-
-    def _receivers(self, repetition: int) -> list[Address]:
-        """Return entries on the ring, further ones at each repetition, and others."""
         others = self.directory.ring_successors(self.boot)
-        start = repetition * RING_FANOUT
-        next_ones = others[start : start + RING_FANOUT]
-        rest = others[:start] + others[start + RING_FANOUT :]
-        return [*next_ones, *sample(rest, min(RANDOM_FANOUT, len(rest)))]
+        self.send_all(message, gossip_receivers(others, repetition))
