--- a/tests/soak/limits.py
+++ b/tests/soak/limits.py
@@ -14,6 +14,9 @@
 from tests.lib.platform_fleet import Fleet
 
 RATES = (0.0, 0.4, 1.8, 1_000_000.0)
+ALL_SHARE = 0.25
+"""Share of the spans in which all engines of a service are in need."""
+
 SHORTEST, LONGEST = 3.5, 7.0
 MAX_PAUSE = 2.0
 
@@ -28,7 +31,7 @@
 
 
 class Limits:
-    """Lets one engine after the other name a limit for a while."""
+    """Lets one engine, or all of a service, name a limit for a while, in turn."""
 
     def __init__(self, seed: int, fleet: Fleet) -> None:
         self.random = Random(f"limits {seed}")
@@ -39,14 +42,22 @@
     async def run(self, has_stopped: Callable[[], bool]) -> None:
         """Let engines name limits until the load ends."""
         while not has_stopped():
-            engine = self.random.choice(self.fleet.engines)
+            engines = self._choose()
             rate, began = self.random.choice(RATES), self.clock()
-            engine.server_limit = str(rate)
+            for engine in engines:
+                engine.server_limit = str(rate)
             await sleep(self.random.uniform(SHORTEST, LONGEST))
-            engine.server_limit = None
-            self.spans.append(LimitedSpan(engine, rate, began, self.clock()))
+            for engine in engines:
+                engine.server_limit = None
+                self.spans.append(LimitedSpan(engine, rate, began, self.clock()))
             await sleep(self.random.uniform(0.0, MAX_PAUSE))
 
+    def _choose(self) -> list[EngineStandin]:
+        engine = self.random.choice(self.fleet.engines)
+        if self.random.random() >= ALL_SHARE:
+            return [engine]
+        return self.fleet.engines_of(engine.service)
+
     def problems(self, cuts: list[tuple[float, float]]) -> list[str]:
         """Return the engines that got more than their limit allows.
 
