--- a/tests/functional/test_crashing_request.py
+++ b/tests/functional/test_crashing_request.py
@@ -1,7 +1,7 @@
 """Requests that end the endpoints that run them, and those that only seem to."""
 
 from asyncio import Task, create_task, gather
-from itertools import chain
+from itertools import chain, count
 from typing import Any
 
 import pytest
@@ -14,6 +14,7 @@
     send,
     served,
 )
+from tests.lib.platform_engine import EngineStandin
 from tests.lib.platform_fleet import Fleet
 from tests.lib.waiting import ticks, until
 
@@ -26,6 +27,10 @@
 SLOW_PAUSE = 0.1
 POPULAR_CALLS = 150
 CALLS_BETWEEN_KILLS = 25
+FIRST_OF_SLOW_SESSION = 177
+"""Number of the first engine with which three engines of the first start are next to
+each other in the session's order; an engine that came back answers faster."""
+
 LONG_PAUSE = 0.45
 """Seconds between the events of a long stream, which takes 3.6 s."""
 
@@ -158,6 +163,16 @@
     await engines.stop()
 
 
+async def test_a_popular_long_stream_is_served_on_though_no_run_of_it_ends_early(
+    fleet: Fleet,
+) -> None:
+    """Its session goes on at engines as slow as before, by their names."""
+    EngineStandin.numbers = count(FIRST_OF_SLOW_SESSION)
+    await test_a_popular_long_stream_is_served_on_while_endpoints_are_killed_in_turn(
+        fleet
+    )
+
+
 async def quarantined(fleet: Fleet) -> CrashingEngines:
     """Let engines end under a request until the store tells that it is kept back."""
     engines = CrashingEngines(fleet, "pool", "head")
