Take a permit for each request, also of calls that share an id

Now each request takes a token, and a reported call uses one up. The new unit test fails before; the one on repeated reports of a call is replaced by a stricter one, as a repeated report is charged now.

--- a/libs/routing/src/clementinebend_routing/request_permits.py
+++ b/libs/routing/src/clementinebend_routing/request_permits.py
@@ -1,4 +1,4 @@
-"""Permits for requests to an endpoint that names a request limit. Pure functions.
+"""Permits for requests to an endpoint that names a request limit. No I/O.
 
 One process grants the permits of an endpoint for all entries, from a token bucket that
 fills at the limit. A token is taken when a permit is granted, so that a lost permit
@@ -21,8 +21,8 @@
 its need has ended."""
 
 MIN_DEPTH, MAX_DEPTH = 2.0, 4.0
-"""Bounds of the number of permits that a bucket holds. The bound on requests in a
-window has room for more than ``MAX_DEPTH`` unless the limit is below 1 per second."""
+"""Bounds of the number of permits that a bucket holds: the bound on requests leaves
+little room below a limit of 1 per second."""
 
 BACKUP_SHARE = 0.25
 """Share of the limit that a backup grants: the process that it stands in for may still
@@ -44,8 +44,8 @@
 TEAM_TIME_CONSTANT = 10.0
 """Time constant in seconds with which the permits that teams got are forgotten."""
 
-GRANTED_SECONDS = 5.0
-"""How long a granted permit is remembered, to recognise the call that it was for."""
+UNUSED_SECONDS = 5.0
+"""How long a permit is remembered whose call has not been reported as sent."""
 
 LESS_URGENT_LEVEL, FULL_SHARE_LEVEL, ORDER_LEVEL = 1 / 2, 1 / 3, 1 / 6
 """Share of the bucket beyond the first permit that must be full for a call that is less
@@ -193,7 +193,8 @@
 class EndpointPermits:
     """The permits of one boot of an endpoint, granted by one process.
 
-    The limit only ever becomes known later or stricter (``change``).
+    ``unused`` are the requests with a permit that were not reported as sent yet, with
+    the time of the permit.
     """
 
     def __init__(self, now: float) -> None:
@@ -203,7 +204,7 @@
         self.primary = PermitBucket(1.0, MAX_DEPTH, now)
         self.backup = PermitBucket(BACKUP_SHARE, BACKUP_DEPTH, now)
         self.demand = PermitDemand()
-        self.granted: OrderedDict[str, float] = OrderedDict()
+        self.unused: OrderedDict[str, float] = OrderedDict()
 
     def change(self, limit: RequestLimit, now: float) -> None:
         """Apply another limit, or its end."""
@@ -233,10 +234,10 @@
     ) -> PermitAnswer:
         """Grant a permit for a call if the limit allows it now.
 
-        A request that is repeated gets the permit that it was granted before.
+        A repeated message takes another permit: callers may reuse a request's ID.
         """
         self.used_at = now
-        if not self.is_limiting(now) or request in self.granted:
+        if not self.is_limiting(now):
             return PermitAnswer(True, 0.0)
         self.demand.on_asked(call_class, now)
         bucket = self.backup if is_backup else self.primary
@@ -250,14 +251,12 @@
 
     def on_sent(self, request: str, now: float) -> None:
         """Record a call that was sent; charge for it if it had no permit."""
-        if self.is_limiting(now) and request not in self.granted:
+        has_permit = self.unused.pop(request, None) is not None
+        if self.is_limiting(now) and not has_permit:
             self.primary.charge(now)
-            self._remember(request, now)
 
     def _remember(self, request: str, now: float) -> None:
-        self.granted[request] = now
-        while self.granted:
-            oldest = next(iter(self.granted))
-            if now - self.granted[oldest] < GRANTED_SECONDS:
-                break
-            del self.granted[oldest]
+        self.unused[request] = now
+        self.unused.move_to_end(request)
+        while now - next(iter(self.unused.values())) > UNUSED_SECONDS:
+            self.unused.popitem(last=False)
--- a/tests/unit/routing/test_request_permits.py
+++ b/tests/unit/routing/test_request_permits.py
@@ -124,14 +124,22 @@
     assert permits.wait(CALLS, 1.0) == pytest.approx(1.0)
 
 
-def test_calls_with_a_permit_are_charged_once() -> None:
+def test_a_call_with_a_permit_is_charged_once() -> None:
     permits = limited(1.0)
     assert permits.request("r", CALLS, False, 1.0).is_granted
     permits.on_sent("r", 1.0)
-    permits.on_sent("r", 1.1)
     assert permits.wait(CALLS, 2.0) == 0.0
 
 
+def test_calls_that_share_an_id_need_a_permit_each() -> None:
+    permits = limited(1.0)
+    assert permits.request("r", CALLS, False, 1.0).is_granted
+    assert not permits.request("r", CALLS, False, 1.0).is_granted
+    permits.on_sent("r", 1.0)
+    permits.on_sent("r", 1.0)
+    assert permits.wait(CALLS, 1.0) == pytest.approx(2.0)
+
+
 def test_a_released_endpoint_gets_calls_in_growing_numbers() -> None:
     permits = limited(0.4)
     permits.change(RequestLimit(2, None), 10.0)
