Share the simulated entries between worlds in virtual time

Cause: a model of ending endpoints needs the same real entries, sockets and gateways as the one of request limits, and the end detector opened real sockets only. Change: tests/unit/relay/entry_world.py holds what both need; EndDetector takes the check of an address as an argument, by default the present one.

--- a/libs/relay/src/clementinebend_relay/end_detector.py
+++ b/libs/relay/src/clementinebend_relay/end_detector.py
@@ -6,7 +6,7 @@
 """
 
 from asyncio import Task, create_task, open_connection, sleep, timeout
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import AbstractContextManager, ExitStack
 from typing import NamedTuple
 
@@ -87,12 +87,26 @@
         ]
 
 
+async def is_refused(endpoint: Endpoint) -> bool:
+    """Return whether an endpoint's address refuses connections."""
+    try:
+        async with timeout(CONNECT_TIMEOUT):
+            _, writer = await open_connection(*endpoint.address)
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError) as error:
+        log_decision("endpoint end not proved", problem=str(error))
+        return False
+    writer.close()
+    return False
+
+
 class EndDetector:
     """Checks endpoints whose answers broke off.
 
     ``on_ended`` is called with the runs in progress when an endpoint ended. Until the
     first check of an endpoint, ``running`` keeps its broken runs counted as in
-    progress.
+    progress. ``is_refused`` returns whether an endpoint's address refuses connections.
     """
 
     def __init__(
@@ -100,10 +114,12 @@
         clock: Callable[[], float],
         running: Callable[[str], AbstractContextManager[None]],
         on_ended: Callable[[Endpoint, list[EndedRun]], None],
+        is_refused: Callable[[Endpoint], Awaitable[bool]] = is_refused,
     ) -> None:
         self.clock = clock
         self.running = running
         self.on_ended = on_ended
+        self.is_refused = is_refused
         self.broken: dict[str, BrokenAnswers] = {}
 
     def on_broken(self, state: EndpointState, fingerprint: str, sent_at: float) -> None:
@@ -153,7 +169,7 @@
             await sleep(pause)
             if broken.ended_at is not None or broken.is_discarded:
                 break
-            if await is_refused(broken.endpoint) and not broken.is_discarded:
+            if await self.is_refused(broken.endpoint) and not broken.is_discarded:
                 # Answers that broke off well before the end had another cause.
                 ended_at = broken.last_break_start()
                 self._end(broken, ended_at, "nobody listens at its address")
@@ -191,17 +207,3 @@
         ]
         for boot in old:
             del self.broken[boot]
-
-
-async def is_refused(endpoint: Endpoint) -> bool:
-    """Return whether an endpoint's address refuses connections."""
-    try:
-        async with timeout(CONNECT_TIMEOUT):
-            _, writer = await open_connection(*endpoint.address)
-    except ConnectionRefusedError:
-        return True
-    except (OSError, TimeoutError) as error:
-        log_decision("endpoint end not proved", problem=str(error))
-        return False
-    writer.close()
-    return False
--- a/tests/unit/relay/limit_world.py
+++ b/tests/unit/relay/limit_world.py
@@ -3,56 +3,26 @@
 The entries are the real ones; only sockets, the store and the endpoints are simulated.
 """
 
-from asyncio import Task, create_task, gather, get_running_loop, sleep
-from collections.abc import AsyncIterator, Iterable
-from logging import ERROR, getLogger
-from random import Random, seed
+from asyncio import Task, create_task, gather, sleep
+from collections.abc import AsyncIterator
 from typing import Any, NamedTuple
 
 from expression import Error, Ok, Result
 from h11 import Request as HttpRequest
 from msgspec.json import encode
 
-from clementinebend_admission.retry_window import RetryLimits
-from clementinebend_platform.http_protocol import PlatformProtocol
-from clementinebend_platform.records import PlatformRecords
-from clementinebend_platform_client.keyed_log import KeyedRecord, StoreFailure
-from clementinebend_platform_client.store_paths import StorePaths
-from clementinebend_relay.discovery import Announcement
-from clementinebend_relay.interfaces import Logs
-from clementinebend_relay.messages import Message, QueueMessage
-from clementinebend_relay.process import RelayProcess
-from clementinebend_relay.queue_keeper import QueueKeeper
-from clementinebend_relay.settings import RelaySettings
 from clementinebend_transport.client_connection import Address
 from clementinebend_transport.http_client import HttpFailure, OpenAnswer
-from clementinebend_transport.http_types import Request, Response
+from clementinebend_transport.http_types import Request
+from tests.unit.relay.entry_world import EntryWorld, retry_after_of
 
-STORE = Address("10.0.0.1", 80)
 HOST = "desk.example"
-MAX_DELAY = 0.003
 WORK_SECONDS = 0.1
 EVENTS = 4
 PRIORITIES = 2
 CALL_MS = 5_000
 
 
-class NoLog:
-    """A log of the store that nobody can reach."""
-
-    async def append(self, records: object, expected_end: int | None) -> StoreFailure:
-        """Fail, as nothing was done."""
-        return StoreFailure(False, "none")
-
-    async def read(self, offset: int, wait: float) -> StoreFailure:
-        """Fail, as nothing was read."""
-        return StoreFailure(False, "none")
-
-    async def newest(self, *arguments: object) -> StoreFailure:
-        """Fail, as nothing was read."""
-        return StoreFailure(False, "none")
-
-
 class LimitedEndpoint:
     """An endpoint that may name a limit in its answers, and what reached it."""
 
@@ -139,26 +109,6 @@
         """Do nothing: there are no connections."""
 
 
-class WorldSocket:
-    """The datagram socket of an entry or a keeper."""
-
-    def __init__(self, world: "LimitWorld", address: Address) -> None:
-        self.world = world
-        self.address = address
-
-    def send(self, message: Message, address: Address) -> None:
-        """Send a message, which may be lost."""
-        self.world.deliver(message, self.address, address)
-
-    def send_all(self, message: Message, addresses: Iterable[Address]) -> None:
-        """Send a message to several addresses."""
-        for address in addresses:
-            self.send(message, address)
-
-    def close(self) -> None:
-        """Do nothing."""
-
-
 class CallOutcome(NamedTuple):
     """What a caller got, and after how many seconds."""
 
@@ -170,7 +120,7 @@
     seconds: float
 
 
-class LimitWorld:
+class LimitWorld(EntryWorld):
     """Entries, gateways that keep queues, and endpoints of one service."""
 
     def __init__(
@@ -181,112 +131,31 @@
         teams: int = 1,
         gateways: bool = True,
     ) -> None:
-        getLogger("clementinebend_relay").setLevel(ERROR)
-        seed(number)
-        self.random = Random(number)
-        self.clock = get_running_loop().time
-        self.loss = 0.0
-        self.datagrams = 0
-        self.cut_links: set[tuple[Address, Address]] = set()
-        self.receivers: dict[Address, Any] = {}
-        self.gateways: dict[str, Announcement] = {}
+        super().__init__(entries, number)
         self.teams = [f"team-{each}" for each in range(teams)]
         self.endpoints = [
             LimitedEndpoint(self, f"i-{each}", Address(f"10.9.0.{each}", 80))
             for each in range(endpoints)
         ]
         self.by_address = {each.address: each for each in self.endpoints}
-        self.announcements = {
-            f"edge-{each}": Announcement(f"edge-{each}#1", "z", "10.1.0.1", each)
-            for each in range(entries)
-        }
         for each in range(endpoints if gateways else 0):
             self.start_keeper(each, 1)
-        self.entries = [self._start_entry(name) for name in self.announcements]
-
-    def delay(self) -> float:
-        """Return the delay of one packet in seconds."""
-        return self.random.uniform(0.0005, MAX_DELAY)
-
-    def deliver(self, message: Message, sender: Address, to: Address) -> None:
-        """Deliver a datagram later, unless it is lost or cut off."""
-        self.datagrams += 1
-        if {(sender, to), (to, sender)} & self.cut_links:
-            return
-        if self.random.random() < self.loss:
-            return
-        get_running_loop().call_later(self.delay(), self._receive, message, sender, to)
-
-    def _receive(self, message: Message, sender: Address, to: Address) -> None:
-        receiver = self.receivers.get(to)
-        if receiver is not None:
-            receiver(message, sender)
-
-    def start_keeper(self, number: int, boot: int) -> None:
-        """Start a boot of the gateway beside an endpoint, with an empty state."""
-        item = Announcement(f"side-{number}#{boot}", "z", f"10.9.0.{number}", 7)
-        socket = WorldSocket(self, item.address)
-        keeper = QueueKeeper(item.boot, socket.send, self.clock)
-
-        def receive(message: Message, sender: Address) -> None:
-            if isinstance(message, QueueMessage):
-                keeper.on_message(message, sender)
-
-        self.receivers[item.address] = receive
-        self.gateways[f"side-{number}"] = item
-
-    def kill_keeper(self, number: int) -> None:
-        """Kill the gateway beside an endpoint."""
-        self.receivers.pop(Address(f"10.9.0.{number}", 7), None)
+        self.start_entries()
 
     def restart_entry(self, number: int) -> None:
         """Start an entry anew, which knows nothing."""
-        self.entries[number] = self._start_entry(f"edge-{number}")
-
-    def _start_entry(self, name: str) -> RelayProcess:
-        address = self.announcements[name].address
-        settings = RelaySettings(
-            name=name,
-            zone="z",
-            callers=address,
-            ready=address,
-            peers=address,
-            retries=RetryLimits(0.2, 56, 10.0),
-            grace=5.0,
-            max_change_delay=2.0,
-            max_leaving_delay=2.0,
-            max_evacuation_delay=2.0,
-            cores=1.0,
-        )
-        log: Any = NoLog()
-        process = RelayProcess(
-            settings,
-            self.announcements[name].boot,
-            PlatformProtocol(),
-            PlatformRecords(),
-            Logs(log, log, log, log, (log,), log),
-            StorePaths(STORE, self.clock),
-            lambda address: sleep(0, False),
-        )
-        client: Any = WorldClient(self)
-        process.client = process.dispatcher.client = client
-        socket: Any = WorldSocket(self, address)
-        process.socket = socket
-        self.receivers[address] = process._on_message
-        process.configuration.on_record(KeyedRecord(0, "config", self._configuration()))
-        for offset, endpoint in enumerate(self.endpoints):
-            record = KeyedRecord(offset, endpoint.name, endpoint.record())
-            process.endpoints.on_record(record)
-        names = frozenset(endpoint.name for endpoint in self.endpoints)
-        process.endpoints.on_snapshot(names, len(self.endpoints))
-        for other, item in self.announcements.items():
-            process.entries.put(other, item)
-        for gateway, item in self.gateways.items():
-            process.gateways.put(gateway, item)
-        process.entries.known.set()
-        return process
-
-    def _configuration(self) -> bytes:
+        self.entries[number] = self.start_entry(f"edge-{number}")
+
+    def new_client(self) -> Any:
+        """Return what an entry sends to endpoints with."""
+        return WorldClient(self)
+
+    def endpoint_records(self) -> list[tuple[str, bytes]]:
+        """Return the names and announcements of the endpoints."""
+        return [(endpoint.name, endpoint.record()) for endpoint in self.endpoints]
+
+    def configuration(self) -> bytes:
+        """Return a configuration with routes of all kinds and priorities."""
         kinds = ("safe", "unsafe", "streaming")
         return encode(
             {
@@ -330,7 +199,7 @@
             async for _ in response.body:
                 pass
         return CallOutcome(
-            at, team, path, response.status, _retry_after(response), seconds
+            at, team, path, response.status, retry_after_of(response), seconds
         )
 
     async def load(
@@ -352,8 +221,3 @@
             call = self.call(entry, path, team, self.random.randrange(10**9))
             tasks.append(create_task(call))
         return await gather(*tasks)
-
-
-def _retry_after(response: Response) -> float | None:
-    value = dict(response.headers).get("retry-after")
-    return None if value is None else float(value)
