Model fleets before endpoints that end, in virtual time

Cause: how requests are judged under which endpoints end was measured by functional tests of three entries and by the parts of an entry alone, so that changes of the judgement could not be compared in larger fleets. No judgement is changed.

--- /dev/null
+++ b/tests/unit/relay/test_crash_world.py
@@ -0,0 +1,56 @@
+"""Requests that end endpoints, in fleets of several sizes, in virtual time."""
+
+import pytest
+
+from tests.unit.relay.crash_grid import RARE_RATE, fatal_scenarios
+from tests.unit.relay.crash_scenarios import (
+    ALLOWED_ENDS,
+    Scenario,
+    Setting,
+    run_scenario,
+)
+
+SIZES = [3, 30]
+SEED = 1
+ALLOWED_LATER = 3
+"""Runs of a fatal request that may reach endpoints after the window."""
+
+SECONDS = 9.0
+"""Seconds of calls: the third end comes within 3 s, and the window is 3 s long."""
+
+HARMLESS_RATE = 5.0
+QUICK_WAYS = ("reset", "head", "event")
+SLOW_ENDS = {3: 5, 30: 6}
+"""Most endpoints that end, by number of entries, if each end comes 0.5 s after the run
+began. Several runs have begun by then, at several entries."""
+
+
+def popular_scenarios() -> list[Scenario]:
+    """Return a popular fatal request, in each of its ways."""
+    return [
+        each._replace(seconds=SECONDS, harmless_rate=HARMLESS_RATE)
+        for each in fatal_scenarios()
+        if each.fatal_rate > RARE_RATE
+    ]
+
+
+@pytest.mark.parametrize("entries", SIZES)
+@pytest.mark.parametrize("scenario", popular_scenarios(), ids=lambda each: each.name)
+def test_a_fatal_request_ends_few_endpoints(scenario: Scenario, entries: int) -> None:
+    result = run_scenario(scenario, Setting(entries), SEED)
+    is_quick = scenario.fatal_work.fatal_way in QUICK_WAYS
+    assert result.fatal_ends <= (ALLOWED_ENDS if is_quick else SLOW_ENDS[entries])
+    assert result.late_runs <= ALLOWED_LATER
+
+
+def test_the_same_seed_gives_the_same_run() -> None:
+    scenario = popular_scenarios()[0]
+    first = run_scenario(scenario, Setting(SIZES[0]), SEED)
+    assert run_scenario(scenario, Setting(SIZES[0]), SEED) == first
+
+
+def test_endpoints_that_were_killed_come_back_and_harmless_calls_are_served() -> None:
+    scenario = Scenario("random", "safe", kills=5, victim="random", bodies=0)
+    result = run_scenario(scenario, Setting(SIZES[0]), SEED)
+    assert result.ends == scenario.kills
+    assert result.after_ends.whole == result.after_ends.sent > 0
