Tell streams that pass their time limit from those that are cut, and merge rows

Cause: a stream of 3.6 s that is resumed or waits passes its limit of 4 s, which was counted with the streams whose endpoints ended; and 576 rows of kills are too many to read. How long a call was held counts only if it was rejected unrun.

--- a/tests/unit/relay/crash_scenarios.py
+++ b/tests/unit/relay/crash_scenarios.py
@@ -7,7 +7,15 @@
 
 from clementinebend_bench.models.virtual_loop import run_virtually
 from tests.unit.relay.crash_endpoints import CrashingEndpoint, Work
-from tests.unit.relay.crash_world import CUT, LOST, SERVED, CallResult, CrashWorld
+from tests.unit.relay.crash_world import (
+    CUT,
+    LATE,
+    LOST,
+    SERVED,
+    CallResult,
+    CrashWorld,
+)
+from tests.unit.relay.entry_world import MAX_DELAY
 
 FATAL = b'{"ends": "endpoints"}'
 ALLOWED_ENDS = 3
@@ -24,6 +32,7 @@
 """Seconds after an arrival at which a killer that waited for one ends the endpoint."""
 
 SETTLE_SECONDS = 2.0
+STATUS_NOT_RUN = 503
 SESSION = "aa:50,bb:50"
 
 
@@ -61,24 +70,30 @@
 
 
 class Setting(NamedTuple):
-    """The fleet that a scenario runs in; ``loss`` is the share of lost datagrams."""
+    """The fleet that a scenario runs in.
+
+    ``loss`` is the share of lost datagrams, ``max_delay`` that of packets in seconds.
+    """
 
     entries: int
     endpoints: int = 9
     loss: float = 0.0
+    max_delay: float = MAX_DELAY
     has_gateways: bool = True
 
 
 class Tally(NamedTuple):
     """Outcomes of calls; ``rejected`` counts them by status and reason.
 
-    ``retry_after`` has the mean seconds for each of them, ``longest_hold`` the longest
-    time that a call was held before it was rejected.
+    ``retry_after`` has the mean seconds for each of them. ``late`` counts the streams
+    that were cut at their time limit, ``cut`` the others. ``longest_hold`` is the
+    longest time in seconds for which a call was held before it was rejected unrun.
     """
 
     sent: int
     whole: int
     cut: int
+    late: int
     rejected: dict[str, int]
     retry_after: dict[str, float]
     longest_hold: float
@@ -123,6 +138,7 @@
             number,
             setting.has_gateways,
             setting.loss,
+            setting.max_delay,
         )
         self.world.work = scenario.harmless_work
         self.world.works[FATAL] = scenario.fatal_work
@@ -299,14 +315,15 @@
             counts[LOST] += 1
             continue
         result = call.task.result()
-        if result.result in (SERVED, CUT):
+        if result.result in (SERVED, CUT, LATE):
             counts[result.result] += 1
             continue
         name = f"{result.status} {result.result}"
         counts[name] += 1
-        longest_hold = max(longest_hold, result.seconds)
+        if result.status == STATUS_NOT_RUN:
+            longest_hold = max(longest_hold, result.seconds)
         if result.retry_after is not None:
             delays[name].append(result.retry_after)
-    whole, cut = counts.pop(SERVED, 0), counts.pop(CUT, 0)
+    whole, cut, late = (counts.pop(name, 0) for name in (SERVED, CUT, LATE))
     pauses = {name: mean(each) for name, each in delays.items()}
-    return Tally(len(calls), whole, cut, dict(counts), pauses, longest_hold)
+    return Tally(len(calls), whole, cut, late, dict(counts), pauses, longest_hold)
--- a/tests/unit/relay/crash_table.py
+++ b/tests/unit/relay/crash_table.py
@@ -1,7 +1,8 @@
 """Prints a table of the outcomes of scenarios in which endpoints end.
 
 Usage: python -m tests.unit.relay.crash_table [--entries 3 30] [--seeds 1 2 3]
-[--loss 0] [--filter REGEX] [--jobs 1] [--no-gateways]
+[--loss 0] [--max-delay 0.003] [--filter REGEX] [--merge REGEX] [--jobs 1]
+[--no-gateways]
 """
 
 from argparse import ArgumentParser, Namespace
@@ -9,7 +10,7 @@
 from collections.abc import Iterable, Iterator
 from concurrent.futures import ProcessPoolExecutor
 from itertools import product
-from re import search
+from re import search, sub
 from statistics import mean
 from sys import stdout
 from time import monotonic
@@ -23,6 +24,7 @@
     Tally,
     run_scenario,
 )
+from tests.unit.relay.entry_world import MAX_DELAY
 
 COLUMNS = (
     "scenario",
@@ -47,9 +49,10 @@
 
 
 class Row(NamedTuple):
-    """A scenario, the fleet it runs in, and the seeds of its runs."""
+    """Scenarios that share a row, the fleet they run in, and the seeds of each."""
 
-    scenario: Scenario
+    name: str
+    scenarios: tuple[Scenario, ...]
     setting: Setting
     seeds: tuple[int, ...]
 
@@ -64,7 +67,7 @@
     with ProcessPoolExecutor(arguments.jobs) as pool:
         for line in pool.map(_line, rows):
             _print(line)
-    runs = sum(len(row.seeds) for row in rows)
+    runs = sum(len(row.seeds) * len(row.scenarios) for row in rows)
     _print(f"\n{runs} runs in {monotonic() - start:.0f} s")
 
 
@@ -79,29 +82,44 @@
     parser.add_argument("--endpoints", type=int, default=9)
     parser.add_argument("--seeds", type=int, nargs="+", default=[1, 2, 3])
     parser.add_argument("--loss", type=float, nargs="+", default=[0.0])
+    parser.add_argument("--max-delay", type=float, default=MAX_DELAY)
     parser.add_argument("--filter", default="", help="regular expression of names")
+    parser.add_argument(
+        "--merge",
+        default="$",
+        help="what to leave out of names; those that are then the same share a row",
+    )
     parser.add_argument("--jobs", type=int, default=1)
     parser.add_argument("--no-gateways", action="store_true")
     return parser.parse_args()
 
 
 def _rows(arguments: Namespace) -> Iterator[Row]:
-    chosen = [each for each in all_scenarios() if search(arguments.filter, each.name)]
-    for scenario, entries, loss in product(chosen, arguments.entries, arguments.loss):
+    merged: defaultdict[str, list[Scenario]] = defaultdict(list)
+    for each in all_scenarios():
+        if search(arguments.filter, each.name):
+            merged[sub(arguments.merge, "", each.name)].append(each)
+    for name, entries, loss in product(merged, arguments.entries, arguments.loss):
         has_gateways = not arguments.no_gateways
-        setting = Setting(entries, arguments.endpoints, loss, has_gateways)
-        yield Row(scenario, setting, tuple(arguments.seeds))
+        setting = Setting(
+            entries, arguments.endpoints, loss, arguments.max_delay, has_gateways
+        )
+        yield Row(name, tuple(merged[name]), setting, tuple(arguments.seeds))
 
 
 def _line(row: Row) -> str:
-    scenario, setting = row.scenario, row.setting
-    results = [run_scenario(scenario, setting, number) for number in row.seeds]
-    cells = (scenario.name, setting.entries, setting.loss, len(results))
-    return f"| {' | '.join(map(str, (*cells, *_cells(scenario, results))))} |"
-
-
-def _cells(scenario: Scenario, results: list[RunResult]) -> Iterator[str]:
-    if scenario.fatal_work.fatal_way:
+    setting = row.setting
+    results = [
+        run_scenario(scenario, setting, number)
+        for scenario, number in product(row.scenarios, row.seeds)
+    ]
+    is_any_fatal = any(each.fatal_work.fatal_way for each in row.scenarios)
+    cells = (row.name, setting.entries, setting.loss, len(results))
+    return f"| {' | '.join(map(str, (*cells, *_cells(is_any_fatal, results))))} |"
+
+
+def _cells(is_any_fatal: bool, results: list[RunResult]) -> Iterator[str]:
+    if is_any_fatal:
         ends = [each.fatal_ends for each in results]
         yield f"{mean(ends):.1f} ({max(ends)})"
         yield str(max(each.late_runs for each in results))
@@ -141,6 +159,7 @@
     pauses: defaultdict[str, float] = defaultdict(float)
     for tally in tallies:
         counts["cut"] += tally.cut
+        counts["cut at the time limit"] += tally.late
         counts.update(tally.rejected)
         for name, pause in tally.retry_after.items():
             pauses[name] += pause * tally.rejected[name]
--- a/tests/unit/relay/crash_world.py
+++ b/tests/unit/relay/crash_world.py
@@ -31,7 +31,7 @@
 from clementinebend_transport.exceptions import AnswerCutError
 from clementinebend_transport.http_types import Request
 from tests.unit.relay.crash_endpoints import CrashClient, CrashingEndpoint, Work
-from tests.unit.relay.entry_world import EntryWorld, NoLog, retry_after_of
+from tests.unit.relay.entry_world import MAX_DELAY, EntryWorld, NoLog, retry_after_of
 
 HOST = "desk.example"
 TEAM = "desk"
@@ -43,6 +43,8 @@
 TIMEOUT_MS = 4_000
 SERVED = "whole"
 CUT = "cut"
+LATE = "cut at its time limit"
+LATE_PROBLEM = "the time limit has passed"
 LOST = "entry ended"
 
 
@@ -85,8 +87,8 @@
 class CallResult(NamedTuple):
     """What a caller got for a request with ``body``, sent ``at`` some time.
 
-    ``result`` is ``"whole"``, ``"cut"`` or why the call was rejected; ``seconds`` is
-    how long the head of the answer took.
+    ``result`` is ``SERVED``, ``CUT``, ``LATE`` or why the call was rejected;
+    ``seconds`` is how long the head of the answer took.
     """
 
     at: float
@@ -112,9 +114,11 @@
         number: int = 1,
         gateways: bool = True,
         loss: float = 0.0,
+        max_delay: float = MAX_DELAY,
     ) -> None:
         super().__init__(entries, number)
         self.loss = loss
+        self.max_delay = max_delay
         self.store = StoreModel(())
         self.appends = 0
         self.appended = Event()
@@ -242,8 +246,8 @@
             try:
                 async for _ in response.body:
                     pass
-            except AnswerCutError:
-                result = CUT
+            except AnswerCutError as error:
+                result = LATE if str(error) == LATE_PROBLEM else CUT
         retry_after = retry_after_of(response)
         return CallResult(at, body, response.status, result, retry_after, seconds)
 
--- a/tests/unit/relay/entry_world.py
+++ b/tests/unit/relay/entry_world.py
@@ -24,8 +24,9 @@
 from clementinebend_transport.http_types import Response
 
 STORE = Address("10.0.0.1", 80)
+MIN_DELAY = 0.0005
 MAX_DELAY = 0.003
-"""Greatest delay of a packet in seconds."""
+"""Least and greatest delay of a packet in seconds."""
 
 KEEPER_PORT = 7
 
@@ -78,6 +79,7 @@
         self.random = Random(number)
         self.clock = get_running_loop().time
         self.loss = 0.0
+        self.max_delay = MAX_DELAY
         self.datagrams = 0
         self.cut_links: set[tuple[Address, Address]] = set()
         self.receivers: dict[Address, Any] = {}
@@ -111,7 +113,7 @@
 
     def delay(self) -> float:
         """Return the delay of one packet in seconds."""
-        return self.random.uniform(0.0005, MAX_DELAY)
+        return self.random.uniform(MIN_DELAY, self.max_delay)
 
     def deliver(self, message: Message, sender: Address, to: Address) -> None:
         """Deliver a datagram later, unless it is lost or cut off."""
