Give requests of the tests that ask for more a history, and test what a harmless one hides

A call of a request that looks fatal may wait; a request that has been answered whole many times may not. Two of the tests asked it of a request that nobody knew, which would have forbidden the waits that protect endpoints. New: a harmless request that had been at one more end takes the place of the fatal one beside it; a fatal request among popular calls ends three endpoints.

--- a/tests/unit/relay/test_popular_requests.py
+++ b/tests/unit/relay/test_popular_requests.py
@@ -29,29 +29,48 @@
 FATAL_PAUSE = 0.1
 LONG_LIMIT = 10.0
 REPORT_SECONDS = 0.1
+FREE_SECONDS = 300.0
+LONG_AGO = 60.0
+WHOLE_ANSWERS = 40
+WHOLE_PAUSE = 0.1
 TOLD_IN_TIME = 0.1
 """Seconds before its limit at which a caller must know that its call has not run."""
 
 
-async def suspect(world: PopularWorld, fingerprint: str = HARMLESS) -> None:
+async def end_two(world: PopularWorld, fingerprint: str = HARMLESS) -> None:
     """Let two engines end in series under a request, 0.3 s after it was sent."""
     for _ in range(2):
         world.call(0, fingerprint, LONG_LIMIT)
         await sleep(0.3)
         world.crash(world.running()[0])
         await sleep(REPORT_SECONDS)
+
+
+async def suspect(world: PopularWorld) -> None:
+    """Let two engines end under a request that nobody knows, and suspect it."""
+    await end_two(world)
     for entry in world.all():
-        assert entry.quarantine.is_suspected(fingerprint)
+        assert entry.quarantine.is_suspected(HARMLESS)
+
+
+async def answer_whole(world: QuarantineWorld) -> None:
+    """Let all entries answer a request whole many times, 4 s ago the last time."""
+    for number in range(WHOLE_ANSWERS):
+        world.all()[number % 3].sync.on_sound(HARMLESS)
+        await sleep(WHOLE_PAUSE)
+    await sleep(4.0 - WHOLE_PAUSE)
 
 
 def test_a_call_that_arrives_under_suspicion_is_delivered_within_its_limit() -> None:
     """Guards against waits after which too little time is left for the answer.
 
-    The answer takes 3.6 s, so that a wait of 0.4 s is the longest possible.
+    The answer takes 3.6 s, so that a wait of 0.4 s is the longest possible. The request
+    was answered whole many times.
     """
 
     async def scenario(world: PopularWorld) -> None:
-        await suspect(world)
+        await answer_whole(world)
+        await end_two(world)
         outcome = await world.call(0, HARMLESS, 4.0)
         assert outcome.is_whole
 
@@ -113,7 +132,8 @@
 
     async def scenario(world: PopularWorld) -> None:
         world.start_other_traffic()
-        await suspect(world)
+        await answer_whole(world)
+        await end_two(world)
         outcome = await world.call(0, HARMLESS, LONG_LIMIT)
         assert outcome.rejection is None
 
@@ -216,6 +236,28 @@
     play(scenario, pace=pace)
 
 
+@pytest.mark.parametrize("way", FATAL_WAYS)
+def test_a_fatal_request_among_popular_calls_ends_no_more_engines_than_before(
+    way: str,
+) -> None:
+    """Guards against a popular request, sent before and beside, that hides it."""
+    fatal_after, pace = FATAL_WAYS[way]
+
+    async def scenario(world: PopularWorld) -> None:
+        world.fatal_after[FATAL] = fatal_after
+        for number in range(30):
+            world.call(number % 3, HARMLESS)
+            await sleep(FATAL_PAUSE)
+        for number in range(100):
+            world.call(number % 3, HARMLESS)
+            world.call((number + 1) % 3, FATAL, 3.0)
+            await sleep(FATAL_PAUSE)
+        assert world.ends() <= ENDS_TODAY
+        assert all(entry.is_quarantined(FATAL) for entry in world.all())
+
+    play(scenario, pace=pace)
+
+
 def together(world: PopularWorld) -> list[tuple[Arrival, Arrival]]:
     """Return the runs of two requests that one engine ran at the same time."""
     found = []
@@ -288,10 +330,6 @@
 
 PAUSE = 0.5
 SPREAD_SECONDS = 2.0
-FREE_SECONDS = 300.0
-LONG_AGO = 60.0
-WHOLE_ANSWERS = 40
-WHOLE_PAUSE = 0.1
 
 
 def exchange(scenario: Callable[[QuarantineWorld], Coroutine[Any, Any, None]]) -> None:
@@ -308,13 +346,6 @@
     run_virtually(main())
 
 
-async def answer_whole(world: QuarantineWorld) -> None:
-    """Let all entries answer a request whole many times."""
-    for number in range(WHOLE_ANSWERS):
-        world.all()[number % 3].sync.on_sound(HARMLESS)
-        await sleep(WHOLE_PAUSE)
-
-
 def end_under_runs(
     world: QuarantineWorld, entry: QuarantineEntry, *ages: float
 ) -> None:
@@ -349,7 +380,6 @@
 
     async def scenario(world: QuarantineWorld) -> None:
         await answer_whole(world)
-        await sleep(4.0 - WHOLE_PAUSE)
         await end_in_series(world, ends)
         await sleep(SPREAD_SECONDS)
         assert not any(entry.is_quarantined(HARMLESS) for entry in world.all())
@@ -357,6 +387,26 @@
     exchange(scenario)
 
 
+def test_a_harmless_request_does_not_take_the_place_of_a_fatal_one() -> None:
+    """Guards against a harmless request that had been at one more end.
+
+    The ends that they share are as much the fatal request's, which needs one more.
+    """
+
+    async def scenario(world: QuarantineWorld) -> None:
+        entry = world.all()[0]
+        world.end_endpoint(entry, HARMLESS)
+        await sleep(PAUSE)
+        for _ in range(2):
+            world.end_endpoint(entry, HARMLESS, FATAL)
+            await sleep(PAUSE)
+        world.end_endpoint(entry, FATAL)
+        await sleep(SPREAD_SECONDS)
+        assert all(each.is_quarantined(FATAL) for each in world.all())
+
+    exchange(scenario)
+
+
 def test_a_request_that_ran_well_once_long_ago_is_quarantined_after_three_ends() -> (
     None
 ):
@@ -404,7 +454,6 @@
     """Guards against entries that ignore the ends but do not say that all is well."""
 
     async def scenario(world: QuarantineWorld) -> None:
-        await answer_whole(world)
         later = world.start(0)
         for _ in range(2):
             end_under_runs(world, later, 0.1)
@@ -421,7 +470,7 @@
     async def scenario(world: QuarantineWorld) -> None:
         await answer_whole(world)
         later = world.start(0)
-        await sleep(4.0)
+        await sleep(REPORT_SECONDS)
         for _ in range(3):
             end_under_runs(world, later, 0.1)
             await sleep(PAUSE)
