Keep the stand-ins' clock ahead of the timers, so that no wait repeats for ever

A timer of the virtual loop fires up to a nanosecond early and the clock stands still while something is ready. A limit that fell together with another timer was then waited for without end (replay with a limit of 4.0 s and a pause of 0.2 s, stuck at 7.8 s).

--- a/tests/unit/relay/popular_world.py
+++ b/tests/unit/relay/popular_world.py
@@ -41,6 +41,7 @@
 LIMIT = 4.0
 MAX_ATTEMPTS = 2
 OTHER_DATA_PAUSE = 0.2
+AHEAD_SECONDS = 1e-6
 
 
 class Pace(NamedTuple):
@@ -130,14 +131,25 @@
         return True
 
 
+def clock() -> float:
+    """Return the virtual time, slightly ahead of the timers.
+
+    A timer fires up to a nanosecond early, and the virtual time stands still until
+    nothing is left to do. Code that repeats a wait until the clock has reached the
+    time of its timer would never end.
+    """
+    return get_running_loop().time() + AHEAD_SECONDS
+
+
 class StandinDispatcher:
     """Sends calls of one entry to the engines of the world."""
 
     def __init__(self, world: "PopularWorld", entry: QuarantineEntry) -> None:
         self.world = world
         self.quarantine = entry.quarantine
-        clock = get_running_loop().time
         self.clock = clock
+        entry.quarantine.clock = clock
+        entry.sync.clock = clock
         self.states: dict[str, EndpointState] = {}
         self.ends = EndDetector(clock, entry.quarantine.running, entry.sync.on_ended)
         self.endpoints = SimpleNamespace(
@@ -309,12 +321,13 @@
         progress: CallProgress,
     ) -> Outcome:
         """Serve a call as the handler does."""
-        clock = get_running_loop().time
-        sent_at = clock()
+        sent_at = self.now()
         rejection = entry.quarantine.refusal(progress.admitted.fingerprint)
         if rejection is None:
             rejection = await self._relay(dispatcher, entry, progress)
-        return Outcome(sent_at, clock(), progress.is_whole, progress.events, rejection)
+        return Outcome(
+            sent_at, self.now(), progress.is_whole, progress.events, rejection
+        )
 
     async def _relay(
         self,
@@ -322,7 +335,6 @@
         entry: QuarantineEntry,
         progress: CallProgress,
     ) -> Rejection | None:
-        clock = get_running_loop().time
         attempts = Attempts(dispatcher, entry.sync, clock)  # type: ignore[arg-type]
         relay = StreamRelay(attempts, dispatcher, clock)  # type: ignore[arg-type]
         response = None
--- a/tests/unit/relay/test_popular_requests.py
+++ b/tests/unit/relay/test_popular_requests.py
@@ -25,7 +25,7 @@
     endpoint,
 )
 
-POPULAR_PAUSE = 0.203
+POPULAR_PAUSE = 0.2
 FATAL_PAUSE = 0.1
 LONG_LIMIT = 10.0
 REPORT_SECONDS = 0.1
@@ -197,7 +197,7 @@
         world.crash_after(1.2, 0)
         world.crash_after(2.4, 1)
         for number in range(36):
-            made.append(world.call(number % 3, HARMLESS, 4.01))
+            made.append(world.call(number % 3, HARMLESS, 4.0))
             await sleep(POPULAR_PAUSE)
         outcomes = await gather(*made)
         later = [outcome for outcome in outcomes if outcome.sent_at > 2.4]
