Judge a request under which endpoints end by its runs, not by their number alone

Ruled out: load by itself (2 kills alone and beside five busy processes cut the same calls).

Change: calls that may be repeated don't wait for one another, others a quarter of their time at most; a broken run goes on after the check of its endpoint; one endpoint from the first end on; three ends at the same point of the runs, four at different ones, five with a history, of which entries tell one another; two trials of a quarantined request with a history; streams are good after 1 s by time.

Tests that used `running` name `runs.running` or `runs.checking`.

--- a/libs/bench/src/clementinebend_bench/experiments/choice.py
+++ b/libs/bench/src/clementinebend_bench/experiments/choice.py
@@ -108,7 +108,7 @@
         cast(HttpProtocol, None),  # no request is sent
         RetryLimits(0.2, 50, 10),
         quarantine,
-        EndDetector(monotonic, quarantine.running, lambda endpoint, runs: None),
+        EndDetector(monotonic, quarantine.runs.checking, lambda endpoint, runs: None),
         LeavingNotifier(boot, table, directory, _send_all),
         new_permit_requests(boot, table.states, probes, _send, _send_all, monotonic),
         monotonic,
--- a/libs/relay/src/clementinebend_relay/attempts.py
+++ b/libs/relay/src/clementinebend_relay/attempts.py
@@ -3,6 +3,7 @@
 from asyncio import sleep
 from collections.abc import Callable
 from contextlib import ExitStack
+from math import inf
 from typing import NamedTuple
 
 from clementinebend_relay.bodies import read_body
@@ -46,6 +47,9 @@
 They don't count as attempts: no endpoint of the call's service was asked to run it.
 """
 
+SOUND_INTERVAL = 1.0
+"""Seconds between two records that a long answer still runs well."""
+
 RATE_LIMIT_WAIT = 1.0
 """Longest time in seconds that an attempt waits while all queried endpoints are at
 their call rate limit."""
@@ -89,12 +93,12 @@
         ):
             fingerprint = progress.admitted.fingerprint
             progress.refusal = await self.quarantine.wait_for_turn(
-                fingerprint, progress.deadline
+                fingerprint, progress.deadline, progress.admitted.route.may_repeat
             )
             if progress.refusal is not None:
                 return None
             cleanup = ExitStack()
-            cleanup.enter_context(self.quarantine.running(fingerprint))
+            cleanup.enter_context(self.quarantine.runs.running(fingerprint))
             running = None
             try:
                 placement = await self._choose_placement(progress)
@@ -121,9 +125,13 @@
         return None
 
     def on_sound(self, progress: CallProgress) -> None:
-        """Record that a call completed, or ran long, without ending its endpoint."""
-        if not progress.is_sound:
-            progress.is_sound = True
+        """Record that a call completed, or runs long, without ending its endpoint.
+
+        Repeated while the call runs on: so it counts as a current run of its request.
+        """
+        now = self.clock()
+        if now - progress.sound_at >= SOUND_INTERVAL:
+            progress.sound_at = now
             self.news.on_sound(progress.admitted.fingerprint)
 
     def on_broken(
@@ -131,6 +139,8 @@
     ) -> None:
         """Record that an endpoint closed the connection within its response."""
         admitted = progress.admitted
+        streamed_from = progress.attempt_event_at
+        streamed = 0.0 if streamed_from is None else self.clock() - streamed_from
         broken_answers.labels(admitted.service.name).inc()
         log_decision(
             "answer broke off",
@@ -139,14 +149,15 @@
             endpoint=state.endpoint.name,
             events=progress.events,
             sent_s=round(self.clock() - progress.sent_at, 4),
+            streamed_s=round(streamed, 4),
             in_flight=state.in_flight,
             problem=problem,
         )
-        streamed_from = progress.attempt_event_at
-        streamed = 0.0 if streamed_from is None else self.clock() - streamed_from
-        if counts_as_evidence(streamed):
-            ends = self.dispatcher.ends
-            ends.on_broken(state, admitted.fingerprint, progress.sent_at)
+        if not counts_as_evidence(streamed):
+            self.on_sound(progress)
+            return
+        ends = self.dispatcher.ends
+        ends.on_broken(state, admitted.fingerprint, progress.sent_at, streamed_from)
 
     async def _choose_placement(self, progress: CallProgress) -> Placement | None:
         """Return the endpoint for the next attempt, from a survey that is still valid.
@@ -175,7 +186,8 @@
         Waits up to ``RATE_LIMIT_WAIT`` while the endpoints are at their rate limit.
         """
         survey, progress.survey = progress.survey, None
-        if self.quarantine.is_suspected(progress.admitted.fingerprint):
+        fingerprint = progress.admitted.fingerprint
+        if self.quarantine.confinement(fingerprint) is not None:
             survey = None
         until = min(progress.deadline, self.clock() + RATE_LIMIT_WAIT)
         dispatcher = self.dispatcher
@@ -206,7 +218,7 @@
         progress.attempts += 1
         progress.sent_at = self.clock()
         progress.attempt_event_at = None
-        progress.is_sound = False
+        progress.sound_at = -inf
         progress.tried.append(state.endpoint.name)
         sent = state.unread[progress.admitted.call.request_id]
         progress.ahead, progress.unread = sent.ahead, sent.tokens
--- a/libs/relay/src/clementinebend_relay/dispatch.py
+++ b/libs/relay/src/clementinebend_relay/dispatch.py
@@ -103,7 +103,7 @@
             probes,
             permits.limits,
             peers.entry_count,
-            quarantine.is_suspected,
+            quarantine.confinement,
             clock,
         )
         endpoints.on_announced = self._on_announced
--- a/libs/relay/src/clementinebend_relay/end_detector.py
+++ b/libs/relay/src/clementinebend_relay/end_detector.py
@@ -55,7 +55,7 @@
     ``at`` is the time of the first break. Each of the ``runs`` ends at the time of its
     break; ``recently_active`` are those before which the endpoint was active.
     ``ended_at`` is when the endpoint ended, once that is proved. ``held_runs`` keeps
-    the runs counted as in progress.
+    the runs counted as in check.
     """
 
     def __init__(self, endpoint: Endpoint, at: float) -> None:
@@ -105,26 +105,33 @@
     """Checks endpoints whose answers broke off.
 
     ``on_ended`` is called with the runs in progress when an endpoint ended. Until the
-    first check of an endpoint, ``running`` keeps its broken runs counted as in
-    progress. ``is_refused`` returns whether an endpoint's address refuses connections.
+    first check of an endpoint, ``checking`` keeps its broken runs counted as in check.
+    ``is_refused`` returns whether an endpoint's address refuses connections.
     """
 
     def __init__(
         self,
         clock: Callable[[], float],
-        running: Callable[[str], AbstractContextManager[None]],
+        checking: Callable[[str], AbstractContextManager[None]],
         on_ended: Callable[[Endpoint, list[EndedRun]], None],
         is_refused: Callable[[Endpoint], Awaitable[bool]] = is_refused,
     ) -> None:
         self.clock = clock
-        self.running = running
+        self.checking = checking
         self.on_ended = on_ended
         self.is_refused = is_refused
         self.broken: dict[str, BrokenAnswers] = {}
 
-    def on_broken(self, state: EndpointState, fingerprint: str, sent_at: float) -> None:
+    def on_broken(
+        self,
+        state: EndpointState,
+        fingerprint: str,
+        sent_at: float,
+        first_event_at: float | None = None,
+    ) -> None:
         """Record that an endpoint closed a connection before its answer was complete.
 
+        ``first_event_at`` is when the first event of the answer arrived, if any did.
         Ignored if the endpoint is leaving or its announcement has lapsed: its end is
         expected.
         """
@@ -133,12 +140,12 @@
         boot, now = boot_name(state.endpoint), self.clock()
         self._drop_expired(now)
         broken = self.broken.setdefault(boot, BrokenAnswers(state.endpoint, now))
-        run = FatalRun(boot, sent_at, now)
+        run = FatalRun(boot, sent_at, now, first_event_at)
         ended = EndedRun(fingerprint, run)
         broken.runs.append(ended)
         if state.answered_at > sent_at - RECENT_ACTIVITY_SECONDS:
             broken.recently_active.add(ended)
-        broken.held_runs.enter_context(self.running(fingerprint))
+        broken.held_runs.enter_context(self.checking(fingerprint))
         if broken.task is None:
             broken.task = create_task(self._check_address(broken))
 
--- a/libs/relay/src/clementinebend_relay/messages.py
+++ b/libs/relay/src/clementinebend_relay/messages.py
@@ -212,13 +212,30 @@
     sent_ago: float
 
 
+class RunDetails(NamedTuple):
+    """What else is known of a reported run and its request; ages are in seconds.
+
+    ``first_event_ago`` is the age of the first event of the run's stream, if any.
+    ``good_runs`` is the number of good runs of the request that the reporting entry
+    knows of, ``good_run_ago`` the age of the last one.
+    """
+
+    first_event_ago: float | None = None
+    good_runs: int = 0
+    good_run_ago: float = 0.0
+
+
 class EndpointEndedMessage(Struct, tag="endpoint-ended", array_like=True):
-    """One boot of an endpoint ended during an entry's calls; ages are in seconds."""
+    """One boot of an endpoint ended during an entry's calls; ages are in seconds.
+
+    ``details`` are in the order of ``runs``; older builds send none and read none.
+    """
 
     boot: str
     endpoint: str
     ended_ago: float
     runs: tuple[ReportedRun, ...]
+    details: tuple[RunDetails, ...] = ()
 
 
 class QuarantineMessage(Struct, tag="quarantine", array_like=True):
--- a/libs/relay/src/clementinebend_relay/process.py
+++ b/libs/relay/src/clementinebend_relay/process.py
@@ -172,7 +172,7 @@
             protocol,
             settings.retries,
             quarantine,
-            EndDetector(clock, quarantine.running, self.sync.on_ended),
+            EndDetector(clock, quarantine.runs.checking, self.sync.on_ended),
             self.leaving,
             self.permits,
             clock,
--- a/libs/relay/src/clementinebend_relay/progress.py
+++ b/libs/relay/src/clementinebend_relay/progress.py
@@ -1,5 +1,6 @@
 """The progress of one call: its attempts, its cost and why it failed."""
 
+from math import inf
 from random import random
 from typing import NamedTuple
 
@@ -36,7 +37,7 @@
     Last attempt: ``ahead`` is the number of prompt tokens that its endpoint had to read
     first, ``unread`` the number of the call's own tokens to be read. ``reports`` is
     how many endpoints' queues were reported before it. ``attempt_event_at`` is when its
-    first event arrived, and ``is_sound`` is set once it is known to do no harm.
+    first event arrived, and ``sound_at`` when it was last known to do no harm.
 
     ``refusal`` is why no further attempt was made. ``pause`` is the time in seconds
     until an endpoint accepts calls again, if all have asked for a pause.
@@ -61,7 +62,7 @@
         self.passed_over = 0
         self.first_event_at: float | None = None
         self.attempt_event_at: float | None = None
-        self.is_sound = False
+        self.sound_at = -inf
         self.refusal: Rejection | None = None
         self.pause: float | None = None
         self.last_event = admitted.call.last_event
--- a/libs/relay/src/clementinebend_relay/quarantine.py
+++ b/libs/relay/src/clementinebend_relay/quarantine.py
@@ -4,17 +4,27 @@
 evidence that they are applied to, by the fingerprint of the request.
 """
 
-from asyncio import Event, timeout_at
-from collections import Counter
-from collections.abc import Callable, Iterable, Iterator
-from contextlib import contextmanager, suppress
+from asyncio import timeout_at
+from collections.abc import Callable, Collection, Iterable
+from contextlib import suppress
 from itertools import islice
 from math import inf
+from random import random
 
+from clementinebend_relay.confinement import Confinement
 from clementinebend_relay.decisions import log_decision
 from clementinebend_relay.end_detector import LATE_DATA_SECONDS
 from clementinebend_relay.metrics import quarantined_requests
 from clementinebend_relay.models import Reason, Rejection
+from clementinebend_relay.quarantine_trials import (
+    QuarantinedRequest,
+    is_on_trial,
+    quarantined_request,
+    retry_delay,
+    with_end,
+)
+from clementinebend_relay.run_history import GoodRuns, RunHistory
+from clementinebend_relay.runs_in_progress import RunsInProgress
 from clementinebend_routing.fatal_runs import (
     MIN_FATAL_ENDS,
     SKEW_SECONDS,
@@ -41,6 +51,10 @@
 """Maximum seconds that a call waits for that run. By then the run has ended its
 endpoint or is complete, or its stream has lasted long enough to clear the request."""
 
+SUSPECT_WAIT_SHARE = 0.25
+"""Maximum share of its remaining time that a call waits. The rest is left for its run:
+a call that waits longer cannot be answered in time."""
+
 SOUND_SECONDS = 3.0
 """Seconds after a complete answer during which ends are not held against its request:
 the report of an earlier end may arrive that much later than the answer."""
@@ -49,9 +63,17 @@
 """Seconds after an endpoint's supposed end from which on an announcement proves that it
 is running: one that is read sooner may have been written before the end."""
 
-DECISION_SECONDS = 0.3
-"""Maximum seconds for which calls of a request under which enough endpoints have ended
-wait for the decision about a quarantine."""
+DECISION_DELAY = 0.15
+"""Seconds between the report of an end and the decision about quarantines. Entries
+report the same end within a few milliseconds of each other, and the cause can only be
+told from all suspects together."""
+
+DECISION_JITTER = 0.1
+"""Maximum random addition to that delay in seconds: the first entry to decide informs
+the others."""
+
+MAX_DECISION_LATENESS = 0.05
+"""Seconds after which a call no longer waits for a decision that is overdue."""
 
 MAX_SUSPECTS = 2_000
 MAX_SOUND = 5_000
@@ -75,85 +97,108 @@
     """Evidence of this entry against requests, and the quarantined requests.
 
     ``evidence`` holds the fatal runs of requests that are not quarantined,
-    ``quarantined`` the endpoints that ended under each quarantined request,
     ``sound_at`` when a request last ran well or was cleared, ``ended_at`` and
-    ``alive_at`` when an endpoint ended and when it last answered.
+    ``alive_at`` when an endpoint ended and when it last answered. ``history`` holds the
+    requests that have run well, ``runs`` the runs in progress.
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self.clock = clock
         self.evidence: dict[str, Evidence] = {}
-        self.quarantined: dict[str, frozenset[str]] = {}
+        self.quarantined: dict[str, QuarantinedRequest] = {}
         self.sound_at: dict[str, float] = {}
         self.ended_at: dict[str, float] = {}
         self.alive_at: dict[str, float] = {}
         self.decision_due_at: dict[str, float] = {}
-        self.in_flight: Counter[str] = Counter()
-        self.changed = Event()
+        self.history = RunHistory(clock)
+        self.runs = RunsInProgress()
         self.on_lift: Callable[[str], None] | None = None
 
     def refusal(self, fingerprint: str) -> Rejection | None:
-        """Return the rejection of a quarantined request, None for other requests."""
-        if fingerprint not in self.quarantined:
+        """Return the rejection of a quarantined request, None for other requests.
+
+        None as well for a trial run, of which this entry has one at a time.
+        """
+        request = self.quarantined.get(fingerprint)
+        if request is None:
+            return None
+        now = self.clock()
+        is_idle = not self.runs.in_flight[fingerprint]
+        if is_idle and is_on_trial(request, now):
             return None
         message = "endpoints have ended under this request; mend it, or its endpoints"
-        return Rejection(Reason.QUARANTINED, message, QUARANTINE_RETRY_DELAY)
+        pause = retry_delay(request, now, QUARANTINE_RETRY_DELAY)
+        return Rejection(Reason.QUARANTINED, message, pause)
+
+    def confinement(self, fingerprint: str) -> Confinement | None:
+        """Return how the runs of a request are confined, None if they are not."""
+        request = self.quarantined.get(fingerprint)
+        if request is not None:
+            return Confinement(request.since)
+        evidence = self.evidence.get(fingerprint)
+        if not evidence:
+            return None
+        since = max(run.ended_at for run in evidence)
+        return Confinement(since)
 
     def is_suspected(self, fingerprint: str) -> bool:
-        """Return whether a request should run one at a time, apart from others."""
+        """Return whether endpoints have ended in sequence under a request."""
         return is_suspected(self.evidence.get(fingerprint, ()))
 
     async def wait_for_turn(
-        self, fingerprint: str, deadline: float
+        self, fingerprint: str, deadline: float, may_repeat: bool = False
     ) -> Rejection | None:
         """Wait until a call may be sent; return its rejection if it may not.
 
-        A suspected request waits until its previous run has ended. A caller that is
-        admitted must enter ``running`` immediately.
+        A request waits while an endpoint that broke off a run of it is checked. A
+        suspected request also waits for the decision about it and, if it may not be
+        repeated, until its previous run has ended. A caller that is admitted must enter
+        ``running`` immediately.
         """
-        until = min(deadline, self.clock() + SUSPECT_WAIT_SECONDS)
-        while self._must_wait(fingerprint):
-            if self.clock() >= until:
+        now = self.clock()
+        max_wait = min(SUSPECT_WAIT_SECONDS, (deadline - now) * SUSPECT_WAIT_SHARE)
+        until = now + max_wait
+        while (blocked_until := self._blocked_until(fingerprint, may_repeat)) > now:
+            if now >= until:
                 message = "another run of this request must end first"
-                return Rejection(Reason.OVERLOADED, message, SUSPECT_RETRY_DELAY)
+                pause = min(SUSPECT_RETRY_DELAY, blocked_until - now)
+                return Rejection(Reason.OVERLOADED, message, pause)
             with suppress(TimeoutError):
-                async with timeout_at(until):
-                    await self.changed.wait()
+                async with timeout_at(min(until, blocked_until)):
+                    await self.runs.changed.wait()
+            now = self.clock()
         return self.refusal(fingerprint)
 
-    def _must_wait(self, fingerprint: str) -> bool:
-        """Return whether a suspect has a run in progress or a decision pending."""
-        if not self.is_suspected(fingerprint):
-            return False
-        is_judged = self.clock() >= self.decision_due_at.get(fingerprint, 0.0)
-        return not is_judged or self.in_flight[fingerprint] > 0
-
-    @contextmanager
-    def running(self, fingerprint: str) -> Iterator[None]:
-        """Count a run of a request as in progress during the context."""
-        self.in_flight[fingerprint] += 1
-        try:
-            yield
-        finally:
-            self.in_flight[fingerprint] -= 1
-            if not self.in_flight[fingerprint]:
-                del self.in_flight[fingerprint]
-            self._notify_waiters()
+    def _blocked_until(self, fingerprint: str, may_repeat: bool) -> float:
+        """Return until when a call waits for a check, a run or a decision at most."""
+        if self.runs.in_check[fingerprint]:
+            return inf
+        if fingerprint not in self.evidence:
+            return -inf
+        is_first = may_repeat or not self.is_suspected(fingerprint)
+        is_busy = self.runs.in_flight[fingerprint] > 0 and not is_first
+        if is_busy:
+            return inf
+        due_at = self.decision_due_at.get(fingerprint, -inf)
+        return due_at + MAX_DECISION_LATENESS
 
     def on_run_ended(self, fingerprint: str, run: FatalRun) -> bool:
         """Record that an endpoint ended under a request; return if that is evidence.
 
-        It is not evidence shortly after a complete answer to the request, if the end is
-        explained by a quarantined request, or if the endpoint has answered since. Nor
-        is it if the run was sent after the end as observed by another entry.
+        It is not evidence before, or shortly after, a complete answer to the request,
+        if the end is explained by a quarantined request, or if the endpoint has
+        answered since. Nor is it if the run was sent after the end as observed by
+        another entry.
         """
         if self.alive_at.get(run.endpoint, -inf) > run.ended_at + LATE_DATA_SECONDS:
             return False
         run = run._replace(ended_at=self._earliest_end(run))
         if run.sent_at > run.ended_at + SKEW_SECONDS:
             return False
+        if run.ended_at <= self.sound_at.get(fingerprint, -inf):
+            return False
         if fingerprint in self.quarantined:
-            self.quarantined[fingerprint] |= {run.endpoint}
+            self._on_end_in_quarantine(fingerprint, run)
             return True
         if self.is_sound(fingerprint) or self._is_explained(run.endpoint):
             return False
@@ -162,15 +207,15 @@
         if not is_suspected(before) and is_suspected(evidence):
             reason = "endpoints ended under it, and it was not answered"
             self._log("request suspected", fingerprint, endpoints_of(evidence), reason)
-        if sequential_ends(evidence) >= MIN_FATAL_ENDS:
-            self.decision_due_at.setdefault(
-                fingerprint, self.clock() + DECISION_SECONDS
-            )
+        is_new = endpoints_of(before) != endpoints_of(evidence)
+        if is_new and sequential_ends(evidence) >= MIN_FATAL_ENDS:
+            self._schedule_decision(fingerprint)
         self._evict()
         return True
 
     def on_sound(self, fingerprint: str) -> bool:
         """Clear a request that ran well; return if there was anything against it."""
+        self.history.on_good_run(fingerprint)
         return self.clear(fingerprint, "it ran well")
 
     def clear(self, fingerprint: str, reason: str) -> bool:
@@ -178,22 +223,36 @@
 
         For ``SOUND_SECONDS`` late reports of other entries are ignored as well.
         """
-        self.sound_at.pop(fingerprint, None)
-        self.sound_at[fingerprint] = self.clock()
-        if len(self.sound_at) > MAX_SOUND:
-            del self.sound_at[next(iter(self.sound_at))]
+        self._set_sound(fingerprint, self.clock())
         evidence = self.evidence.pop(fingerprint, ())
         if is_suspected(evidence):
             log_decision("request cleared", fingerprint=fingerprint, reason=reason)
         lifted = self.quarantined.pop(fingerprint, None)
         if lifted is not None:
-            self._log("quarantine lifted", fingerprint, lifted, reason)
+            self._log("quarantine lifted", fingerprint, lifted.endpoints, reason)
             self._update_gauge()
             if self.on_lift is not None:
                 self.on_lift(fingerprint)
-        self._notify_waiters()
+        self.runs.notify()
         return bool(evidence) or lifted is not None
 
+    def on_good_runs_reported(self, fingerprint: str, reported: GoodRuns) -> None:
+        """Record good runs that another entry knows of, and drop earlier ends."""
+        self.history.on_reported(fingerprint, reported)
+        if reported.last_at <= self.sound_at.get(fingerprint, -inf):
+            return
+        self._set_sound(fingerprint, reported.last_at)
+        later = reported.last_at + SOUND_SECONDS
+        evidence = self.evidence.get(fingerprint, ())
+        remaining = tuple(run for run in evidence if run.ended_at >= later)
+        self._set_evidence(fingerprint, remaining)
+
+    def _set_sound(self, fingerprint: str, at: float) -> None:
+        self.sound_at.pop(fingerprint, None)
+        self.sound_at[fingerprint] = at
+        if len(self.sound_at) > MAX_SOUND:
+            del self.sound_at[next(iter(self.sound_at))]
+
     def is_sound(self, fingerprint: str) -> bool:
         """Return whether a request was recently answered completely, or cleared."""
         at = self.sound_at.get(fingerprint)
@@ -219,21 +278,39 @@
             self.on_alive(endpoint)
 
     def decide(self) -> list[str]:
-        """Quarantine the requests found to be fatal; return the new ones."""
-        found = [
-            name
-            for name, evidence in self.evidence.items()
-            if len(evidence) >= MIN_FATAL_ENDS and self._is_fatal(name)
-        ]
-        for fingerprint in found:
-            self.put(fingerprint, "endpoints ended under it")
+        """Quarantine the requests found to be fatal; return the new ones.
+
+        Requests whose decision is not due yet are left out.
+        """
         now = self.clock()
         self.decision_due_at = {
             name: at for name, at in self.decision_due_at.items() if at > now
         }
-        self._notify_waiters()
+        candidates = [
+            name
+            for name, evidence in self.evidence.items()
+            if len(evidence) >= MIN_FATAL_ENDS and name not in self.decision_due_at
+        ]
+        found = [name for name in candidates if self._put_if_fatal(name)]
+        self.runs.notify()
         return found
 
+    def _schedule_decision(self, fingerprint: str) -> None:
+        """Set when to decide about a request under which enough endpoints ended."""
+        delay = DECISION_DELAY + random() * DECISION_JITTER
+        self.decision_due_at[fingerprint] = self.clock() + delay
+
+    def next_decision_at(self) -> float | None:
+        """Return when the next decision is due, if one is."""
+        return min(self.decision_due_at.values(), default=None)
+
+    def _put_if_fatal(self, fingerprint: str) -> bool:
+        """Quarantine a request if it is fatal, also after others were quarantined."""
+        if fingerprint not in self.evidence or not self._is_fatal(fingerprint):
+            return False
+        self.put(fingerprint, "endpoints ended under it")
+        return True
+
     def put(self, fingerprint: str, reason: str, endpoints: Iterable[str] = ()) -> None:
         """Quarantine a request; its ends no longer count against other requests.
 
@@ -241,15 +318,22 @@
         """
         if fingerprint in self.quarantined:
             return
-        own = endpoints_of(self.evidence.pop(fingerprint, ()))
-        ended = self.quarantined[fingerprint] = own.union(endpoints)
+        evidence = self.evidence.pop(fingerprint, ())
+        ended = endpoints_of(evidence).union(endpoints)
+        self.quarantined[fingerprint] = quarantined_request(
+            ended, self.clock(), self.history.has_run_well(fingerprint)
+        )
         if len(self.quarantined) > MAX_QUARANTINED:
             del self.quarantined[next(iter(self.quarantined))]
         self._log("request quarantined", fingerprint, ended, reason)
         self._update_gauge()
+        self._explain(ended)
+        self.runs.notify()
+
+    def _explain(self, ended: Collection[str]) -> None:
+        """Remove ends that a quarantined request explains from all evidence."""
         for name, other in list(self.evidence.items()):
             self._set_evidence(name, without_endpoints(other, ended))
-        self._notify_waiters()
 
     def _earliest_end(self, run: FatalRun) -> float:
         """Return the earliest known end of an endpoint, and update it.
@@ -270,10 +354,19 @@
 
     def _is_fatal(self, fingerprint: str) -> bool:
         others = (self.evidence[name] for name in self.evidence if name != fingerprint)
-        return is_fatal(self.evidence[fingerprint], others)
+        has_run_well = self.history.has_run_well(fingerprint)
+        return is_fatal(self.evidence[fingerprint], others, has_run_well)
+
+    def _on_end_in_quarantine(self, fingerprint: str, run: FatalRun) -> None:
+        before = self.quarantined[fingerprint]
+        after = with_end(before, run.endpoint, run.sent_at, self.clock())
+        self.quarantined[fingerprint] = after
+        if after.failed_trials > before.failed_trials:
+            reason = "an endpoint ended under a trial run"
+            self._log("request quarantined", fingerprint, after.endpoints, reason)
 
     def _is_explained(self, endpoint: str) -> bool:
-        return any(endpoint in ended for ended in self.quarantined.values())
+        return any(endpoint in each.endpoints for each in self.quarantined.values())
 
     def _set_evidence(self, fingerprint: str, evidence: Evidence) -> None:
         if evidence:
@@ -292,10 +385,6 @@
         if len(self.ended_at) > MAX_SUSPECTS:
             del self.ended_at[next(iter(self.ended_at))]
 
-    def _notify_waiters(self) -> None:
-        self.changed.set()
-        self.changed.clear()
-
     def _update_gauge(self) -> None:
         quarantined_requests.set(len(self.quarantined))
 
@@ -307,5 +396,5 @@
             fingerprint=fingerprint,
             reason=reason,
             endpoints=sorted(ended),
-            in_flight=self.in_flight[fingerprint],
+            in_flight=self.runs.in_flight[fingerprint],
         )
--- a/libs/relay/src/clementinebend_relay/quarantine_sync.py
+++ b/libs/relay/src/clementinebend_relay/quarantine_sync.py
@@ -7,6 +7,8 @@
 
 from asyncio import Queue, TimerHandle, get_running_loop, sleep
 from collections.abc import Callable, Iterable
+from itertools import chain, repeat
+from math import inf
 from random import random
 from re import compile as pattern
 from time import time
@@ -29,10 +31,12 @@
     Message,
     QuarantineMessage,
     ReportedRun,
+    RunDetails,
     SoundMessage,
 )
 from clementinebend_relay.models import Endpoint, boot_name
 from clementinebend_relay.quarantine import Quarantine
+from clementinebend_relay.run_history import GoodRuns
 from clementinebend_routing.fatal_runs import FatalRun
 from clementinebend_transport.client_connection import Address
 
@@ -40,9 +44,12 @@
 """Delays in seconds after which a datagram is sent. The repetitions make up for a lost
 one before further runs of a request have ended many endpoints."""
 
-MAX_RUNS_PER_MESSAGE = 30
+MAX_RUNS_PER_MESSAGE = 20
 """Maximum number of runs in one datagram, so that it fits into one packet."""
 
+MAX_RUNS_READ = 30
+"""Maximum number of runs that are read from one datagram."""
+
 MAX_REPORT_AGE = 10.0
 """Maximum age in seconds of a reported end; reports of older ones are ignored."""
 
@@ -52,14 +59,16 @@
 MAX_NAME_LENGTH = 200
 """Maximum length of an endpoint's name, in characters."""
 
-DECISION_DELAY = 0.15
-"""Seconds between the report of an end and the decision about quarantines. Entries
-report the same end within a few milliseconds of each other, and the cause can only be
-told from all suspects together."""
+GOOD_RUN_REPORTERS = 4
+"""Mean number of entries that tell others of the good runs of a request under which an
+endpoint has ended. More would send more datagrams than the report itself."""
+
+REPORTED_SECONDS = 2.0
+"""Seconds for which good runs of a request are not reported again: longer than an end
+of an endpoint is reported repeatedly."""
 
-DECISION_JITTER = 0.1
-"""Maximum random addition to that delay in seconds: the first entry to decide informs
-the others."""
+MAX_REPORTED_REQUESTS = 1_000
+"""Maximum number of requests for which the time of the last such report is kept."""
 
 WRITE_JITTER = 1.0
 """Maximum random delay in seconds before a write to the store, or its retry. Most
@@ -102,6 +111,7 @@
         self.recorded: set[str] = set()
         self.writes: Queue[str] = Queue()
         self.decision_timer: TimerHandle | None = None
+        self.good_runs_reported_at: dict[str, float] = {}
         quarantine.on_lift = self.writes.put_nowait
 
     async def run(self) -> None:
@@ -163,16 +173,34 @@
         is_valid_name = len(message.endpoint) <= MAX_NAME_LENGTH
         if not (is_valid_name and 0.0 <= message.ended_ago <= MAX_REPORT_AGE):
             return
-        now = self.clock()
-        for reported in message.runs[:MAX_RUNS_PER_MESSAGE]:
+        details = chain(message.details, repeat(RunDetails()))
+        runs = message.runs[:MAX_RUNS_READ]
+        for reported, known in zip(runs, details, strict=False):
             is_request = FINGERPRINT.fullmatch(reported.fingerprint) is not None
             if is_request and reported.sent_ago >= message.ended_ago:
-                run = FatalRun(
-                    message.endpoint, now - reported.sent_ago, now - message.ended_ago
-                )
-                self.quarantine.on_run_ended(reported.fingerprint, run)
+                self._apply_run(message, reported, known)
         self._schedule_decision()
 
+    def _apply_run(
+        self, message: EndpointEndedMessage, reported: ReportedRun, details: RunDetails
+    ) -> None:
+        """Apply one reported run, and the reported history of its request."""
+        now = self.clock()
+        fingerprint, event_ago = reported.fingerprint, details.first_event_ago
+        if details.good_runs > 0 and details.good_run_ago >= 0.0:
+            good_runs = GoodRuns(details.good_runs, now - details.good_run_ago)
+            self.quarantine.on_good_runs_reported(fingerprint, good_runs)
+        else:
+            self._report_good_runs(message, reported)
+        is_valid = event_ago is not None and event_ago >= message.ended_ago
+        run = FatalRun(
+            message.endpoint,
+            now - reported.sent_ago,
+            now - message.ended_ago,
+            now - event_ago if event_ago is not None and is_valid else None,
+        )
+        self.quarantine.on_run_ended(fingerprint, run)
+
     def _apply_quarantine(self, message: QuarantineMessage) -> None:
         """Apply a quarantine, or object to it if the request recently ran well."""
         fingerprint = message.fingerprint
@@ -186,8 +214,13 @@
         self.writes.put_nowait(fingerprint)
 
     def _schedule_decision(self) -> None:
-        if self.decision_timer is None:
-            pause = DECISION_DELAY + random() * DECISION_JITTER
+        """Decide when the next decision is due, if one is."""
+        if self.decision_timer is not None:
+            self.decision_timer.cancel()
+            self.decision_timer = None
+        due_at = self.quarantine.next_decision_at()
+        if due_at is not None:
+            pause = max(0.0, due_at - self.clock())
             self.decision_timer = get_running_loop().call_later(pause, self._decide)
 
     def _decide(self) -> None:
@@ -195,13 +228,14 @@
         for fingerprint in self.quarantine.decide():
             self.writes.put_nowait(fingerprint)
             self._broadcast_quarantine(fingerprint)
+        self._schedule_decision()
 
     def _broadcast_quarantine(self, fingerprint: str) -> None:
         def message() -> Message | None:
-            endpoints = self.quarantine.quarantined.get(fingerprint)
-            if endpoints is None:
+            request = self.quarantine.quarantined.get(fingerprint)
+            if request is None:
                 return None
-            reported = tuple(sorted(endpoints)[:MAX_ENDPOINTS_LISTED])
+            reported = tuple(sorted(request.endpoints)[:MAX_ENDPOINTS_LISTED])
             return QuarantineMessage(self.boot, fingerprint, reported)
 
         self._broadcast(message)
@@ -213,11 +247,58 @@
             now = self.clock()
             reported = (ReportedRun(name, now - run.sent_at) for name, run in runs)
             return EndpointEndedMessage(
-                self.boot, boot_name(endpoint), now - ended_at, tuple(reported)
+                self.boot,
+                boot_name(endpoint),
+                now - ended_at,
+                tuple(reported),
+                tuple(self._details(each, now) for each in runs),
             )
 
         self._broadcast(message)
 
+    def _details(self, ended: EndedRun, now: float) -> RunDetails:
+        first_event_at = ended.run.first_event_at
+        event_ago = None if first_event_at is None else now - first_event_at
+        return self._details_of(ended.fingerprint, event_ago)
+
+    def _details_of(self, fingerprint: str, event_ago: float | None) -> RunDetails:
+        known = self.quarantine.history.recent(fingerprint)
+        if known is None:
+            return RunDetails(event_ago)
+        return RunDetails(event_ago, known.total, self.clock() - known.last_at)
+
+    def _report_good_runs(
+        self, message: EndpointEndedMessage, reported: ReportedRun
+    ) -> None:
+        """Repeat a report with the good runs that its sender does not know of.
+
+        A few entries do so for all that could.
+        """
+        fingerprint, now = reported.fingerprint, self.clock()
+        last_at = self.good_runs_reported_at.pop(fingerprint, -inf)
+        self.good_runs_reported_at[fingerprint] = now
+        if len(self.good_runs_reported_at) > MAX_REPORTED_REQUESTS:
+            del self.good_runs_reported_at[next(iter(self.good_runs_reported_at))]
+        is_repeated = now - last_at < REPORTED_SECONDS
+        if is_repeated or self.quarantine.history.recent(fingerprint) is None:
+            return
+        others = len(self.directory.others(self.boot))
+        if random() * others >= GOOD_RUN_REPORTERS:
+            return
+        received_at = now
+
+        def build() -> Message:
+            age = self.clock() - received_at
+            return EndpointEndedMessage(
+                self.boot,
+                message.endpoint,
+                message.ended_ago + age,
+                (ReportedRun(fingerprint, reported.sent_ago + age),),
+                (self._details_of(fingerprint, None),),
+            )
+
+        self._broadcast(build)
+
     def _broadcast(self, build: Callable[[], Message | None]) -> None:
         """Send a message several times, built anew each time; skip it if it is None."""
         loop = get_running_loop()
@@ -231,12 +312,12 @@
 
     async def _write(self, fingerprint: str) -> bool:
         """Write the start or end of a quarantine; return whether that is done."""
-        endpoints = self.quarantine.quarantined.get(fingerprint)
-        if (endpoints is not None) == (fingerprint in self.recorded):
+        request = self.quarantine.quarantined.get(fingerprint)
+        if (request is not None) == (fingerprint in self.recorded):
             return True
         value = b""
-        if endpoints is not None:
-            reported = tuple(sorted(endpoints)[:MAX_ENDPOINTS_LISTED])
+        if request is not None:
+            reported = tuple(sorted(request.endpoints)[:MAX_ENDPOINTS_LISTED])
             value = encode(QuarantineRecord(self.boot, time(), reported))
         outcome = await self.log.append(((fingerprint, value),), None)
         if isinstance(outcome, StoreFailure):
--- /dev/null
+++ b/libs/relay/src/clementinebend_relay/quarantine_trials.py
@@ -0,0 +1,77 @@
+"""Trial runs of quarantined requests that may be harmless. Pure functions.
+
+A quarantine keeps a harmless request from running, and so from being cleared. If the
+request has run well before, a run is therefore tried after a while. All entries send
+trial runs to the same endpoint, so that a trial ends one endpoint at most.
+
+Times are in seconds on the monotonic clock of the process that keeps the quarantine.
+"""
+
+from collections.abc import Iterable
+from math import inf
+from typing import NamedTuple
+
+TRIAL_DELAYS = (3.0, 30.0)
+"""Seconds from a quarantine, or from a failed trial, to the next trial."""
+
+TRIAL_SECONDS = 1.5
+"""Seconds in which a trial usually shows whether the request is harmless."""
+
+LATE_RUN_SECONDS = 1.5
+"""Seconds after a quarantine in which entries may send a run that have not heard of it,
+as its datagrams were lost."""
+
+
+class QuarantinedRequest(NamedTuple):
+    """A quarantined request.
+
+    ``endpoints`` are the boots of endpoints that ended under it. ``since`` is when the
+    quarantine, or its last trial, began. ``trial_at`` is when a run may be tried, or
+    infinity. ``failed_trials`` is the number of trials that ended an endpoint.
+    """
+
+    endpoints: frozenset[str]
+    since: float
+    trial_at: float = inf
+    failed_trials: int = 0
+
+
+def quarantined_request(
+    endpoints: Iterable[str], now: float, has_run_well: bool
+) -> QuarantinedRequest:
+    """Return a request that is quarantined from now on."""
+    trial_at = now + TRIAL_DELAYS[0] if has_run_well else inf
+    return QuarantinedRequest(frozenset(endpoints), now, trial_at)
+
+
+def is_on_trial(request: QuarantinedRequest, now: float) -> bool:
+    """Return whether a run of a quarantined request may be tried."""
+    return now >= request.trial_at
+
+
+def with_end(
+    request: QuarantinedRequest, endpoint: str, sent_at: float, now: float
+) -> QuarantinedRequest:
+    """Return the request after another endpoint ended under a run of it.
+
+    A run that was sent well after the beginning of the quarantine was a trial.
+    """
+    endpoints = request.endpoints | {endpoint}
+    is_trial = sent_at > request.since + LATE_RUN_SECONDS
+    if endpoint in request.endpoints or not is_trial:
+        return request._replace(endpoints=endpoints)
+    failed = request.failed_trials + 1
+    is_last = failed >= len(TRIAL_DELAYS) or request.trial_at == inf
+    trial_at = inf if is_last else now + TRIAL_DELAYS[failed]
+    return QuarantinedRequest(endpoints, now, trial_at, failed)
+
+
+def retry_delay(request: QuarantinedRequest, now: float, without_trial: float) -> float:
+    """Return the seconds after which a caller may retry a quarantined request.
+
+    That is when the next trial has shown its result, or ``without_trial`` if there is
+    none.
+    """
+    if request.trial_at == inf:
+        return without_trial
+    return max(0.0, request.trial_at - now) + TRIAL_SECONDS
--- a/libs/relay/src/clementinebend_relay/survey.py
+++ b/libs/relay/src/clementinebend_relay/survey.py
@@ -7,6 +7,7 @@
 
 from clementinebend_membership.rendezvous import rendezvous
 from clementinebend_relay.admission import Admitted
+from clementinebend_relay.confinement import Confinement, assigned_endpoint
 from clementinebend_relay.endpoint_limits import EndpointLimits
 from clementinebend_relay.endpoint_state import EndpointState
 from clementinebend_relay.endpoints import EndpointTable
@@ -114,7 +115,7 @@
         probes: QueueProbes,
         limits: EndpointLimits,
         entry_count: Callable[[], int],
-        is_suspected: Callable[[str], bool],
+        confinement: Callable[[str], Confinement | None],
         clock: Callable[[], float],
     ) -> None:
         self.zone = zone
@@ -124,7 +125,7 @@
         self.probes = probes
         self.limits = limits
         self.entry_count = entry_count
-        self.is_suspected = is_suspected
+        self.confinement = confinement
         self.clock = clock
 
     def is_usable(self, survey: Survey) -> bool:
@@ -148,8 +149,9 @@
         """
         call_class = admitted.call_class
         eligible = self._eligible(admitted, tried)
-        if self.is_suspected(admitted.fingerprint):
-            eligible = self._assigned(admitted, eligible)
+        confinement = self.confinement(admitted.fingerprint)
+        if confinement is not None:
+            eligible = self._assigned(admitted, eligible, confinement)
         for round_number in count():
             free = self.limits.free(eligible, call_class)
             if eligible and not free:
@@ -218,16 +220,20 @@
         return {state.endpoint.name: state for state in known or eligible}
 
     def _assigned(
-        self, admitted: Admitted, eligible: list[EndpointState]
+        self,
+        admitted: Admitted,
+        eligible: list[EndpointState],
+        confinement: Confinement,
     ) -> list[EndpointState]:
-        """Return the one endpoint to which all entries send a suspected request.
+        """Return the one endpoint to which all entries send a confined request.
 
-        If an endpoint ends, this shows which of the suspected requests is the cause,
-        and few endpoints are lost.
+        Endpoints added since its last end are passed over: not all entries know them.
         """
-        by_name = self._with_known_queue(eligible)
-        names = rendezvous(admitted.fingerprint, by_name, 1)
-        return [by_name[name] for name in names]
+        since = confinement.since
+        known = [state for state in eligible if state.available_since <= since]
+        by_name = self._with_known_queue(known or eligible)
+        name = assigned_endpoint(admitted.fingerprint, by_name)
+        return [] if name is None else [by_name[name]]
 
     def _shortlist(
         self, admitted: Admitted, eligible: list[EndpointState], max_others: int
--- a/libs/routing/src/clementinebend_routing/fatal_runs.py
+++ b/libs/routing/src/clementinebend_routing/fatal_runs.py
@@ -10,6 +10,10 @@
 An end that is explained by one request is no evidence against the others that ran
 there.
 
+A fatal request ends each endpoint at the same point of its run. A harmless request that
+many callers send is present wherever it is routed, and is interrupted at any point.
+Ends at different points are therefore conclusive only if there are more of them.
+
 Times are in seconds on the monotonic clock of the process that keeps the evidence.
 """
 
@@ -22,11 +26,22 @@
 """Sequential ends after which a request runs alone and one run at a time."""
 
 MIN_FATAL_ENDS = 3
-"""Sequential ends after which a request is no longer sent to endpoints."""
+"""Sequential ends at the same point after which a request is no longer sent to
+endpoints."""
+
+MIN_MIXED_ENDS = 4
+"""The same number for ends at different points."""
 
 CONCLUSIVE_ENDS = 5
-"""Sequential ends that are conclusive even if another request was present at all of
-them."""
+"""Sequential ends that are conclusive even if the request has run well before, or if
+another request was present at all of them."""
+
+POINT_TOLERANCE = 0.1
+"""Seconds by which two ends at the same point of a run may differ."""
+
+EARLY_SECONDS = 0.3
+"""Seconds after it was sent within which a run without an event is at the same point as
+other such runs, however long it waited at its endpoint."""
 
 MAX_RUNS = 16
 """Maximum number of runs kept as evidence for one request, the newest ones."""
@@ -42,11 +57,15 @@
 
 
 class FatalRun(NamedTuple):
-    """A run that was cut off because one boot of its endpoint ended."""
+    """A run that was cut off because one boot of its endpoint ended.
+
+    ``first_event_at`` is when the first event of its stream arrived, None if none did.
+    """
 
     endpoint: str
     sent_at: float
     ended_at: float
+    first_event_at: float | None = None
 
 
 Evidence = tuple[FatalRun, ...]
@@ -56,13 +75,16 @@
 def with_run(evidence: Evidence, run: FatalRun) -> Evidence:
     """Return the evidence with another run.
 
-    Of several runs at one endpoint only the first is kept. If the request crashes
-    endpoints, the others were only waiting there.
+    Of several runs at one endpoint only the first is kept, with the earliest first
+    event of them all. If the request crashes endpoints, the others were only waiting
+    there.
     """
     others = [known for known in evidence if known.endpoint != run.endpoint]
     same = [known for known in evidence if known.endpoint == run.endpoint]
     first = min((*same, run), key=lambda known: (known.sent_at, known.ended_at))
-    return (*others, first)[-MAX_RUNS:]
+    events = [known.first_event_at for known in (*same, run)]
+    first_event_at = min((at for at in events if at is not None), default=None)
+    return (*others, first._replace(first_event_at=first_event_at))[-MAX_RUNS:]
 
 
 def without_endpoints(evidence: Evidence, endpoints: Iterable[str]) -> Evidence:
@@ -101,20 +123,60 @@
     return sequential_ends(evidence) >= MIN_SUSPECT_ENDS
 
 
-def is_fatal(evidence: Evidence, others: Iterable[Evidence]) -> bool:
+def is_same_point(one: FatalRun, other: FatalRun) -> bool:
+    """Return whether two runs were interrupted at the same point.
+
+    Equally long after their first events or, if one of them has none, both within a
+    short time or equally long after they were sent.
+    """
+    if one.first_event_at is not None and other.first_event_at is not None:
+        streamed = (
+            one.ended_at - one.first_event_at,
+            other.ended_at - other.first_event_at,
+        )
+        return _are_close(*streamed)
+    ages = (one.ended_at - one.sent_at, other.ended_at - other.sent_at)
+    return max(ages) <= EARLY_SECONDS or _are_close(*ages)
+
+
+def _are_close(one: float, other: float) -> bool:
+    return abs(one - other) <= POINT_TOLERANCE
+
+
+def runs_at_same_point(evidence: Evidence) -> Evidence:
+    """Return the runs at the point that has the most sequential ends."""
+    groups = [
+        tuple(run for run in evidence if is_same_point(run, reference))
+        for reference in evidence
+    ]
+    return max(groups, key=sequential_ends, default=())
+
+
+def is_fatal(
+    evidence: Evidence, others: Iterable[Evidence], has_run_well: bool = False
+) -> bool:
     """Return whether a request crashes endpoints.
 
     ``others`` is the evidence of all other requests. If another request was present at
-    all the same ends, either may be the cause, and the decision waits for
-    ``CONCLUSIVE_ENDS``.
+    all the same ends, and at the same point as well, either may be the cause, and the
+    decision waits for ``CONCLUSIVE_ENDS``. So it does if the request has run well
+    before.
     """
     ends = sequential_ends(evidence)
     if ends < MIN_FATAL_ENDS:
         return False
     if ends >= CONCLUSIVE_ENDS:
         return True
-    own = endpoints_of(evidence)
-    return not any(own <= endpoints_of(other) for other in others)
+    if has_run_well:
+        return False
+    same = runs_at_same_point(evidence)
+    if sequential_ends(same) < MIN_FATAL_ENDS:
+        same = evidence
+        if ends < MIN_MIXED_ENDS:
+            return False
+    own = endpoints_of(same)
+    shared = (each for each in others if own <= endpoints_of(each))
+    return not any(own <= endpoints_of(runs_at_same_point(each)) for each in shared)
 
 
 def counts_as_evidence(streamed_seconds: float) -> bool:
--- a/tests/unit/relay/cold_world.py
+++ b/tests/unit/relay/cold_world.py
@@ -153,7 +153,7 @@
                 clock,
             ),
             lambda: len(world.entries),
-            lambda fingerprint: False,
+            lambda fingerprint: None,
             clock,
         )
 
--- a/tests/unit/relay/popular_world.py
+++ b/tests/unit/relay/popular_world.py
@@ -17,10 +17,7 @@
 from types import SimpleNamespace
 from typing import Any, NamedTuple
 
-import pytest
-
 from clementinebend_bench.models.virtual_loop import run_virtually
-from clementinebend_relay import end_detector
 from clementinebend_relay.admission import Admitted
 from clementinebend_relay.attempts import Attempts
 from clementinebend_relay.dispatch import NotSent, ResponseStarted
@@ -151,7 +148,12 @@
         entry.quarantine.clock = clock
         entry.sync.clock = clock
         self.states: dict[str, EndpointState] = {}
-        self.ends = EndDetector(clock, entry.quarantine.running, entry.sync.on_ended)
+        self.ends = EndDetector(
+            clock,
+            entry.quarantine.runs.checking,
+            entry.sync.on_ended,
+            world.is_refused,
+        )
         self.endpoints = SimpleNamespace(
             drop=lambda *args: None,
             on_end=lambda *args, **named: None,
@@ -247,9 +249,10 @@
         """Return the running engines in the order of the session."""
         return [engine for engine in self.sessions if not engine.ended.is_set()]
 
-    def is_running_at(self, address: object) -> bool:
-        """Tell whether somebody listens at an address."""
-        return any(engine.endpoint.address == address for engine in self.running())
+    async def is_refused(self, asked: Endpoint) -> bool:
+        """Tell whether nobody listens at the address of an endpoint."""
+        listening = (engine.endpoint.address for engine in self.running())
+        return asked.address not in listening
 
     def ends(self) -> int:
         """Return how many engines have ended."""
@@ -392,14 +395,9 @@
     async def main() -> None:
         world = PopularWorld(entries, engines, pace)
 
-        async def is_refused(asked: Endpoint) -> bool:
-            return not world.is_running_at(asked.address)
-
-        with pytest.MonkeyPatch.context() as patch:
-            patch.setattr(end_detector, "is_refused", is_refused)
-            try:
-                await scenario(world)
-            finally:
-                await world.stop()
+        try:
+            await scenario(world)
+        finally:
+            await world.stop()
 
     run_virtually(main())
--- a/tests/unit/relay/test_endpoint_ends.py
+++ b/tests/unit/relay/test_endpoint_ends.py
@@ -55,7 +55,7 @@
 
     quarantine = Quarantine(clock)
     detector = EndDetector(
-        clock, quarantine.running, lambda _, runs: reported.extend(runs)
+        clock, quarantine.runs.checking, lambda _, runs: reported.extend(runs)
     )
     yield DetectorRig(state, detector, reported, set_clock)
 
--- a/tests/unit/relay/test_quarantine.py
+++ b/tests/unit/relay/test_quarantine.py
@@ -321,7 +321,7 @@
         entry = world.all()[0]
         quarantine = entry.quarantine
         await end_in_turn(world, FATAL, ends=2)
-        with quarantine.running(FATAL):
+        with quarantine.runs.running(FATAL):
             waiting = create_task(quarantine.wait_for_turn(FATAL, 100.0))
             await sleep(0.2)
             assert not waiting.done()
--- a/tests/unit/routing/test_fatal_runs.py
+++ b/tests/unit/routing/test_fatal_runs.py
@@ -7,10 +7,13 @@
     CONCLUSIVE_ENDS,
     MAX_RUNS,
     MIN_FATAL_ENDS,
+    MIN_MIXED_ENDS,
     Evidence,
     FatalRun,
     is_fatal,
+    is_same_point,
     is_suspected,
+    runs_at_same_point,
     sequential_ends,
     with_run,
     without_endpoints,
@@ -100,3 +103,69 @@
     assert MIN_FATAL_ENDS == 3
     for ends in range(MIN_FATAL_ENDS):
         assert not is_fatal(SEQUENTIAL[:ends], ())
+
+
+MIXED = evidence_of((0.0, 0.9), (1.0, 1.4), (1.5, 2.2), (2.3, 3.2))
+
+
+def test_ends_at_different_points_are_fatal_only_if_there_are_more() -> None:
+    """Guards against a popular request that is present wherever endpoints end."""
+    assert sequential_ends(MIXED) == MIN_MIXED_ENDS
+    assert not is_fatal(MIXED[:MIN_FATAL_ENDS], ())
+    assert is_fatal(MIXED, ())
+
+
+def test_a_request_that_ran_well_before_is_fatal_only_after_conclusive_ends() -> None:
+    """Guards against history that is ignored, and against history that protects."""
+    more = evidence_of(*[(number, number + 0.5) for number in range(CONCLUSIVE_ENDS)])
+    assert not is_fatal(more[:-1], (), has_run_well=True)
+    assert is_fatal(more, (), has_run_well=True)
+
+
+def test_another_request_that_was_there_at_other_points_is_not_the_cause() -> None:
+    """Guards against a popular neighbour that delays the decision about the cause."""
+    neighbour = tuple(
+        run._replace(sent_at=run.sent_at - delay)
+        for run, delay in zip(SEQUENTIAL, (0.0, 0.5, 1.5), strict=True)
+    )
+    assert is_fatal(SEQUENTIAL, [neighbour])
+
+
+def test_a_run_that_waited_shortly_was_interrupted_at_the_same_point() -> None:
+    """Guards against a queue at the endpoint that hides the cause."""
+    at_once, queued = evidence_of((0.0, 0.01), (1.0, 1.25))
+    assert is_same_point(at_once, queued)
+
+
+def test_streams_are_compared_by_the_time_since_their_first_events() -> None:
+    """Guards against a slow first event that makes equal points look different."""
+    early, late = evidence_of((0.0, 0.6), (1.0, 2.9))
+    early = early._replace(first_event_at=0.1)
+    late = late._replace(first_event_at=2.4)
+    assert is_same_point(early, late)
+    assert not is_same_point(early, late._replace(first_event_at=2.8))
+
+
+def test_a_report_without_a_first_event_is_compared_by_the_time_since_sending() -> None:
+    """Guards against reports of older builds, which name no first event."""
+    known, unknown = evidence_of((0.0, 0.5), (1.0, 1.5))
+    assert is_same_point(known._replace(first_event_at=0.05), unknown)
+
+
+@given(st.lists(runs, max_size=8))
+def test_runs_at_one_point_are_part_of_the_evidence(taken: list[FatalRun]) -> None:
+    evidence = tuple({run.endpoint: run for run in taken}.values())
+    group = runs_at_same_point(evidence)
+    assert set(group) <= set(evidence)
+    assert bool(group) == bool(evidence)
+
+
+def test_the_earliest_first_event_at_an_endpoint_is_kept() -> None:
+    """Guards against a report of a newer run that hides how long the first one ran."""
+    first = FatalRun("e", 0.0, 1.0, 0.6)
+    newer = FatalRun("e", 0.5, 1.0, 0.4)
+    for reports in ((first, newer), (newer, first)):
+        evidence: Evidence = ()
+        for run in reports:
+            evidence = with_run(evidence, run)
+        assert evidence == (first._replace(first_event_at=0.4),)
