Judge requests that share ends of endpoints together, and run suspects apart

Cause, from forced orders in virtual time and near-misses in the soak's logs: the harmless one is spared only while the fatal one's runs are known at all of its ends, at the entry that decides, at that moment. Decisions were scheduled by repeats of older reports and not put off by newer ends; a late report of the cause was not waited for; a slow datagram made its run look sent after the end; both were quarantined by the same five ends; later ends and those of the store's records explained nothing. Not the cause of the popular stream: there a suspect waits, and good runs are forgotten.

Change: each new end schedules the decision anew; it waits 1.3 s for reports if another request shares two of the ends, and for pending ones of requests that share any; requests are judged one after the other, in the same order everywhere; 0.1 s instead of 0.02 s between reports; ends explain all other evidence, whenever they come and from records, too; two suspects choose different endpoints.

--- a/libs/relay/src/clementinebend_relay/quarantine.py
+++ b/libs/relay/src/clementinebend_relay/quarantine.py
@@ -5,9 +5,9 @@
 """
 
 from asyncio import timeout_at
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Iterator
 from contextlib import suppress
-from itertools import islice
+from itertools import islice, takewhile
 from math import inf
 from random import random
 
@@ -27,7 +27,7 @@
 from clementinebend_relay.runs_in_progress import RunsInProgress
 from clementinebend_routing.fatal_runs import (
     MIN_FATAL_ENDS,
-    SKEW_SECONDS,
+    MIN_SUSPECT_ENDS,
     Evidence,
     FatalRun,
     endpoints_of,
@@ -59,6 +59,10 @@
 """Seconds after a complete answer during which ends are not held against its request:
 the report of an earlier end may arrive that much later than the answer."""
 
+REPORT_SKEW_SECONDS = 0.1
+"""How much later than the end of its endpoint a run may appear to be sent: the times of
+two reports differ by the delays of their datagrams."""
+
 ALIVE_SECONDS = 2.0
 """Seconds after an endpoint's supposed end from which on an announcement proves that it
 is running: one that is read sooner may have been written before the end."""
@@ -68,6 +72,10 @@
 report the same end within a few milliseconds of each other, and the cause can only be
 told from all suspects together."""
 
+SHARED_DECISION_DELAY = 1.3
+"""The same delay if another request shares enough of the ends to be the cause. Its
+report of the last end may have to be repeated, or its proof is the next boot."""
+
 DECISION_JITTER = 0.1
 """Maximum random addition to that delay in seconds: the first entry to decide informs
 the others."""
@@ -75,6 +83,9 @@
 MAX_DECISION_LATENESS = 0.05
 """Seconds after which a call no longer waits for a decision that is overdue."""
 
+MAX_RIVALS = 8
+"""Maximum number of other suspects whose endpoints a suspected request avoids."""
+
 MAX_SUSPECTS = 2_000
 MAX_SOUND = 5_000
 """Maximum numbers of suspected and of cleared requests kept, about 1 MB in total."""
@@ -139,7 +150,14 @@
         if not evidence:
             return None
         since = max(run.ended_at for run in evidence)
-        return Confinement(since)
+        return Confinement(since, tuple(self._rivals(fingerprint)))
+
+    def _rivals(self, fingerprint: str) -> Iterator[str]:
+        """Return the suspects that choose an endpoint before a suspected request."""
+        if self.is_suspected(fingerprint):
+            sharing = sorted(self._sharing(fingerprint, MIN_SUSPECT_ENDS))
+            before = takewhile(lambda name: name < fingerprint, sharing)
+            yield from islice(filter(self.is_suspected, before), MAX_RIVALS)
 
     def is_suspected(self, fingerprint: str) -> bool:
         """Return whether endpoints have ended in sequence under a request."""
@@ -193,7 +211,7 @@
         if self.alive_at.get(run.endpoint, -inf) > run.ended_at + LATE_DATA_SECONDS:
             return False
         run = run._replace(ended_at=self._earliest_end(run))
-        if run.sent_at > run.ended_at + SKEW_SECONDS:
+        if run.sent_at > run.ended_at + REPORT_SKEW_SECONDS:
             return False
         if run.ended_at <= self.sound_at.get(fingerprint, -inf):
             return False
@@ -280,26 +298,44 @@
     def decide(self) -> list[str]:
         """Quarantine the requests found to be fatal; return the new ones.
 
-        Requests whose decision is not due yet are left out.
+        Requests whose decision is not due yet are left out. All entries judge in the
+        same order, so that the same ends are held against the same request.
         """
-        now = self.clock()
-        self.decision_due_at = {
-            name: at for name, at in self.decision_due_at.items() if at > now
-        }
+        self._drop_due_decisions()
         candidates = [
             name
             for name, evidence in self.evidence.items()
             if len(evidence) >= MIN_FATAL_ENDS and name not in self.decision_due_at
         ]
+        candidates.sort(key=lambda name: (-len(self.evidence[name]), name))
         found = [name for name in candidates if self._put_if_fatal(name)]
         self.runs.notify()
         return found
 
     def _schedule_decision(self, fingerprint: str) -> None:
         """Set when to decide about a request under which enough endpoints ended."""
-        delay = DECISION_DELAY + random() * DECISION_JITTER
+        is_shared = any(self._sharing(fingerprint, MIN_SUSPECT_ENDS))
+        delay = SHARED_DECISION_DELAY if is_shared else DECISION_DELAY
+        delay += random() * DECISION_JITTER
         self.decision_due_at[fingerprint] = self.clock() + delay
 
+    def _drop_due_decisions(self) -> None:
+        """Remove due decisions, unless one about a request with shared ends is not."""
+        now = self.clock()
+        pending = {name: at for name, at in self.decision_due_at.items() if at > now}
+        for name in self.decision_due_at.keys() - pending.keys():
+            sharing = pending.keys() & set(self._sharing(name, 1))
+            if sharing:
+                pending[name] = max(pending[each] for each in sharing)
+        self.decision_due_at = pending
+
+    def _sharing(self, fingerprint: str, min_ends: int) -> Iterator[str]:
+        """Return the requests that were present at so many ends of another one."""
+        own = endpoints_of(self.evidence.get(fingerprint, ()))
+        for name, evidence in self.evidence.items():
+            if name != fingerprint and len(own & endpoints_of(evidence)) >= min_ends:
+                yield name
+
     def next_decision_at(self) -> float | None:
         """Return when the next decision is due, if one is."""
         return min(self.decision_due_at.values(), default=None)
@@ -345,7 +381,7 @@
             return known
         self.ended_at[run.endpoint] = run.ended_at
         if known < inf:
-            latest = run.ended_at + SKEW_SECONDS
+            latest = run.ended_at + REPORT_SKEW_SECONDS
             for name, evidence in list(self.evidence.items()):
                 self._set_evidence(
                     name, without_runs_after(evidence, run.endpoint, latest)
@@ -361,6 +397,7 @@
         before = self.quarantined[fingerprint]
         after = with_end(before, run.endpoint, run.sent_at, self.clock())
         self.quarantined[fingerprint] = after
+        self._explain((run.endpoint,))
         if after.failed_trials > before.failed_trials:
             reason = "an endpoint ended under a trial run"
             self._log("request quarantined", fingerprint, after.endpoints, reason)
--- a/libs/relay/src/clementinebend_relay/quarantine_sync.py
+++ b/libs/relay/src/clementinebend_relay/quarantine_sync.py
@@ -14,7 +14,8 @@
 from time import time
 from typing import NamedTuple
 
-from msgspec.msgpack import encode
+from msgspec import DecodeError, ValidationError
+from msgspec.msgpack import decode, encode
 
 from clementinebend_platform_client.keyed_log import (
     KeyedLog,
@@ -156,7 +157,8 @@
             log_decision("quarantine record refused", key=record.key)
         elif record.value:
             self.recorded.add(record.key)
-            self.quarantine.put(record.key, "the store has a record of it")
+            endpoints = _recorded_endpoints(record)
+            self.quarantine.put(record.key, "the store has a record of it", endpoints)
         else:
             self._apply_removal(record.key)
 
@@ -324,3 +326,12 @@
             return False
         (self.recorded.add if value else self.recorded.discard)(fingerprint)
         return True
+
+
+def _recorded_endpoints(record: KeyedRecord) -> tuple[str, ...]:
+    """Return the endpoints listed in a record, none if it cannot be decoded."""
+    try:
+        return decode(record.value, type=QuarantineRecord).endpoints
+    except (DecodeError, ValidationError) as error:
+        log_decision("quarantine record refused", key=record.key, problem=str(error))
+        return ()
--- a/libs/relay/src/clementinebend_relay/survey.py
+++ b/libs/relay/src/clementinebend_relay/survey.py
@@ -232,7 +232,7 @@
         since = confinement.since
         known = [state for state in eligible if state.available_since <= since]
         by_name = self._with_known_queue(known or eligible)
-        name = assigned_endpoint(admitted.fingerprint, by_name)
+        name = assigned_endpoint(admitted.fingerprint, confinement, by_name)
         return [] if name is None else [by_name[name]]
 
     def _shortlist(
