--- a/libs/relay/src/clementinebend_relay/attempts.py
+++ b/libs/relay/src/clementinebend_relay/attempts.py
@@ -92,6 +92,10 @@
             progress
         ):
             fingerprint = progress.admitted.fingerprint
+            if progress.tried and fingerprint in self.quarantine.quarantined:
+                # A trial run has one attempt, so that it ends one endpoint at most.
+                progress.refusal = self.quarantine.rejection(fingerprint)
+                return None
             progress.refusal = await self.quarantine.wait_for_turn(
                 fingerprint, progress.deadline, progress.admitted.route.may_repeat
             )
@@ -127,12 +131,16 @@
     def on_sound(self, progress: CallProgress) -> None:
         """Record that a call completed, or runs long, without ending its endpoint.
 
-        Repeated while the call runs on: so it counts as a current run of its request.
+        A call that runs on is part of its request's history, once in each interval.
         """
-        now = self.clock()
-        if now - progress.sound_at >= SOUND_INTERVAL:
+        fingerprint, now = progress.admitted.fingerprint, self.clock()
+        before, is_due = progress.sound_at, now - progress.sound_at >= SOUND_INTERVAL
+        if is_due:
             progress.sound_at = now
-            self.news.on_sound(progress.admitted.fingerprint)
+        if before == -inf:
+            self.news.on_sound(fingerprint)
+        elif is_due:
+            self.quarantine.history.on_good_run(fingerprint)
 
     def on_broken(
         self, progress: CallProgress, state: EndpointState, problem: str
--- a/libs/relay/src/clementinebend_relay/confinement.py
+++ b/libs/relay/src/clementinebend_relay/confinement.py
@@ -14,11 +14,13 @@
 class Confinement(NamedTuple):
     """Restriction of a request's runs to one endpoint.
 
-    ``since`` is the time of the last end under the request. ``rivals`` are the
+    ``since`` is the time of the last end under the request. Unless it ``is_strict``,
+    calls may be sent elsewhere while that endpoint takes few calls. ``rivals`` are the
     fingerprints of other suspects that choose their endpoints before it.
     """
 
     since: float
+    is_strict: bool = True
     rivals: tuple[str, ...] = ()
 
 
--- a/libs/relay/src/clementinebend_relay/quarantine.py
+++ b/libs/relay/src/clementinebend_relay/quarantine.py
@@ -17,6 +17,7 @@
 from clementinebend_relay.metrics import quarantined_requests
 from clementinebend_relay.models import Reason, Rejection
 from clementinebend_relay.quarantine_trials import (
+    TRIAL_SECONDS,
     QuarantinedRequest,
     is_on_trial,
     quarantined_request,
@@ -137,10 +138,24 @@
         is_idle = not self.runs.in_flight[fingerprint]
         if is_idle and is_on_trial(request, now):
             return None
+        return self.rejection(fingerprint)
+
+    def rejection(self, fingerprint: str) -> Rejection:
+        """Return the rejection of a request that is quarantined.
+
+        Retry-after delays until a trial are spread, so that callers return in turn.
+        """
         message = "endpoints have ended under this request; mend it, or its endpoints"
+        request, now = self.quarantined[fingerprint], self.clock()
         pause = retry_delay(request, now, QUARANTINE_RETRY_DELAY)
+        if request.trial_at < inf:
+            pause += random() * TRIAL_SECONDS
         return Rejection(Reason.QUARANTINED, message, pause)
 
+    def knows_good_runs(self, fingerprint: str) -> bool:
+        """Return whether other entries should hear of good runs of a request."""
+        return self.is_sound(fingerprint) or self.history.has_run_well(fingerprint)
+
     def confinement(self, fingerprint: str) -> Confinement | None:
         """Return how the runs of a request are confined, None if they are not."""
         request = self.quarantined.get(fingerprint)
@@ -150,7 +165,8 @@
         if not evidence:
             return None
         since = max(run.ended_at for run in evidence)
-        return Confinement(since, tuple(self._rivals(fingerprint)))
+        is_strict = self.is_suspected(fingerprint)
+        return Confinement(since, is_strict, tuple(self._rivals(fingerprint)))
 
     def _rivals(self, fingerprint: str) -> Iterator[str]:
         """Return the suspects that choose an endpoint before a suspected request."""
@@ -177,6 +193,8 @@
         max_wait = min(SUSPECT_WAIT_SECONDS, (deadline - now) * SUSPECT_WAIT_SHARE)
         until = now + max_wait
         while (blocked_until := self._blocked_until(fingerprint, may_repeat)) > now:
+            if now >= until and not self.is_suspected(fingerprint):
+                break
             if now >= until:
                 message = "another run of this request must end first"
                 pause = min(SUSPECT_RETRY_DELAY, blocked_until - now)
--- a/libs/relay/src/clementinebend_relay/quarantine_sync.py
+++ b/libs/relay/src/clementinebend_relay/quarantine_sync.py
@@ -37,7 +37,7 @@
 )
 from clementinebend_relay.models import Endpoint, boot_name
 from clementinebend_relay.quarantine import Quarantine
-from clementinebend_relay.run_history import GoodRuns
+from clementinebend_relay.run_history import MIN_GOOD_RUNS, GoodRuns
 from clementinebend_routing.fatal_runs import FatalRun
 from clementinebend_transport.client_connection import Address
 
@@ -149,7 +149,7 @@
             case QuarantineMessage():
                 self._apply_quarantine(message)
             case SoundMessage() if FINGERPRINT.fullmatch(message.fingerprint):
-                self.quarantine.on_sound(message.fingerprint)
+                self.quarantine.clear(message.fingerprint, "it ran well elsewhere")
 
     def on_record(self, record: KeyedRecord) -> None:
         """Apply a record of the store; a tombstone ends a quarantine."""
@@ -192,7 +192,7 @@
         if details.good_runs > 0 and details.good_run_ago >= 0.0:
             good_runs = GoodRuns(details.good_runs, now - details.good_run_ago)
             self.quarantine.on_good_runs_reported(fingerprint, good_runs)
-        else:
+        if details.good_runs < MIN_GOOD_RUNS:
             self._report_good_runs(message, reported)
         is_valid = event_ago is not None and event_ago >= message.ended_ago
         run = FatalRun(
@@ -282,7 +282,7 @@
         if len(self.good_runs_reported_at) > MAX_REPORTED_REQUESTS:
             del self.good_runs_reported_at[next(iter(self.good_runs_reported_at))]
         is_repeated = now - last_at < REPORTED_SECONDS
-        if is_repeated or self.quarantine.history.recent(fingerprint) is None:
+        if is_repeated or not self.quarantine.knows_good_runs(fingerprint):
             return
         others = len(self.directory.others(self.boot))
         if random() * others >= GOOD_RUN_REPORTERS:
--- a/libs/relay/src/clementinebend_relay/survey.py
+++ b/libs/relay/src/clementinebend_relay/survey.py
@@ -23,6 +23,7 @@
     median_pace,
     slowness,
 )
+from clementinebend_routing.request_permits import CallClass
 from clementinebend_routing.sessions import SessionTracker, best_source
 
 CONNECTION_SHARE = 0.9
@@ -151,7 +152,9 @@
         eligible = self._eligible(admitted, tried)
         confinement = self.confinement(admitted.fingerprint)
         if confinement is not None:
-            eligible = self._assigned(admitted, eligible, confinement)
+            assigned = self._assigned(admitted, eligible, confinement)
+            if confinement.is_strict or self._takes_calls(assigned, call_class):
+                eligible = assigned
         for round_number in count():
             free = self.limits.free(eligible, call_class)
             if eligible and not free:
@@ -219,6 +222,15 @@
         known = [state for state in eligible if self.probes.is_known(state.endpoint)]
         return {state.endpoint.name: state for state in known or eligible}
 
+    def _takes_calls(
+        self, assigned: list[EndpointState], call_class: CallClass
+    ) -> bool:
+        """Return whether no permit is needed at the endpoints, and none is limited."""
+        free = self.limits.free(assigned, call_class)
+        return free == assigned and not any(
+            self._permit_limit(state.endpoint) for state in assigned
+        )
+
     def _assigned(
         self,
         admitted: Admitted,
