Send a popular request in the soak, and kill engines in series where it runs

Three clients send one streamed request at all entries, and engines are killed two or three times, 0.5 to 3 s apart, where it ran last. The draws of the other faults are as before.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -38,10 +38,11 @@
     if soak.crashes is None:
         return "not started"
     arrivals, ends = soak.crashes.engines.arrivals(), soak.crashes.engines.ends
+    kills = 0 if soak.popular is None else soak.popular.kills
     kept = "" if soak.fleet.store.newest("quarantine") else "not "
     return (
         f"{len(ends)} engines ended, {len(arrivals)} fatal requests arrived, "
-        f"{kept}kept back"
+        f"{kept}kept back, {kills} kills in series"
     )
 
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -16,6 +16,7 @@
 from tests.lib.waiting import until
 from tests.soak.crashes import Crashes
 from tests.soak.limits import Limits
+from tests.soak.popular import PopularCalls
 from tests.soak.promises import Seen, broken_promises
 from tests.soak.proxy import MODES, FaultProxy
 
@@ -24,6 +25,7 @@
 ENGINES = 2
 ZONES = ("a", "b")
 CLIENTS = 8
+POPULAR_CLIENTS = 3
 SECONDS = 8.0
 RELOAD_PART = 0.6
 RECOVERY_SECONDS = 12.0
@@ -64,6 +66,7 @@
         self.done: list[str] = []
         self.engine_cuts: list[tuple[float, float]] = []
         self.crashes: Crashes | None = None
+        self.popular: PopularCalls | None = None
 
     async def run(self) -> list[str]:
         """Play the seed; return the promises that were broken."""
@@ -73,6 +76,12 @@
             crashes = self.crashes = Crashes(self.seed, self.fleet, self.calls)
             crashing = crashes.run(ENTRIES, lambda: self.has_stopped)
             clients.append(create_task(crashing))
+            popular = self.popular = PopularCalls(self.seed, self.fleet, self.calls)
+            clients += [
+                create_task(popular.call(ENTRIES, lambda: self.has_stopped))
+                for _ in range(POPULAR_CLIENTS)
+            ]
+            clients.append(create_task(popular.kill(lambda: self.has_stopped)))
             limits = Limits(self.seed, self.fleet)
             clients.append(create_task(limits.run(lambda: self.has_stopped)))
             await self._disturb()
