--- a/libs/relay/src/clementinebend_relay/quarantine.py
+++ b/libs/relay/src/clementinebend_relay/quarantine.py
@@ -49,12 +49,11 @@
 in progress."""
 
 SUSPECT_WAIT_SECONDS = 2.0
-"""Maximum seconds that a call waits for that run. By then the run has ended its
-endpoint or is complete, or its stream has lasted long enough to clear the request."""
+"""Maximum seconds that a call waits for a check, a decision or another run."""
 
 SUSPECT_WAIT_SHARE = 0.25
-"""Maximum share of its remaining time that a call waits. The rest is left for its run:
-a call that waits longer cannot be answered in time."""
+"""Maximum share of its remaining time that a call waits. The rest is left for its
+run."""
 
 SOUND_SECONDS = 3.0
 """Seconds after a complete answer during which ends are not held against its request:
--- a/libs/routing/src/clementinebend_routing/fatal_runs.py
+++ b/libs/routing/src/clementinebend_routing/fatal_runs.py
@@ -23,7 +23,7 @@
 from typing import NamedTuple
 
 MIN_SUSPECT_ENDS = 2
-"""Sequential ends after which a request runs alone and one run at a time."""
+"""Sequential ends after which a request is a suspect: its runs stay at one endpoint."""
 
 MIN_FATAL_ENDS = 3
 """Sequential ends at the same point after which a request is no longer sent to
@@ -119,7 +119,7 @@
 
 
 def is_suspected(evidence: Evidence) -> bool:
-    """Return whether a request should run alone and one run at a time."""
+    """Return whether a request is a suspect."""
     return sequential_ends(evidence) >= MIN_SUSPECT_ENDS
 
 
