Test one endpoint from the first end on, new and cold endpoints, and trials that end one

Switched off one at a time, four changes of the judgement let no test fail; each now fails one of these.

--- a/tests/unit/relay/test_popular_requests.py
+++ b/tests/unit/relay/test_popular_requests.py
@@ -488,6 +488,42 @@
     play(scenario)
 
 
+def test_a_trial_whose_endpoint_has_ended_goes_to_no_other_one() -> None:
+    """Guards against a trial that ends one endpoint after the other."""
+
+    async def scenario(world: PopularWorld) -> None:
+        await quarantine_known(world)
+        world.fatal_after[HARMLESS] = 0.1
+        await sleep(TRIAL_DELAYS[0])
+        before = len(world.arrivals)
+        dispatcher = world.dispatchers[world.all()[0].name]
+        # This entry never learns that the endpoint of the trial has ended.
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(dispatcher.ends, "on_broken", lambda *_: None)
+            await world.call(0, HARMLESS)
+        assert len(world.arrivals) == before + 1
+
+    play(scenario)
+
+
+def test_a_stream_that_broke_off_after_a_second_has_cleared_its_request() -> None:
+    """Guards against a break that counts neither as good nor as evidence.
+
+    Events are 0.75 s apart; the break comes 1.1 s after the first one.
+    """
+
+    async def scenario(world: PopularWorld) -> None:
+        await end_two(world)
+        call = world.call(0, HARMLESS, LONG_LIMIT)
+        await sleep(0.4 + 1.1)
+        world.crash(world.running()[0])
+        await sleep(REPORT_SECONDS)
+        assert not any(entry.quarantine.is_suspected(HARMLESS) for entry in world.all())
+        assert not call.done()
+
+    play(scenario, pace=Pace(0.4, 0.75))
+
+
 def test_a_caller_of_a_quarantined_request_is_told_when_to_come_back() -> None:
     """Guards against a longer pause than until the next trial is over."""
 
--- a/tests/unit/relay/test_suspect_placement.py
+++ b/tests/unit/relay/test_suspect_placement.py
@@ -1,6 +1,6 @@
 """Suspected requests run at endpoints apart from each other."""
 
-from asyncio import get_running_loop
+from asyncio import get_running_loop, sleep
 from collections.abc import Collection
 from typing import NamedTuple
 
@@ -17,13 +17,14 @@
 from clementinebend_relay.quarantine import Quarantine
 from clementinebend_relay.queue_probes import QueueProbes
 from clementinebend_relay.survey import Surveyor
-from clementinebend_routing.cold_start import ColdBound
+from clementinebend_routing.cold_start import ColdBound, PermitLimit
 from clementinebend_routing.fatal_runs import FatalRun
 from clementinebend_routing.sessions import SessionTracker
 from clementinebend_transport.client_connection import Address
 from tests.unit.relay.calls import SERVICE, admitted, route
 
 PAIRS = 200
+PLACED_CALLS = 20
 TURN_SECONDS = 0.5
 
 
@@ -137,3 +138,60 @@
 def test_a_suspect_alone_is_sent_to_the_only_endpoint() -> None:
     """Guards against suspects that are kept waiting though no other one runs."""
     assert run_virtually(place(["0" * 24], 1)) == ["i-0"]
+
+
+def end_once(quarantine: Quarantine, fingerprint: str) -> None:
+    """Record one end under a request, half a second ago."""
+    now = get_running_loop().time()
+    run = FatalRun("gone-0/", now - 1.0, now - 0.5)
+    quarantine.on_run_ended(fingerprint, run)
+
+
+async def places_after_one_end(suspects: Suspects, fingerprint: str) -> set[str | None]:
+    """Return where calls of a request go after one end under it."""
+    end_once(suspects.quarantine, fingerprint)
+    return {await placed_at(suspects, fingerprint) for _ in range(PLACED_CALLS)}
+
+
+def test_after_one_end_all_calls_of_a_request_go_to_one_endpoint() -> None:
+    """Guards against a fatal request that ends several endpoints at a time."""
+
+    async def main() -> None:
+        await sleep(60.0)
+        assert len(await places_after_one_end(entry_of(9), "0" * 24)) == 1
+
+    run_virtually(main())
+
+
+def test_an_endpoint_that_was_added_since_the_last_end_is_passed_over() -> None:
+    """Guards against entries that choose differently while they learn of it."""
+
+    async def main() -> None:
+        await sleep(60.0)
+        suspects = entry_of(2)
+        (chosen,) = await places_after_one_end(suspects, "0" * 24)
+        states = suspects.surveyor.endpoints.states
+        states[chosen or ""].available_since = get_running_loop().time()
+        assert await placed_at(suspects, "0" * 24) not in (None, chosen)
+
+    run_virtually(main())
+
+
+def test_one_end_binds_no_call_to_an_endpoint_that_needs_permits() -> None:
+    """Guards against calls that wait for a cold endpoint while others are free."""
+
+    async def main() -> None:
+        await sleep(60.0)
+        suspects = entry_of(9)
+        (chosen,) = await places_after_one_end(suspects, "0" * 24)
+        surveyor = suspects.surveyor
+
+        def permit_limit(endpoint: Endpoint) -> PermitLimit | None:
+            return PermitLimit(1, 1) if endpoint.name == chosen else None
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(surveyor, "_permit_limit", permit_limit)
+            found = {await placed_at(suspects, "0" * 24) for _ in range(PLACED_CALLS)}
+        assert len(found) > 1
+
+    run_virtually(main())
