Take a stream for good only at an event again

Cause: let a stream clear its request 1 s after its first event by time alone, and when it broke off later than that. Nothing waits for that any more, as calls that may be repeated run side by side.

Change: the relay of streams is as on; a break after more than 1 s is neither evidence nor good, as there.

--- a/libs/relay/src/clementinebend_relay/attempts.py
+++ b/libs/relay/src/clementinebend_relay/attempts.py
@@ -161,11 +161,9 @@
             in_flight=state.in_flight,
             problem=problem,
         )
-        if not counts_as_evidence(streamed):
-            self.on_sound(progress)
-            return
-        ends = self.dispatcher.ends
-        ends.on_broken(state, admitted.fingerprint, progress.sent_at, streamed_from)
+        if counts_as_evidence(streamed):
+            ends = self.dispatcher.ends
+            ends.on_broken(state, admitted.fingerprint, progress.sent_at, streamed_from)
 
     async def _choose_placement(self, progress: CallProgress) -> Placement | None:
         """Return the endpoint for the next attempt, from a survey that is still valid.
--- a/libs/relay/src/clementinebend_relay/streams.py
+++ b/libs/relay/src/clementinebend_relay/streams.py
@@ -7,21 +7,17 @@
 from asyncio import timeout_at
 from collections.abc import AsyncGenerator, AsyncIterator, Callable
 from contextlib import aclosing
-from math import inf
 
 from clementinebend_relay.attempts import Attempts, OpenAttempt
 from clementinebend_relay.decisions import log_decision
 from clementinebend_relay.dispatch import Dispatcher
 from clementinebend_relay.events import EventSplitter, StreamEvent, is_next_event
 from clementinebend_relay.progress import CallProgress
-from clementinebend_routing.fatal_runs import MAX_FATAL_STREAM, counts_as_evidence
+from clementinebend_routing.fatal_runs import counts_as_evidence
 from clementinebend_routing.silence import SILENT_SECONDS
 from clementinebend_transport.exceptions import AnswerCutError, TruncatedAnswer
 from clementinebend_transport.http_types import Response
 
-SOUND_CHECK_DELAY = 0.001
-"""Seconds after which a stream is checked that has just run long enough."""
-
 SILENCE_CHECK_SECONDS = 0.4
 """Seconds without data on a stream after which its endpoint is checked for silence.
 
@@ -155,7 +151,8 @@
             progress.first_event_at = self.clock()
         if progress.attempt_event_at is None:
             progress.attempt_event_at = self.clock()
-        self._check_sound(progress)
+        if not counts_as_evidence(self.clock() - progress.attempt_event_at):
+            self.attempts.on_sound(progress)
         progress.events += 1
         progress.last_event = event.event_id or progress.last_event
 
@@ -168,24 +165,14 @@
             until = progress.deadline
             if can_resume:
                 until = min(until, self.clock() + SILENCE_CHECK_SECONDS)
-            until = min(until, _sound_check_at(progress))
             try:
                 async with timeout_at(until):
                     return await anext(running.answer.chunks, None)
             except TimeoutError:
-                self._check_sound(progress)
-                if can_resume or self.clock() >= progress.deadline:
-                    self._check_silence(running, progress)
+                self._check_silence(running, progress)
             except TruncatedAnswer as error:
                 raise self._break_stream(running, progress, str(error)) from error
 
-    def _check_sound(self, progress: CallProgress) -> None:
-        """Record that a stream does no harm, once it has run long enough."""
-        started_at = progress.attempt_event_at
-        if started_at is None or counts_as_evidence(self.clock() - started_at):
-            return
-        self.attempts.on_sound(progress)
-
     def _check_silence(self, running: OpenAttempt, progress: CallProgress) -> None:
         now = self.clock()
         if now >= progress.deadline:
@@ -199,10 +186,3 @@
         self.attempts.on_broken(progress, running.state, problem)
         self.dispatcher.endpoints.on_end(running.state, ok=False)
         return StreamBroken(problem)
-
-
-def _sound_check_at(progress: CallProgress) -> float:
-    """Return when a stream has run long enough to do no harm, if that is not known."""
-    if progress.attempt_event_at is None or progress.sound_at > -inf:
-        return inf
-    return progress.attempt_event_at + MAX_FATAL_STREAM + SOUND_CHECK_DELAY
--- a/tests/unit/relay/test_crash_world.py
+++ b/tests/unit/relay/test_crash_world.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from tests.unit.relay.crash_endpoints import Work
 from tests.unit.relay.crash_grid import RARE_RATE, fatal_scenarios
 from tests.unit.relay.crash_scenarios import (
     ALLOWED_ENDS,
@@ -19,6 +20,7 @@
 """Seconds of calls: the third end comes within 3 s, and the window is 3 s long."""
 
 HARMLESS_RATE = 5.0
+LATE_END_SECONDS = 1.5
 QUICK_WAYS = ("reset", "head", "event")
 SLOW_ENDS = {3: 5, 30: 6}
 """Most endpoints that end, by number of entries, if each end comes 0.5 s after the run
@@ -53,6 +55,18 @@
     assert result.late_runs <= ALLOWED_LATER
 
 
+@pytest.mark.parametrize("entries", SIZES)
+def test_a_stream_that_ends_its_endpoint_late_is_not_taken_for_good(
+    entries: int,
+) -> None:
+    """Guards against time that clears a request though no event has come."""
+    work = Work(fatal_way="late-event", fatal_delay=LATE_END_SECONDS)
+    scenario = popular_scenarios()[0]._replace(kind="stream", fatal_work=work)
+    result = run_scenario(scenario, Setting(entries), SEED)
+    assert result.is_fatal_quarantined
+    assert result.late_runs <= ALLOWED_LATER
+
+
 def test_the_same_seed_gives_the_same_run() -> None:
     scenario = popular_scenarios()[0]
     first = run_scenario(scenario, Setting(SIZES[0]), SEED)
--- a/tests/unit/relay/test_popular_requests.py
+++ b/tests/unit/relay/test_popular_requests.py
@@ -22,7 +22,6 @@
 from clementinebend_relay.quarantine_trials import TRIAL_DELAYS, TRIAL_SECONDS
 from clementinebend_routing.fatal_runs import (
     CONCLUSIVE_ENDS,
-    MAX_FATAL_STREAM,
     FatalRun,
 )
 from tests.unit.relay.popular_world import Arrival, Outcome, Pace, PopularWorld, play
@@ -117,20 +116,22 @@
     play(scenario)
 
 
-def test_a_stream_clears_its_request_without_waiting_for_its_next_event() -> None:
-    """Guards against waits that last until the next event after the limit.
+def test_a_stream_that_ended_its_endpoint_after_a_pause_clears_nothing() -> None:
+    """Guards against time that counts as a good run though no event has come.
 
-    Events are 0.75 s apart, so the first one beyond 1 s comes 1.5 s after the first.
+    The endpoint ends 1.1 s after the first event; the next one was due after 5 s.
     """
 
     async def scenario(world: PopularWorld) -> None:
         await suspect(world)
-        running = world.arrivals[-1].at
-        first_event_at = running + world.pace.first
-        await sleep(first_event_at + MAX_FATAL_STREAM + 0.1 - world.now())
-        assert not world.all()[0].quarantine.is_suspected(HARMLESS)
+        world.call(0, HARMLESS, LONG_LIMIT)
+        await sleep(0.4 + 1.1)
+        world.crash(world.running()[0])
+        await sleep(REPORT_SECONDS)
+        for entry in world.all():
+            assert entry.quarantine.is_suspected(HARMLESS)
 
-    play(scenario, pace=Pace(0.4, 0.75))
+    play(scenario, pace=Pace(0.4, 5.0))
 
 
 def test_calls_behind_a_stream_whose_first_event_is_late_are_not_refused() -> None:
@@ -506,24 +507,6 @@
     play(scenario)
 
 
-def test_a_stream_that_broke_off_after_a_second_has_cleared_its_request() -> None:
-    """Guards against a break that counts neither as good nor as evidence.
-
-    Events are 0.75 s apart; the break comes 1.1 s after the first one.
-    """
-
-    async def scenario(world: PopularWorld) -> None:
-        await end_two(world)
-        call = world.call(0, HARMLESS, LONG_LIMIT)
-        await sleep(0.4 + 1.1)
-        world.crash(world.running()[0])
-        await sleep(REPORT_SECONDS)
-        assert not any(entry.quarantine.is_suspected(HARMLESS) for entry in world.all())
-        assert not call.done()
-
-    play(scenario, pace=Pace(0.4, 0.75))
-
-
 def test_a_caller_of_a_quarantined_request_is_told_when_to_come_back() -> None:
     """Guards against a longer pause than until the next trial is over."""
 
