Count no kill of an engine that had ended in the soak

The soak's figure of kills in series counted engines that had ended already, and its rate was named for calls though it is drawn each 0.3 s. The draws are as before.

--- a/tests/soak/popular.py
+++ b/tests/soak/popular.py
@@ -13,8 +13,9 @@
 BODY = b"popular"
 SERVICE = "pool"
 PROMPT = 20
-SERIES_SHARE = 0.03
-"""Part of the calls with which a series of kills begins."""
+TURN_SECONDS = 0.3
+SERIES_SHARE = 0.1
+"""Part of the turns in which a series of kills begins."""
 
 LONGEST_SERIES = 3
 SHORTEST_GAP = 0.5
@@ -41,16 +42,16 @@
     async def kill(self, has_stopped: Callable[[], bool]) -> None:
         """Kill engines in series where the request ran last, until the load ends."""
         while not has_stopped():
-            await sleep(LONGEST_PAUSE)
-            if self.random.random() < SERIES_SHARE / LONGEST_PAUSE:
+            await sleep(TURN_SECONDS)
+            if self.random.random() < SERIES_SHARE:
                 await self._kill_in_series()
 
     async def _kill_in_series(self) -> None:
         gap = self.random.uniform(SHORTEST_GAP, LONGEST_GAP)
         for _ in range(self.random.randint(2, LONGEST_SERIES)):
-            running = self.fleet.engines_of(SERVICE)
-            await max(running, key=_last_popular_run).crash()
-            self.kills += 1
+            engine = max(self.fleet.engines_of(SERVICE), key=_last_popular_run)
+            self.kills += not engine.has_ended
+            await engine.crash()
             await sleep(gap)
 
     async def _send(self, entry: int) -> None:
