Wait for the report of an end if a confined request's endpoint refuses its connection

Cause: an entry that missed a report sent its call to the request's endpoint, was refused there, and went on to the next one, the same for all such entries.

Change: such a call waits 0.35 s for the report, whose first repetition comes after 0.3 s; only where an end under the request is known. A call of any other request goes on at once.

--- a/libs/relay/src/clementinebend_relay/attempts.py
+++ b/libs/relay/src/clementinebend_relay/attempts.py
@@ -119,6 +119,7 @@
                     progress.missing_endpoints += 1
                     progress.attempts -= 1
                 if isinstance(outcome, NotSent):
+                    self.quarantine.on_unreachable(fingerprint)
                     continue
                 running = await self._relayable_attempt(progress, outcome, cleanup)
             finally:
--- a/libs/relay/src/clementinebend_relay/quarantine.py
+++ b/libs/relay/src/clementinebend_relay/quarantine.py
@@ -83,6 +83,10 @@
 MAX_DECISION_LATENESS = 0.05
 """Seconds after which a call no longer waits for a decision that is overdue."""
 
+REPORT_WAIT = 0.35
+"""Seconds for which calls of a confined request wait for the report of an end, if its
+endpoint refuses connections: longer than the first repetition of a report takes."""
+
 MAX_RIVALS = 8
 """Maximum number of other suspects whose endpoints a suspected request avoids."""
 
@@ -121,6 +125,7 @@
         self.ended_at: dict[str, float] = {}
         self.alive_at: dict[str, float] = {}
         self.decision_due_at: dict[str, float] = {}
+        self.report_due_at: dict[str, float] = {}
         self.history = RunHistory(clock)
         self.runs = RunsInProgress()
         self.on_lift: Callable[[str], None] | None = None
@@ -185,7 +190,8 @@
 
         A request waits while an endpoint that broke off a run of it is checked. A
         suspected request also waits for the decision about it and, if it may not be
-        repeated, until its previous run has ended. A caller that is admitted must enter
+        repeated, until its previous run has ended; a confined one for the report of an
+        end that its refused connection shows. A caller that is admitted must enter
         ``running`` immediately.
         """
         now = self.clock()
@@ -214,8 +220,17 @@
         is_busy = self.runs.in_flight[fingerprint] > 0 and not is_first
         if is_busy:
             return inf
-        due_at = self.decision_due_at.get(fingerprint, -inf)
-        return due_at + MAX_DECISION_LATENESS
+        decided_at = self.decision_due_at.get(fingerprint, -inf) + MAX_DECISION_LATENESS
+        return max(decided_at, self.report_due_at.get(fingerprint, -inf))
+
+    def on_unreachable(self, fingerprint: str) -> None:
+        """Record that the endpoint of a call refused its connection.
+
+        If the request is confined, that may be one more end under it whose report is on
+        its way.
+        """
+        if fingerprint in self.evidence:
+            self.report_due_at[fingerprint] = self.clock() + REPORT_WAIT
 
     def on_run_ended(self, fingerprint: str, run: FatalRun) -> bool:
         """Record that an endpoint ended under a request; return if that is evidence.
@@ -243,6 +258,8 @@
             reason = "endpoints ended under it, and it was not answered"
             self._log("request suspected", fingerprint, endpoints_of(evidence), reason)
         is_new = endpoints_of(before) != endpoints_of(evidence)
+        if is_new and self.report_due_at.pop(fingerprint, None) is not None:
+            self.runs.notify()
         if is_new and sequential_ends(evidence) >= MIN_FATAL_ENDS:
             self._schedule_decision(fingerprint)
         self._evict()
@@ -259,6 +276,7 @@
         For ``SOUND_SECONDS`` late reports of other entries are ignored as well.
         """
         self._set_sound(fingerprint, self.clock())
+        self.report_due_at.pop(fingerprint, None)
         evidence = self.evidence.pop(fingerprint, ())
         if is_suspected(evidence):
             log_decision("request cleared", fingerprint=fingerprint, reason=reason)
@@ -371,6 +389,7 @@
         """
         if fingerprint in self.quarantined:
             return
+        self.report_due_at.pop(fingerprint, None)
         evidence = self.evidence.pop(fingerprint, ())
         ended = endpoints_of(evidence).union(endpoints)
         self.quarantined[fingerprint] = quarantined_request(
@@ -435,7 +454,9 @@
         """
         if len(self.evidence) > MAX_SUSPECTS:
             oldest = islice(self.evidence, EVICTION_CANDIDATES)
-            del self.evidence[min(oldest, key=lambda name: len(self.evidence[name]))]
+            evicted = min(oldest, key=lambda name: len(self.evidence[name]))
+            del self.evidence[evicted]
+            self.report_due_at.pop(evicted, None)
         if len(self.ended_at) > MAX_SUSPECTS:
             del self.ended_at[next(iter(self.ended_at))]
 
--- a/tests/unit/relay/test_attempts.py
+++ b/tests/unit/relay/test_attempts.py
@@ -1,5 +1,6 @@
 """Which endpoints count as attempts of a call, and when the attempts end."""
 
+from asyncio import get_running_loop
 from collections.abc import Collection, Iterator
 from contextlib import contextmanager
 from types import SimpleNamespace
@@ -12,8 +13,9 @@
 from clementinebend_relay.interfaces import Verdict
 from clementinebend_relay.models import RouteKind
 from clementinebend_relay.progress import CallProgress
-from clementinebend_relay.quarantine import Quarantine
+from clementinebend_relay.quarantine import REPORT_WAIT, Quarantine
 from clementinebend_relay.survey import Placement, Survey
+from clementinebend_routing.fatal_runs import FatalRun
 from tests.unit.relay import calls
 from tests.unit.relay.calls import CALL
 
@@ -88,3 +90,32 @@
     assert await attempts(dispatcher).next(call_progress) is None
     assert len(call_progress.tried) == MAX_MISSING_ENDPOINTS
     assert not call_progress.may_have_run
+
+
+async def test_a_call_waits_for_the_report_of_an_end_if_its_endpoint_is_gone() -> None:
+    """Guards against an endpoint more for each entry that missed the report."""
+    clock = get_running_loop().time
+    quarantine = Quarantine(clock)
+    news = SimpleNamespace(quarantine=quarantine, on_sound=lambda fingerprint: None)
+    dispatcher = FakeDispatcher([None, Verdict.SUCCESS])
+    sender = Attempts(dispatcher, news, clock)  # type: ignore[arg-type]
+    call_progress = progress(max_attempts=1)
+    call_progress.deadline = clock() + 4.0
+    fingerprint = call_progress.admitted.fingerprint
+    run = FatalRun("gone/", clock() - 0.2, clock() - 0.1)
+    quarantine.on_run_ended(fingerprint, run)
+    before = clock()
+    assert await sender.next(call_progress) is not None
+    assert clock() - before >= REPORT_WAIT
+
+
+async def test_a_call_without_evidence_goes_on_at_once_if_its_endpoint_is_gone() -> (
+    None
+):
+    """Guards against a delay of each call that meets an ended endpoint."""
+    clock = get_running_loop().time
+    quarantine = Quarantine(clock)
+    quarantine.on_unreachable("a")
+    before = clock()
+    assert await quarantine.wait_for_turn("a", before + 4.0) is None
+    assert clock() - before < REPORT_WAIT
