Log the version of endpoints' software, and which stream a call takes up

Cause: the hypotheses about streams of two versions cannot be told apart: the version in an endpoint's announcement was decoded and dropped, and no line told that a call resumes a stream. Change: the version is part of the endpoint; it stands in "endpoint added", "call ended", "stream resumed", "stream cut" and in the new "stream taken up", which also has the request that brought the first event. A counter of resumed streams by who resumed them and whether the version is the same. No decision changes.

--- a/libs/relay/src/clementinebend_relay/attempts.py
+++ b/libs/relay/src/clementinebend_relay/attempts.py
@@ -227,6 +227,7 @@
         progress.attempt_event_at = None
         progress.sound_at = -inf
         progress.tried.append(state.endpoint.name)
+        progress.software_versions.append(state.endpoint.software_version)
         sent = state.unread[progress.admitted.call.request_id]
         progress.ahead, progress.unread = sent.ahead, sent.tokens
         may_have_run_before = progress.may_have_run
--- a/libs/relay/src/clementinebend_relay/endpoints.py
+++ b/libs/relay/src/clementinebend_relay/endpoints.py
@@ -203,6 +203,7 @@
                 endpoint=endpoint.name,
                 service=endpoint.service,
                 boot=endpoint.boot,
+                software_version=endpoint.software_version,
             )
         elif endpoint.is_leaving and not state.endpoint.is_leaving:
             log_decision("endpoint leaving", endpoint=endpoint.name)
--- a/libs/relay/src/clementinebend_relay/handler.py
+++ b/libs/relay/src/clementinebend_relay/handler.py
@@ -179,6 +179,8 @@
             team=admitted.team.name,
             version=admitted.version,
             endpoints=progress.tried,
+            software_versions=progress.software_versions,
+            resumes=admitted.call.resumes,
             attempts=usage.attempts,
             events=progress.events,
             tokens=usage.tokens,
--- a/libs/relay/src/clementinebend_relay/metrics.py
+++ b/libs/relay/src/clementinebend_relay/metrics.py
@@ -21,6 +21,13 @@
     "Answers that endpoints ended before they were whole, by service.",
     ("service",),
 )
+resumed_streams = counter(
+    "clementinebend_relay_resumed_streams_total",
+    "Streams that have gone on at another endpoint, by service, by who resumed them "
+    "(entry or caller) and by the version of the software there, against the one that "
+    "began them (same, other or unknown).",
+    ("service", "by", "software"),
+)
 ended_endpoints = counter(
     "clementinebend_relay_endpoint_ends_total",
     "Endpoints that ended while calls of this entry ran there, by service.",
--- a/libs/relay/src/clementinebend_relay/models.py
+++ b/libs/relay/src/clementinebend_relay/models.py
@@ -105,6 +105,7 @@
 
     ``boot`` distinguishes boots under the same name, if the endpoint announces it.
     ``cold_seconds`` is the remaining time for which the endpoint is cold.
+    ``software_version`` is the version of its software, not of its model.
     """
 
     name: str
@@ -115,6 +116,7 @@
     is_leaving: bool
     boot: int | None = None
     cold_seconds: float = 0.0
+    software_version: str = ""
 
 
 def boot_name(endpoint: Endpoint) -> str:
@@ -132,7 +134,8 @@
 
     ``headers`` are those to forward. ``time_limit`` is the caller's time limit, and
     ``parts`` is the prompt. ``last_event`` is the ID of the last event that the caller
-    has received, if it resumes a stream.
+    has received, if it resumes a stream. ``resumes`` then is the ID of its request that
+    brought the first event.
     """
 
     request_id: str
@@ -147,6 +150,12 @@
     prompt_tokens: int
     max_output_tokens: int
     last_event: str | None
+    resumes: str | None = None
+
+    @property
+    def is_take_up(self) -> bool:
+        """Whether the caller resumes a stream of which it holds events."""
+        return bool(self.last_event or self.resumes)
 
     @property
     def path(self) -> str:
--- a/libs/relay/src/clementinebend_relay/progress.py
+++ b/libs/relay/src/clementinebend_relay/progress.py
@@ -39,6 +39,10 @@
     how many endpoints' queues were reported before it. ``attempt_event_at`` is when its
     first event arrived, and ``sound_at`` when it was last known to do no harm.
 
+    ``tried`` and ``software_versions`` are the names of the endpoints that the call was
+    sent to and the versions of their software; ``began_at`` is the version of the
+    software that sent the first event.
+
     ``refusal`` is why no further attempt was made. ``pause`` is the time in seconds
     until an endpoint accepts calls again, if all have asked for a pause.
     """
@@ -54,6 +58,8 @@
         self.sent = 0
         self.sent_at = 0.0
         self.tried: list[str] = []
+        self.software_versions: list[str] = []
+        self.began_at: str | None = None
         self.may_have_run = False
         self.events = 0
         self.ahead = 0.0
--- a/libs/relay/src/clementinebend_relay/streams.py
+++ b/libs/relay/src/clementinebend_relay/streams.py
@@ -12,6 +12,7 @@
 from clementinebend_relay.decisions import log_decision
 from clementinebend_relay.dispatch import Dispatcher
 from clementinebend_relay.events import EventSplitter, StreamEvent, is_next_event
+from clementinebend_relay.metrics import resumed_streams
 from clementinebend_relay.progress import CallProgress
 from clementinebend_routing.fatal_runs import counts_as_evidence
 from clementinebend_routing.silence import SILENT_SECONDS
@@ -99,6 +100,7 @@
                 "stream cut",
                 request_id=call.request_id,
                 events=progress.events,
+                software_versions=progress.software_versions,
                 problem=str(error),
             )
             raise AnswerCutError(str(error))
@@ -106,9 +108,12 @@
             "stream resumed",
             request_id=call.request_id,
             endpoint=running.state.endpoint.name,
+            software_versions=progress.software_versions,
             after=progress.last_event,
             problem=str(error),
         )
+        is_same = running.state.endpoint.software_version == progress.began_at
+        self._count_resumed(progress, "entry", "same" if is_same else "other")
         return self._read_events(running, progress)
 
     async def _read_events(
@@ -149,6 +154,8 @@
         if progress.events == 0:
             self.dispatcher.on_first_token(progress.admitted, running.state)
             progress.first_event_at = self.clock()
+            progress.began_at = running.state.endpoint.software_version
+            self._record_take_up(running, progress)
         if progress.attempt_event_at is None:
             progress.attempt_event_at = self.clock()
         if not counts_as_evidence(self.clock() - progress.attempt_event_at):
@@ -156,6 +163,25 @@
         progress.events += 1
         progress.last_event = event.event_id or progress.last_event
 
+    def _count_resumed(self, progress: CallProgress, by: str, software: str) -> None:
+        service = progress.admitted.service.name
+        resumed_streams.labels(service, by, software).inc()
+
+    def _record_take_up(self, running: OpenAttempt, progress: CallProgress) -> None:
+        """Record that a stream has gone on for a caller that resumed it."""
+        call = progress.admitted.call
+        if not call.is_take_up:
+            return
+        self._count_resumed(progress, "caller", "unknown")
+        log_decision(
+            "stream taken up",
+            request_id=call.request_id,
+            resumes=call.resumes,
+            after=call.last_event,
+            endpoint=running.state.endpoint.name,
+            software_version=running.state.endpoint.software_version,
+        )
+
     async def _next_chunk(
         self, running: OpenAttempt, progress: CallProgress
     ) -> bytes | None:
--- a/tests/functional/test_platform_entry.py
+++ b/tests/functional/test_platform_entry.py
@@ -61,6 +61,23 @@
         first.fault = ""
 
 
+async def test_versions_of_the_engines_software_are_logged(fleet: Fleet) -> None:
+    await fleet.start(engines=0)
+    await fleet.add_engine("pool", version="v1.1")
+    await until(lambda: has_logged(fleet.entries[0], "endpoint added"))
+    await fleet.call("/stream/x", request_id="r0")
+    await fleet.call("/stream/x", last_event_id="2", resumes="r0", request_id="r1")
+    lines = fleet.entries[0].lines()
+    added = next(line for line in lines if line["message"] == "endpoint added")
+    assert added["software_version"] == "v1.1"
+    taken_up = next(line for line in lines if line["message"] == "stream taken up")
+    assert taken_up["resumes"] == "r0"
+    assert taken_up["after"] == "2"
+    assert taken_up["software_version"] == "v1.1"
+    ended = next(line for line in lines if line["message"] == "call ended")
+    assert ended["software_versions"] == ["v1.1"]
+
+
 async def test_a_stream_that_cannot_go_on_never_looks_whole(fleet: Fleet) -> None:
     await fleet.start()
     for engine in fleet.engines_of("pool"):
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -27,12 +27,15 @@
     turns each request away for so many seconds. ``server_limit`` is the text with which
     all its answers name how many requests a second it takes. ``fault`` may also be
     ``"other"``: it turns requests away as meant for other weights, under its own id.
+    ``version`` is that of its software, which each event shows if ``shows_version``.
     """
 
     numbers = count(1)
 
-    def __init__(self, service: str, zone: str = "a") -> None:
+    def __init__(self, service: str, zone: str = "a", version: str = "v1") -> None:
         self.zone = zone
+        self.version = version
+        self.shows_version = False
         self.name = f"i-{next(EngineStandin.numbers)}"
         self.service = service
         self.cold_remaining_ms = 0
@@ -82,7 +85,7 @@
                 "service": self.service,
                 "address": f"127.0.0.1:{port}",
                 "zone": self.zone,
-                "version": "v1",
+                "version": self.version,
                 "slots": 4,
                 "state": state,
                 "cold_remaining_ms": self.cold_remaining_ms,
@@ -159,11 +162,16 @@
             await self._sleep(self.pause, request_id)
             if self.fault == "gap" and number == EVENTS // 2:
                 continue
-            yield event(number)
+            yield self._event(number)
             if self.fault == "cut" and number == EVENTS // 2:
                 yield b"id: 9"
                 raise AnswerCutError("cut on purpose")
 
+    def _event(self, number: int) -> bytes:
+        if not self.shows_version:
+            return event(number)
+        return f"id: {number}\ndata: piece {self.version}\n\n".encode()
+
     async def _sleep(self, seconds: float, request_id: str) -> None:
         try:
             await sleep(seconds)
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -175,9 +175,11 @@
         """End the evacuation of a zone by a tombstone."""
         self.store.put("op", f"evacuate/{zone}", b"")
 
-    async def add_engine(self, service: str, zone: str = "a") -> EngineStandin:
-        """Start an engine and announce it."""
-        engine = EngineStandin(service, zone)
+    async def add_engine(
+        self, service: str, zone: str = "a", version: str = "v1"
+    ) -> EngineStandin:
+        """Start an engine of a version of its software, and announce it."""
+        engine = EngineStandin(service, zone, version)
         await engine.start()
         self.engines.append(engine)
         self.store.put("servers", engine.name, engine.entry())
--- a/tests/unit/relay/test_attempts.py
+++ b/tests/unit/relay/test_attempts.py
@@ -35,7 +35,7 @@
         return True
 
     async def survey(self, admitted: Admitted, tried: Collection[str]) -> Survey:
-        endpoint = SimpleNamespace(name=f"e{len(tried)}")
+        endpoint = SimpleNamespace(name=f"e{len(tried)}", software_version="v1")
         state = SimpleNamespace(endpoint=endpoint, unread={CALL.request_id: UNREAD})
         return Survey(0.0, Placement(state, 0, 100, None), None)  # type: ignore[arg-type]
 
