Test that streams go on only at the version that began them (known red)

Cause: streams that break off, or that callers take up again, go on at whatever endpoint is chosen. Change: stand-in engines and simulated endpoints of several versions, each event showing its own; clients that take their streams up again at other entries, naming in Resumes the request that brought the first event; the two rules' own figures (two mixed streams; half of the streams taken up).

--- /dev/null
+++ b/tests/lib/resuming_client.py
@@ -0,0 +1,136 @@
+"""Clients that take their streams up again, as those of the platform do."""
+
+from asyncio import get_running_loop, sleep, timeout
+from contextlib import suppress
+from itertools import count
+from random import Random
+from typing import NamedTuple
+
+from h11 import Request as HttpRequest
+
+from clementinebend_transport.client_connection import Address
+from clementinebend_transport.exceptions import TruncatedAnswer
+from tests.lib.platform_engine import EVENTS
+from tests.lib.platform_fleet import BODY, HOST, KEY, Entry, Fleet, route
+from tests.lib.streams_seen import SeenEvent, StreamSeen, Try, split_events
+
+LONG_STREAMS = route(
+    "/stream-long/", "streaming", "pool", resumable=True, timeout_ms=15_000
+)
+PATH = "/stream-long/x"
+DEADLINE_SECONDS = 12.0
+IN_TOUCH_SECONDS = 3.0
+"""Seconds that an entry must have run to count as in touch."""
+
+RETRY_SECONDS = 0.05
+MAX_TRIES = 4
+GAP_SECONDS = 2.0
+"""Longest wait in seconds for the next event of a stream."""
+
+
+class Attempt(NamedTuple):
+    """What one attempt of a client has brought."""
+
+    status: int | None
+    data: bytes
+    is_complete: bool
+
+
+class ResumingClients:
+    """Clients of one fleet; ``started_at`` is when each entry was started last."""
+
+    def __init__(self, fleet: Fleet, seed: int = 1) -> None:
+        self.fleet = fleet
+        self.clock = get_running_loop().time
+        self.random = Random(seed)
+        self.numbers = count(1)
+        self.started_at: dict[str, float] = {}
+
+    async def stream(self, entry: int, names_origin: bool = True) -> StreamSeen:
+        """Read a stream to its end over several tries, the first one at ``entry``.
+
+        A stream that is refused when it is taken up is begun anew by the next try.
+        """
+        number = next(self.numbers)
+        session = f"a{number:x}:60,b{number:x}:40"
+        deadline = self.clock() + DEADLINE_SECONDS
+        lives: list[tuple[SeenEvent, ...]] = [()]
+        tries: list[Try] = []
+        origin = ""
+        for each in range(MAX_TRIES):
+            request_id = f"s{number}-{each}"
+            events = lives[-1]
+            headers = {"x-prefix-hash": session}
+            if events:
+                headers["last-event-id"] = str(events[-1].number)
+                if names_origin:
+                    headers["resumes"] = origin
+            is_judged = self._is_judged(entry, events[0].version if events else "")
+            attempt = await self._attempt(entry, request_id, headers, deadline)
+            seen = split_events(attempt.data)
+            tries.append(Try(bool(events), is_judged, attempt.status, len(seen)))
+            if events and attempt.status not in (None, 200):
+                lives.append(())
+            if seen and not events:
+                origin = request_id
+            lives[-1] = (*lives[-1], *seen)
+            if attempt.is_complete or self.clock() >= deadline:
+                break
+            await sleep(RETRY_SECONDS)
+            entry = self._next_entry()
+        return StreamSeen(tuple(lives), tuple(tries), len(lives[-1]) == EVENTS)
+
+    def _is_judged(self, entry: int, version: str) -> bool:
+        """Return whether the rule on lost streams counts a try at an entry."""
+        item = self.fleet.entries[entry]
+        started = self.started_at.get(item.output.name, self.clock() - IN_TOUCH_SECONDS)
+        serving = [
+            engine
+            for engine in self.fleet.engines_of("pool")
+            if engine.version == version and not engine.has_ended
+        ]
+        return self.clock() - started >= IN_TOUCH_SECONDS and len(serving) > 1
+
+    def _next_entry(self) -> int:
+        """Return an entry that runs, drawn at random."""
+        running = [
+            number
+            for number, entry in enumerate(self.fleet.entries)
+            if entry.process.returncode is None
+        ]
+        return self.random.choice(running) if running else 0
+
+    def on_started(self, entry: Entry) -> None:
+        """Record that an entry was started just now."""
+        self.started_at[entry.output.name] = self.clock()
+
+    async def _attempt(
+        self, entry: int, request_id: str, headers: dict[str, str], deadline: float
+    ) -> Attempt:
+        left = max(0.0, deadline - self.clock())
+        sent = {
+            "host": HOST,
+            "content-length": str(len(BODY)),
+            "x-request-id": request_id,
+            "x-deadline-ms": str(int(left * 1000)),
+            "x-token-usage": "100,24",
+            "authorization": f"Bearer {KEY}",
+            **headers,
+        }
+        request = HttpRequest(method="POST", target=PATH, headers=[*sent.items()])
+        address = Address("127.0.0.1", self.fleet.entries[entry].port)
+        opened = await self.fleet.client.send(address, request, BODY, GAP_SECONDS)
+        if opened.is_error():
+            return Attempt(None, b"", False)
+        answer, data, is_complete = opened.ok, b"", False
+        with suppress(TruncatedAnswer, TimeoutError):
+            while True:
+                async with timeout(GAP_SECONDS):
+                    piece = await anext(answer.chunks, None)
+                if piece is None:
+                    is_complete = answer.status == 200
+                    break
+                data += piece
+        if not is_complete:
+            answer.close()
+        return Attempt(answer.status, data, is_complete)
--- a/tests/unit/relay/crash_endpoints.py
+++ b/tests/unit/relay/crash_endpoints.py
@@ -91,7 +91,10 @@
 
 
 class CrashingEndpoint:
-    """One boot of an endpoint; ``arrivals`` are the requests that reached it."""
+    """One boot of an endpoint; ``arrivals`` are the requests that reached it.
+
+    ``version`` is that of its software, which each of its events shows.
+    """
 
     def __init__(
         self,
@@ -101,7 +104,9 @@
         work_of: Callable[[bytes], Work],
         start: Start,
         on_end: "Callable[[CrashingEndpoint, bytes | None], None]",
+        version: str = "v1",
     ) -> None:
+        self.version = version
         self.name = name
         self.address = address
         self.clock = clock
@@ -119,7 +124,7 @@
                 "service": "pool",
                 "address": f"{self.address.host}:{self.address.port}",
                 "zone": "a",
-                "version": "v1",
+                "version": self.version,
                 "slots": 64,
                 "state": "ready",
                 "cold_remaining_ms": 0,
@@ -173,7 +178,8 @@
     ) -> AsyncIterator[bytes]:
         with self._run(body):
             if work.fatal_way:
-                yield b"id" if work.fatal_way == "head" else _event(first)
+                is_cut = work.fatal_way == "head"
+                yield b"id" if is_cut else _event(first, self.version)
                 if work.fatal_way == "late-event":
                     await self._work(work.fatal_delay)
                 await self._end_under(body)
@@ -183,7 +189,7 @@
                 return
             for number in range(first, work.events + 1):
                 await self._work(work.pause)
-                yield _event(number)
+                yield _event(number, self.version)
 
     @contextmanager
     def _run(self, body: bytes) -> Iterator[None]:
@@ -211,8 +217,8 @@
     yield b""
 
 
-def _event(number: int) -> bytes:
-    return f"id: {number}\ndata: x\n\n".encode()
+def _event(number: int, version: str) -> bytes:
+    return f"id: {number}\ndata: piece {version}\n\n".encode()
 
 
 class CrashClient:
--- a/tests/unit/relay/crash_world.py
+++ b/tests/unit/relay/crash_world.py
@@ -192,6 +192,10 @@
         for process in self.entries:
             process.entries.put(name, item)
 
+    def version_at(self, address: Address) -> str:
+        """Return the version of the software of endpoints that start at an address."""
+        return "v1"
+
     def alive(self) -> list[CrashingEndpoint]:
         """Return the endpoints that run."""
         return [each for each in self.endpoints if not each.ended.is_set()]
@@ -269,7 +273,13 @@
     def _start_endpoint(self, address: Address) -> CrashingEndpoint:
         name = f"i-{next(self.names)}"
         endpoint = CrashingEndpoint(
-            name, address, self.clock, self.work_of, self.start, self._on_end
+            name,
+            address,
+            self.clock,
+            self.work_of,
+            self.start,
+            self._on_end,
+            self.version_at(address),
         )
         self.endpoints.append(endpoint)
         self.by_address[address] = endpoint
