Let a stream that a caller takes up go on only where it began

Callers saw: streams taken up again at another entry went on at an engine of another version, 12 of 12 also where nobody could know which one began. Cause: only the entry that began a stream knew the version, and Resumes was read nowhere; the choice was that of a new call. Class: what one process knows and another needs once it has gone. Change: an entry tells three others, the next ones on a ring from the stream's key, before the first event leaves; an entry at which a stream is taken up asks six, repeatedly, within a tenth of the call's time. Entries that start get the origins that they should keep. Not known, or no endpoint of the version: 503 at once, not run, with a reason, a line and a counter. Contradictory origins, and an endpoint whose name turns out to belong to another version, make an origin unknown.

--- a/libs/bench/src/clementinebend_bench/models/mark_fleet.py
+++ b/libs/bench/src/clementinebend_bench/models/mark_fleet.py
@@ -18,6 +18,7 @@
 from clementinebend_relay.leaving_notifier import LeavingNotifier
 from clementinebend_relay.messages import Message
 from clementinebend_relay.models import CallerLimits, Configuration, Team
+from clementinebend_relay.origin_replicas import OriginReplicas
 from clementinebend_relay.peers import Peers
 from clementinebend_relay.permit_requests import new_permit_requests
 from clementinebend_relay.quarantine import Quarantine
@@ -101,6 +102,9 @@
             self.send_all,
             table.on_evacuation,
         )
+        self.origins = OriginReplicas(
+            self.name, self.boot, zone, self.directory, self.send, clock
+        )
         self.witnesses.is_needed = self.peers.homes.is_candidate
         self.announcement = Announcement(self.boot, zone, *self.address)
         self.tasks: list[Task[None]] = []
@@ -144,6 +148,7 @@
             self.leaving,
             self.evacuations,
             self.permits,
+            self.origins,
         )
 
 
--- a/libs/relay/src/clementinebend_relay/discovery.py
+++ b/libs/relay/src/clementinebend_relay/discovery.py
@@ -1,13 +1,18 @@
 """Discovery of other processes: each process announces itself in the store."""
 
 from asyncio import Event, sleep
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
 from msgspec import DecodeError, ValidationError
 from msgspec.msgpack import decode, encode
 
-from clementinebend_membership.ring import ring_successors
+from clementinebend_membership.ring import (
+    RingPlace,
+    members_from,
+    ring_order,
+    ring_successors,
+)
 from clementinebend_platform_client.keyed_log import (
     KeyedLog,
     KeyedRecord,
@@ -44,14 +49,24 @@
     addresses: list[Address]
 
 
+class RingOrder(NamedTuple):
+    """All processes in ring order, as of a directory's version."""
+
+    version: int
+    places: tuple[RingPlace, ...]
+
+
 class Directory:
     """The newest announcement of each process, by process name.
 
     ``version`` grows with each change, so that values derived from all names can be
     cached per version. ``known`` is set once the first snapshot has been read.
+    ``on_new_boot`` is called with the name of a process that has (re)started.
     """
 
     def __init__(self, on_change: Callable[[], None] | None = None) -> None:
+        self.order = RingOrder(-1, ())
+        self.on_new_boot: Callable[[str], None] | None = None
         self.announcements: dict[str, Announcement] = {}
         self.version = 0
         self.ring = Ring(-1, "", [])
@@ -73,10 +88,14 @@
 
     def put(self, name: str, announcement: Announcement) -> None:
         """Store the newest announcement of the process ``name``."""
+        before = self.announcements.get(name)
         self.announcements[name] = announcement
         self.version += 1
         if self.on_change is not None:
             self.on_change()
+        is_new = before is None or before.boot != announcement.boot
+        if is_new and self.on_new_boot is not None:
+            self.on_new_boot(name)
 
     def has_successor(self, boot: str) -> bool:
         """Return whether a different boot of the same process has announced itself."""
@@ -101,6 +120,12 @@
             self.ring = Ring(self.version, own, addresses)
         return self.ring.addresses
 
+    def members_from(self, key: str) -> Iterator[str]:
+        """Yield the names of all processes, from the first one on the ring on."""
+        if self.order.version != self.version:
+            self.order = RingOrder(self.version, ring_order(self.announcements))
+        return members_from(key, self.order.places)
+
     def others(self, boot: str) -> list[Address]:
         """Return the addresses of all processes except the one of ``boot``."""
         own = process_name_of(Incarnation(boot))
--- a/libs/relay/src/clementinebend_relay/handler.py
+++ b/libs/relay/src/clementinebend_relay/handler.py
@@ -3,6 +3,7 @@
 from asyncio import Event, timeout, timeout_at
 from collections.abc import Callable
 from contextlib import suppress
+from typing import NamedTuple
 
 from clementinebend_relay.admission import Admitted, admit
 from clementinebend_relay.budgets import Budgets, Reservation
@@ -16,12 +17,13 @@
     relayed_answers,
     whole_seconds,
 )
-from clementinebend_relay.models import Reason, Rejection, RouteKind
+from clementinebend_relay.models import Call, Reason, Rejection, RouteKind
 from clementinebend_relay.plain import PlainRelay
 from clementinebend_relay.progress import CallProgress
 from clementinebend_relay.prompt_queues import PromptQueues
 from clementinebend_relay.quota_view import Shortfall
 from clementinebend_relay.streams import StreamRelay
+from clementinebend_relay.take_ups import TakeUps
 from clementinebend_transport.http_types import Request, Response
 
 BUDGET_BUSY_RETRY_AFTER = 0.5
@@ -40,6 +42,13 @@
 """
 
 
+class PreparedCall(NamedTuple):
+    """A call that may be sent to endpoints, and the budget reserved for it."""
+
+    progress: CallProgress
+    reservation: Reservation
+
+
 class CallHandler:
     """Handles requests from callers."""
 
@@ -51,6 +60,7 @@
         dispatcher: Dispatcher,
         plain: PlainRelay,
         streams: StreamRelay,
+        take_ups: TakeUps,
         prompt_queue: PromptQueues,
         is_loaded: Event,
         clock: Callable[[], float],
@@ -62,6 +72,7 @@
         self.quarantine = dispatcher.quarantine
         self.plain = plain
         self.streams = streams
+        self.take_ups = take_ups
         self.prompt_queue = prompt_queue
         self.is_loaded = is_loaded
         self.clock = clock
@@ -73,20 +84,34 @@
         if isinstance(call, Rejection):
             return self._reject(call, "", arrived_at)
         await self._wait_for_startup()
-        admitted = admit(call, self.configuration.current)
+        prepared = await self._prepare(call, arrived_at)
+        if isinstance(prepared, Rejection):
+            return self._reject(prepared, call.request_id, arrived_at)
+        return await self._run(*prepared, arrived_at)
+
+    async def _prepare(self, call: Call, arrived_at: float) -> PreparedCall | Rejection:
+        """Return a call that may be sent, with its budget reserved."""
+        admitted = await self._admit(call)
         if isinstance(admitted, Rejection):
-            return self._reject(admitted, call.request_id, arrived_at)
-        refusal = self.quarantine.refusal(admitted.fingerprint)
-        if refusal is not None:
-            return self._reject(refusal, call.request_id, arrived_at)
+            return admitted
         survey = await self.prompt_queue.enter(admitted)
         if isinstance(survey, Rejection):
-            return self._reject(survey, call.request_id, arrived_at)
+            return survey
         reservation = await self._reserve(admitted)
         if isinstance(reservation, Rejection):
-            return self._reject(reservation, call.request_id, arrived_at)
-        progress = CallProgress(admitted, arrived_at + admitted.time_limit, survey)
-        return await self._run(progress, reservation, arrived_at)
+            return reservation
+        deadline = arrived_at + admitted.time_limit
+        return PreparedCall(CallProgress(admitted, deadline, survey), reservation)
+
+    async def _admit(self, call: Call) -> Admitted | Rejection:
+        """Return a call with its route, team and, if it resumes a stream, origin."""
+        admitted = admit(call, self.configuration.current)
+        if isinstance(admitted, Rejection):
+            return admitted
+        refusal = self.quarantine.refusal(admitted.fingerprint)
+        if refusal is not None:
+            return refusal
+        return await self.take_ups.admit(admitted)
 
     async def _wait_for_startup(self) -> None:
         """Wait up to ``STARTUP_WAIT`` for the configuration and endpoints to load."""
--- a/libs/relay/src/clementinebend_relay/messages.py
+++ b/libs/relay/src/clementinebend_relay/messages.py
@@ -12,6 +12,11 @@
 from clementinebend_ledger.quota_requests import TokenRequest
 from clementinebend_ledger.quota_transfers import Transfer
 from clementinebend_ledger.quota_witness import Attestation
+from clementinebend_relay.origin_messages import (
+    OriginAnswerMessage,
+    OriginRequestMessage,
+    OriginsMessage,
+)
 from clementinebend_routing.cold_start import PermitLimit
 from clementinebend_routing.endpoint_queue import QueueReport
 from clementinebend_routing.request_limits import RequestLimit
@@ -287,6 +292,9 @@
     | EndpointEndedMessage
     | QuarantineMessage
     | SoundMessage
+    | OriginsMessage
+    | OriginRequestMessage
+    | OriginAnswerMessage
 )
 
 
--- a/libs/relay/src/clementinebend_relay/metrics.py
+++ b/libs/relay/src/clementinebend_relay/metrics.py
@@ -28,6 +28,12 @@
     "began them (same, other or unknown).",
     ("service", "by", "software"),
 )
+take_ups = counter(
+    "clementinebend_relay_take_ups_total",
+    "Streams that callers resumed, by service and by whether the version that began "
+    "them is known (known, unknown, or version gone).",
+    ("service", "outcome"),
+)
 ended_endpoints = counter(
     "clementinebend_relay_endpoint_ends_total",
     "Endpoints that ended while calls of this entry ran there, by service.",
--- a/libs/relay/src/clementinebend_relay/models.py
+++ b/libs/relay/src/clementinebend_relay/models.py
@@ -192,3 +192,5 @@
     TIMEOUT_MAY_HAVE_RUN = "timeout_may_have_run"
     MAY_HAVE_RUN = "may_have_run"
     QUARANTINED = "quarantined"
+    ORIGIN_UNKNOWN = "origin_unknown"
+    VERSION_GONE = "version_gone"
--- a/libs/relay/src/clementinebend_relay/process.py
+++ b/libs/relay/src/clementinebend_relay/process.py
@@ -23,6 +23,7 @@
 from clementinebend_relay.leaving_notifier import LeavingNotifier
 from clementinebend_relay.messages import Message
 from clementinebend_relay.models import Configuration
+from clementinebend_relay.origin_replicas import OriginReplicas
 from clementinebend_relay.partition_reader import (
     DIRECTORY_MAX_DELAY,
     CombinedTable,
@@ -40,6 +41,7 @@
 from clementinebend_relay.receiving import receive
 from clementinebend_relay.settings import RelaySettings
 from clementinebend_relay.streams import StreamRelay
+from clementinebend_relay.take_ups import TakeUps
 from clementinebend_relay.witness import WitnessServer
 from clementinebend_relay.witnesses import Witnesses
 from clementinebend_routing.sessions import SessionTracker
@@ -177,6 +179,10 @@
             self.permits,
             clock,
         )
+        self.origins = OriginReplicas(
+            settings.name, boot, settings.zone, self.entries, self._send, clock
+        )
+        self.entries.on_new_boot = self.origins.on_new_boot
         attempts = Attempts(self.dispatcher, self.sync, clock)
         self.handler = CallHandler(
             protocol,
@@ -184,7 +190,8 @@
             self.budgets,
             self.dispatcher,
             PlainRelay(attempts, self.dispatcher),
-            StreamRelay(attempts, self.dispatcher, clock),
+            StreamRelay(attempts, self.dispatcher, self.origins, clock),
+            TakeUps(self.origins, self.endpoints, self.configuration, clock),
             PromptQueues(self.dispatcher, clock),
             self.known,
             clock,
@@ -284,6 +291,7 @@
             self.leaving,
             self.evacuations,
             self.permits,
+            self.origins,
         )
 
     def _on_gateways(self) -> None:
--- a/libs/relay/src/clementinebend_relay/progress.py
+++ b/libs/relay/src/clementinebend_relay/progress.py
@@ -41,7 +41,8 @@
     first event arrived, and ``sound_at`` when it was last known to do no harm.
 
     ``tried`` and ``software_versions`` are the names of the endpoints that the call was
-    sent to and the versions of their software.
+    sent to and the versions of their software. ``is_origin_uncertain`` is set once that
+    of the endpoint that sent events turned out to be outdated.
 
     ``refusal`` is why no further attempt was made. ``pause`` is the time in seconds
     until an endpoint accepts calls again, if all have asked for a pause.
@@ -59,6 +60,7 @@
         self.sent_at = 0.0
         self.tried: list[str] = []
         self.software_versions: list[str] = []
+        self.is_origin_uncertain = False
         self.may_have_run = False
         self.events = 0
         self.ahead = 0.0
--- a/libs/relay/src/clementinebend_relay/receiving.py
+++ b/libs/relay/src/clementinebend_relay/receiving.py
@@ -23,6 +23,12 @@
     TokenRequestMessage,
     TransferMessage,
 )
+from clementinebend_relay.origin_messages import (
+    OriginAnswerMessage,
+    OriginRequestMessage,
+    OriginsMessage,
+)
+from clementinebend_relay.origin_replicas import OriginReplicas
 from clementinebend_relay.peers import Peers
 from clementinebend_relay.permit_requests import PermitRequests
 from clementinebend_relay.quarantine_sync import QuarantineSync
@@ -48,15 +54,12 @@
     leaving: LeavingNotifier,
     evacuations: Evacuations,
     permits: PermitRequests,
+    origins: OriginReplicas,
 ) -> None:
     """Pass a message from ``sender`` to the part of the entry that handles it."""
     match message:
-        case LeavingMessage():
-            peers.on_leaving(message)
-        case TokenRequestMessage():
-            peers.on_request(message, sender)
-        case TransferMessage():
-            peers.on_transfer(message)
+        case LeavingMessage() | TokenRequestMessage() | TransferMessage():
+            _receive_peer_message(message, sender, peers)
         case OpenMessage():
             witness_desk.on_open(message, sender)
         case FenceMessage():
@@ -71,10 +74,27 @@
             queues.on_message(message, sender)
         case PermitRequestMessage() | PermitMessage() | LimitMessage():
             _receive_limit_message(message, sender, queues, permits)
+        case OriginsMessage() | OriginRequestMessage() | OriginAnswerMessage():
+            origins.on_message(message, sender)
         case _:
             _receive_zone_or_endpoint_message(message, sync, leaving, evacuations)
 
 
+def _receive_peer_message(
+    message: LeavingMessage | TokenRequestMessage | TransferMessage,
+    sender: Address,
+    peers: Peers,
+) -> None:
+    """Pass on a message about entries that stop, or about tokens of budgets."""
+    match message:
+        case LeavingMessage():
+            peers.on_leaving(message)
+        case TokenRequestMessage():
+            peers.on_request(message, sender)
+        case TransferMessage():
+            peers.on_transfer(message)
+
+
 def _receive_limit_message(
     message: PermitRequestMessage | PermitMessage | LimitMessage,
     sender: Address,
--- a/libs/relay/src/clementinebend_relay/streams.py
+++ b/libs/relay/src/clementinebend_relay/streams.py
@@ -13,7 +13,14 @@
 from clementinebend_relay.dispatch import Dispatcher
 from clementinebend_relay.events import EventSplitter, StreamEvent, is_next_event
 from clementinebend_relay.metrics import resumed_streams
+from clementinebend_relay.origin_replicas import OriginReplicas
 from clementinebend_relay.progress import CallProgress
+from clementinebend_relay.stream_origins import (
+    MAX_STREAM_SECONDS,
+    RESUME_SLACK_SECONDS,
+    StreamKey,
+    StreamOrigin,
+)
 from clementinebend_routing.fatal_runs import counts_as_evidence
 from clementinebend_routing.silence import SILENT_SECONDS
 from clementinebend_transport.exceptions import AnswerCutError, TruncatedAnswer
@@ -34,10 +41,15 @@
     """Relays responses that are streams of events."""
 
     def __init__(
-        self, attempts: Attempts, dispatcher: Dispatcher, clock: Callable[[], float]
+        self,
+        attempts: Attempts,
+        dispatcher: Dispatcher,
+        origins: OriginReplicas,
+        clock: Callable[[], float],
     ) -> None:
         self.attempts = attempts
         self.dispatcher = dispatcher
+        self.origins = origins
         self.clock = clock
 
     async def answer(
@@ -93,7 +105,7 @@
         """Return the remaining events of a stream from another endpoint."""
         call = progress.admitted.call
         running = None
-        if progress.admitted.route.is_resumable:
+        if progress.admitted.route.is_resumable and not progress.is_origin_uncertain:
             running = await self.attempts.next(progress)
         if running is None:
             log_decision(
@@ -148,6 +160,7 @@
         self, event: StreamEvent, running: OpenAttempt, progress: CallProgress
     ) -> None:
         """Check the number of an event and record the event in the call's progress."""
+        self._check_boot(running, progress)
         if not is_next_event(event.event_id, progress.last_event):
             raise self._break_stream(
                 running, progress, "an event is missing or duplicated"
@@ -156,6 +169,7 @@
             self.dispatcher.on_first_token(progress.admitted, running.state)
             progress.first_event_at = self.clock()
             progress.begin(running.state.endpoint.software_version)
+            self._tell_origin(progress, running.state.endpoint.software_version)
             self._record_take_up(running, progress)
         if progress.attempt_event_at is None:
             progress.attempt_event_at = self.clock()
@@ -164,6 +178,36 @@
         progress.events += 1
         progress.last_event = event.event_id or progress.last_event
 
+    def _check_boot(self, running: OpenAttempt, progress: CallProgress) -> None:
+        """Break a stream off if its endpoint's name belongs to another version now.
+
+        Its announcement was outdated then, so that nobody knows which version sent
+        what: the stream goes on nowhere.
+        """
+        sent_by = running.state.endpoint.software_version
+        replacement = self.dispatcher.endpoints.replacement(running.state)
+        if replacement is None or replacement.software_version == sent_by:
+            return
+        if progress.events:
+            progress.is_origin_uncertain = True
+            self._tell_origin(progress, replacement.software_version)
+        problem = "the endpoint runs another version than it had announced"
+        raise self._break_stream(running, progress, problem)
+
+    def _tell_origin(self, progress: CallProgress, software_version: str) -> None:
+        """Tell other entries where the stream began, before its first event leaves.
+
+        A second version makes them forget the first one.
+        """
+        admitted = progress.admitted
+        if not admitted.route.is_resumable:
+            return
+        request_id = admitted.call.resumes or admitted.call.request_id
+        key = StreamKey(admitted.team.name, request_id)
+        origin = StreamOrigin(admitted.service.name, software_version)
+        seconds = progress.deadline - self.clock() + RESUME_SLACK_SECONDS
+        self.origins.tell(key, origin, min(seconds, MAX_STREAM_SECONDS))
+
     def _count_resumed(self, progress: CallProgress, by: str, software: str) -> None:
         service = progress.admitted.service.name
         resumed_streams.labels(service, by, software).inc()
@@ -173,7 +217,7 @@
         call = progress.admitted.call
         if not call.is_take_up:
             return
-        self._count_resumed(progress, "caller", "unknown")
+        self._count_resumed(progress, "caller", "same")
         log_decision(
             "stream taken up",
             request_id=call.request_id,
--- a/tests/functional/test_stream_versions.py
+++ b/tests/functional/test_stream_versions.py
@@ -28,7 +28,7 @@
         for _ in range(number):
             await add_engine(fleet, version)
     await sleep(1.0)
-    return ResumingClients(fleet)
+    return ResumingClients(fleet, ENTRIES)
 
 
 async def add_engine(fleet: Fleet, version: str) -> EngineStandin:
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -112,6 +112,7 @@
         self.engines: list[EngineStandin] = []
         self.version = 0
         self.cold_per_s = 0.0
+        self.more_services: tuple[str, ...] = ()
         self.ids = count(1)
         self.launches = count(1)
 
@@ -162,6 +163,10 @@
                     "cold_per_s": self.cold_per_s,
                 },
                 {"name": "desk", "max_connections": 100},
+                *(
+                    {"name": name, "max_connections": 100}
+                    for name in self.more_services
+                ),
             ],
             "tenants": [{"name": TEAM, "api_keys": [KEY], "prepaid": prepaid}],
         }
--- a/tests/lib/resuming_client.py
+++ b/tests/lib/resuming_client.py
@@ -1,6 +1,7 @@
 """Clients that take their streams up again, as those of the platform do."""
 
 from asyncio import get_running_loop, sleep, timeout
+from collections.abc import Callable
 from contextlib import suppress
 from itertools import count
 from random import Random
@@ -11,7 +12,7 @@
 from clementinebend_transport.client_connection import Address
 from clementinebend_transport.exceptions import TruncatedAnswer
 from tests.lib.platform_engine import EVENTS
-from tests.lib.platform_fleet import BODY, HOST, KEY, Entry, Fleet, route
+from tests.lib.platform_fleet import HOST, KEY, Entry, Fleet, route
 from tests.lib.streams_seen import SeenEvent, StreamSeen, Try, split_events
 
 LONG_STREAMS = route(
@@ -37,10 +38,26 @@
 
 
 class ResumingClients:
-    """Clients of one fleet; ``started_at`` is when each entry was started last."""
-
-    def __init__(self, fleet: Fleet, seed: int = 1) -> None:
+    """Clients of one fleet, at its first ``entries`` entries.
+
+    ``started_at`` is when each entry was started last. ``on_attempt`` is called with
+    the ID of each request.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        entries: int,
+        seed: int = 1,
+        path: str = PATH,
+        service: str = "pool",
+        on_attempt: Callable[[str], None] = lambda request_id: None,
+    ) -> None:
         self.fleet = fleet
+        self.entries = entries
+        self.path = path
+        self.service = service
+        self.on_attempt = on_attempt
         self.clock = get_running_loop().time
         self.random = Random(seed)
         self.numbers = count(1)
@@ -52,13 +69,15 @@
         A stream that is refused when it is taken up is begun anew by the next try.
         """
         number = next(self.numbers)
-        session = f"a{number:x}:60,b{number:x}:40"
+        session = f"a{number:x}:30,b{number:x}:10"
+        body = f"stream {number}".encode()
         deadline = self.clock() + DEADLINE_SECONDS
         lives: list[tuple[SeenEvent, ...]] = [()]
         tries: list[Try] = []
         origin = ""
         for each in range(MAX_TRIES):
             request_id = f"s{number}-{each}"
+            self.on_attempt(request_id)
             events = lives[-1]
             headers = {"x-prefix-hash": session}
             if events:
@@ -66,7 +85,7 @@
                 if names_origin:
                     headers["resumes"] = origin
             is_judged = self._is_judged(entry, events[0].version if events else "")
-            attempt = await self._attempt(entry, request_id, headers, deadline)
+            attempt = await self._attempt(entry, request_id, headers, body, deadline)
             seen = split_events(attempt.data)
             tries.append(Try(bool(events), is_judged, attempt.status, len(seen)))
             if events and attempt.status not in (None, 200):
@@ -86,7 +105,7 @@
         started = self.started_at.get(item.output.name, self.clock() - IN_TOUCH_SECONDS)
         serving = [
             engine
-            for engine in self.fleet.engines_of("pool")
+            for engine in self.fleet.engines_of(self.service)
             if engine.version == version and not engine.has_ended
         ]
         return self.clock() - started >= IN_TOUCH_SECONDS and len(serving) > 1
@@ -95,7 +114,7 @@
         """Return an entry that runs, drawn at random."""
         running = [
             number
-            for number, entry in enumerate(self.fleet.entries)
+            for number, entry in enumerate(self.fleet.entries[: self.entries])
             if entry.process.returncode is None
         ]
         return self.random.choice(running) if running else 0
@@ -105,21 +124,26 @@
         self.started_at[entry.output.name] = self.clock()
 
     async def _attempt(
-        self, entry: int, request_id: str, headers: dict[str, str], deadline: float
+        self,
+        entry: int,
+        request_id: str,
+        headers: dict[str, str],
+        body: bytes,
+        deadline: float,
     ) -> Attempt:
         left = max(0.0, deadline - self.clock())
         sent = {
             "host": HOST,
-            "content-length": str(len(BODY)),
+            "content-length": str(len(body)),
             "x-request-id": request_id,
             "x-deadline-ms": str(int(left * 1000)),
-            "x-token-usage": "100,24",
+            "x-token-usage": "40,24",
             "authorization": f"Bearer {KEY}",
             **headers,
         }
-        request = HttpRequest(method="POST", target=PATH, headers=[*sent.items()])
+        request = HttpRequest(method="POST", target=self.path, headers=[*sent.items()])
         address = Address("127.0.0.1", self.fleet.entries[entry].port)
-        opened = await self.fleet.client.send(address, request, BODY, GAP_SECONDS)
+        opened = await self.fleet.client.send(address, request, body, GAP_SECONDS)
         if opened.is_error():
             return Attempt(None, b"", False)
         answer, data, is_complete = opened.ok, b"", False
--- a/tests/unit/membership/test_ring.py
+++ b/tests/unit/membership/test_ring.py
@@ -3,7 +3,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from clementinebend_membership.ring import ring_successors
+from clementinebend_membership.ring import (
+    members_from,
+    ring_order,
+    ring_successors,
+)
 
 NAMES = [f"entry-{number}" for number in range(30)]
 
@@ -27,3 +31,19 @@
         first[:6] != second[:6] for first, second in zip(ring, ring[1:], strict=False)
     )
     assert changes > 100
+
+
+def test_all_members_follow_a_key_in_ring_order() -> None:
+    order = ring_order(NAMES)
+    names = list(members_from("key", order))
+    assert sorted(names) == sorted(NAMES)
+    doubled = [place.name for place in (*order, *order)]
+    start = doubled.index(names[0])
+    assert doubled[start : start + len(names)] == names
+    assert list(members_from("key", ())) == []
+
+
+def test_an_added_name_does_not_reorder_the_others() -> None:
+    before = list(members_from("key", ring_order(NAMES)))
+    after = list(members_from("key", ring_order([*NAMES, "added"])))
+    assert [name for name in after if name != "added"] == before
--- a/tests/unit/relay/crash_endpoints.py
+++ b/tests/unit/relay/crash_endpoints.py
@@ -28,7 +28,8 @@
 class Work(NamedTuple):
     """What an endpoint does for a request.
 
-    A stream has ``events``, one after each ``pause`` in seconds. Another answer's head
+    A stream has ``events``, one after each ``pause`` in seconds; the first one comes
+    after ``first_pause``, if that is set. Another answer's head
     comes after ``head_seconds``, its body ``seconds`` after the start. With a
     ``fatal_way`` the endpoint ends: at once (``"reset"``), after the head (``"head"``),
     after the first event (``"event"``), or ``fatal_delay`` seconds after it got the
@@ -41,6 +42,7 @@
     head_seconds: float = 0.1
     fatal_way: str = ""
     fatal_delay: float = 0.5
+    first_pause: float | None = None
 
 
 Start = Callable[[Coroutine[Any, Any, None]], Task[None]]
@@ -188,7 +190,8 @@
                 yield b"whole"
                 return
             for number in range(first, work.events + 1):
-                await self._work(work.pause)
+                pause = work.first_pause if number == first else None
+                await self._work(work.pause if pause is None else pause)
                 yield _event(number, self.version)
 
     @contextmanager
--- a/tests/unit/relay/popular_world.py
+++ b/tests/unit/relay/popular_world.py
@@ -158,6 +158,7 @@
             drop=lambda *args: None,
             on_end=lambda *args, **named: None,
             retry_delay=lambda service, software_version: None,
+            replacement=lambda state: None,
         )
         self.protocol = SimpleNamespace(caller_headers=lambda headers: ())
 
@@ -339,7 +340,8 @@
         progress: CallProgress,
     ) -> Rejection | None:
         attempts = Attempts(dispatcher, entry.sync, clock)  # type: ignore[arg-type]
-        relay = StreamRelay(attempts, dispatcher, clock)  # type: ignore[arg-type]
+        origins: Any = SimpleNamespace(tell=lambda *arguments: None)
+        relay = StreamRelay(attempts, dispatcher, origins, clock)  # type: ignore[arg-type]
         response = None
         try:
             async with timeout_at(progress.deadline):
--- a/tests/unit/relay/version_world.py
+++ b/tests/unit/relay/version_world.py
@@ -4,7 +4,7 @@
 other entries, naming the request that brought the first event.
 """
 
-from asyncio import Queue, create_task, gather, sleep, timeout
+from asyncio import Event, Queue, create_task, gather, sleep, timeout
 from collections.abc import Callable, Iterator
 from itertools import count
 from typing import Any, NamedTuple
@@ -22,6 +22,7 @@
 VERSIONS = ("v1", "v1.1")
 EVENTS = 8
 EVENT_PAUSE = 0.3
+FIRST_EVENT_PAUSE = 0.02
 STREAM_SECONDS = 12.0
 """Longest time in seconds that a client reads one stream, over all its tries."""
 
@@ -67,8 +68,12 @@
         self.started_at: dict[int, float] = {}
         self.event_delays: dict[bool, list[float]] = {False: [], True: []}
         self.streams = count(1)
+        self.is_any_running = Event()
+        self.is_any_running.set()
         super().__init__(entries, endpoints, number, loss=loss)
-        self.work = Work(events=EVENTS, pause=EVENT_PAUSE)
+        self.work = Work(
+            events=EVENTS, pause=EVENT_PAUSE, first_pause=FIRST_EVENT_PAUSE
+        )
 
     def version_at(self, address: Address) -> str:
         """Return the version of the software of endpoints that start at an address."""
@@ -90,6 +95,8 @@
         self.receivers.pop(self.announcements[name].address, None)
         for task in self.entry_tasks.pop(name, ()):
             task.cancel()
+        if not self.running_entries():
+            self.is_any_running.clear()
 
     def bring_back(self, number: int) -> None:
         """Start a killed entry anew, as another boot, of which all learn."""
@@ -100,6 +107,7 @@
         self.entries[number] = self.start_entry(name)
         self.killed.discard(number)
         self.started_at[number] = self.clock()
+        self.is_any_running.set()
         for process in self.entries:
             process.entries.put(name, item)
 
@@ -118,6 +126,7 @@
         """
         number = next(self.streams)
         session = f"a{number:x}:60,b{number:x}:40"
+        body = f"stream {number}".encode()
         deadline = self.clock() + STREAM_SECONDS
         lives: list[tuple[SeenEvent, ...]] = [()]
         tries: list[Try] = []
@@ -130,7 +139,8 @@
             if events and names_origin:
                 headers["resumes"] = origin
             is_judged = bool(events) and self._is_judged(entry, events[0].version)
-            attempt = await self._attempt(entry, request_id, headers, deadline)
+            request = _request(request_id, headers, body, deadline - self.clock())
+            attempt = await self._attempt(entry, request)
             seen = split_events(attempt.data)
             tries.append(Try(bool(events), is_judged, attempt.status, len(seen)))
             if events and attempt.status not in (None, 200):
@@ -141,20 +151,19 @@
             if attempt.is_complete or self.clock() >= deadline:
                 break
             await sleep(RETRY_SECONDS)
-            entry = self.random.choice(self.running_entries() or [entry])
+            await self.is_any_running.wait()
+            entry = self.random.choice(self.running_entries())
         return StreamSeen(tuple(lives), tuple(tries), len(lives[-1]) == EVENTS)
 
     def _is_judged(self, entry: int, version: str) -> bool:
         """Return whether the rule on lost streams counts a try at an entry."""
         age = self.clock() - self.started_at.get(entry, NEVER)
-        return age >= IN_TOUCH_SECONDS and len(self.serving(version)) > 1
+        is_in_touch = entry not in self.killed and age >= IN_TOUCH_SECONDS
+        return is_in_touch and len(self.serving(version)) > 1
 
-    async def _attempt(
-        self, entry: int, request_id: str, headers: dict[str, str], deadline: float
-    ) -> Attempt:
+    async def _attempt(self, entry: int, request: Request) -> Attempt:
         if entry in self.killed:
             return Attempt(None, b"", False)
-        request = _request(request_id, headers, deadline - self.clock())
         pieces: Queue[int | bytes | None] = Queue()
         task = create_task(self._serve(entry, request, pieces))
         tasks = self.entry_tasks[f"edge-{entry}"]
@@ -172,7 +181,7 @@
                     status = piece
                     continue
                 if not data:
-                    delays = self.event_delays["last-event-id" in headers]
+                    delays = self.event_delays["last-event-id" in request.headers]
                     delays.append(self.clock() - began)
                 data += piece
         except TimeoutError:
@@ -196,7 +205,9 @@
         return True
 
 
-def _request(request_id: str, headers: dict[str, str], time_left: float) -> Request:
+def _request(
+    request_id: str, headers: dict[str, str], body: bytes, time_left: float
+) -> Request:
     sent = {
         "host": HOST,
         "x-request-id": request_id,
@@ -205,7 +216,7 @@
         "x-token-usage": "100,24",
         **headers,
     }
-    return Request("POST", "/stream/x", sent, b"{}")
+    return Request("POST", "/stream/x", sent, body)
 
 
 class Disturbance(NamedTuple):
