Keep a silent stream whose version nobody else has, and pace what restarts get

Cause: a stream whose endpoint was silent for 0.6 s was broken off even if no other endpoint of its version was left to take it over, which lost it; and an entry with 10,000 origins checked all of them in one go for each entry that starts (about 0.1 s, by the cost of one). Change: silence breaks a stream off only if a candidate is left; origins are checked 100 at a time, 5 ms apart, and sent to all replicas encoded once.

--- a/libs/bench/src/clementinebend_bench/models/mark_fleet.py
+++ b/libs/bench/src/clementinebend_bench/models/mark_fleet.py
@@ -103,7 +103,13 @@
             table.on_evacuation,
         )
         self.origins = OriginReplicas(
-            self.name, self.boot, zone, self.directory, self.send, clock
+            self.name,
+            self.boot,
+            zone,
+            self.directory,
+            self.send,
+            self.send_all,
+            clock,
         )
         self.witnesses.is_needed = self.peers.homes.is_candidate
         self.announcement = Announcement(self.boot, zone, *self.address)
--- a/libs/relay/src/clementinebend_relay/metrics.py
+++ b/libs/relay/src/clementinebend_relay/metrics.py
@@ -25,7 +25,7 @@
     "clementinebend_relay_resumed_streams_total",
     "Streams that have gone on at another endpoint, by service, by who resumed them "
     "(entry or caller) and by the version of the software there, against the one that "
-    "began them (same, other or unknown).",
+    "began them (same or other).",
     ("service", "by", "software"),
 )
 take_ups = counter(
--- a/libs/relay/src/clementinebend_relay/origin_replicas.py
+++ b/libs/relay/src/clementinebend_relay/origin_replicas.py
@@ -52,8 +52,11 @@
 BATCH_SIZE = 12
 """Origins in one datagram: it then fits into one packet."""
 
+CHECKED_AT_ONCE = 100
+"""Origins that are checked in a row for an entry that has started: about 1 ms."""
+
 BATCH_INTERVAL = 0.005
-"""Seconds between batches for an entry that has just started."""
+"""Seconds between two such rows."""
 
 KEY_SEPARATOR = "\0"
 """Cannot occur in the name of a team or in an HTTP header."""
@@ -92,6 +95,7 @@
         zone: str,
         directory: Directory,
         send: Callable[[Message, Address], None],
+        send_all: Callable[[Message, Iterable[Address]], None],
         clock: Callable[[], float],
     ) -> None:
         self.name = name
@@ -99,6 +103,7 @@
         self.zone = zone
         self.directory = directory
         self.send = send
+        self.send_all = send_all
         self.clock = clock
         self.table = OriginTable(clock)
         self.questions: dict[int, Question] = {}
@@ -110,8 +115,7 @@
             return
         report = ReportedOrigin(*key, *origin, seconds, 0.0)
         message = OriginsMessage(self.boot, (report,))
-        for address in self._replicas_of(key):
-            self.send(message, address)
+        self.send_all(message, self._replicas_of(key))
 
     async def find(self, key: StreamKey, max_wait: float) -> Lookup:
         """Return the origin of a stream, from this entry or from others.
@@ -178,19 +182,29 @@
         if name == self.name:
             return
         address = self.directory.announcements[name].address
+        keys = [key for key, _ in self.table.items()]
+        loop = get_running_loop()
+        for number, start in enumerate(range(0, len(keys), CHECKED_AT_ONCE)):
+            some = keys[start : start + CHECKED_AT_ONCE]
+            loop.call_later(number * BATCH_INTERVAL, self._hand_over, some, address)
+
+    def _hand_over(self, keys: list[StreamKey], address: Address) -> None:
+        """Send an entry those of some origins that it should keep."""
         reports = [
             self._report(key, known)
-            for key, known in self.table.items()
-            if known.origin is not None and self._is_kept_by(key, address)
+            for key in keys
+            if (known := self.table.get(key)) is not None
+            and known.origin is not None
+            and self._is_kept_by(key, address)
         ]
-        loop = get_running_loop()
-        for number, start in enumerate(range(0, len(reports), BATCH_SIZE)):
+        for start in range(0, len(reports), BATCH_SIZE):
             batch = tuple(reports[start : start + BATCH_SIZE])
-            message = OriginsMessage(self.boot, batch)
-            loop.call_later(number * BATCH_INTERVAL, self.send, message, address)
+            self.send(OriginsMessage(self.boot, batch), address)
 
     def _is_kept_by(self, key: StreamKey, address: Address) -> bool:
-        return address in {item.address for item in islice(self._ring(key), MAX_ASKED)}
+        return any(
+            item.address == address for item in islice(self._ring(key), MAX_ASKED)
+        )
 
     def _keep(self, report: ReportedOrigin, source: str) -> None:
         if not isfinite(report.seconds_left):
--- a/libs/relay/src/clementinebend_relay/process.py
+++ b/libs/relay/src/clementinebend_relay/process.py
@@ -180,7 +180,13 @@
             clock,
         )
         self.origins = OriginReplicas(
-            settings.name, boot, settings.zone, self.entries, self._send, clock
+            settings.name,
+            boot,
+            settings.zone,
+            self.entries,
+            self._send,
+            self._send_all,
+            clock,
         )
         self.entries.on_new_boot = self.origins.on_new_boot
         attempts = Attempts(self.dispatcher, self.sync, clock)
--- a/libs/relay/src/clementinebend_relay/streams.py
+++ b/libs/relay/src/clementinebend_relay/streams.py
@@ -248,9 +248,18 @@
         now = self.clock()
         if now >= progress.deadline:
             raise StreamBroken("the time limit has passed")
-        if now - running.state.heard_at > SILENT_SECONDS:
+        is_silent = now - running.state.heard_at > SILENT_SECONDS
+        if is_silent and self._can_go_on_elsewhere(progress):
             raise self._break_stream(running, progress, "the endpoint has gone silent")
 
+    def _can_go_on_elsewhere(self, progress: CallProgress) -> bool:
+        """Return whether another endpoint may take the stream over."""
+        admitted = progress.admitted
+        candidates = self.dispatcher.endpoints.candidates(
+            admitted.service.name, admitted.software_version
+        )
+        return any(state.endpoint.name not in progress.tried for state in candidates)
+
     def _break_stream(
         self, running: OpenAttempt, progress: CallProgress, problem: str
     ) -> StreamBroken:
--- a/tests/lib/resuming_client.py
+++ b/tests/lib/resuming_client.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from itertools import count
+from math import inf
 from random import Random
 from typing import NamedTuple
 
@@ -24,24 +25,33 @@
 """Seconds that an entry must have run to count as in touch."""
 
 RETRY_SECONDS = 0.05
+RECONNECT_SECONDS = 0.2
+"""Seconds before the next try after one that reached no entry."""
+
+MAX_CUT_SECONDS = 0.8
 MAX_TRIES = 4
 GAP_SECONDS = 2.0
 """Longest wait in seconds for the next event of a stream."""
 
 
 class Attempt(NamedTuple):
-    """What one attempt of a client has brought."""
+    """What one attempt of a client has brought.
+
+    ``retry_after`` is in seconds; 0 asks for a new stream.
+    """
 
     status: int | None
     data: bytes
     is_complete: bool
+    retry_after: float | None = None
 
 
 class ResumingClients:
     """Clients of one fleet, at its first ``entries`` entries.
 
     ``started_at`` is when each entry was started last. ``on_attempt`` is called with
-    the ID of each request.
+    the ID of each request. A part of the attempts, ``cut_share``, loses its connection
+    within ``MAX_CUT_SECONDS``.
     """
 
     def __init__(
@@ -52,12 +62,14 @@
         path: str = PATH,
         service: str = "pool",
         on_attempt: Callable[[str], None] = lambda request_id: None,
+        cut_share: float = 0.0,
     ) -> None:
         self.fleet = fleet
         self.entries = entries
         self.path = path
         self.service = service
         self.on_attempt = on_attempt
+        self.cut_share = cut_share
         self.clock = get_running_loop().time
         self.random = Random(seed)
         self.numbers = count(1)
@@ -66,7 +78,7 @@
     async def stream(self, entry: int, names_origin: bool = True) -> StreamSeen:
         """Read a stream to its end over several tries, the first one at ``entry``.
 
-        A stream that is refused when it is taken up is begun anew by the next try.
+        A stream that cannot go on is begun anew by the next try.
         """
         number = next(self.numbers)
         session = f"a{number:x}:30,b{number:x}:10"
@@ -75,8 +87,9 @@
         lives: list[tuple[SeenEvent, ...]] = [()]
         tries: list[Try] = []
         origin = ""
-        for each in range(MAX_TRIES):
-            request_id = f"s{number}-{each}"
+        answered = 0
+        while answered < MAX_TRIES and self.clock() < deadline:
+            request_id = f"s{number}-{len(tries)}"
             self.on_attempt(request_id)
             events = lives[-1]
             headers = {"x-prefix-hash": session}
@@ -88,14 +101,16 @@
             attempt = await self._attempt(entry, request_id, headers, body, deadline)
             seen = split_events(attempt.data)
             tries.append(Try(bool(events), is_judged, attempt.status, len(seen)))
-            if events and attempt.status not in (None, 200):
+            if events and attempt.retry_after == 0.0:
                 lives.append(())
             if seen and not events:
                 origin = request_id
             lives[-1] = (*lives[-1], *seen)
-            if attempt.is_complete or self.clock() >= deadline:
+            if attempt.is_complete:
                 break
-            await sleep(RETRY_SECONDS)
+            answered += attempt.status is not None
+            usual = RETRY_SECONDS if attempt.status else RECONNECT_SECONDS
+            await sleep(attempt.retry_after or usual)
             entry = self._next_entry()
         return StreamSeen(tuple(lives), tuple(tries), len(lives[-1]) == EVENTS)
 
@@ -119,6 +134,12 @@
         ]
         return self.random.choice(running) if running else 0
 
+    def _cut_at(self) -> float:
+        """Return when an attempt loses its connection."""
+        if self.random.random() >= self.cut_share:
+            return inf
+        return self.clock() + self.random.uniform(0.0, MAX_CUT_SECONDS)
+
     def on_started(self, entry: Entry) -> None:
         """Record that an entry was started just now."""
         self.started_at[entry.output.name] = self.clock()
@@ -147,9 +168,10 @@
         if opened.is_error():
             return Attempt(None, b"", False)
         answer, data, is_complete = opened.ok, b"", False
+        cut_at = self._cut_at()
         with suppress(TruncatedAnswer, TimeoutError):
             while True:
-                async with timeout(GAP_SECONDS):
+                async with timeout(min(GAP_SECONDS, cut_at - self.clock())):
                     piece = await anext(answer.chunks, None)
                 if piece is None:
                     is_complete = answer.status == 200
@@ -157,4 +179,6 @@
                 data += piece
         if not is_complete:
             answer.close()
-        return Attempt(answer.status, data, is_complete)
+        pause = answer.headers.get("retry-after")
+        retry_after = None if pause is None else float(pause)
+        return Attempt(answer.status, data, is_complete, retry_after)
--- a/tests/unit/relay/popular_world.py
+++ b/tests/unit/relay/popular_world.py
@@ -159,6 +159,7 @@
             on_end=lambda *args, **named: None,
             retry_delay=lambda service, software_version: None,
             replacement=lambda state: None,
+            candidates=lambda service, software_version: self.states.values(),
         )
         self.protocol = SimpleNamespace(caller_headers=lambda headers: ())
 
--- a/tests/unit/relay/test_origin_replicas.py
+++ b/tests/unit/relay/test_origin_replicas.py
@@ -1,7 +1,7 @@
 """Entries that tell one another where streams began: lost, late and forged messages."""
 
 from asyncio import create_task, gather, get_running_loop, sleep
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from random import Random
 from typing import Any
 
@@ -66,6 +66,7 @@
             item.zone,
             directory,
             lambda message, to: self.send(message, address, to),
+            lambda message, all_to: self.send_all(message, address, all_to),
             self.clock,
         )
         directory.on_new_boot = entry.on_new_boot
@@ -89,6 +90,13 @@
         if not self.lost(message, sender, to):
             get_running_loop().call_later(DELAY, self._deliver, message, sender, to)
 
+    def send_all(
+        self, message: Message, sender: Address, to: Iterable[Address]
+    ) -> None:
+        """Deliver a message to several entries."""
+        for each in to:
+            self.send(message, sender, each)
+
     def _deliver(self, message: Any, sender: Address, to: Address) -> None:
         if to in self.entries:
             self.entries[to].on_message(decode(message), sender)
--- a/tests/unit/relay/test_take_ups.py
+++ b/tests/unit/relay/test_take_ups.py
@@ -20,6 +20,9 @@
 AT_ONCE_SECONDS = 0.25
 """Seconds within which a stream that cannot go on is rejected."""
 
+SILENT_PAUSE = 2.5
+"""Seconds between events of an endpoint that is taken for silent."""
+
 CALLER_SECONDS = 0.01
 """Seconds that a caller needs at least between two tries."""
 
@@ -260,3 +263,30 @@
             assert resumed.reason == "origin_unknown"
 
     play(scenario)
+
+
+@pytest.mark.parametrize("others", [0, 1])
+def test_a_silent_stream_is_broken_off_only_if_it_can_go_on(others: int) -> None:
+    """Guards against giving up a slow engine whose version nobody else has."""
+
+    async def scenario(world: VersionWorld) -> None:
+        world.work = world.work._replace(pause=SILENT_PAUSE)
+        calling = create_task(call(world, 0, "r1"))
+        await sleep(0.5)
+        table = world.entries[0].endpoints
+        running = next(each for each in table.states.values() if each.in_flight)
+        version = running.endpoint.software_version
+        same = [
+            state
+            for state in table.states.values()
+            if state.endpoint.software_version == version and state is not running
+        ]
+        for state in same[others:]:
+            table.drop(state, "gone")
+        await sleep(SILENT_PAUSE)
+        runs = sum(each.running.total() for each in world.endpoints)
+        tried = sum(len(each.arrivals) for each in world.endpoints)
+        assert (runs, tried) == (1, 1 + others)
+        calling.cancel()
+
+    play(scenario)
