--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -25,7 +25,8 @@
     served = sum(call.status == 200 for call in soak.calls)
     stdout.write(
         f"seed {seed}: {len(soak.calls)} calls, {served} served, "
-        f"{len(soak.done)} faults, {len(problems)} broken; {_crashes(soak)}\n"
+        f"{len(soak.done)} faults, {len(problems)} broken; {_crashes(soak)}; "
+        f"{_versions(soak)}\n"
     )
     for problem in problems[:5]:
         stdout.write(f"  {problem}\n")
@@ -46,6 +47,16 @@
     )
 
 
+def _versions(soak: Soak) -> str:
+    versions = soak.versions
+    streams = versions.verdict()
+    return (
+        f"{versions.replaced} engines replaced under {streams.streams} streams, "
+        f"{streams.whole} whole, {streams.mixed} mixed, "
+        f"{versions.went_on()} of {versions.taken_up()} taken up went on"
+    )
+
+
 if __name__ == "__main__":
     numbers = [int(word) for word in argv[1:]]
     raise SystemExit(min(1, run(main(*(numbers + [1, 1, 4][len(numbers) :])))))
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -19,6 +19,7 @@
 from tests.soak.popular import PopularCalls
 from tests.soak.promises import Seen, broken_promises
 from tests.soak.proxy import MODES, FaultProxy
+from tests.soak.versions import RELEASE, SERVICE, VersionedStreams
 
 ENTRIES = 3
 GATEWAYS = 2
@@ -67,6 +68,7 @@
         self.engine_cuts: list[tuple[float, float]] = []
         self.crashes: Crashes | None = None
         self.popular: PopularCalls | None = None
+        self.versions = VersionedStreams(seed, self.fleet, self.calls)
 
     async def run(self) -> list[str]:
         """Play the seed; return the promises that were broken."""
@@ -82,6 +84,8 @@
                 for _ in range(POPULAR_CLIENTS)
             ]
             clients.append(create_task(popular.kill(lambda: self.has_stopped)))
+            versions = self.versions.run(ENTRIES, lambda: self.has_stopped)
+            clients.append(create_task(versions))
             limits = Limits(self.seed, self.fleet)
             clients.append(create_task(limits.run(lambda: self.has_stopped)))
             await self._disturb()
@@ -89,6 +93,7 @@
             self.has_stopped = True
             await gather(*clients)
             problems = broken_promises(self.calls, self.fleet.engines, self.prepaid)
+            problems += self.versions.problems()
             problems += self._ended() + await self._unserved()
             problems += limits.problems(self.engine_cuts)
             problems += await self._calls_to_evacuated_zones()
@@ -101,7 +106,8 @@
     async def _start(self) -> None:
         fleet = self.fleet
         await fleet.store.start()
-        fleet.configure(self.prepaid)
+        fleet.more_services = (SERVICE,)
+        fleet.configure(self.prepaid, (*ROUTES, RELEASE))
         for service, number in product(("pool", "desk"), range(ENGINES)):
             await self._add_engine(service, ZONES[number % len(ZONES)])
         for number in range(ENTRIES):
@@ -111,6 +117,7 @@
             await fleet.add_entry(f"edge-{number}", f"z{number}", store=proxy.port)
         for number in range(GATEWAYS):
             await fleet.add_gateway(f"side-{number}")
+        await self.versions.start()
 
     async def _add_engine(self, service: str, zone: str) -> None:
         engine = EngineStandin(service, zone)
@@ -310,7 +317,7 @@
         self._note("configuration")
         self.newest_path = f"/new-{len(self.done)}/"
         newest = route(self.newest_path, "safe", "desk")
-        self.fleet.configure(self.prepaid, (*ROUTES, *IDLE, newest))
+        self.fleet.configure(self.prepaid, (*ROUTES, RELEASE, *IDLE, newest))
 
     async def _heal(self) -> None:
         for proxy in (*self.store_proxies, *self.engine_proxies):
