Keep origins of streams at a gateway, too, and share the stand-in clients' record

Only entries kept origins. Change: one gateway, found on its own ring, keeps each origin as well; two are asked, and one that restarts gets what it should keep. What keeps and answers is a module of its own, which gateways and entries use. What a client has got of a stream is recorded in one place for the tests with programs and in virtual time.

--- a/libs/bench/src/clementinebend_bench/models/mark_fleet.py
+++ b/libs/bench/src/clementinebend_bench/models/mark_fleet.py
@@ -107,6 +107,7 @@
             self.boot,
             zone,
             self.directory,
+            Directory(),
             self.send,
             self.send_all,
             clock,
--- a/libs/relay/src/clementinebend_relay/gateway.py
+++ b/libs/relay/src/clementinebend_relay/gateway.py
@@ -1,8 +1,9 @@
-"""The gateway process: a TCP proxy to the store that also tracks endpoints' queues.
+"""The gateway process: a TCP proxy to the store that also keeps state for entries.
 
 An entry that has lost only its own connection to the store reaches the store through a
 gateway on another host. The gateway does not interpret the bytes that it forwards. It
-also tracks the queue of the endpoint on its host on behalf of all entries.
+also tracks the queue of the endpoint on its host on behalf of all entries, and keeps
+the origins of some of their streams.
 """
 
 from asyncio import (
@@ -26,6 +27,8 @@
 from clementinebend_relay.datagrams import DatagramSocket, open_socket
 from clementinebend_relay.discovery import Announcement, announce
 from clementinebend_relay.messages import Message, QueueMessage
+from clementinebend_relay.origin_keeper import OriginKeeper
+from clementinebend_relay.origin_messages import OriginRequestMessage, OriginsMessage
 from clementinebend_relay.queue_keeper import QueueKeeper
 from clementinebend_transport.client_connection import Address
 from clementinebend_transport.lifecycle import EXIT_OK
@@ -98,17 +101,20 @@
             await writer.drain()
 
 
-async def _open_queue_socket(boot: str, address: Address) -> DatagramSocket:
-    """Return a socket that receives entries' messages about queues."""
+async def _open_entry_socket(boot: str, address: Address) -> DatagramSocket:
+    """Return a socket that receives entries' messages about queues and origins."""
 
     def send(message: Message, to: Address) -> None:
         socket.send(message, to)
 
-    keeper = QueueKeeper(boot, send, get_running_loop().time)
+    clock = get_running_loop().time
+    queues, origins = QueueKeeper(boot, send, clock), OriginKeeper(boot, send, clock)
 
     def receive(message: Message, sender: Address) -> None:
         if isinstance(message, QueueMessage):
-            keeper.on_message(message, sender)
+            queues.on_message(message, sender)
+        elif isinstance(message, OriginsMessage | OriginRequestMessage):
+            origins.on_message(message, sender)
 
     socket = await open_socket(address, receive)
     return socket
@@ -125,7 +131,7 @@
 ) -> int:
     """Serve until ``stop`` is set; return the exit code."""
     server = await start_server(gateway.accept, *address, limit=CHUNK_BYTES)
-    socket = await _open_queue_socket(boot, address)
+    socket = await _open_entry_socket(boot, address)
     logger.info("started", extra={"gateway": name})
     discovery = create_task(announce(log, name, Announcement(boot, zone, *address)))
     await stop.wait()
--- a/libs/relay/src/clementinebend_relay/handler.py
+++ b/libs/relay/src/clementinebend_relay/handler.py
@@ -22,8 +22,8 @@
 from clementinebend_relay.progress import CallProgress
 from clementinebend_relay.prompt_queues import PromptQueues
 from clementinebend_relay.quota_view import Shortfall
+from clementinebend_relay.resumptions import Resumptions
 from clementinebend_relay.streams import StreamRelay
-from clementinebend_relay.take_ups import TakeUps
 from clementinebend_transport.http_types import Request, Response
 
 BUDGET_BUSY_RETRY_AFTER = 0.5
@@ -60,7 +60,7 @@
         dispatcher: Dispatcher,
         plain: PlainRelay,
         streams: StreamRelay,
-        take_ups: TakeUps,
+        resumptions: Resumptions,
         prompt_queue: PromptQueues,
         is_loaded: Event,
         clock: Callable[[], float],
@@ -72,7 +72,7 @@
         self.quarantine = dispatcher.quarantine
         self.plain = plain
         self.streams = streams
-        self.take_ups = take_ups
+        self.resumptions = resumptions
         self.prompt_queue = prompt_queue
         self.is_loaded = is_loaded
         self.clock = clock
@@ -111,7 +111,7 @@
         refusal = self.quarantine.refusal(admitted.fingerprint)
         if refusal is not None:
             return refusal
-        return await self.take_ups.admit(admitted)
+        return await self.resumptions.admit(admitted)
 
     async def _wait_for_startup(self) -> None:
         """Wait up to ``STARTUP_WAIT`` for the configuration and endpoints to load."""
--- a/libs/relay/src/clementinebend_relay/metrics.py
+++ b/libs/relay/src/clementinebend_relay/metrics.py
@@ -28,8 +28,8 @@
     "began them (same or other).",
     ("service", "by", "software"),
 )
-take_ups = counter(
-    "clementinebend_relay_take_ups_total",
+resumptions = counter(
+    "clementinebend_relay_resumptions_total",
     "Streams that callers resumed, by service and by whether the version that began "
     "them is known (known, unknown, or version gone).",
     ("service", "outcome"),
--- a/libs/relay/src/clementinebend_relay/models.py
+++ b/libs/relay/src/clementinebend_relay/models.py
@@ -153,7 +153,7 @@
     resumes: str | None = None
 
     @property
-    def is_take_up(self) -> bool:
+    def is_resumption(self) -> bool:
         """Whether the caller resumes a stream of which it holds events."""
         return bool(self.last_event or self.resumes)
 
--- a/libs/relay/src/clementinebend_relay/origin_replicas.py
+++ b/libs/relay/src/clementinebend_relay/origin_replicas.py
@@ -1,17 +1,17 @@
-"""Keeps the origins of streams at several entries, and asks these for one.
+"""Keeps the origins of streams at several processes, and asks these for one.
 
 An entry that begins a stream tells some others before the first event leaves, so that
 the origin is known if the entry ends at once. The others are those that follow the
 stream's key on the ring of all entries, so that each entry finds them without being
 told. Later members of the ring are asked too: they were the first ones before entries
-were added. An entry that starts gets the origins that it should keep.
+were added. A gateway, found in the same way, knows the origin if all entries end at
+once. A process that starts gets the origins that it should keep.
 """
 
 from asyncio import Future, get_running_loop, timeout, wait
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from contextlib import suppress
 from itertools import count, islice
-from math import isfinite
 from random import randrange
 from typing import NamedTuple
 
@@ -19,6 +19,7 @@
 from clementinebend_relay.decisions import log_decision
 from clementinebend_relay.discovery import Announcement, Directory
 from clementinebend_relay.messages import Message
+from clementinebend_relay.origin_keeper import OriginKeeper, known_origin
 from clementinebend_relay.origin_messages import (
     OriginAnswerMessage,
     OriginMessage,
@@ -28,7 +29,6 @@
 )
 from clementinebend_relay.stream_origins import (
     KnownOrigin,
-    OriginTable,
     StreamKey,
     StreamOrigin,
 )
@@ -40,6 +40,12 @@
 MAX_ASKED = 6
 """Number of entries that are asked for an origin."""
 
+GATEWAY_REPLICAS = 1
+"""Number of gateways that keep the origin of a stream."""
+
+MAX_GATEWAYS_ASKED = 2
+"""Number of gateways that are asked for an origin."""
+
 ASK_INTERVAL = 0.04
 """Seconds after which entries that have not answered are asked again."""
 
@@ -62,11 +68,15 @@
 """Cannot occur in the name of a team or in an HTTP header."""
 
 
+Processes = list[Announcement]
+"""The announcements of some processes."""
+
+
 class Lookup(NamedTuple):
     """The outcome of asking for an origin.
 
-    ``known`` is None if nobody knows it, ``asked`` and ``answered`` count entries, and
-    ``seconds`` is how long it took.
+    ``known`` is None if nobody knows it, ``asked`` and ``answered`` count processes,
+    and ``seconds`` is how long it took.
     """
 
     known: KnownOrigin | None
@@ -76,7 +86,7 @@
 
 
 class Question(NamedTuple):
-    """A question to other entries that is open.
+    """A question to other processes that is open.
 
     ``waiting`` holds the addresses that have not answered.
     """
@@ -86,7 +96,7 @@
 
 
 class OriginReplicas:
-    """Tells origins to other entries, asks for them, and keeps those of others."""
+    """Tells origins to other processes, asks for them, and keeps those of others."""
 
     def __init__(
         self,
@@ -94,6 +104,7 @@
         boot: str,
         zone: str,
         directory: Directory,
+        gateways: Directory,
         send: Callable[[Message, Address], None],
         send_all: Callable[[Message, Iterable[Address]], None],
         clock: Callable[[], float],
@@ -102,15 +113,17 @@
         self.boot = boot
         self.zone = zone
         self.directory = directory
+        self.gateways = gateways
         self.send = send
         self.send_all = send_all
         self.clock = clock
-        self.table = OriginTable(clock)
+        self.keeper = OriginKeeper(boot, send, clock)
+        self.table = self.keeper.table
         self.questions: dict[int, Question] = {}
         self.numbers = count(randrange(2**32))
 
     def tell(self, key: StreamKey, origin: StreamOrigin, seconds: float) -> None:
-        """Keep the origin of a stream for some seconds, here and at other entries."""
+        """Keep the origin of a stream for some seconds, here and elsewhere."""
         if not self.table.put(key, origin, seconds, self.boot):
             return
         report = ReportedOrigin(*key, *origin, seconds, 0.0)
@@ -118,7 +131,7 @@
         self.send_all(message, self._replicas_of(key))
 
     async def find(self, key: StreamKey, max_wait: float) -> Lookup:
-        """Return the origin of a stream, from this entry or from others.
+        """Return the origin of a stream, from this entry or from other processes.
 
         Waits at most ``max_wait`` seconds. That nobody knows an origin proves nothing.
         """
@@ -126,11 +139,12 @@
         if known is not None:
             return Lookup(known)
         await self._wait_for_directory(max_wait)
-        asked = [item.address for item in islice(self._ring(key), MAX_ASKED)]
+        asked = [*self._ring(key, MAX_ASKED), *self._gateways(key, MAX_GATEWAYS_ASKED)]
         if not asked:
             return Lookup(None)
         began, number = self.clock(), next(self.numbers)
-        question = Question(set(asked), get_running_loop().create_future())
+        waiting = {item.address for item in asked}
+        question = Question(waiting, get_running_loop().create_future())
         self.questions[number] = question
         message = OriginRequestMessage(self.boot, number, *key)
         try:
@@ -163,62 +177,58 @@
 
     def on_message(self, message: OriginMessage, sender: Address) -> None:
         """Apply a message; ignore those of processes that are not known."""
-        name = process_name_of(Incarnation(message.boot))
-        announced = self.directory.announcements.get(name)
-        if announced is None or announced.address != sender:
+        if not self._is_known(message.boot, sender):
             log_decision("datagram refused", sender=message.boot, problem="no entry")
-            return
-        match message:
-            case OriginsMessage():
-                for report in message.origins:
-                    self._keep(report, message.boot)
-            case OriginRequestMessage():
-                self._answer(message, sender)
-            case OriginAnswerMessage():
-                self._on_answer(message, sender)
-
-    def on_new_boot(self, name: str) -> None:
+        elif isinstance(message, OriginAnswerMessage):
+            self._on_answer(message, sender)
+        else:
+            self.keeper.on_message(message, sender)
+
+    def on_new_entry(self, name: str) -> None:
         """Send an entry that has started the origins that it should keep."""
-        if name == self.name:
-            return
-        address = self.directory.announcements[name].address
+        if name != self.name:
+            address = self.directory.announcements[name].address
+            self._hand_over(address, lambda key: self._ring(key, MAX_ASKED))
+
+    def on_new_gateway(self, name: str) -> None:
+        """Send a gateway that has started the origins that it should keep."""
+        address = self.gateways.announcements[name].address
+        self._hand_over(address, lambda key: self._gateways(key, MAX_GATEWAYS_ASKED))
+
+    def _hand_over(
+        self, address: Address, keepers: Callable[[StreamKey], Processes]
+    ) -> None:
+        """Send a process the origins that it keeps, a few at a time."""
         keys = [key for key, _ in self.table.items()]
         loop = get_running_loop()
         for number, start in enumerate(range(0, len(keys), CHECKED_AT_ONCE)):
             some = keys[start : start + CHECKED_AT_ONCE]
-            loop.call_later(number * BATCH_INTERVAL, self._hand_over, some, address)
+            pause = number * BATCH_INTERVAL
+            loop.call_later(pause, self._send_kept, some, address, keepers)
 
-    def _hand_over(self, keys: list[StreamKey], address: Address) -> None:
-        """Send an entry those of some origins that it should keep."""
+    def _send_kept(
+        self,
+        keys: list[StreamKey],
+        address: Address,
+        keepers: Callable[[StreamKey], Processes],
+    ) -> None:
+        """Send a process those of some origins that it keeps."""
         reports = [
-            self._report(key, known)
+            report
             for key in keys
-            if (known := self.table.get(key)) is not None
-            and known.origin is not None
-            and self._is_kept_by(key, address)
+            if any(item.address == address for item in keepers(key))
+            and (report := self.keeper.report(key)) is not None
         ]
         for start in range(0, len(reports), BATCH_SIZE):
             batch = tuple(reports[start : start + BATCH_SIZE])
             self.send(OriginsMessage(self.boot, batch), address)
 
-    def _is_kept_by(self, key: StreamKey, address: Address) -> bool:
-        return any(
-            item.address == address for item in islice(self._ring(key), MAX_ASKED)
-        )
-
-    def _keep(self, report: ReportedOrigin, source: str) -> None:
-        if not isfinite(report.seconds_left):
-            return
-        key = StreamKey(report.team, report.request_id)
-        origin = StreamOrigin(report.service, report.software_version)
-        self.table.put(key, origin, report.seconds_left, source)
-
-    def _answer(self, message: OriginRequestMessage, sender: Address) -> None:
-        key = StreamKey(message.team, message.request_id)
-        known = self.table.get(key)
-        is_known = known is not None and known.origin is not None
-        report = self._report(key, known) if known is not None and is_known else None
-        self.send(OriginAnswerMessage(self.boot, message.number, report), sender)
+    def _is_known(self, boot: str, sender: Address) -> bool:
+        """Return whether an address is that of a process, in any of its boots."""
+        name = process_name_of(Incarnation(boot))
+        known = (self.directory.announcements, self.gateways.announcements)
+        items = (each.get(name) for each in known)
+        return any(item is not None and item.address == sender for item in items)
 
     def _on_answer(self, message: OriginAnswerMessage, sender: Address) -> None:
         question = self.questions.get(message.number)
@@ -228,32 +238,28 @@
         if question.outcome.done():
             return
         if message.origin is not None:
-            question.outcome.set_result(self._known(message.origin, message.boot))
+            known = known_origin(message.origin, message.boot, self.clock())
+            question.outcome.set_result(known)
         elif not question.waiting:
             question.outcome.set_result(None)
 
-    def _known(self, report: ReportedOrigin, source: str) -> KnownOrigin:
-        now = self.clock()
-        origin = StreamOrigin(report.service, report.software_version)
-        since, until = now - report.age, now + report.seconds_left
-        return KnownOrigin(origin, since, until, source)
-
-    def _report(self, key: StreamKey, known: KnownOrigin) -> ReportedOrigin:
-        now = self.clock()
-        assert known.origin is not None
-        return ReportedOrigin(*key, *known.origin, known.until - now, now - known.since)
-
     def _replicas_of(self, key: StreamKey) -> Iterable[Address]:
-        """Return the other entries that keep an origin; one is in another zone."""
-        members = list(islice(self._ring(key), MAX_ASKED))
+        """Return the other processes that keep an origin; one is in another zone."""
+        members = self._ring(key, MAX_ASKED)
         chosen, others = members[:REPLICAS], members[REPLICAS:]
         remote = [item for item in others if item.zone != self.zone]
         if remote and all(item.zone == self.zone for item in chosen):
             chosen = [*chosen[:-1], remote[0]]
-        return [item.address for item in chosen]
+        gateways = self._gateways(key, GATEWAY_REPLICAS)
+        return [item.address for item in (*chosen, *gateways)]
 
-    def _ring(self, key: StreamKey) -> Iterator[Announcement]:
-        """Yield the other entries, from the first one that follows a key on."""
+    def _ring(self, key: StreamKey, most: int) -> Processes:
+        """Return other entries, from the first one that follows a key on."""
         names = self.directory.members_from(KEY_SEPARATOR.join(key))
-        announcements = self.directory.announcements
-        return (announcements[name] for name in names if name != self.name)
+        others = (name for name in names if name != self.name)
+        return [self.directory.announcements[name] for name in islice(others, most)]
+
+    def _gateways(self, key: StreamKey, most: int) -> Processes:
+        """Return gateways, from the first one that follows a key on."""
+        names = self.gateways.members_from(KEY_SEPARATOR.join(key))
+        return [self.gateways.announcements[name] for name in islice(names, most)]
--- a/libs/relay/src/clementinebend_relay/process.py
+++ b/libs/relay/src/clementinebend_relay/process.py
@@ -39,9 +39,9 @@
 from clementinebend_relay.queue_probes import QueueProbes
 from clementinebend_relay.quota_manager import QuotaManager
 from clementinebend_relay.receiving import receive
+from clementinebend_relay.resumptions import Resumptions
 from clementinebend_relay.settings import RelaySettings
 from clementinebend_relay.streams import StreamRelay
-from clementinebend_relay.take_ups import TakeUps
 from clementinebend_relay.witness import WitnessServer
 from clementinebend_relay.witnesses import Witnesses
 from clementinebend_routing.sessions import SessionTracker
@@ -184,11 +184,13 @@
             boot,
             settings.zone,
             self.entries,
+            self.gateways,
             self._send,
             self._send_all,
             clock,
         )
-        self.entries.on_new_boot = self.origins.on_new_boot
+        self.entries.on_new_boot = self.origins.on_new_entry
+        self.gateways.on_new_boot = self.origins.on_new_gateway
         attempts = Attempts(self.dispatcher, self.sync, clock)
         self.handler = CallHandler(
             protocol,
@@ -197,7 +199,7 @@
             self.dispatcher,
             PlainRelay(attempts, self.dispatcher),
             StreamRelay(attempts, self.dispatcher, self.origins, clock),
-            TakeUps(self.origins, self.endpoints, self.configuration, clock),
+            Resumptions(self.origins, self.endpoints, self.configuration, clock),
             PromptQueues(self.dispatcher, clock),
             self.known,
             clock,
--- a/libs/relay/src/clementinebend_relay/take_ups.py
+++ b/libs/relay/src/clementinebend_relay/resumptions.py
@@ -12,7 +12,7 @@
 from clementinebend_relay.configuration import ConfigurationTable
 from clementinebend_relay.decisions import log_decision
 from clementinebend_relay.endpoints import EndpointTable
-from clementinebend_relay.metrics import take_ups
+from clementinebend_relay.metrics import resumptions
 from clementinebend_relay.models import Reason, Rejection, RouteKind
 from clementinebend_relay.origin_replicas import Lookup, OriginReplicas
 from clementinebend_relay.stream_origins import StreamKey, StreamOrigin
@@ -25,7 +25,7 @@
 new stream at once."""
 
 
-class TakeUps:
+class Resumptions:
     """Finds the origin of streams that callers resume."""
 
     def __init__(
@@ -46,7 +46,7 @@
         Calls that resume no stream are returned unchanged.
         """
         call = admitted.call
-        if admitted.route.kind is not RouteKind.STREAM or not call.is_take_up:
+        if admitted.route.kind is not RouteKind.STREAM or not call.is_resumption:
             return admitted
         lookup = await self._find(admitted)
         known = lookup.known
@@ -84,9 +84,9 @@
     def _record(self, admitted: Admitted, lookup: Lookup, outcome: str) -> None:
         call, known = admitted.call, lookup.known
         origin = None if known is None else known.origin
-        take_ups.labels(admitted.service.name, outcome).inc()
+        resumptions.labels(admitted.service.name, outcome).inc()
         log_decision(
-            "take-up",
+            "resumption",
             request_id=call.request_id,
             resumes=call.resumes,
             after=call.last_event,
--- a/libs/relay/src/clementinebend_relay/streams.py
+++ b/libs/relay/src/clementinebend_relay/streams.py
@@ -170,7 +170,7 @@
             progress.first_event_at = self.clock()
             progress.begin(running.state.endpoint.software_version)
             self._tell_origin(progress, running.state.endpoint.software_version)
-            self._record_take_up(running, progress)
+            self._record_resumption(running, progress)
         if progress.attempt_event_at is None:
             progress.attempt_event_at = self.clock()
         if not counts_as_evidence(self.clock() - progress.attempt_event_at):
@@ -212,14 +212,14 @@
         service = progress.admitted.service.name
         resumed_streams.labels(service, by, software).inc()
 
-    def _record_take_up(self, running: OpenAttempt, progress: CallProgress) -> None:
+    def _record_resumption(self, running: OpenAttempt, progress: CallProgress) -> None:
         """Record that a stream has gone on for a caller that resumed it."""
         call = progress.admitted.call
-        if not call.is_take_up:
+        if not call.is_resumption:
             return
         self._count_resumed(progress, "caller", "same")
         log_decision(
-            "stream taken up",
+            "stream resumed by caller",
             request_id=call.request_id,
             resumes=call.resumes,
             after=call.last_event,
--- a/tests/functional/test_platform_entry.py
+++ b/tests/functional/test_platform_entry.py
@@ -70,10 +70,12 @@
     lines = fleet.entries[0].lines()
     added = next(line for line in lines if line["message"] == "endpoint added")
     assert added["software_version"] == "v1.1"
-    taken_up = next(line for line in lines if line["message"] == "stream taken up")
-    assert taken_up["resumes"] == "r0"
-    assert taken_up["after"] == "2"
-    assert taken_up["software_version"] == "v1.1"
+    resumed = next(
+        line for line in lines if line["message"] == "stream resumed by caller"
+    )
+    assert resumed["resumes"] == "r0"
+    assert resumed["after"] == "2"
+    assert resumed["software_version"] == "v1.1"
     ended = next(line for line in lines if line["message"] == "call ended")
     assert ended["software_versions"] == ["v1.1"]
 
--- a/tests/functional/test_stream_versions.py
+++ b/tests/functional/test_stream_versions.py
@@ -9,7 +9,8 @@
 from tests.lib.platform_engine import EngineStandin
 from tests.lib.platform_fleet import ROUTES, Fleet
 from tests.lib.resuming_client import LONG_STREAMS, ResumingClients
-from tests.lib.streams_seen import Verdict, verdict
+from tests.lib.streams_seen import FEWEST_RESUMED, LEAST_SHARE, Verdict, verdict
+from tests.lib.waiting import until
 
 ENTRIES = 4
 STREAMS = 36
@@ -120,6 +121,39 @@
     assert result.keeps_order, result
 
 
+async def test_streams_go_on_after_all_entries_were_killed_at_once(
+    fleet: Fleet,
+) -> None:
+    """Guards against origins that are lost with the entries: gateways keep them."""
+    clients = await start(fleet)
+    gateways = [await fleet.add_gateway(f"side-{number}") for number in range(2)]
+    for gateway in gateways:
+        await until(lambda: fleet.is_bound(gateway))  # noqa: B023 - awaited at once
+    await until(lambda: knows_gateways(fleet, len(gateways)))
+
+    async def kill_all(fleet: Fleet, clients: ResumingClients) -> None:
+        for number in range(ENTRIES):
+            fleet.entries[number].process.kill()
+        for number in range(ENTRIES):
+            await fleet.entries[number].process.wait()
+            await fleet.restart_entry(number)
+
+    streams = [create_task(clients.stream(each % ENTRIES)) for each in range(STREAMS)]
+    await sleep(0.8)
+    await kill_all(fleet, clients)
+    seen = await gather(*streams)
+    assert not any(stream.is_mixed for stream in seen)
+    tries = [each for stream in seen for each in stream.tries]
+    answered = [each for each in tries if each.is_resumption and each.status]
+    assert len(answered) >= FEWEST_RESUMED
+    assert sum(each.events > 0 for each in answered) >= LEAST_SHARE * len(answered)
+
+
+async def knows_gateways(fleet: Fleet, number: int) -> bool:
+    """Tell whether all gateways have announced themselves."""
+    return len(fleet.store.newest("gateways")) == number
+
+
 async def test_a_stream_that_nobody_knows_does_not_go_on(fleet: Fleet) -> None:
     """Guards against going on where the version that began cannot be known."""
     clients = await start(fleet)
--- a/tests/lib/resuming_client.py
+++ b/tests/lib/resuming_client.py
@@ -1,4 +1,4 @@
-"""Clients that take their streams up again, as those of the platform do."""
+"""Clients that resume their streams, as those of the platform do."""
 
 from asyncio import get_running_loop, sleep, timeout
 from collections.abc import Callable
@@ -14,7 +14,7 @@
 from clementinebend_transport.exceptions import TruncatedAnswer
 from tests.lib.platform_engine import EVENTS
 from tests.lib.platform_fleet import HOST, KEY, Entry, Fleet, route
-from tests.lib.streams_seen import SeenEvent, StreamSeen, Try, split_events
+from tests.lib.streams_seen import StreamRecord, StreamSeen
 
 LONG_STREAMS = route(
     "/stream-long/", "streaming", "pool", resumable=True, timeout_ms=15_000
@@ -84,35 +84,23 @@
         session = f"a{number:x}:30,b{number:x}:10"
         body = f"stream {number}".encode()
         deadline = self.clock() + DEADLINE_SECONDS
-        lives: list[tuple[SeenEvent, ...]] = [()]
-        tries: list[Try] = []
-        origin = ""
-        answered = 0
+        record, answered = StreamRecord(), 0
         while answered < MAX_TRIES and self.clock() < deadline:
-            request_id = f"s{number}-{len(tries)}"
+            request_id = f"s{number}-{len(record.tries)}"
             self.on_attempt(request_id)
-            events = lives[-1]
-            headers = {"x-prefix-hash": session}
-            if events:
-                headers["last-event-id"] = str(events[-1].number)
-                if names_origin:
-                    headers["resumes"] = origin
-            is_judged = self._is_judged(entry, events[0].version if events else "")
+            headers = {"x-prefix-hash": session, **record.headers(names_origin)}
+            is_judged = self._is_judged(entry, record.version)
             attempt = await self._attempt(entry, request_id, headers, body, deadline)
-            seen = split_events(attempt.data)
-            tries.append(Try(bool(events), is_judged, attempt.status, len(seen)))
-            if events and attempt.retry_after == 0.0:
-                lives.append(())
-            if seen and not events:
-                origin = request_id
-            lives[-1] = (*lives[-1], *seen)
+            begins_anew = attempt.retry_after == 0.0
+            status, data = attempt.status, attempt.data
+            record.add(request_id, is_judged, status, data, begins_anew)
             if attempt.is_complete:
                 break
-            answered += attempt.status is not None
-            usual = RETRY_SECONDS if attempt.status else RECONNECT_SECONDS
+            answered += status is not None
+            usual = RETRY_SECONDS if status else RECONNECT_SECONDS
             await sleep(attempt.retry_after or usual)
             entry = self._next_entry()
-        return StreamSeen(tuple(lives), tuple(tries), len(lives[-1]) == EVENTS)
+        return record.seen(EVENTS)
 
     def _is_judged(self, entry: int, version: str) -> bool:
         """Return whether the rule on lost streams counts a try at an entry."""
--- a/tests/lib/streams_seen.py
+++ b/tests/lib/streams_seen.py
@@ -1,6 +1,6 @@
 """What clients got of streams, held against the rules on streams of several versions.
 
-A client that takes a stream up again names the ID of its attempt that brought the first
+A client that resumes a stream names the ID of its attempt that brought the first
 event, over all its tries.
 """
 
@@ -11,8 +11,8 @@
 MAX_MIXED_STREAMS = 2
 """Streams that may hold events of two versions."""
 
-FEWEST_TAKEN_UP = 12
-"""Streams taken up from which on the share that goes on is judged."""
+FEWEST_RESUMED = 12
+"""Streams resumed from which on the share that goes on is judged."""
 
 LEAST_SHARE = 0.5
 """Least share that goes on, as a share of the new streams that begin."""
@@ -30,12 +30,12 @@
 class Try(NamedTuple):
     """One attempt of a client.
 
-    ``takes_up`` is set if it takes a stream up, ``is_judged`` if the entry was in touch
-    and two engines of the stream's version served. ``status`` is None if no answer
-    came; ``events`` is how many events the attempt brought.
+    ``is_resumption`` is set if it resumes a stream, ``is_judged`` if the entry was in
+    touch and two engines of the stream's version served. ``status`` is None if no
+    answer came; ``events`` is how many events the attempt brought.
     """
 
-    takes_up: bool
+    is_resumption: bool
     is_judged: bool
     status: int | None
     events: int
@@ -65,16 +65,62 @@
         )
 
 
+class StreamRecord:
+    """What one client has got of a stream so far.
+
+    ``origin`` is the ID of its request that brought the first event.
+    """
+
+    def __init__(self) -> None:
+        self.lives: list[tuple[SeenEvent, ...]] = [()]
+        self.tries: list[Try] = []
+        self.origin = ""
+
+    @property
+    def version(self) -> str:
+        """The version that began the stream, an empty text before its first event."""
+        return self.lives[-1][0].version if self.lives[-1] else ""
+
+    def headers(self, names_origin: bool) -> dict[str, str]:
+        """Return the headers with which the next request resumes the stream, if any."""
+        if not self.lives[-1]:
+            return {}
+        last = {"last-event-id": str(self.lives[-1][-1].number)}
+        return {**last, "resumes": self.origin} if names_origin else last
+
+    def add(
+        self,
+        request_id: str,
+        is_judged: bool,
+        status: int | None,
+        data: bytes,
+        begins_anew: bool,
+    ) -> None:
+        """Record what an attempt has brought, and whether the client begins anew."""
+        is_resumption, seen = bool(self.lives[-1]), split_events(data)
+        self.tries.append(Try(is_resumption, is_judged, status, len(seen)))
+        if is_resumption and begins_anew:
+            self.lives.append(())
+        if seen and not self.lives[-1]:
+            self.origin = request_id
+        self.lives[-1] = (*self.lives[-1], *seen)
+
+    def seen(self, events: int) -> StreamSeen:
+        """Return all of it; a whole stream has that many events."""
+        is_whole = len(self.lives[-1]) == events
+        return StreamSeen(tuple(self.lives), tuple(self.tries), is_whole)
+
+
 class Verdict(NamedTuple):
     """What many streams come to.
 
-    ``taken_up`` counts the judged tries that took a stream up, ``went_on`` those of
+    ``resumed`` counts the judged tries that resumed a stream, ``went_on`` those of
     them that brought an event; ``began`` is the share of new streams that began.
     """
 
     streams: int
     mixed: int
-    taken_up: int
+    resumed: int
     went_on: int
     began: float
     whole: int
@@ -86,23 +132,23 @@
 
     @property
     def loses_few(self) -> bool:
-        """Whether enough of the streams that were taken up went on."""
-        if self.taken_up < FEWEST_TAKEN_UP:
+        """Whether enough of the streams that were resumed went on."""
+        if self.resumed < FEWEST_RESUMED:
             return True
-        return self.went_on >= LEAST_SHARE * self.began * self.taken_up
+        return self.went_on >= LEAST_SHARE * self.began * self.resumed
 
 
 def verdict(streams: Iterable[StreamSeen]) -> Verdict:
     """Return what the streams come to."""
     seen = list(streams)
     tries = [each for stream in seen for each in stream.tries]
-    taken_up = [each for each in tries if each.takes_up and each.is_judged]
-    new = [each for each in tries if not each.takes_up]
+    resumed = [each for each in tries if each.is_resumption and each.is_judged]
+    new = [each for each in tries if not each.is_resumption]
     return Verdict(
         len(seen),
         sum(stream.is_mixed for stream in seen),
-        len(taken_up),
-        sum(each.events > 0 for each in taken_up),
+        len(resumed),
+        sum(each.events > 0 for each in resumed),
         sum(each.events > 0 for each in new) / max(1, len(new)),
         sum(stream.is_whole for stream in seen),
     )
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -53,7 +53,7 @@
     return (
         f"{versions.replaced} engines replaced under {streams.streams} streams, "
         f"{streams.whole} whole, {streams.mixed} mixed, "
-        f"{versions.went_on()} of {versions.taken_up()} taken up went on"
+        f"{versions.went_on()} of {versions.resumed()} resumed went on"
     )
 
 
--- a/tests/soak/versions.py
+++ b/tests/soak/versions.py
@@ -35,7 +35,7 @@
 
 
 class VersionedStreams:
-    """Clients that take their streams up again, and engines that are replaced."""
+    """Clients that resume their streams, and engines that are replaced."""
 
     def __init__(self, seed: int, fleet: Fleet, calls: list[Seen]) -> None:
         self.random = Random(f"versions {seed}")
@@ -81,14 +81,14 @@
         """Return what the streams come to."""
         return verdict(self.seen)
 
-    def taken_up(self) -> int:
-        """Return how many tries took a stream up, whether or not it went on."""
-        return sum(each.takes_up for stream in self.seen for each in stream.tries)
+    def resumed(self) -> int:
+        """Return how many tries resumed a stream, whether or not it went on."""
+        return sum(each.is_resumption for stream in self.seen for each in stream.tries)
 
     def went_on(self) -> int:
-        """Return how many tries that took a stream up brought an event."""
+        """Return how many tries that resumed a stream brought an event."""
         tries = [each for stream in self.seen for each in stream.tries]
-        return sum(each.takes_up and each.events > 0 for each in tries)
+        return sum(each.is_resumption and each.events > 0 for each in tries)
 
     def _on_attempt(self, request_id: str) -> None:
         self.calls.append(Seen(request_id, PREFIX, 0, None, b""))
--- a/tests/unit/relay/entry_world.py
+++ b/tests/unit/relay/entry_world.py
@@ -17,6 +17,8 @@
 from clementinebend_relay.discovery import Announcement
 from clementinebend_relay.interfaces import Logs
 from clementinebend_relay.messages import Message, QueueMessage
+from clementinebend_relay.origin_keeper import OriginKeeper
+from clementinebend_relay.origin_messages import OriginRequestMessage, OriginsMessage
 from clementinebend_relay.process import RelayProcess
 from clementinebend_relay.queue_keeper import QueueKeeper
 from clementinebend_relay.settings import RelaySettings
@@ -135,10 +137,13 @@
         item = Announcement(f"side-{number}#{boot}", "z", host, KEEPER_PORT)
         socket = WorldSocket(self, item.address)
         keeper = QueueKeeper(item.boot, socket.send, self.clock)
+        origins = OriginKeeper(item.boot, socket.send, self.clock)
 
         def receive(message: Message, sender: Address) -> None:
             if isinstance(message, QueueMessage):
                 keeper.on_message(message, sender)
+            elif isinstance(message, OriginsMessage | OriginRequestMessage):
+                origins.on_message(message, sender)
 
         self.receivers[item.address] = receive
         self.gateways[f"side-{number}"] = item
--- a/tests/unit/relay/test_origin_replicas.py
+++ b/tests/unit/relay/test_origin_replicas.py
@@ -12,6 +12,7 @@
 from clementinebend_bench.models.virtual_loop import run_virtually
 from clementinebend_relay.discovery import Announcement, Directory
 from clementinebend_relay.messages import Message, decode_message, encode_message
+from clementinebend_relay.origin_keeper import OriginKeeper
 from clementinebend_relay.origin_messages import (
     OriginAnswerMessage,
     OriginRequestMessage,
@@ -48,6 +49,8 @@
         self.entries: dict[Address, OriginReplicas] = {}
         self.boots: dict[int, int] = {}
         self.announcements: dict[str, Announcement] = {}
+        self.gateways = Directory()
+        self.gateway_keepers: dict[Address, OriginKeeper] = {}
         for number in range(entries):
             self.start(number)
 
@@ -65,17 +68,32 @@
             item.boot,
             item.zone,
             directory,
+            self.gateways,
             lambda message, to: self.send(message, address, to),
             lambda message, all_to: self.send_all(message, address, all_to),
             self.clock,
         )
-        directory.on_new_boot = entry.on_new_boot
+        directory.on_new_boot = entry.on_new_entry
         directory.known.set()
         self.entries[address] = entry
         for each in self.entries.values():
             each.directory.put(name, item)
         return entry
 
+    def start_gateway(self, number: int) -> None:
+        """Start a boot of a gateway without memory; all entries learn of it."""
+        boot = self.boots[-number] = self.boots.get(-number, 0) + 1
+        address = Address("10.0.0.2", number)
+        item = Announcement(f"g{number}#{boot}", "z0", *address)
+        self.gateway_keepers[address] = OriginKeeper(
+            item.boot,
+            lambda message, to: self.send(message, address, to),
+            self.clock,
+        )
+        self.gateways.put(f"g{number}", item)
+        for each in self.entries.values():
+            each.on_new_gateway(f"g{number}")
+
     def kill(self, number: int) -> None:
         """Kill an entry."""
         self.entries.pop(Address("10.0.0.1", number), None)
@@ -100,6 +118,8 @@
     def _deliver(self, message: Any, sender: Address, to: Address) -> None:
         if to in self.entries:
             self.entries[to].on_message(decode(message), sender)
+        elif to in self.gateway_keepers:
+            self.gateway_keepers[to].on_message(decode(message), sender)
 
     def replicas(self, key: StreamKey = KEY) -> list[int]:
         """Return the entries that know the origin of a stream."""
@@ -217,6 +237,32 @@
     play(main)
 
 
+@pytest.mark.parametrize("is_restarted", [False, True])
+def test_a_gateway_knows_after_all_entries_were_killed_at_once(
+    is_restarted: bool,
+) -> None:
+    async def main() -> None:
+        fleet = Fleet(5)
+        for number in range(3):
+            fleet.start_gateway(number + 1)
+        keys = [StreamKey("desk", f"r{number}") for number in range(100)]
+        for key in keys:
+            fleet.entry(0).tell(key, ORIGIN, SECONDS)
+        await sleep(2 * DELAY)
+        if is_restarted:
+            for number in range(3):
+                fleet.start_gateway(number + 1)
+                await sleep(0.1)
+        for number in range(5):
+            fleet.kill(number)
+        for number in range(5):
+            fleet.start(number)
+        lookups = [await fleet.entry(1).find(key, MAX_WAIT) for key in keys]
+        assert {version_of(each) for each in lookups} == {"v1"}
+
+    play(main)
+
+
 @pytest.mark.parametrize("max_wait", [0.05, MAX_WAIT])
 def test_silent_entries_are_waited_for_no_longer_than_allowed(max_wait: float) -> None:
     async def main() -> None:
--- a/tests/unit/relay/test_take_ups.py
+++ b/tests/unit/relay/test_resumptions.py
@@ -8,7 +8,6 @@
 from msgspec.json import decode, encode
 
 from clementinebend_bench.models.virtual_loop import run_virtually
-from clementinebend_relay.stream_origins import StreamKey
 from clementinebend_transport.exceptions import AnswerCutError
 from clementinebend_transport.http_types import Request
 from tests.lib.streams_seen import split_events
@@ -91,7 +90,7 @@
     return sum(len(endpoint.arrivals) for endpoint in world.endpoints)
 
 
-def test_a_stream_is_taken_up_at_its_version_by_each_entry() -> None:
+def test_a_stream_is_resumed_at_its_version_by_each_entry() -> None:
     async def scenario(world: VersionWorld) -> None:
         for number in range(10):
             first = await call(world, 0, f"r{number}")
@@ -157,14 +156,21 @@
     """Guards against a caller that learns of, or goes on with, another's stream."""
 
     async def scenario(world: VersionWorld) -> None:
+        document = decode(world.configuration())
+        document["version"] = 2
+        document["tenants"].append({"name": "other", "api_keys": ["other-key"]})
+        configure(world, document)
         await call(world, 0, "r1")
-        for entry in world.entries:
-            table = entry.origins.table
-            known = table.get(StreamKey(TEAM, "r1"))
-            if known is not None and known.origin is not None:
-                del table.by_team[TEAM]
-                table.put(StreamKey("other", "r1"), known.origin, 10.0, "e")
-        outcome = await call(world, 0, "r2", last_event_id="3", resumes="r1")
+        own = await call(world, 1, "r2", last_event_id="3", resumes="r1")
+        assert len(own.versions) == 5
+        outcome = await call(
+            world,
+            1,
+            "r3",
+            last_event_id="3",
+            resumes="r1",
+            authorization="Bearer other-key",
+        )
         assert outcome.reason == "origin_unknown"
 
     play(scenario)
@@ -231,7 +237,7 @@
     play(scenario)
 
 
-def test_a_take_up_waits_no_longer_than_a_tenth_of_its_time() -> None:
+def test_a_resumption_waits_no_longer_than_a_tenth_of_its_time() -> None:
     async def scenario(world: VersionWorld) -> None:
         world.loss = 1.0
         outcome = await call(
--- a/tests/unit/relay/test_stream_versions.py
+++ b/tests/unit/relay/test_stream_versions.py
@@ -3,12 +3,19 @@
 import pytest
 
 from clementinebend_bench.models.virtual_loop import run_virtually
-from tests.lib.streams_seen import StreamSeen, Verdict, verdict
+from tests.lib.streams_seen import (
+    FEWEST_RESUMED,
+    LEAST_SHARE,
+    StreamSeen,
+    Verdict,
+    verdict,
+)
 from tests.unit.relay.version_world import Disturbance, VersionWorld, play
 
 SIZES = [5, 30]
 STREAMS = 48
 SEED = 7
+BACK_SECONDS = 0.4
 
 
 def run(
@@ -46,10 +53,29 @@
         Disturbance(killed=2, ends=False),
     ],
 )
-def test_no_stream_is_taken_up_at_another_version(
+def test_no_stream_is_resumed_at_another_version(
     entries: int, disturbance: Disturbance
 ) -> None:
     """Guards against streams of two versions over a client's tries (ORDER, LOST)."""
     result = run(entries, disturbance, streams=STREAMS * entries // 5)
     assert result.keeps_order, result
     assert result.loses_few, result
+
+
+@pytest.mark.parametrize("entries", SIZES)
+@pytest.mark.parametrize("loss", [0.0, 0.1])
+def test_streams_go_on_after_all_entries_were_killed_at_once(
+    entries: int, loss: float
+) -> None:
+    """Guards against origins that are lost with the entries: gateways keep them."""
+
+    async def main() -> list[StreamSeen]:
+        world = VersionWorld(entries, number=SEED, loss=loss)
+        disturbance = Disturbance(killed=entries, back_after=BACK_SECONDS)
+        return await play(world, disturbance, STREAMS)
+
+    seen = run_virtually(main())
+    tries = [each for stream in seen for each in stream.tries if each.is_resumption]
+    assert len(tries) >= FEWEST_RESUMED
+    assert sum(each.events > 0 for each in tries) >= LEAST_SHARE * len(tries)
+    assert not any(stream.is_mixed for stream in seen)
--- a/tests/unit/relay/test_version_condition.py
+++ b/tests/unit/relay/test_version_condition.py
@@ -126,7 +126,14 @@
         entry.endpoints.drop(state, "gone")
 
 
-@pytest.mark.parametrize("disturb", [leave, pause, drop])
+def evacuate(entry: RelayProcess) -> None:
+    """Evacuate a zone that all endpoints of v1 are in."""
+    for state in states_of(entry, "v1"):
+        state.endpoint = state.endpoint._replace(zone="b")
+    entry.endpoints.on_evacuation("b", True)
+
+
+@pytest.mark.parametrize("disturb", [leave, pause, drop, evacuate])
 def test_a_bound_call_goes_nowhere_without_its_version(disturb: Any) -> None:
     assert chosen(disturb) == {""}
 
--- a/tests/unit/relay/version_world.py
+++ b/tests/unit/relay/version_world.py
@@ -1,6 +1,6 @@
 """Whole entries before endpoints of two versions, and clients that resume streams.
 
-The entries are the real ones, in virtual time. Clients take their streams up again at
+The entries are the real ones, in virtual time. Clients resume their streams at
 other entries, naming the request that brought the first event.
 """
 
@@ -15,7 +15,7 @@
 from clementinebend_transport.client_connection import Address
 from clementinebend_transport.exceptions import AnswerCutError
 from clementinebend_transport.http_types import Request
-from tests.lib.streams_seen import SeenEvent, StreamSeen, Try, split_events
+from tests.lib.streams_seen import StreamRecord, StreamSeen
 from tests.unit.relay.crash_endpoints import CrashingEndpoint, Work
 from tests.unit.relay.crash_world import HOST, TEAM, CrashWorld
 
@@ -52,7 +52,7 @@
     """Entries before endpoints of two versions, in turn.
 
     ``event_delays`` holds how long each attempt waited for its first event, in seconds,
-    by whether it took a stream up.
+    by whether it resumed a stream.
     """
 
     def __init__(
@@ -122,38 +122,27 @@
     async def stream(self, entry: int, names_origin: bool = True) -> StreamSeen:
         """Read a stream to its end over several tries, the first one at ``entry``.
 
-        A stream that is refused when it is taken up is begun anew by the next try.
+        A stream that is refused when it is resumed is begun anew by the next try.
         """
         number = next(self.streams)
         session = f"a{number:x}:60,b{number:x}:40"
         body = f"stream {number}".encode()
         deadline = self.clock() + STREAM_SECONDS
-        lives: list[tuple[SeenEvent, ...]] = [()]
-        tries: list[Try] = []
-        origin = ""
+        record = StreamRecord()
         for each in range(MAX_TRIES):
-            request_id, events = f"s{number}-{each}", lives[-1]
-            headers = {"x-prefix-hash": session}
-            if events:
-                headers["last-event-id"] = str(events[-1].number)
-            if events and names_origin:
-                headers["resumes"] = origin
-            is_judged = bool(events) and self._is_judged(entry, events[0].version)
+            request_id = f"s{number}-{each}"
+            headers = {"x-prefix-hash": session, **record.headers(names_origin)}
+            is_judged = bool(record.version) and self._is_judged(entry, record.version)
             request = _request(request_id, headers, body, deadline - self.clock())
             attempt = await self._attempt(entry, request)
-            seen = split_events(attempt.data)
-            tries.append(Try(bool(events), is_judged, attempt.status, len(seen)))
-            if events and attempt.status not in (None, 200):
-                lives.append(())
-            if seen and not lives[-1]:
-                origin = request_id
-            lives[-1] = (*lives[-1], *seen)
+            status, data = attempt.status, attempt.data
+            record.add(request_id, is_judged, status, data, status not in (None, 200))
             if attempt.is_complete or self.clock() >= deadline:
                 break
             await sleep(RETRY_SECONDS)
             await self.is_any_running.wait()
             entry = self.random.choice(self.running_entries())
-        return StreamSeen(tuple(lives), tuple(tries), len(lives[-1]) == EVENTS)
+        return record.seen(EVENTS)
 
     def _is_judged(self, entry: int, version: str) -> bool:
         """Return whether the rule on lost streams counts a try at an entry."""
