Wait to know the gateways before asking where a stream began

Cause: an entry that has just started waited to know the other entries, not the gateways. Evidence: the new test forces that order and fails without the change. The functional tests had not run whole on this commit when it was made.

--- a/libs/relay/src/clementinebend_relay/origin_replicas.py
+++ b/libs/relay/src/clementinebend_relay/origin_replicas.py
@@ -138,7 +138,7 @@
         known = self.table.get(key)
         if known is not None:
             return Lookup(known)
-        await self._wait_for_directory(max_wait)
+        await self._wait_for_directories(max_wait)
         asked = [*self._ring(key, MAX_ASKED), *self._gateways(key, MAX_GATEWAYS_ASKED)]
         if not asked:
             return Lookup(None)
@@ -154,12 +154,12 @@
         answered = len(asked) - len(question.waiting)
         return Lookup(known, len(asked), answered, self.clock() - began)
 
-    async def _wait_for_directory(self, max_wait: float) -> None:
-        """Wait until the other entries are known, just after the start."""
-        if not self.directory.known.is_set():
-            with suppress(TimeoutError):
-                async with timeout(min(max_wait, STARTUP_WAIT)):
-                    await self.directory.known.wait()
+    async def _wait_for_directories(self, max_wait: float) -> None:
+        """Wait until the other processes are known, just after the start."""
+        with suppress(TimeoutError):
+            async with timeout(min(max_wait, STARTUP_WAIT)):
+                await self.directory.known.wait()
+                await self.gateways.known.wait()
 
     async def _ask(
         self, message: OriginRequestMessage, question: Question, until: float
--- a/tests/unit/relay/entry_world.py
+++ b/tests/unit/relay/entry_world.py
@@ -192,6 +192,7 @@
         for gateway, item in self.gateways.items():
             process.gateways.put(gateway, item)
         process.entries.known.set()
+        process.gateways.known.set()
         return process
 
 
--- a/tests/unit/relay/test_origin_replicas.py
+++ b/tests/unit/relay/test_origin_replicas.py
@@ -50,6 +50,7 @@
         self.boots: dict[int, int] = {}
         self.announcements: dict[str, Announcement] = {}
         self.gateways = Directory()
+        self.gateways.known.set()
         self.gateway_keepers: dict[Address, OriginKeeper] = {}
         for number in range(entries):
             self.start(number)
@@ -263,6 +264,28 @@
     play(main)
 
 
+def test_an_entry_that_has_just_started_waits_to_know_the_gateways() -> None:
+    """Guards against streams that only gateways know, beside load after a restart."""
+
+    async def main() -> None:
+        fleet = Fleet(3)
+        fleet.start_gateway(1)
+        fleet.entry(0).tell(KEY, ORIGIN, SECONDS)
+        await sleep(2 * DELAY)
+        for number in range(3):
+            fleet.kill(number)
+        item = fleet.gateways.announcements.pop("g1")
+        fleet.gateways.known.clear()
+        fleet.gateways.version += 1
+        asking = create_task(fleet.start(0).find(KEY, MAX_WAIT))
+        await sleep(0.1)
+        fleet.gateways.put("g1", item)
+        fleet.gateways.known.set()
+        assert version_of(await asking) == "v1"
+
+    play(main)
+
+
 @pytest.mark.parametrize("max_wait", [0.05, MAX_WAIT])
 def test_silent_entries_are_waited_for_no_longer_than_allowed(max_wait: float) -> None:
     async def main() -> None:
