Name the parts of prompts in the lines on broken answers and ended endpoints

The incident of a part under which endpoints end could not be told from crashes of the endpoints themselves: no line named the parts. "answer broke off" and "call ended" have the parts of the prompt but the last; "endpoint ended" has those of the runs that had brought no event, the most frequent first.

--- a/libs/relay/src/clementinebend_relay/admission.py
+++ b/libs/relay/src/clementinebend_relay/admission.py
@@ -14,6 +14,7 @@
     Service,
     Team,
 )
+from clementinebend_relay.prompt_parts import shared_parts
 from clementinebend_relay.stream_origins import StreamOrigin
 from clementinebend_routing.request_permits import CallClass
 
@@ -46,6 +47,11 @@
     fingerprint: str
     origin: StreamOrigin | None = None
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """The parts of the prompt that other requests may share."""
+        return shared_parts(self.call.parts)
+
     @property
     def software_version(self) -> str | None:
         """The only version of endpoints' software for the call, None for any."""
--- a/libs/relay/src/clementinebend_relay/attempts.py
+++ b/libs/relay/src/clementinebend_relay/attempts.py
@@ -19,6 +19,7 @@
 from clementinebend_relay.metrics import broken_answers
 from clementinebend_relay.models import RouteKind
 from clementinebend_relay.progress import CallProgress
+from clementinebend_relay.prompt_parts import logged_names
 from clementinebend_relay.quarantine_sync import QuarantineSync
 from clementinebend_relay.survey import Placement, Survey
 from clementinebend_routing.fatal_runs import counts_as_evidence
@@ -157,6 +158,7 @@
             "answer broke off",
             request_id=admitted.call.request_id,
             fingerprint=admitted.fingerprint,
+            parts=logged_names(admitted.shared_parts),
             endpoint=state.endpoint.name,
             events=progress.events,
             sent_s=round(self.clock() - progress.sent_at, 4),
@@ -166,7 +168,13 @@
         )
         if counts_as_evidence(streamed):
             ends = self.dispatcher.ends
-            ends.on_broken(state, admitted.fingerprint, progress.sent_at, streamed_from)
+            ends.on_broken(
+                state,
+                admitted.fingerprint,
+                progress.sent_at,
+                streamed_from,
+                admitted.shared_parts,
+            )
 
     async def _choose_placement(self, progress: CallProgress) -> Placement | None:
         """Return the endpoint for the next attempt, from a survey that is still valid.
--- a/libs/relay/src/clementinebend_relay/end_detector.py
+++ b/libs/relay/src/clementinebend_relay/end_detector.py
@@ -6,14 +6,17 @@
 """
 
 from asyncio import Task, create_task, open_connection, sleep, timeout
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from contextlib import AbstractContextManager, ExitStack
+from itertools import chain
 from typing import NamedTuple
 
 from clementinebend_relay.decisions import log_decision
 from clementinebend_relay.endpoint_state import EndpointState
 from clementinebend_relay.metrics import ended_endpoints
 from clementinebend_relay.models import Endpoint, boot_name
+from clementinebend_relay.prompt_parts import logged_names
 from clementinebend_routing.fatal_runs import FatalRun
 
 CONNECT_DELAYS = (0.02, 0.4)
@@ -42,11 +45,19 @@
 or later, is taken to have been running when the call was sent."""
 
 
+MAX_PARTS_LOGGED = 16
+"""Maximum number of parts of prompts in the log line about an end."""
+
+
 class EndedRun(NamedTuple):
-    """A run of the request ``fingerprint`` that the end of its endpoint interrupted."""
+    """A run of the request ``fingerprint`` that the end of its endpoint interrupted.
+
+    ``parts`` are the parts of its prompt that other requests may share.
+    """
 
     fingerprint: str
     run: FatalRun
+    parts: tuple[str, ...] = ()
 
 
 class BrokenAnswers:
@@ -81,12 +92,22 @@
         runs, self.runs = self.runs, []
         ended_at = self.at if self.ended_at is None else self.ended_at
         return [
-            EndedRun(each.fingerprint, each.run._replace(ended_at=ended_at))
+            each._replace(run=each.run._replace(ended_at=ended_at))
             for each in runs
             if each.run.sent_at <= ended_at <= each.run.ended_at
         ]
 
 
+def _parts_without_event(runs: list[EndedRun]) -> list[str]:
+    """Return the most frequent parts of the runs that had brought no event yet.
+
+    Only such runs can have begun to be answered as their endpoint ended.
+    """
+    silent = (each for each in runs if each.run.first_event_at is None)
+    counts = Counter(chain.from_iterable(each.parts for each in silent))
+    return logged_names([name for name, _ in counts.most_common(MAX_PARTS_LOGGED)])
+
+
 async def is_refused(endpoint: Endpoint) -> bool:
     """Return whether an endpoint's address refuses connections."""
     try:
@@ -128,10 +149,12 @@
         fingerprint: str,
         sent_at: float,
         first_event_at: float | None = None,
+        parts: tuple[str, ...] = (),
     ) -> None:
         """Record that an endpoint closed a connection before its answer was complete.
 
-        ``first_event_at`` is when the first event of the answer arrived, if any did.
+        ``first_event_at`` is when the first event of the answer arrived, if any did,
+        and ``parts`` are the parts of the prompt that other requests may share.
         Ignored if the endpoint is leaving or its announcement has lapsed: its end is
         expected.
         """
@@ -141,7 +164,7 @@
         self._drop_expired(now)
         broken = self.broken.setdefault(boot, BrokenAnswers(state.endpoint, now))
         run = FatalRun(boot, sent_at, now, first_event_at)
-        ended = EndedRun(fingerprint, run)
+        ended = EndedRun(fingerprint, run, parts)
         broken.runs.append(ended)
         if state.answered_at > sent_at - RECENT_ACTIVITY_SECONDS:
             broken.recently_active.add(ended)
@@ -197,6 +220,7 @@
             proof=proof,
             runs=len(broken.runs),
             fingerprints=sorted({each.fingerprint for each in broken.runs}),
+            parts=_parts_without_event(broken.runs),
         )
         if broken.task is None:
             self._report(broken)
--- a/libs/relay/src/clementinebend_relay/handler.py
+++ b/libs/relay/src/clementinebend_relay/handler.py
@@ -20,6 +20,7 @@
 from clementinebend_relay.models import Call, Reason, Rejection, RouteKind
 from clementinebend_relay.plain import PlainRelay
 from clementinebend_relay.progress import CallProgress
+from clementinebend_relay.prompt_parts import logged_names
 from clementinebend_relay.prompt_queues import PromptQueues
 from clementinebend_relay.quota_view import Shortfall
 from clementinebend_relay.resumptions import Resumptions
@@ -200,6 +201,7 @@
             "call ended",
             request_id=admitted.call.request_id,
             fingerprint=admitted.fingerprint,
+            parts=logged_names(admitted.shared_parts),
             route=admitted.route.name,
             team=admitted.team.name,
             version=admitted.version,
--- a/libs/relay/src/clementinebend_relay/quarantine_sync.py
+++ b/libs/relay/src/clementinebend_relay/quarantine_sync.py
@@ -126,7 +126,9 @@
     def on_ended(self, endpoint: Endpoint, runs: list[EndedRun]) -> None:
         """Record that an endpoint ended under calls of this entry, and report it."""
         quarantine = self.quarantine
-        accepted = [each for each in runs if quarantine.on_run_ended(*each)]
+        accepted = [
+            each for each in runs if quarantine.on_run_ended(each.fingerprint, each.run)
+        ]
         for start in range(0, len(accepted), MAX_RUNS_PER_MESSAGE):
             self._broadcast_end(
                 endpoint, accepted[start : start + MAX_RUNS_PER_MESSAGE]
@@ -247,7 +249,9 @@
 
         def message() -> Message:
             now = self.clock()
-            reported = (ReportedRun(name, now - run.sent_at) for name, run in runs)
+            reported = (
+                ReportedRun(each.fingerprint, now - each.run.sent_at) for each in runs
+            )
             return EndpointEndedMessage(
                 self.boot,
                 boot_name(endpoint),
