Test that a part of prompts under which endpoints end reaches few more (known red)

Entry programs before stand-in engines that end as they begin to write on a part and are back a second later: 19, 20, 26 and 27 requests with it, no two alike, reach engines later than 3 s after the fifth end (3 allowed). Whole entries in virtual time, 3 and 30 of them: all 28 cases fail.

--- a/tests/lib/crashing_engines.py
+++ b/tests/lib/crashing_engines.py
@@ -6,6 +6,7 @@
 from expression import Result
 
 from clementinebend_transport.http_client import Answer, HttpFailure
+from clementinebend_transport.http_types import Request
 from tests.lib.platform_engine import EngineStandin
 from tests.lib.platform_fleet import Fleet
 
@@ -27,7 +28,12 @@
 
 
 class CrashingEngines:
-    """The engines of one service; each ends under a request with ``FATAL``."""
+    """The engines of one service; each ends under a request with ``FATAL``.
+
+    ``allowed_ends`` is after how many ends few repetitions may reach an engine.
+    """
+
+    allowed_ends = ALLOWED_ENDS
 
     def __init__(self, fleet: Fleet, service: str, way: str) -> None:
         self.fleet = fleet
@@ -46,18 +52,22 @@
             at
             for engine in self.fleet.engines_of(self.service)
             for at, request in zip(engine.arrived_at, engine.requests, strict=True)
-            if request.body == FATAL
+            if self.is_fatal(request)
         )
 
+    def is_fatal(self, request: Request) -> bool:
+        """Tell whether the engines end under a request."""
+        return request.body == FATAL
+
     def is_over(self, more: float) -> bool:
         """Tell whether some seconds have passed since the window's end."""
-        if len(self.ends) < ALLOWED_ENDS:
+        if len(self.ends) < self.allowed_ends:
             return False
         return self.clock() > self.window_end() + more
 
     def window_end(self) -> float:
         """Return from when on few repetitions may reach an engine."""
-        return self.ends[ALLOWED_ENDS - 1] + WINDOW_SECONDS
+        return self.ends[self.allowed_ends - 1] + WINDOW_SECONDS
 
     def arrivals_after_window(self) -> int:
         """Return how many repetitions reached an engine too late."""
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -22,7 +22,9 @@
     (another request's answer), ``"cut"`` (a stream breaks off half-way),
     ``"gap"`` (an event is missing) or ``"silent"``. A request with ``fatal_body`` ends
     the engine: at once (``fatal_way`` ``"reset"``), after the head of its answer
-    (``"head"``) or after its first event (``"event"``); ``on_end`` is then called.
+    (``"head"``) or after its first event (``"event"``); ``on_end`` is then called. So
+    does one with any of ``fatal_parts`` before the last part of its prompt, once the
+    prompt has been read for ``reading_seconds``.
     With ``says_leaving`` all its answers say that it leaves; with ``wants_pause`` it
     turns each request away for so many seconds. ``server_limit`` is the text with which
     all its answers name how many requests a second it takes. ``fault`` may also be
@@ -53,6 +55,8 @@
         self.reached_at: list[float] = []
         self.fatal_body: bytes | None = None
         self.fatal_way = "reset"
+        self.fatal_parts: frozenset[str] = frozenset()
+        self.reading_seconds = 0.0
         self.on_end: Callable[[], None] | None = None
         self.has_ended = False
         self.ending: Task[None] | None = None
@@ -125,7 +129,8 @@
         self.runs[request_id] += 1
         self.requests.append(request)
         self.arrived_at.append(get_running_loop().time())
-        if request.body == self.fatal_body:
+        await self._sleep(self.reading_seconds, request_id)
+        if request.body == self.fatal_body or self.fatal_parts & shared_parts(request):
             return await self._end_under(request)
         if self.fault == "silent":
             await self._sleep(60, request_id)
@@ -180,6 +185,12 @@
             raise
 
 
+def shared_parts(request: Request) -> frozenset[str]:
+    """Return the parts of a prompt but the last one."""
+    parts = request.headers.get("x-prefix-hash", "").split(",")
+    return frozenset(part.partition(":")[0] for part in parts[:-1])
+
+
 def event(number: int) -> bytes:
     """Return one event of a stream."""
     return f"id: {number}\ndata: piece {number}\n\n".encode()
