Make the quarantine of requests a package: evidence, verdicts, waits, news

Evidence, due decisions, waiting calls and what is known of endpoints' ends are modules of their own now; the trials, history, runs in progress, confinement, end detector and news moved along. No change of behaviour. The test worlds name the clock of their entries as these are made, instead of exchanging it in one object afterwards. Unit tests of the relay, the platform and the layout: passed.

--- a/libs/bench/src/clementinebend_bench/experiments/choice.py
+++ b/libs/bench/src/clementinebend_bench/experiments/choice.py
@@ -15,7 +15,6 @@
 from clementinebend_relay.cold_endpoints import ColdEndpoints
 from clementinebend_relay.discovery import Directory
 from clementinebend_relay.dispatch import Dispatcher
-from clementinebend_relay.end_detector import EndDetector
 from clementinebend_relay.endpoint_state import EndpointState
 from clementinebend_relay.endpoints import EndpointTable
 from clementinebend_relay.interfaces import HttpProtocol
@@ -32,7 +31,8 @@
 )
 from clementinebend_relay.peers import Peers
 from clementinebend_relay.permit_requests import new_permit_requests
-from clementinebend_relay.quarantine import Quarantine
+from clementinebend_relay.quarantine.end_detector import EndDetector
+from clementinebend_relay.quarantine.state import Quarantine
 from clementinebend_relay.queue_probes import QueueProbes
 from clementinebend_relay.witnesses import Witnesses
 from clementinebend_routing.sessions import PromptPart, SessionTracker
--- a/libs/bench/src/clementinebend_bench/models/mark_fleet.py
+++ b/libs/bench/src/clementinebend_bench/models/mark_fleet.py
@@ -21,8 +21,8 @@
 from clementinebend_relay.origin_replicas import OriginReplicas
 from clementinebend_relay.peers import Peers
 from clementinebend_relay.permit_requests import new_permit_requests
-from clementinebend_relay.quarantine import Quarantine
-from clementinebend_relay.quarantine_sync import QuarantineSync
+from clementinebend_relay.quarantine.news import QuarantineSync
+from clementinebend_relay.quarantine.state import Quarantine
 from clementinebend_relay.queue_keeper import QueueKeeper
 from clementinebend_relay.queue_probes import QueueProbes
 from clementinebend_relay.receiving import receive
--- a/libs/relay/src/clementinebend_relay/attempts.py
+++ b/libs/relay/src/clementinebend_relay/attempts.py
@@ -20,7 +20,7 @@
 from clementinebend_relay.models import RouteKind
 from clementinebend_relay.progress import CallProgress
 from clementinebend_relay.prompt_parts import logged_names
-from clementinebend_relay.quarantine_sync import QuarantineSync
+from clementinebend_relay.quarantine.news import QuarantineSync
 from clementinebend_relay.survey import Placement, Survey
 from clementinebend_routing.fatal_runs import counts_as_evidence
 from clementinebend_transport.http_client import OpenAnswer
@@ -122,7 +122,7 @@
                     progress.missing_endpoints += 1
                     progress.attempts -= 1
                 if isinstance(outcome, NotSent):
-                    self.quarantine.on_unreachable(fingerprint)
+                    self.quarantine.turns.on_unreachable(fingerprint)
                     continue
                 running = await self._relayable_attempt(progress, outcome, cleanup)
             finally:
@@ -144,7 +144,7 @@
         if before == -inf:
             self.news.on_sound(fingerprint)
         elif is_due:
-            self.quarantine.history.on_good_run(fingerprint)
+            self.quarantine.requests.history.on_good_run(fingerprint)
 
     def on_broken(
         self, progress: CallProgress, state: EndpointState, problem: str
--- a/libs/relay/src/clementinebend_relay/dispatch.py
+++ b/libs/relay/src/clementinebend_relay/dispatch.py
@@ -9,7 +9,6 @@
 from clementinebend_admission.retry_window import RetryLimits, RetryWindow
 from clementinebend_relay.admission import Admitted
 from clementinebend_relay.decisions import log_decision
-from clementinebend_relay.end_detector import EndDetector
 from clementinebend_relay.endpoint_state import EndpointState, UnreadCall
 from clementinebend_relay.endpoints import EndpointTable
 from clementinebend_relay.interfaces import Dispatch, HttpProtocol, Notice, Verdict
@@ -18,7 +17,8 @@
 from clementinebend_relay.models import Call, Endpoint, boot_name
 from clementinebend_relay.peers import Peers
 from clementinebend_relay.permit_requests import PermitRequests
-from clementinebend_relay.quarantine import Quarantine
+from clementinebend_relay.quarantine.end_detector import EndDetector
+from clementinebend_relay.quarantine.state import Quarantine
 from clementinebend_relay.queue_probes import QueueProbes
 from clementinebend_relay.survey import Placement, Survey, Surveyor
 from clementinebend_routing.prefill import on_first_token
--- a/libs/relay/src/clementinebend_relay/process.py
+++ b/libs/relay/src/clementinebend_relay/process.py
@@ -15,7 +15,6 @@
 from clementinebend_relay.datagrams import DatagramSocket, open_socket
 from clementinebend_relay.discovery import Announcement, Directory, announce
 from clementinebend_relay.dispatch import Dispatcher
-from clementinebend_relay.end_detector import EndDetector
 from clementinebend_relay.endpoints import EndpointTable
 from clementinebend_relay.evacuations import Evacuations
 from clementinebend_relay.handler import CallHandler
@@ -33,8 +32,9 @@
 from clementinebend_relay.permit_requests import new_permit_requests
 from clementinebend_relay.plain import PlainRelay
 from clementinebend_relay.prompt_queues import PromptQueues
-from clementinebend_relay.quarantine import Quarantine
-from clementinebend_relay.quarantine_sync import QuarantineSync
+from clementinebend_relay.quarantine.end_detector import EndDetector
+from clementinebend_relay.quarantine.news import QuarantineSync
+from clementinebend_relay.quarantine.state import Quarantine
 from clementinebend_relay.queue_keeper import QueueKeeper
 from clementinebend_relay.queue_probes import QueueProbes
 from clementinebend_relay.quota_manager import QuotaManager
--- a/libs/relay/src/clementinebend_relay/quarantine_sync.py
+++ b/libs/relay/src/clementinebend_relay/quarantine/news.py
@@ -25,7 +25,6 @@
 from clementinebend_records.identifiers import KEY_DIGEST_BYTES
 from clementinebend_relay.decisions import log_decision
 from clementinebend_relay.discovery import Directory
-from clementinebend_relay.end_detector import EndedRun
 from clementinebend_relay.messages import (
     EndpointEndedMessage,
     FatalityMessage,
@@ -36,8 +35,9 @@
     SoundMessage,
 )
 from clementinebend_relay.models import Endpoint, boot_name
-from clementinebend_relay.quarantine import Quarantine
-from clementinebend_relay.run_history import MIN_GOOD_RUNS, GoodRuns
+from clementinebend_relay.quarantine.end_detector import EndedRun
+from clementinebend_relay.quarantine.history import MIN_GOOD_RUNS, GoodRuns
+from clementinebend_relay.quarantine.state import Quarantine
 from clementinebend_routing.fatal_runs import FatalRun
 from clementinebend_transport.client_connection import Address
 
@@ -222,7 +222,7 @@
         if self.decision_timer is not None:
             self.decision_timer.cancel()
             self.decision_timer = None
-        due_at = self.quarantine.next_decision_at()
+        due_at = self.quarantine.verdicts.next_at()
         if due_at is not None:
             pause = max(0.0, due_at - self.clock())
             self.decision_timer = get_running_loop().call_later(pause, self._decide)
@@ -268,7 +268,7 @@
         return self._details_of(ended.fingerprint, event_ago)
 
     def _details_of(self, fingerprint: str, event_ago: float | None) -> RunDetails:
-        known = self.quarantine.history.recent(fingerprint)
+        known = self.quarantine.requests.history.recent(fingerprint)
         if known is None:
             return RunDetails(event_ago)
         return RunDetails(event_ago, known.total, self.clock() - known.last_at)
--- a/libs/relay/src/clementinebend_relay/receiving.py
+++ b/libs/relay/src/clementinebend_relay/receiving.py
@@ -31,7 +31,7 @@
 from clementinebend_relay.origin_replicas import OriginReplicas
 from clementinebend_relay.peers import Peers
 from clementinebend_relay.permit_requests import PermitRequests
-from clementinebend_relay.quarantine_sync import QuarantineSync
+from clementinebend_relay.quarantine.news import QuarantineSync
 from clementinebend_relay.queue_keeper import QueueKeeper
 from clementinebend_relay.queue_probes import QueueProbes
 from clementinebend_relay.witness import WitnessServer
--- a/libs/relay/src/clementinebend_relay/survey.py
+++ b/libs/relay/src/clementinebend_relay/survey.py
@@ -7,12 +7,12 @@
 
 from clementinebend_membership.rendezvous import rendezvous
 from clementinebend_relay.admission import Admitted
-from clementinebend_relay.confinement import Confinement, assigned_endpoint
 from clementinebend_relay.endpoint_limits import EndpointLimits
 from clementinebend_relay.endpoint_state import EndpointState
 from clementinebend_relay.endpoints import EndpointTable
 from clementinebend_relay.metrics import full_surveys
 from clementinebend_relay.models import Endpoint
+from clementinebend_relay.quarantine.confinement import Confinement, assigned_endpoint
 from clementinebend_relay.queue_probes import QueueProbes
 from clementinebend_routing.cold_start import PermitLimit
 from clementinebend_routing.endpoint_queue import QueueReport
--- a/tests/unit/relay/popular_world.py
+++ b/tests/unit/relay/popular_world.py
@@ -21,11 +21,11 @@
 from clementinebend_relay.admission import Admitted
 from clementinebend_relay.attempts import Attempts
 from clementinebend_relay.dispatch import NotSent, ResponseStarted
-from clementinebend_relay.end_detector import EndDetector
 from clementinebend_relay.endpoint_state import EndpointState, UnreadCall
 from clementinebend_relay.interfaces import Verdict
 from clementinebend_relay.models import Endpoint, Rejection, RouteKind, boot_name
 from clementinebend_relay.progress import CallProgress
+from clementinebend_relay.quarantine.end_detector import EndDetector
 from clementinebend_relay.streams import StreamRelay
 from clementinebend_relay.survey import Placement, Survey
 from clementinebend_transport.exceptions import AnswerCutError, TruncatedAnswer
@@ -145,8 +145,6 @@
         self.world = world
         self.quarantine = entry.quarantine
         self.clock = clock
-        entry.quarantine.clock = clock
-        entry.sync.clock = clock
         self.states: dict[str, EndpointState] = {}
         self.ends = EndDetector(
             clock,
@@ -247,6 +245,10 @@
         self.calls_made = 0
         self.tasks: list[Task[Any]] = []
 
+    def clock(self) -> float:
+        """Return the time that the entries see."""
+        return clock()
+
     def running(self) -> list[Engine]:
         """Return the running engines in the order of the session."""
         return [engine for engine in self.sessions if not engine.ended.is_set()]
--- a/tests/unit/relay/quarantine_world.py
+++ b/tests/unit/relay/quarantine_world.py
@@ -8,12 +8,12 @@
 from clementinebend_bench.models.mark_store import ModelLog, Outage, StoreModel
 from clementinebend_records.identifiers import Incarnation, new_incarnation
 from clementinebend_relay.discovery import Announcement, Directory
-from clementinebend_relay.end_detector import EndedRun
 from clementinebend_relay.messages import Message, decode_message, encode_message
 from clementinebend_relay.models import Endpoint, boot_name
 from clementinebend_relay.partition_reader import DIRECTORY_MAX_DELAY, PartitionReader
-from clementinebend_relay.quarantine import Quarantine
-from clementinebend_relay.quarantine_sync import QuarantineSync
+from clementinebend_relay.quarantine.end_detector import EndedRun
+from clementinebend_relay.quarantine.news import QuarantineSync
+from clementinebend_relay.quarantine.state import Quarantine
 from clementinebend_routing.fatal_runs import FatalRun
 from clementinebend_transport.client_connection import Address
 
@@ -32,7 +32,7 @@
     """The parts of one boot of an entry that handle quarantines."""
 
     def __init__(self, world: "QuarantineWorld", number: int) -> None:
-        clock = get_running_loop().time
+        clock = world.clock
         self.address = Address("10.0.0.1", number)
         self.name = f"entry-{number}"
         self.boot: Incarnation = new_incarnation(self.name)
@@ -76,6 +76,10 @@
         for number in range(entries):
             self.start(number)
 
+    def clock(self) -> float:
+        """Return the time that the entries see, in seconds."""
+        return get_running_loop().time()
+
     def start(self, number: int) -> QuarantineEntry:
         """Start or restart an entry."""
         entry = QuarantineEntry(self, number)
--- a/tests/unit/relay/test_attempts.py
+++ b/tests/unit/relay/test_attempts.py
@@ -13,7 +13,8 @@
 from clementinebend_relay.interfaces import Verdict
 from clementinebend_relay.models import RouteKind
 from clementinebend_relay.progress import CallProgress
-from clementinebend_relay.quarantine import REPORT_WAIT, Quarantine
+from clementinebend_relay.quarantine.state import Quarantine
+from clementinebend_relay.quarantine.waits import REPORT_WAIT
 from clementinebend_relay.survey import Placement, Survey
 from clementinebend_routing.fatal_runs import FatalRun
 from tests.unit.relay import calls
@@ -115,7 +116,7 @@
     """Guards against a delay of each call that meets an ended endpoint."""
     clock = get_running_loop().time
     quarantine = Quarantine(clock)
-    quarantine.on_unreachable("a")
+    quarantine.turns.on_unreachable("a")
     before = clock()
     assert await quarantine.wait_for_turn("a", before + 4.0) is None
     assert clock() - before < REPORT_WAIT
--- a/tests/unit/relay/test_endpoint_ends.py
+++ b/tests/unit/relay/test_endpoint_ends.py
@@ -6,15 +6,15 @@
 
 import pytest
 
-from clementinebend_relay.end_detector import (
+from clementinebend_relay.endpoint_state import EndpointState
+from clementinebend_relay.models import Endpoint, boot_name
+from clementinebend_relay.quarantine.end_detector import (
     LATE_DATA_SECONDS,
     UNCONFIRMED_SECONDS,
     EndDetector,
     EndedRun,
 )
-from clementinebend_relay.endpoint_state import EndpointState
-from clementinebend_relay.models import Endpoint, boot_name
-from clementinebend_relay.quarantine import Quarantine
+from clementinebend_relay.quarantine.state import Quarantine
 from clementinebend_transport.client_connection import Address
 from tests.lib.processes import free_port
 from tests.lib.waiting import until
--- a/tests/unit/relay/test_good_run_reports.py
+++ b/tests/unit/relay/test_good_run_reports.py
@@ -18,8 +18,8 @@
     decode_message,
     encode_message,
 )
-from clementinebend_relay.quarantine_sync import REPEAT_DELAYS
-from clementinebend_relay.run_history import MIN_GOOD_RUNS
+from clementinebend_relay.quarantine.history import MIN_GOOD_RUNS
+from clementinebend_relay.quarantine.news import REPEAT_DELAYS
 from tests.unit.relay.quarantine_world import HARMLESS, QuarantineWorld
 
 SPREAD_SECONDS = 2.0
@@ -69,7 +69,7 @@
         sender, receiver = world.all()[:2]
         for _ in range(MIN_GOOD_RUNS * len(REPEAT_DELAYS)):
             receiver.sync.on_message(SoundMessage(sender.boot, HARMLESS))
-        assert not receiver.quarantine.history.has_run_well(HARMLESS)
+        assert not receiver.quarantine.requests.history.has_run_well(HARMLESS)
 
     play(scenario)
 
@@ -90,9 +90,9 @@
         sender, receiver = world.all()[:2]
         receiver.sync.on_message(report(details, sender.boot))
         quarantine = receiver.quarantine
-        assert not quarantine.history.has_run_well(HARMLESS)
+        assert not quarantine.requests.history.has_run_well(HARMLESS)
         assert not quarantine.is_sound(HARMLESS)
-        assert len(quarantine.evidence[HARMLESS]) == 1
+        assert len(quarantine.requests.runs[HARMLESS]) == 1
 
     play(scenario)
 
@@ -104,9 +104,9 @@
         sender, receiver = world.all()[:2]
         known = RunDetails(None, MIN_GOOD_RUNS, 1.0)
         receiver.sync.on_message(report((known,), "nobody#1"))
-        assert not receiver.quarantine.history.good_runs
+        assert not receiver.quarantine.requests.history.good_runs
         receiver.sync.on_message(report((RunDetails(), known), sender.boot))
-        assert not receiver.quarantine.history.good_runs
+        assert not receiver.quarantine.requests.history.good_runs
 
     play(scenario)
 
@@ -122,7 +122,7 @@
         world.end_endpoint(entries[0], HARMLESS)
         await sleep(SPREAD_SECONDS)
         for entry in entries:
-            known = entry.quarantine.history.recent(HARMLESS)
+            known = entry.quarantine.requests.history.recent(HARMLESS)
             assert known is not None
             assert known.total == MIN_GOOD_RUNS
             age = get_running_loop().time() - known.last_at
--- a/tests/unit/relay/test_popular_requests.py
+++ b/tests/unit/relay/test_popular_requests.py
@@ -11,15 +11,12 @@
 import pytest
 
 from clementinebend_bench.models.virtual_loop import run_virtually
-from clementinebend_relay.end_detector import EndedRun
 from clementinebend_relay.messages import EndpointEndedMessage, ReportedRun
 from clementinebend_relay.models import Reason, boot_name
-from clementinebend_relay.quarantine import (
-    DECISION_DELAY,
-    DECISION_JITTER,
-    SUSPECT_WAIT_SECONDS,
-)
-from clementinebend_relay.quarantine_trials import TRIAL_DELAYS, TRIAL_SECONDS
+from clementinebend_relay.quarantine.end_detector import EndedRun
+from clementinebend_relay.quarantine.trials import TRIAL_DELAYS, TRIAL_SECONDS
+from clementinebend_relay.quarantine.verdicts import DECISION_DELAY, DECISION_JITTER
+from clementinebend_relay.quarantine.waits import SUSPECT_WAIT_SECONDS
 from clementinebend_routing.fatal_runs import (
     CONCLUSIVE_ENDS,
     FatalRun,
--- a/tests/unit/relay/test_prompt_parts.py
+++ b/tests/unit/relay/test_prompt_parts.py
@@ -4,13 +4,13 @@
 
 import pytest
 
-from clementinebend_relay.end_detector import MAX_PARTS_LOGGED
 from clementinebend_relay.prompt_parts import (
     MAX_NAME_LENGTH,
     MAX_SHARED_PARTS,
     logged_names,
     shared_parts,
 )
+from clementinebend_relay.quarantine.end_detector import MAX_PARTS_LOGGED
 from clementinebend_routing.sessions import PromptPart
 from tests.unit.relay.test_endpoint_ends import DetectorRig, rig, wait_for_checks
 
--- a/tests/unit/relay/test_quarantine.py
+++ b/tests/unit/relay/test_quarantine.py
@@ -4,7 +4,6 @@
 
 from clementinebend_bench.models.mark_store import ModelLog, Outage
 from clementinebend_bench.models.virtual_loop import run_virtually
-from clementinebend_relay.end_detector import EndedRun
 from clementinebend_relay.messages import (
     EndpointEndedMessage,
     QuarantineMessage,
@@ -12,12 +11,9 @@
     SoundMessage,
 )
 from clementinebend_relay.models import Reason, boot_name
-from clementinebend_relay.quarantine import (
-    MAX_QUARANTINED,
-    MAX_SUSPECTS,
-    SOUND_SECONDS,
-    Quarantine,
-)
+from clementinebend_relay.quarantine.end_detector import EndedRun
+from clementinebend_relay.quarantine.evidence import MAX_SUSPECTS, SOUND_SECONDS
+from clementinebend_relay.quarantine.state import MAX_QUARANTINED, Quarantine
 from clementinebend_routing.fatal_runs import FatalRun
 from tests.unit.relay.quarantine_world import (
     FATAL,
@@ -231,7 +227,7 @@
         await sleep(SPREAD_SECONDS)
         for entry in world.all():
             assert entry.is_quarantined(FATAL)
-            assert HARMLESS not in entry.quarantine.evidence
+            assert HARMLESS not in entry.quarantine.requests.runs
         world.end()
 
     run_virtually(main())
@@ -274,9 +270,9 @@
         world = QuarantineWorld(1)
         entry = world.all()[0]
         await send_invalid_messages(entry)
-        assert not entry.quarantine.evidence
+        assert not entry.quarantine.requests.runs
         assert not entry.quarantine.quarantined
-        assert not entry.quarantine.sound_at
+        assert not entry.quarantine.requests.sound_at
         world.end()
 
     run_virtually(main())
@@ -307,7 +303,7 @@
     for number in range(3 * MAX_SUSPECTS):
         run = FatalRun(f"e{number}", now, now)
         quarantine.on_run_ended(f"{number:024x}", run)
-    assert len(quarantine.evidence) == MAX_SUSPECTS
+    assert len(quarantine.requests.runs) == MAX_SUSPECTS
     assert quarantine.is_suspected("c" * 24)
     assert quarantine.refusal(FATAL) is not None
     for number in range(MAX_QUARANTINED + 10):
--- a/tests/unit/relay/test_shared_ends.py
+++ b/tests/unit/relay/test_shared_ends.py
@@ -12,12 +12,17 @@
 from clementinebend_bench.models.mark_store import ModelLog
 from clementinebend_bench.models.virtual_loop import run_virtually
 from clementinebend_relay.discovery import Announcement
-from clementinebend_relay.end_detector import CONNECT_DELAYS, EndDetector, EndedRun
 from clementinebend_relay.endpoint_state import EndpointState
 from clementinebend_relay.messages import Message
 from clementinebend_relay.models import Endpoint, boot_name
-from clementinebend_relay.quarantine import DECISION_DELAY, SOUND_SECONDS
-from clementinebend_relay.quarantine_sync import REPEAT_DELAYS
+from clementinebend_relay.quarantine.end_detector import (
+    CONNECT_DELAYS,
+    EndDetector,
+    EndedRun,
+)
+from clementinebend_relay.quarantine.evidence import SOUND_SECONDS
+from clementinebend_relay.quarantine.news import REPEAT_DELAYS
+from clementinebend_relay.quarantine.verdicts import DECISION_DELAY
 from clementinebend_routing.fatal_runs import FatalRun
 from clementinebend_transport.client_connection import Address
 from tests.unit.relay.quarantine_world import (
@@ -55,7 +60,7 @@
 @pytest.fixture(autouse=True)
 def _same_delays(monkeypatch: pytest.MonkeyPatch) -> None:
     """Let all entries decide equally long after a report, so that no run differs."""
-    monkeypatch.setattr("clementinebend_relay.quarantine.random", lambda: 0.5)
+    monkeypatch.setattr("clementinebend_relay.quarantine.verdicts.random", lambda: 0.5)
 
 
 class SlowWorld(QuarantineWorld):
--- a/tests/unit/relay/test_suspect_placement.py
+++ b/tests/unit/relay/test_suspect_placement.py
@@ -14,7 +14,7 @@
 from clementinebend_relay.endpoint_state import EndpointState
 from clementinebend_relay.endpoints import EndpointTable
 from clementinebend_relay.models import Endpoint, RouteKind
-from clementinebend_relay.quarantine import Quarantine
+from clementinebend_relay.quarantine.state import Quarantine
 from clementinebend_relay.queue_probes import QueueProbes
 from clementinebend_relay.survey import Surveyor
 from clementinebend_routing.cold_start import ColdBound, PermitLimit
--- a/tests/unit/relay/test_version_condition.py
+++ b/tests/unit/relay/test_version_condition.py
@@ -6,10 +6,10 @@
 
 from clementinebend_bench.models.virtual_loop import run_virtually
 from clementinebend_relay.admission import Admitted
-from clementinebend_relay.confinement import Confinement
 from clementinebend_relay.endpoint_state import EndpointState
 from clementinebend_relay.models import Endpoint, RouteKind
 from clementinebend_relay.process import RelayProcess
+from clementinebend_relay.quarantine.confinement import Confinement
 from clementinebend_relay.stream_origins import StreamOrigin
 from clementinebend_relay.survey import Survey
 from clementinebend_routing.endpoint_queue import QueueReport
