--- a/libs/relay/src/clementinebend_relay/admission.py
+++ b/libs/relay/src/clementinebend_relay/admission.py
@@ -15,6 +15,7 @@
     Team,
 )
 from clementinebend_relay.prompt_parts import shared_parts
+from clementinebend_relay.quarantine.subjects import part_subject
 from clementinebend_relay.stream_origins import StreamOrigin
 from clementinebend_routing.request_permits import CallClass
 
@@ -52,6 +53,11 @@
         """The parts of the prompt that other requests may share."""
         return shared_parts(self.call.parts)
 
+    @property
+    def part_subjects(self) -> tuple[str, ...]:
+        """What is judged of the prompt if an endpoint ends."""
+        return tuple(map(part_subject, self.shared_parts))
+
     @property
     def software_version(self) -> str | None:
         """The only version of endpoints' software for the call, None for any."""
--- a/libs/relay/src/clementinebend_relay/attempts.py
+++ b/libs/relay/src/clementinebend_relay/attempts.py
@@ -1,6 +1,6 @@
 """Sends a call to endpoints, one after another, until one has a usable response."""
 
-from asyncio import sleep
+from asyncio import get_running_loop, sleep
 from collections.abc import Callable
 from contextlib import ExitStack
 from math import inf
@@ -17,12 +17,12 @@
 from clementinebend_relay.endpoint_state import EndpointState
 from clementinebend_relay.interfaces import Verdict
 from clementinebend_relay.metrics import broken_answers
-from clementinebend_relay.models import RouteKind
+from clementinebend_relay.models import Rejection, RouteKind, boot_name
 from clementinebend_relay.progress import CallProgress
 from clementinebend_relay.prompt_parts import logged_names
 from clementinebend_relay.quarantine.news import QuarantineSync
 from clementinebend_relay.survey import Placement, Survey
-from clementinebend_routing.fatal_runs import counts_as_evidence
+from clementinebend_routing.fatal_runs import PART_SOUND_SECONDS, counts_as_evidence
 from clementinebend_transport.http_client import OpenAnswer
 from clementinebend_transport.http_types import Response
 
@@ -48,6 +48,8 @@
 They don't count as attempts: no endpoint of the call's service was asked to run it.
 """
 
+RECALLED = "a part of the prompt ends endpoints: the run was recalled"
+
 SOUND_INTERVAL = 1.0
 """Seconds between two records that a long answer still runs well."""
 
@@ -93,17 +95,13 @@
             progress
         ):
             fingerprint = progress.admitted.fingerprint
-            if progress.tried and fingerprint in self.quarantine.quarantined:
-                # A trial run has one attempt, so that it ends one endpoint at most.
-                progress.refusal = self.quarantine.rejection(fingerprint)
-                return None
-            progress.refusal = await self.quarantine.wait_for_turn(
-                fingerprint, progress.deadline, progress.admitted.route.may_repeat
-            )
+            parts = progress.admitted.part_subjects
+            progress.refusal = await self._turn(progress)
             if progress.refusal is not None:
                 return None
+            turn_at = self.clock()
             cleanup = ExitStack()
-            cleanup.enter_context(self.quarantine.runs.running(fingerprint))
+            cleanup.enter_context(self.quarantine.runs.running(fingerprint, *parts))
             running = None
             try:
                 placement = await self._choose_placement(progress)
@@ -113,11 +111,17 @@
                         progress.admitted.software_version,
                     )
                     return None
+                progress.refusal = self.quarantine.refusal_since(
+                    turn_at, fingerprint, parts
+                )
+                if progress.refusal is not None:
+                    return None
                 state = placement.state
                 progress.reports = placement.reports
                 sending = self.dispatcher.in_flight(progress.admitted, placement)
                 cleanup.enter_context(sending)
-                outcome = await self._send(progress, state)
+                async with self.quarantine.runs.until_recalled(parts):
+                    outcome = await self._send(progress, state)
                 if _is_endpoint_missing(outcome):
                     progress.missing_endpoints += 1
                     progress.attempts -= 1
@@ -125,6 +129,9 @@
                     self.quarantine.turns.on_unreachable(fingerprint)
                     continue
                 running = await self._relayable_attempt(progress, outcome, cleanup)
+            except TimeoutError:
+                progress.problem = RECALLED
+                return None
             finally:
                 if running is None:
                     cleanup.close()
@@ -132,6 +139,55 @@
                 return running
         return None
 
+    async def _turn(self, progress: CallProgress) -> Rejection | None:
+        """Wait until a call may be sent; return its rejection if it may not.
+
+        A trial run has one attempt, so that it ends one endpoint at most.
+        """
+        admitted = progress.admitted
+        fingerprint, parts = admitted.fingerprint, admitted.part_subjects
+        if progress.tried:
+            refusal = self.quarantine.refusal_since(-inf, fingerprint, parts)
+            if refusal is not None:
+                return refusal
+        return await self.quarantine.wait_for_turn(
+            fingerprint, progress.deadline, admitted.route.may_repeat, parts
+        )
+
+    def on_writing(self, progress: CallProgress) -> None:
+        """Record that an endpoint has written on a prompt for a while, and lives.
+
+        That clears the parts of the prompt, once in each interval.
+        """
+        now = self.clock()
+        if now - progress.parts_sound_at >= SOUND_INTERVAL:
+            progress.parts_sound_at = now
+            self._clear_parts(progress.admitted.part_subjects)
+
+    def on_whole(self, progress: CallProgress, state: EndpointState) -> None:
+        """Record that an endpoint has completed an answer.
+
+        It clears the parts of the prompt if the endpoint is still there after as long
+        as it takes to end under one of them.
+        """
+        parts = progress.admitted.part_subjects
+        if not parts or progress.parts_sound_at > -inf:
+            return
+        began_at = progress.attempt_event_at
+        written = 0.0 if began_at is None else self.clock() - began_at
+        pause = max(0.0, PART_SOUND_SECONDS - written)
+        boot = boot_name(state.endpoint)
+        get_running_loop().call_later(pause, self._clear_if_alive, parts, boot)
+
+    def _clear_if_alive(self, parts: tuple[str, ...], boot: str) -> None:
+        has_ended = self.quarantine.ends.known_end(boot) < inf
+        if not has_ended and boot not in self.dispatcher.ends.broken:
+            self._clear_parts(parts)
+
+    def _clear_parts(self, parts: tuple[str, ...]) -> None:
+        for part in parts:
+            self.news.on_sound(part)
+
     def on_sound(self, progress: CallProgress) -> None:
         """Record that a call completed, or runs long, without ending its endpoint.
 
@@ -173,7 +229,7 @@
                 admitted.fingerprint,
                 progress.sent_at,
                 streamed_from,
-                admitted.shared_parts,
+                admitted.part_subjects,
             )
 
     async def _choose_placement(self, progress: CallProgress) -> Placement | None:
@@ -236,6 +292,7 @@
         progress.sent_at = self.clock()
         progress.attempt_event_at = None
         progress.sound_at = -inf
+        progress.parts_sound_at = -inf
         progress.tried.append(state.endpoint.name)
         progress.software_versions.append(state.endpoint.software_version)
         sent = state.unread[progress.admitted.call.request_id]
--- a/libs/relay/src/clementinebend_relay/handler.py
+++ b/libs/relay/src/clementinebend_relay/handler.py
@@ -109,7 +109,7 @@
         admitted = admit(call, self.configuration.current)
         if isinstance(admitted, Rejection):
             return admitted
-        refusal = self.quarantine.refusal(admitted.fingerprint)
+        refusal = self.quarantine.refusal(admitted.fingerprint, admitted.part_subjects)
         if refusal is not None:
             return refusal
         return await self.resumptions.admit(admitted)
--- a/libs/relay/src/clementinebend_relay/messages.py
+++ b/libs/relay/src/clementinebend_relay/messages.py
@@ -230,10 +230,23 @@
     good_run_ago: float = 0.0
 
 
+class ReportedPart(NamedTuple):
+    """A part of a prompt whose endpoint ended before, or as, it began to write.
+
+    ``request`` is the fingerprint of the run's request; the endpoint can have begun to
+    write ``sent_ago`` seconds ago at the earliest.
+    """
+
+    part: str
+    request: str
+    sent_ago: float
+
+
 class EndpointEndedMessage(Struct, tag="endpoint-ended", array_like=True):
     """One boot of an endpoint ended during an entry's calls; ages are in seconds.
 
-    ``details`` are in the order of ``runs``; older builds send none and read none.
+    ``details`` are in the order of ``runs``. ``parts`` are the parts of prompts that
+    are not known to be sound. Older builds send neither and read neither.
     """
 
     boot: str
@@ -241,10 +254,11 @@
     ended_ago: float
     runs: tuple[ReportedRun, ...]
     details: tuple[RunDetails, ...] = ()
+    parts: tuple[ReportedPart, ...] = ()
 
 
 class QuarantineMessage(Struct, tag="quarantine", array_like=True):
-    """Quarantines a request; ``endpoints`` are the boots that ended running it."""
+    """Quarantines a request or a part; ``endpoints`` are the boots that ended."""
 
     boot: str
     fingerprint: str
@@ -252,7 +266,7 @@
 
 
 class SoundMessage(Struct, tag="sound", array_like=True):
-    """A request ran well and is no longer suspected."""
+    """A request, or one with a part, ran well: it is no longer suspected."""
 
     boot: str
     fingerprint: str
--- a/libs/relay/src/clementinebend_relay/metrics.py
+++ b/libs/relay/src/clementinebend_relay/metrics.py
@@ -43,6 +43,10 @@
     "clementinebend_relay_quarantined_requests",
     "Requests that are kept from endpoints because these end under them.",
 )
+quarantined_parts = gauge(
+    "clementinebend_relay_quarantined_parts",
+    "Parts of prompts that are kept from endpoints because these end under them.",
+)
 evacuated_zones = gauge(
     "clementinebend_relay_evacuated_zones",
     "Availability zones whose endpoints get nothing new, as operators want it.",
--- a/libs/relay/src/clementinebend_relay/models.py
+++ b/libs/relay/src/clementinebend_relay/models.py
@@ -192,5 +192,6 @@
     TIMEOUT_MAY_HAVE_RUN = "timeout_may_have_run"
     MAY_HAVE_RUN = "may_have_run"
     QUARANTINED = "quarantined"
+    PART_QUARANTINED = "part_quarantined"
     ORIGIN_UNKNOWN = "origin_unknown"
     VERSION_GONE = "version_gone"
--- a/libs/relay/src/clementinebend_relay/plain.py
+++ b/libs/relay/src/clementinebend_relay/plain.py
@@ -47,5 +47,6 @@
                 self.attempts.on_broken(progress, running.state, body.error.problem)
             return None
         self.attempts.on_sound(progress)
+        self.attempts.on_whole(progress, running.state)
         headers = self.dispatcher.protocol.caller_headers(running.answer.headers)
         return Response(running.answer.status, headers, body.ok)
--- a/libs/relay/src/clementinebend_relay/progress.py
+++ b/libs/relay/src/clementinebend_relay/progress.py
@@ -38,7 +38,8 @@
     Last attempt: ``ahead`` is the number of prompt tokens that its endpoint had to read
     first, ``unread`` the number of the call's own tokens to be read. ``reports`` is
     how many endpoints' queues were reported before it. ``attempt_event_at`` is when its
-    first event arrived, and ``sound_at`` when it was last known to do no harm.
+    first event arrived, ``sound_at`` when it was last known to do no harm, and
+    ``parts_sound_at`` when that was last known of the parts of its prompt.
 
     ``tried`` and ``software_versions`` are the names of the endpoints that the call was
     sent to and the versions of their software. ``is_origin_uncertain`` is set once that
@@ -70,6 +71,7 @@
         self.first_event_at: float | None = None
         self.attempt_event_at: float | None = None
         self.sound_at = -inf
+        self.parts_sound_at = -inf
         self.refusal: Rejection | None = None
         self.pause: float | None = None
         self.last_event = admitted.call.last_event
--- a/libs/relay/src/clementinebend_relay/quarantine/evidence.py
+++ b/libs/relay/src/clementinebend_relay/quarantine/evidence.py
@@ -1,9 +1,10 @@
-"""Evidence against requests: the runs that ended with their endpoints."""
+"""Evidence against requests and parts of prompts: runs that ended with endpoints."""
 
 from collections.abc import Callable, Iterable, Iterator
 from itertools import islice
 
 from clementinebend_relay.quarantine.history import RunHistory
+from clementinebend_relay.quarantine.subjects import SubjectRules
 from clementinebend_routing.fatal_runs import (
     Evidence,
     FatalRun,
@@ -30,40 +31,41 @@
 
 
 class EvidenceTable:
-    """Evidence of this entry, by the fingerprint of the request.
+    """Evidence of this entry against subjects of one kind.
 
-    ``runs`` holds the fatal runs of requests that are not quarantined, ``sound_at``
-    when a request last ran well or was cleared, and ``history`` the requests that have
+    ``runs`` holds the fatal runs of subjects that are not quarantined, ``sound_at``
+    when a subject last ran well or was cleared, and ``history`` the subjects that have
     run well.
     """
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(self, clock: Callable[[], float], rules: SubjectRules) -> None:
         self.clock = clock
+        self.rules = rules
         self.runs: dict[str, Evidence] = {}
         self.sound_at: dict[str, float] = {}
         self.history = RunHistory(clock)
 
-    def get(self, fingerprint: str) -> Evidence:
-        """Return the evidence against a request, which may be empty."""
-        return self.runs.get(fingerprint, ())
+    def get(self, subject: str) -> Evidence:
+        """Return the evidence against a subject, which may be empty."""
+        return self.runs.get(subject, ())
 
-    def add(self, fingerprint: str, run: FatalRun) -> Evidence:
-        """Add a run to the evidence against a request, and return the evidence."""
-        evidence = with_run(self.runs.pop(fingerprint, ()), run)
-        self.runs[fingerprint] = evidence
+    def add(self, subject: str, run: FatalRun) -> Evidence:
+        """Add a run to the evidence against a subject, and return the evidence."""
+        evidence = with_run(self.runs.pop(subject, ()), run)
+        self.runs[subject] = evidence
         self._evict()
         return evidence
 
-    def pop(self, fingerprint: str) -> Evidence:
-        """Remove and return the evidence against a request."""
-        return self.runs.pop(fingerprint, ())
+    def pop(self, subject: str) -> Evidence:
+        """Remove and return the evidence against a subject."""
+        return self.runs.pop(subject, ())
 
-    def set(self, fingerprint: str, evidence: Evidence) -> None:
-        """Replace the evidence against a request."""
+    def set(self, subject: str, evidence: Evidence) -> None:
+        """Replace the evidence against a subject."""
         if evidence:
-            self.runs[fingerprint] = evidence
+            self.runs[subject] = evidence
         else:
-            self.runs.pop(fingerprint, None)
+            self.runs.pop(subject, None)
 
     def drop_endpoints(self, endpoints: Iterable[str]) -> None:
         """Remove the ends of some endpoints from all evidence."""
@@ -76,33 +78,40 @@
         for name, evidence in list(self.runs.items()):
             self.set(name, without_runs_after(evidence, endpoint, latest))
 
-    def sharing(self, fingerprint: str, min_ends: int) -> Iterator[str]:
-        """Yield the requests that were present at so many ends of another one."""
-        own = endpoints_of(self.get(fingerprint))
+    def sharing(self, subject: str, min_ends: int) -> Iterator[str]:
+        """Yield the subjects that were present at so many ends of another one."""
+        own = endpoints_of(self.get(subject))
         for name, evidence in self.runs.items():
-            if name != fingerprint and len(own & endpoints_of(evidence)) >= min_ends:
+            if name != subject and len(own & endpoints_of(evidence)) >= min_ends:
                 yield name
 
-    def is_suspected(self, fingerprint: str) -> bool:
-        """Return whether endpoints have ended in sequence under a request."""
-        return is_suspected(self.get(fingerprint))
-
-    def is_fatal(self, fingerprint: str) -> bool:
-        """Return whether a request crashes endpoints, by the rules."""
-        others = (self.runs[name] for name in self.runs if name != fingerprint)
-        has_run_well = self.history.has_run_well(fingerprint)
-        return is_fatal(self.runs[fingerprint], others, has_run_well)
-
-    def set_sound(self, fingerprint: str, at: float) -> None:
-        """Record that a request ran well, or was cleared, at some time."""
-        self.sound_at.pop(fingerprint, None)
-        self.sound_at[fingerprint] = at
+    def is_suspected(self, subject: str) -> bool:
+        """Return whether endpoints have ended in sequence under a subject."""
+        return is_suspected(self.get(subject), self.rules.min_requests)
+
+    def is_fatal(
+        self, subject: str, is_rival: Callable[[str], bool] = lambda name: True
+    ) -> bool:
+        """Return whether a subject crashes endpoints, by the rules.
+
+        Another one may be the cause of the same ends if it ``is_rival``.
+        """
+        names = (name for name in self.runs if name != subject)
+        others = (self.runs[name] for name in names if is_rival(name))
+        has_run_well = self.history.has_run_well(subject)
+        min_requests = self.rules.min_requests
+        return is_fatal(self.runs[subject], others, has_run_well, min_requests)
+
+    def set_sound(self, subject: str, at: float) -> None:
+        """Record that a subject ran well, or was cleared, at some time."""
+        self.sound_at.pop(subject, None)
+        self.sound_at[subject] = at
         if len(self.sound_at) > MAX_SOUND:
             del self.sound_at[next(iter(self.sound_at))]
 
-    def is_sound(self, fingerprint: str) -> bool:
-        """Return whether a request was recently answered completely, or cleared."""
-        at = self.sound_at.get(fingerprint)
+    def is_sound(self, subject: str) -> bool:
+        """Return whether a subject was recently answered completely, or cleared."""
+        at = self.sound_at.get(subject)
         return at is not None and self.clock() - at < SOUND_SECONDS
 
     def _evict(self) -> None:
--- a/libs/relay/src/clementinebend_relay/quarantine/news.py
+++ b/libs/relay/src/clementinebend_relay/quarantine/news.py
@@ -10,19 +10,19 @@
 from itertools import chain, repeat
 from math import inf
 from random import random
-from re import compile as pattern
 from time import time
 from typing import NamedTuple
 
 from msgspec import DecodeError, ValidationError
 from msgspec.msgpack import decode, encode
 
+from clementinebend_membership.rendezvous import rendezvous
 from clementinebend_platform_client.keyed_log import (
     KeyedLog,
     KeyedRecord,
     StoreFailure,
 )
-from clementinebend_records.identifiers import KEY_DIGEST_BYTES
+from clementinebend_records.identifiers import Incarnation, process_name_of
 from clementinebend_relay.decisions import log_decision
 from clementinebend_relay.discovery import Directory
 from clementinebend_relay.messages import (
@@ -30,6 +30,7 @@
     FatalityMessage,
     Message,
     QuarantineMessage,
+    ReportedPart,
     ReportedRun,
     RunDetails,
     SoundMessage,
@@ -38,7 +39,8 @@
 from clementinebend_relay.quarantine.end_detector import EndedRun
 from clementinebend_relay.quarantine.history import MIN_GOOD_RUNS, GoodRuns
 from clementinebend_relay.quarantine.state import Quarantine
-from clementinebend_routing.fatal_runs import FatalRun
+from clementinebend_relay.quarantine.subjects import is_part, is_valid_subject
+from clementinebend_routing.fatal_runs import FatalRun, part_run
 from clementinebend_transport.client_connection import Address
 
 REPEAT_DELAYS = (0.0, 0.3, 1.0)
@@ -75,7 +77,13 @@
 """Maximum random delay in seconds before a write to the store, or its retry. Most
 entries read the record of another entry before they would write theirs."""
 
-FINGERPRINT = pattern(f"[0-9a-f]{{{2 * KEY_DIGEST_BYTES}}}")
+MAX_PARTS_PER_MESSAGE = 12
+"""Maximum number of parts of prompts in one datagram, so that it fits into one
+packet."""
+
+OBJECTION_SPREAD = 0.08
+"""Seconds over which entries spread their word that a part has run well, so that the
+first ones spare the others theirs. Shorter than the delay of a decision."""
 
 SendAll = Callable[[Message, Iterable[Address]], None]
 
@@ -113,7 +121,9 @@
         self.writes: Queue[str] = Queue()
         self.decision_timer: TimerHandle | None = None
         self.good_runs_reported_at: dict[str, float] = {}
+        self.objections: dict[str, TimerHandle] = {}
         quarantine.on_lift = self.writes.put_nowait
+        quarantine.is_trial_entry = self._is_trial_entry
 
     async def run(self) -> None:
         """Write changed quarantines to the store, forever."""
@@ -133,12 +143,57 @@
             self._broadcast_end(
                 endpoint, accepted[start : start + MAX_RUNS_PER_MESSAGE]
             )
+        self._report_parts(endpoint, runs)
         self._schedule_decision()
 
-    def on_sound(self, fingerprint: str) -> None:
-        """Clear a request that ran well; report it if there was evidence against it."""
-        if self.quarantine.on_sound(fingerprint):
-            self._broadcast(lambda: SoundMessage(self.boot, fingerprint))
+    def on_sound(self, subject: str) -> None:
+        """Clear a subject that ran well; report it if there was evidence against it."""
+        if self.quarantine.on_sound(subject):
+            self._broadcast_sound(subject)
+
+    def _report_parts(self, endpoint: Endpoint, runs: list[EndedRun]) -> None:
+        """Record and report an end as evidence against the parts of prompts."""
+        evidence: dict[str, FatalRun] = {}
+        for each in runs:
+            run = part_run(each.run, each.fingerprint)
+            if run is not None:
+                evidence.update((part, run) for part in each.parts)
+        accepted = [
+            (part, run)
+            for part, run in evidence.items()
+            if self.quarantine.on_run_ended(part, run)
+        ]
+        for start in range(0, len(accepted), MAX_PARTS_PER_MESSAGE):
+            self._broadcast_parts(
+                endpoint, accepted[start : start + MAX_PARTS_PER_MESSAGE]
+            )
+
+    def _broadcast_parts(
+        self, endpoint: Endpoint, evidence: list[tuple[str, FatalRun]]
+    ) -> None:
+        ended_at = max(run.ended_at for _, run in evidence)
+
+        def message() -> Message:
+            now = self.clock()
+            reported = (
+                ReportedPart(part, run.request, now - run.sent_at)
+                for part, run in evidence
+            )
+            return EndpointEndedMessage(
+                self.boot,
+                boot_name(endpoint),
+                now - ended_at,
+                (),
+                parts=tuple(reported),
+            )
+
+        self._broadcast(message)
+
+    def _is_trial_entry(self, part: str) -> bool:
+        """Return whether this entry is the one that tries a quarantined part."""
+        names = self.directory.announcements
+        own = process_name_of(Incarnation(self.boot))
+        return next(iter(rendezvous(part, names, 1)), own) == own
 
     def on_message(self, message: FatalityMessage) -> None:
         """Apply a report of another entry; ignore those of unknown processes."""
@@ -150,12 +205,13 @@
                 self._apply_end(message)
             case QuarantineMessage():
                 self._apply_quarantine(message)
-            case SoundMessage() if FINGERPRINT.fullmatch(message.fingerprint):
+            case SoundMessage() if is_valid_subject(message.fingerprint):
+                self._cancel_objection(message.fingerprint)
                 self.quarantine.clear(message.fingerprint, "it ran well elsewhere")
 
     def on_record(self, record: KeyedRecord) -> None:
         """Apply a record of the store; a tombstone ends a quarantine."""
-        if not FINGERPRINT.fullmatch(record.key):
+        if not is_valid_subject(record.key):
             log_decision("quarantine record refused", key=record.key)
         elif record.value:
             self.recorded.add(record.key)
@@ -180,11 +236,49 @@
         details = chain(message.details, repeat(RunDetails()))
         runs = message.runs[:MAX_RUNS_READ]
         for reported, known in zip(runs, details, strict=False):
-            is_request = FINGERPRINT.fullmatch(reported.fingerprint) is not None
+            is_valid = is_valid_subject(reported.fingerprint)
+            is_request = is_valid and not is_part(reported.fingerprint)
             if is_request and reported.sent_ago >= message.ended_ago:
                 self._apply_run(message, reported, known)
+        for part in message.parts[:MAX_RUNS_READ]:
+            is_valid = is_valid_subject(part.part) and is_valid_subject(part.request)
+            if is_valid and is_part(part.part) and part.sent_ago >= message.ended_ago:
+                self._apply_part(message, part)
         self._schedule_decision()
 
+    def _apply_part(
+        self, message: EndpointEndedMessage, reported: ReportedPart
+    ) -> None:
+        """Apply a reported end under a part, or object to it."""
+        if self.quarantine.is_sound(reported.part):
+            self._object_later(reported.part)
+            return
+        now = self.clock()
+        run = FatalRun(
+            message.endpoint,
+            now - reported.sent_ago,
+            now - message.ended_ago,
+            request=reported.request,
+        )
+        self.quarantine.on_run_ended(reported.part, run)
+
+    def _object_later(self, part: str) -> None:
+        """Tell all that a part runs well, unless another entry does so first."""
+        if part in self.objections or len(self.objections) >= MAX_REPORTED_REQUESTS:
+            return
+        pause = random() * OBJECTION_SPREAD
+        timer = get_running_loop().call_later(pause, self._object, part)
+        self.objections[part] = timer
+
+    def _object(self, part: str) -> None:
+        del self.objections[part]
+        self._broadcast_sound(part)
+
+    def _cancel_objection(self, subject: str) -> None:
+        timer = self.objections.pop(subject, None)
+        if timer is not None:
+            timer.cancel()
+
     def _apply_run(
         self, message: EndpointEndedMessage, reported: ReportedRun, details: RunDetails
     ) -> None:
@@ -206,14 +300,18 @@
         self.quarantine.on_run_ended(fingerprint, run)
 
     def _apply_quarantine(self, message: QuarantineMessage) -> None:
-        """Apply a quarantine, or object to it if the request recently ran well."""
+        """Apply a quarantine, or object to it if its subject recently ran well.
+
+        A part must not have run well since the first of the ends either.
+        """
         fingerprint = message.fingerprint
-        if not FINGERPRINT.fullmatch(fingerprint):
-            return
-        if self.quarantine.is_sound(fingerprint):
-            self._broadcast(lambda: SoundMessage(self.boot, fingerprint))
+        if not is_valid_subject(fingerprint):
             return
         endpoints = message.endpoints[:MAX_ENDPOINTS_LISTED]
+        ended = endpoints if is_part(fingerprint) else ()
+        if self.quarantine.has_run_well_since(fingerprint, ended):
+            self._broadcast_sound(fingerprint)
+            return
         self.quarantine.put(fingerprint, f"reported by {message.boot}", endpoints)
         self.writes.put_nowait(fingerprint)
 
@@ -234,6 +332,9 @@
             self._broadcast_quarantine(fingerprint)
         self._schedule_decision()
 
+    def _broadcast_sound(self, subject: str) -> None:
+        self._broadcast(lambda: SoundMessage(self.boot, subject))
+
     def _broadcast_quarantine(self, fingerprint: str) -> None:
         def message() -> Message | None:
             request = self.quarantine.quarantined.get(fingerprint)
--- a/libs/relay/src/clementinebend_relay/quarantine/state.py
+++ b/libs/relay/src/clementinebend_relay/quarantine/state.py
@@ -1,23 +1,30 @@
-"""Quarantine of requests that are suspected of crashing the endpoints that run them.
+"""Quarantine of requests, and of parts of prompts, that crash endpoints.
 
 The rules are those of ``clementinebend_routing.fatal_runs``; this module applies them
-to the evidence, and keeps the quarantined requests by their fingerprints.
+to the evidence, and keeps the quarantined subjects.
 """
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator
 from itertools import islice, takewhile
 from math import inf
 from random import random
 
 from clementinebend_relay.decisions import log_decision
-from clementinebend_relay.metrics import quarantined_requests
+from clementinebend_relay.metrics import quarantined_parts, quarantined_requests
 from clementinebend_relay.models import Reason, Rejection
 from clementinebend_relay.quarantine.confinement import Confinement
 from clementinebend_relay.quarantine.endpoint_ends import EndpointEnds
 from clementinebend_relay.quarantine.evidence import SOUND_SECONDS, EvidenceTable
 from clementinebend_relay.quarantine.history import GoodRuns
 from clementinebend_relay.quarantine.runs import RunsInProgress
+from clementinebend_relay.quarantine.subjects import (
+    PART_RULES,
+    REQUEST_RULES,
+    is_part,
+)
 from clementinebend_relay.quarantine.trials import (
+    PART_TRIAL_DELAYS,
+    TRIAL_DELAYS,
     TRIAL_SECONDS,
     QuarantinedRequest,
     is_on_trial,
@@ -32,12 +39,12 @@
     MIN_SUSPECT_ENDS,
     FatalRun,
     endpoints_of,
-    is_suspected,
+    requests_of,
     sequential_ends,
 )
 
 QUARANTINE_RETRY_DELAY = 30.0
-"""Seconds after which a caller of a quarantined request may retry: the request or the
+"""Seconds after which a caller of a quarantined subject may retry: the request or the
 endpoints have to be fixed first."""
 
 REPORT_SKEW_SECONDS = 0.1
@@ -48,73 +55,112 @@
 """Maximum number of other suspects whose endpoints a suspected request avoids."""
 
 MAX_QUARANTINED = 1_000
-"""Maximum number of quarantined requests kept. Each of them has ended endpoints, so
+"""Maximum number of quarantined subjects kept. Each of them has ended endpoints, so
 that a caller cannot displace others by merely sending different requests."""
 
 
 class Quarantine:
-    """Evidence of this entry against requests, and the quarantined requests.
+    """Evidence of this entry against requests and parts, and what is quarantined.
 
-    ``requests`` is the evidence against requests that are not quarantined, ``ends`` is
-    what is known of endpoints, ``runs`` the runs in progress, ``turns`` the calls that
-    wait.
+    ``requests`` and ``parts`` are the evidence against what is not quarantined,
+    ``ends`` is what is known of endpoints, ``runs`` the runs in progress, ``turns`` the
+    calls that wait. ``is_trial_entry`` tells whether this entry tries a quarantined
+    part; ``on_lift`` is called with what is no longer quarantined.
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self.clock = clock
-        self.requests = EvidenceTable(clock)
-        self.verdicts = Verdicts(self.requests, clock)
+        self.requests = EvidenceTable(clock, REQUEST_RULES)
+        self.parts = EvidenceTable(clock, PART_RULES)
         self.quarantined: dict[str, QuarantinedRequest] = {}
         self.ends = EndpointEnds(clock)
         self.runs = RunsInProgress()
-        self.turns = Turns(self.requests, self.verdicts, self.runs, clock)
+        self.verdicts = Verdicts(self.requests, self.parts, self.runs, clock)
+        self.turns = Turns(self.verdicts, self.runs, clock)
+        self.is_trial_entry: Callable[[str], bool] = lambda subject: True
         self.on_lift: Callable[[str], None] | None = None
 
-    def refusal(self, fingerprint: str) -> Rejection | None:
-        """Return the rejection of a quarantined request, None for other requests.
+    def refusal(self, fingerprint: str, parts: Iterable[str] = ()) -> Rejection | None:
+        """Return the rejection of a quarantined request or part, None for others.
 
         None as well for a trial run, of which this entry has one at a time.
         """
-        request = self.quarantined.get(fingerprint)
-        if request is None:
+        if not self.quarantined:
             return None
-        now = self.clock()
-        is_idle = not self.runs.in_flight[fingerprint]
-        if is_idle and is_on_trial(request, now):
+        refused = filter(self._is_refused, (fingerprint, *parts))
+        return next(map(self.rejection, refused), None)
+
+    def refusal_since(
+        self, since: float, fingerprint: str, parts: Iterable[str] = ()
+    ) -> Rejection | None:
+        """Return the rejection of what was quarantined after some time, if anything."""
+        if not self.quarantined:
             return None
-        return self.rejection(fingerprint)
+        known = (each for each in (fingerprint, *parts) if each in self.quarantined)
+        later = (each for each in known if self.quarantined[each].since > since)
+        return next(map(self.rejection, later), None)
+
+    def _is_refused(self, subject: str) -> bool:
+        """Return whether a subject is quarantined and not tried by this call."""
+        quarantined = self.quarantined.get(subject)
+        if quarantined is None:
+            return False
+        if self.runs.in_flight[subject] or not is_on_trial(quarantined, self.clock()):
+            return True
+        return is_part(subject) and not self.is_trial_entry(subject)
 
-    def rejection(self, fingerprint: str) -> Rejection:
-        """Return the rejection of a request that is quarantined.
+    def rejection(self, subject: str) -> Rejection:
+        """Return the rejection of a call by what is quarantined of it.
 
         Retry-after delays until a trial are spread, so that callers return in turn.
         """
-        message = "endpoints have ended under this request; mend it, or its endpoints"
-        request, now = self.quarantined[fingerprint], self.clock()
-        pause = retry_delay(request, now, QUARANTINE_RETRY_DELAY)
-        if request.trial_at < inf:
+        quarantined, now = self.quarantined[subject], self.clock()
+        pause = retry_delay(quarantined, now, QUARANTINE_RETRY_DELAY)
+        if quarantined.trial_at < inf:
             pause += random() * TRIAL_SECONDS
-        return Rejection(Reason.QUARANTINED, message, pause)
+        if not is_part(subject):
+            message = "endpoints have ended under this request"
+            reason = Reason.QUARANTINED
+        else:
+            message = f"endpoints have ended under {subject} of this prompt"
+            reason = Reason.PART_QUARANTINED
+            if now > quarantined.trial_at:
+                pause = QUARANTINE_RETRY_DELAY
+        return Rejection(reason, f"{message}; mend it, or the endpoints", pause)
 
     def confinement(self, fingerprint: str) -> Confinement | None:
         """Return how the runs of a request are confined, None if they are not."""
-        request = self.quarantined.get(fingerprint)
-        if request is not None:
-            return Confinement(request.since)
+        quarantined = self.quarantined.get(fingerprint)
+        if quarantined is not None:
+            return Confinement(quarantined.since)
         evidence = self.requests.get(fingerprint)
         if not evidence:
             return None
         since = max(run.ended_at for run in evidence)
-        is_strict = self.is_suspected(fingerprint)
+        is_strict = self.requests.is_suspected(fingerprint)
         return Confinement(since, is_strict, tuple(self._rivals(fingerprint)))
 
-    def is_suspected(self, fingerprint: str) -> bool:
-        """Return whether endpoints have ended in sequence under a request."""
-        return self.requests.is_suspected(fingerprint)
+    def _rivals(self, fingerprint: str) -> Iterator[str]:
+        """Return the suspects that choose an endpoint before a suspected request."""
+        requests = self.requests
+        if requests.is_suspected(fingerprint):
+            sharing = sorted(requests.sharing(fingerprint, MIN_SUSPECT_ENDS))
+            before = takewhile(lambda name: name < fingerprint, sharing)
+            yield from islice(filter(requests.is_suspected, before), MAX_RIVALS)
+
+    def is_suspected(self, subject: str) -> bool:
+        """Return whether endpoints have ended in sequence under a subject."""
+        return self.verdicts.table(subject).is_suspected(subject)
+
+    def is_sound(self, subject: str) -> bool:
+        """Return whether a subject recently ran well, or was cleared."""
+        return self.verdicts.table(subject).is_sound(subject)
 
-    def is_sound(self, fingerprint: str) -> bool:
-        """Return whether a request was recently answered completely, or cleared."""
-        return self.requests.is_sound(fingerprint)
+    def has_run_well_since(self, subject: str, endpoints: Iterable[str]) -> bool:
+        """Return whether a subject has run well since the first of some ends."""
+        table = self.verdicts.table(subject)
+        first = min(map(self.ends.known_end, endpoints), default=inf)
+        return table.is_sound(subject) or table.sound_at.get(subject, -inf) > first
 
     def knows_good_runs(self, fingerprint: str) -> bool:
         """Return whether other entries should hear of good runs of a request."""
@@ -123,72 +169,89 @@
         return requests.is_sound(fingerprint) or has_run_well
 
     async def wait_for_turn(
-        self, fingerprint: str, deadline: float, may_repeat: bool = False
+        self,
+        fingerprint: str,
+        deadline: float,
+        may_repeat: bool = False,
+        parts: Collection[str] = (),
     ) -> Rejection | None:
         """Wait until a call may be sent; return its rejection if it may not.
 
         A request waits while an endpoint that broke off a run of it is checked. A
         suspected request also waits for the decision about it and, if it may not be
         repeated, until its previous run has ended; a confined one for the report of an
-        end that its refused connection shows. A caller that is admitted must enter
-        ``running`` immediately.
+        end that its refused connection shows. A call with a suspected part waits for
+        the decision about the part. A caller that is admitted must enter ``running``
+        immediately.
         """
-        refusal = await self.turns.wait(fingerprint, deadline, may_repeat)
-        return refusal or self.refusal(fingerprint)
+        refusal = await self.turns.wait(fingerprint, deadline, may_repeat, parts)
+        return refusal or self.refusal(fingerprint, parts)
 
-    def on_run_ended(self, fingerprint: str, run: FatalRun) -> bool:
-        """Record that an endpoint ended under a request; return if that is evidence.
+    def on_run_ended(self, subject: str, run: FatalRun) -> bool:
+        """Record that an endpoint ended under a subject; return if that is evidence.
 
         It is not evidence before, or shortly after, a complete answer to the request,
-        if the end is explained by a quarantined request, or if the endpoint has
-        answered since. Nor is it if the run was sent after the end as observed by
-        another entry.
+        if the end is explained by what is quarantined, or if the endpoint has answered
+        since. Nor is it if the run was sent after the end as observed by another entry.
         """
         if self.ends.has_answered_since(run):
             return False
         run = run._replace(ended_at=self._earliest_end(run))
         if run.sent_at > run.ended_at + REPORT_SKEW_SECONDS:
             return False
-        if run.ended_at <= self.requests.sound_at.get(fingerprint, -inf):
+        table = self.verdicts.table(subject)
+        if run.ended_at <= table.sound_at.get(subject, -inf):
             return False
-        if fingerprint in self.quarantined:
-            self._on_end_in_quarantine(fingerprint, run)
+        if subject in self.quarantined:
+            self._on_end_in_quarantine(subject, run)
             return True
-        if self.is_sound(fingerprint) or self._is_explained(run.endpoint):
+        if table.is_sound(subject) or self._is_explained(run.endpoint):
             return False
-        before = self.requests.get(fingerprint)
-        evidence = self.requests.add(fingerprint, run)
-        if not is_suspected(before) and is_suspected(evidence):
-            reason = "endpoints ended under it, and it was not answered"
-            self._log("request suspected", fingerprint, endpoints_of(evidence), reason)
-        is_new = endpoints_of(before) != endpoints_of(evidence)
-        if is_new:
-            self.turns.on_report(fingerprint)
-        if is_new and sequential_ends(evidence) >= MIN_FATAL_ENDS:
-            self.verdicts.schedule(fingerprint)
+        self._add_evidence(table, subject, run)
         return True
 
-    def on_sound(self, fingerprint: str) -> bool:
-        """Clear a request that ran well; return if there was anything against it."""
-        self.requests.history.on_good_run(fingerprint)
-        return self.clear(fingerprint, "it ran well")
+    def _add_evidence(self, table: EvidenceTable, subject: str, run: FatalRun) -> None:
+        before, was_suspected = table.get(subject), table.is_suspected(subject)
+        evidence = table.add(subject, run)
+        if not was_suspected and table.is_suspected(subject):
+            reason = "endpoints ended under it, and it was not answered"
+            self._log("suspected", subject, endpoints_of(evidence), reason)
+        if endpoints_of(before) == endpoints_of(evidence):
+            return
+        self.turns.on_report(subject)
+        is_conclusive = len(requests_of(evidence)) >= table.rules.min_requests
+        if is_conclusive and sequential_ends(evidence) >= MIN_FATAL_ENDS:
+            self.verdicts.schedule(subject)
 
-    def clear(self, fingerprint: str, reason: str) -> bool:
-        """Remove evidence and quarantine of a request; return if there was any.
+    def on_sound(self, subject: str) -> bool:
+        """Clear a subject that ran well; return if there was anything against it."""
+        self.verdicts.table(subject).history.on_good_run(subject)
+        return self.clear(subject, "it ran well")
+
+    def clear(self, subject: str, reason: str) -> bool:
+        """Remove evidence and quarantine of a subject; return if there was any.
 
         For ``SOUND_SECONDS`` late reports of other entries are ignored as well.
         """
-        self.requests.set_sound(fingerprint, self.clock())
-        self.turns.report_due_at.pop(fingerprint, None)
-        evidence = self.requests.pop(fingerprint)
-        if is_suspected(evidence):
-            log_decision("request cleared", fingerprint=fingerprint, reason=reason)
-        lifted = self.quarantined.pop(fingerprint, None)
+        table = self.verdicts.table(subject)
+        table.set_sound(subject, self.clock())
+        self.turns.report_due_at.pop(subject, None)
+        was_suspected = table.is_suspected(subject)
+        evidence = table.pop(subject)
+        if was_suspected:
+            kind = table.rules.kind
+            log_decision(f"{kind} cleared", fingerprint=subject, reason=reason)
+        lifted = self.quarantined.pop(subject, None)
         if lifted is not None:
-            self._log("quarantine lifted", fingerprint, lifted.endpoints, reason)
-            self._update_gauge()
+            log_decision(
+                "quarantine lifted",
+                fingerprint=subject,
+                reason=reason,
+                endpoints=sorted(lifted.endpoints),
+            )
+            self._update_gauges()
             if self.on_lift is not None:
-                self.on_lift(fingerprint)
+                self.on_lift(subject)
         self.runs.notify()
         return bool(evidence) or lifted is not None
 
@@ -207,7 +270,7 @@
     def on_alive(self, endpoint: str) -> None:
         """Record that an endpoint has answered and so has not ended."""
         if self.ends.on_alive(endpoint):
-            self.requests.drop_endpoints((endpoint,))
+            self._drop_endpoints((endpoint,))
 
     def on_announced(self, endpoint: str) -> None:
         """Record a new announcement of an endpoint."""
@@ -215,42 +278,45 @@
             self.on_alive(endpoint)
 
     def decide(self) -> list[str]:
-        """Quarantine the requests found to be fatal; return the new ones.
+        """Quarantine the subjects found to be fatal; return the new ones.
 
-        Requests whose decision is not due yet are left out.
+        Those whose decision is not due yet are left out.
         """
-        found = [name for name in self.verdicts.due() if self._put_if_fatal(name)]
+        found: list[str] = []
+        for name in self.verdicts.due():
+            if self.verdicts.is_fatal(name):
+                self.put(name, "endpoints ended under it")
+                found.append(name)
         self.runs.notify()
         return found
 
-    def _put_if_fatal(self, fingerprint: str) -> bool:
-        """Quarantine a request if it is fatal, also after others were quarantined."""
-        requests = self.requests
-        if not requests.get(fingerprint) or not requests.is_fatal(fingerprint):
-            return False
-        self.put(fingerprint, "endpoints ended under it")
-        return True
-
-    def put(self, fingerprint: str, reason: str, endpoints: Iterable[str] = ()) -> None:
-        """Quarantine a request; its ends no longer count against other requests.
+    def put(self, subject: str, reason: str, endpoints: Iterable[str] = ()) -> None:
+        """Quarantine a subject; its ends no longer count against others.
 
         ``endpoints`` are boots that ended under it, besides those known here.
         """
-        if fingerprint in self.quarantined:
+        if subject in self.quarantined:
             return
-        self.turns.report_due_at.pop(fingerprint, None)
-        evidence = self.requests.pop(fingerprint)
-        ended = endpoints_of(evidence).union(endpoints)
-        self.quarantined[fingerprint] = quarantined_request(
-            ended, self.clock(), self.requests.history.has_run_well(fingerprint)
-        )
+        table = self.verdicts.table(subject)
+        self.turns.report_due_at.pop(subject, None)
+        ended = endpoints_of(table.pop(subject)).union(endpoints)
+        delays: tuple[float, ...] = PART_TRIAL_DELAYS
+        if not is_part(subject):
+            delays = TRIAL_DELAYS if table.history.has_run_well(subject) else ()
+        self.quarantined[subject] = quarantined_request(ended, self.clock(), delays)
         if len(self.quarantined) > MAX_QUARANTINED:
             del self.quarantined[next(iter(self.quarantined))]
-        self._log("request quarantined", fingerprint, ended, reason)
-        self._update_gauge()
-        self.requests.drop_endpoints(ended)
+        self._log("quarantined", subject, ended, reason)
+        self._update_gauges()
+        self._drop_endpoints(ended)
+        self.runs.recall(subject)
         self.runs.notify()
 
+    def _drop_endpoints(self, ended: Collection[str]) -> None:
+        """Remove ends that are explained, or did not happen, from all evidence."""
+        self.requests.drop_endpoints(ended)
+        self.parts.drop_endpoints(ended)
+
     def _earliest_end(self, run: FatalRun) -> float:
         """Return the earliest known end of an endpoint, and update it.
 
@@ -263,37 +329,33 @@
         if known < inf:
             latest = run.ended_at + REPORT_SKEW_SECONDS
             self.requests.drop_runs_after(run.endpoint, latest)
+            self.parts.drop_runs_after(run.endpoint, latest)
         return run.ended_at
 
-    def _rivals(self, fingerprint: str) -> Iterator[str]:
-        """Return the suspects that choose an endpoint before a suspected request."""
-        if self.is_suspected(fingerprint):
-            sharing = sorted(self.requests.sharing(fingerprint, MIN_SUSPECT_ENDS))
-            before = takewhile(lambda name: name < fingerprint, sharing)
-            yield from islice(filter(self.is_suspected, before), MAX_RIVALS)
-
-    def _on_end_in_quarantine(self, fingerprint: str, run: FatalRun) -> None:
-        before = self.quarantined[fingerprint]
+    def _on_end_in_quarantine(self, subject: str, run: FatalRun) -> None:
+        before = self.quarantined[subject]
         after = with_end(before, run.endpoint, run.sent_at, self.clock())
-        self.quarantined[fingerprint] = after
-        self.requests.drop_endpoints((run.endpoint,))
+        self.quarantined[subject] = after
+        self._drop_endpoints((run.endpoint,))
         if after.failed_trials > before.failed_trials:
             reason = "an endpoint ended under a trial run"
-            self._log("request quarantined", fingerprint, after.endpoints, reason)
+            self._log("quarantined", subject, after.endpoints, reason)
 
     def _is_explained(self, endpoint: str) -> bool:
         return any(endpoint in each.endpoints for each in self.quarantined.values())
 
-    def _update_gauge(self) -> None:
-        quarantined_requests.set(len(self.quarantined))
+    def _update_gauges(self) -> None:
+        parts = sum(map(is_part, self.quarantined))
+        quarantined_parts.set(parts)
+        quarantined_requests.set(len(self.quarantined) - parts)
 
     def _log(
-        self, decision: str, fingerprint: str, ended: frozenset[str], reason: str
+        self, verdict: str, subject: str, ended: frozenset[str], reason: str
     ) -> None:
         log_decision(
-            decision,
-            fingerprint=fingerprint,
+            f"{self.verdicts.table(subject).rules.kind} {verdict}",
+            fingerprint=subject,
             reason=reason,
             endpoints=sorted(ended),
-            in_flight=self.runs.in_flight[fingerprint],
+            in_flight=self.runs.in_flight[subject],
         )
--- a/libs/relay/src/clementinebend_relay/quarantine/trials.py
+++ b/libs/relay/src/clementinebend_relay/quarantine/trials.py
@@ -14,6 +14,11 @@
 TRIAL_DELAYS = (3.0, 30.0)
 """Seconds from a quarantine, or from a failed trial, to the next trial."""
 
+PART_TRIAL_DELAYS = (2.0, 30.0, 480.0)
+"""The same for a part of prompts, which is tried without a history, at first soon: its
+verdict keeps many callers' requests from endpoints, and with them all that could clear
+it."""
+
 TRIAL_SECONDS = 1.5
 """Seconds in which a trial usually shows whether the request is harmless."""
 
@@ -27,21 +32,23 @@
 
     ``endpoints`` are the boots of endpoints that ended under it. ``since`` is when the
     quarantine, or its last trial, began. ``trial_at`` is when a run may be tried, or
-    infinity. ``failed_trials`` is the number of trials that ended an endpoint.
+    infinity. ``failed_trials`` is the number of trials that ended an endpoint, and
+    ``delays`` are the seconds before each trial.
     """
 
     endpoints: frozenset[str]
     since: float
     trial_at: float = inf
     failed_trials: int = 0
+    delays: tuple[float, ...] = ()
 
 
 def quarantined_request(
-    endpoints: Iterable[str], now: float, has_run_well: bool
+    endpoints: Iterable[str], now: float, delays: tuple[float, ...] = ()
 ) -> QuarantinedRequest:
-    """Return a request that is quarantined from now on."""
-    trial_at = now + TRIAL_DELAYS[0] if has_run_well else inf
-    return QuarantinedRequest(frozenset(endpoints), now, trial_at)
+    """Return a subject that is quarantined from now on, with the delays of trials."""
+    trial_at = now + delays[0] if delays else inf
+    return QuarantinedRequest(frozenset(endpoints), now, trial_at, delays=delays)
 
 
 def is_on_trial(request: QuarantinedRequest, now: float) -> bool:
@@ -61,9 +68,9 @@
     if endpoint in request.endpoints or not is_trial:
         return request._replace(endpoints=endpoints)
     failed = request.failed_trials + 1
-    is_last = failed >= len(TRIAL_DELAYS) or request.trial_at == inf
-    trial_at = inf if is_last else now + TRIAL_DELAYS[failed]
-    return QuarantinedRequest(endpoints, now, trial_at, failed)
+    delays = request.delays
+    trial_at = inf if failed >= len(delays) else now + delays[failed]
+    return QuarantinedRequest(endpoints, now, trial_at, failed, delays)
 
 
 def retry_delay(request: QuarantinedRequest, now: float, without_trial: float) -> float:
--- a/libs/relay/src/clementinebend_relay/quarantine/verdicts.py
+++ b/libs/relay/src/clementinebend_relay/quarantine/verdicts.py
@@ -1,9 +1,11 @@
-"""Decides which requests are fatal, once all entries' reports can have arrived."""
+"""Decides which subjects are fatal, once all entries' reports can have arrived."""
 
 from collections.abc import Callable
 from random import random
 
 from clementinebend_relay.quarantine.evidence import EvidenceTable
+from clementinebend_relay.quarantine.runs import RunsInProgress
+from clementinebend_relay.quarantine.subjects import is_part
 from clementinebend_routing.fatal_runs import MIN_FATAL_ENDS, MIN_SUSPECT_ENDS
 
 DECISION_DELAY = 0.15
@@ -12,7 +14,7 @@
 told from all suspects together."""
 
 SHARED_DECISION_DELAY = 1.3
-"""The same delay if another request shares enough of the ends to be the cause. Its
+"""The same delay if another subject shares enough of the ends to be the cause. Its
 report of the last end may have to be repeated, or its proof is the next boot."""
 
 DECISION_JITTER = 0.1
@@ -21,45 +23,85 @@
 
 
 class Verdicts:
-    """Decisions that are due about the requests in a table of evidence."""
+    """Decisions that are due about the subjects in two tables of evidence."""
 
-    def __init__(self, table: EvidenceTable, clock: Callable[[], float]) -> None:
-        self.table = table
+    def __init__(
+        self,
+        requests: EvidenceTable,
+        parts: EvidenceTable,
+        runs: RunsInProgress,
+        clock: Callable[[], float],
+    ) -> None:
+        self.requests = requests
+        self.parts = parts
+        self.runs = runs
         self.clock = clock
         self.due_at: dict[str, float] = {}
 
-    def schedule(self, fingerprint: str) -> None:
-        """Set when to decide about a request under which enough endpoints ended."""
-        is_shared = any(self.table.sharing(fingerprint, MIN_SUSPECT_ENDS))
+    def table(self, subject: str) -> EvidenceTable:
+        """Return the table that has the evidence against a subject."""
+        return self.parts if is_part(subject) else self.requests
+
+    def schedule(self, subject: str) -> None:
+        """Set when to decide about a subject under which enough endpoints ended.
+
+        Parts do not wait for repeated reports: many requests go on to endpoints
+        meanwhile, and one good run of any of them takes a wrong verdict back.
+        """
+        sharing = self.table(subject).sharing(subject, MIN_SUSPECT_ENDS)
+        is_shared = not is_part(subject) and any(sharing)
         delay = SHARED_DECISION_DELAY if is_shared else DECISION_DELAY
         delay += random() * DECISION_JITTER
-        self.due_at[fingerprint] = self.clock() + delay
+        self.due_at[subject] = self.clock() + delay
 
     def next_at(self) -> float | None:
         """Return when the next decision is due, if one is."""
         return min(self.due_at.values(), default=None)
 
     def due(self) -> list[str]:
-        """Return the requests to decide about now, those with most ends first.
+        """Return the subjects to decide about now, requests before parts.
 
-        All entries judge in the same order, so that the same ends are held against the
-        same request.
+        Requests with most ends come first, and parts that fewest runs had: they explain
+        ends more narrowly. All entries judge in the same order, so that the same ends
+        are held against the same subject.
         """
         self._drop_due()
-        candidates = [
+        requests = sorted(
+            self._candidates(self.requests),
+            key=lambda name: (-len(self.requests.get(name)), name),
+        )
+        parts = sorted(
+            self._candidates(self.parts),
+            key=lambda name: (self.runs.begun[name], -len(self.parts.get(name)), name),
+        )
+        return [*requests, *parts]
+
+    def is_fatal(self, subject: str) -> bool:
+        """Return whether a subject crashes endpoints.
+
+        A part explains ends better than one that more runs had.
+        """
+        table = self.table(subject)
+        if not table.get(subject):
+            return False
+        if not is_part(subject):
+            return table.is_fatal(subject)
+        begun = self.runs.begun
+        return table.is_fatal(subject, lambda other: begun[other] <= begun[subject])
+
+    def _candidates(self, table: EvidenceTable) -> list[str]:
+        return [
             name
-            for name, evidence in self.table.runs.items()
+            for name, evidence in table.runs.items()
             if len(evidence) >= MIN_FATAL_ENDS and name not in self.due_at
         ]
-        runs = self.table.runs
-        return sorted(candidates, key=lambda name: (-len(runs[name]), name))
 
     def _drop_due(self) -> None:
-        """Remove due decisions, unless one about a request with shared ends is not."""
+        """Remove due decisions, unless one about a subject with shared ends is not."""
         now = self.clock()
         pending = {name: at for name, at in self.due_at.items() if at > now}
         for name in self.due_at.keys() - pending.keys():
-            sharing = pending.keys() & set(self.table.sharing(name, 1))
+            sharing = pending.keys() & set(self.table(name).sharing(name, 1))
             if sharing:
                 pending[name] = max(pending[each] for each in sharing)
         self.due_at = pending
--- a/libs/relay/src/clementinebend_relay/quarantine/waits.py
+++ b/libs/relay/src/clementinebend_relay/quarantine/waits.py
@@ -1,12 +1,12 @@
 """How long a call waits before it may be sent to an endpoint."""
 
 from asyncio import timeout_at
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from contextlib import suppress
 from math import inf
 
 from clementinebend_relay.models import Reason, Rejection
-from clementinebend_relay.quarantine.evidence import MAX_SUSPECTS, EvidenceTable
+from clementinebend_relay.quarantine.evidence import MAX_SUSPECTS
 from clementinebend_relay.quarantine.runs import RunsInProgress
 from clementinebend_relay.quarantine.verdicts import Verdicts
 
@@ -37,25 +37,33 @@
 
     def __init__(
         self,
-        table: EvidenceTable,
         verdicts: Verdicts,
         runs: RunsInProgress,
         clock: Callable[[], float],
     ) -> None:
-        self.table = table
+        self.table = verdicts.requests
         self.verdicts = verdicts
         self.runs = runs
         self.clock = clock
         self.report_due_at: dict[str, float] = {}
 
     async def wait(
-        self, fingerprint: str, deadline: float, may_repeat: bool
+        self,
+        fingerprint: str,
+        deadline: float,
+        may_repeat: bool,
+        parts: Collection[str] = (),
     ) -> Rejection | None:
         """Wait until a call may be sent; return why not if that takes too long."""
         now = self.clock()
         max_wait = min(SUSPECT_WAIT_SECONDS, (deadline - now) * SUSPECT_WAIT_SHARE)
         until = now + max_wait
-        while (blocked_until := self._blocked_until(fingerprint, may_repeat)) > now:
+        while (
+            blocked_until := max(
+                self._blocked_until(fingerprint, may_repeat),
+                self._decided_at(*parts),
+            )
+        ) > now:
             if now >= until and not self.table.is_suspected(fingerprint):
                 break
             if now >= until:
@@ -94,6 +102,13 @@
         is_busy = self.runs.in_flight[fingerprint] > 0 and not is_first
         if is_busy:
             return inf
-        due_at = self.verdicts.due_at.get(fingerprint, -inf)
-        decided_at = due_at + MAX_DECISION_LATENESS
-        return max(decided_at, self.report_due_at.get(fingerprint, -inf))
+        report_due_at = self.report_due_at.get(fingerprint, -inf)
+        return max(self._decided_at(fingerprint), report_due_at)
+
+    def _decided_at(self, *subjects: str) -> float:
+        """Return until when the decisions about some subjects are waited for."""
+        due_at = self.verdicts.due_at
+        if not due_at:
+            return -inf
+        latest = max((due_at.get(each, -inf) for each in subjects), default=-inf)
+        return latest + MAX_DECISION_LATENESS
--- a/libs/relay/src/clementinebend_relay/streams.py
+++ b/libs/relay/src/clementinebend_relay/streams.py
@@ -8,7 +8,7 @@
 from collections.abc import AsyncGenerator, AsyncIterator, Callable
 from contextlib import aclosing
 
-from clementinebend_relay.attempts import Attempts, OpenAttempt
+from clementinebend_relay.attempts import RECALLED, Attempts, OpenAttempt
 from clementinebend_relay.decisions import log_decision
 from clementinebend_relay.dispatch import Dispatcher
 from clementinebend_relay.events import EventSplitter, StreamEvent, is_next_event
@@ -21,7 +21,7 @@
     StreamKey,
     StreamOrigin,
 )
-from clementinebend_routing.fatal_runs import counts_as_evidence
+from clementinebend_routing.fatal_runs import PART_SOUND_SECONDS, counts_as_evidence
 from clementinebend_routing.silence import SILENT_SECONDS
 from clementinebend_transport.exceptions import AnswerCutError, TruncatedAnswer
 from clementinebend_transport.http_types import Response
@@ -64,9 +64,13 @@
         while (running := await self.attempts.next(progress)) is not None:
             source = self._read_events(running, progress)
             try:
-                first = await anext(source, None)
+                first = await self._first_event(source, progress)
             except StreamBroken:
                 continue
+            except TimeoutError:
+                await source.aclose()
+                progress.problem = RECALLED
+                break
             except BaseException:
                 await source.aclose()
                 raise
@@ -75,6 +79,14 @@
             return Response(running.answer.status, headers, body)
         return progress.failure
 
+    async def _first_event(
+        self, source: AsyncGenerator[StreamEvent, None], progress: CallProgress
+    ) -> StreamEvent | None:
+        """Return the first event; raise ``TimeoutError`` if the run is recalled."""
+        runs = self.attempts.quarantine.runs
+        async with runs.until_recalled(progress.admitted.part_subjects):
+            return await anext(source, None)
+
     async def _relay_events(
         self,
         first: StreamEvent | None,
@@ -155,6 +167,7 @@
             if is_complete:
                 endpoints.on_end(state, ok=True)
                 self.attempts.on_sound(progress)
+                self.attempts.on_whole(progress, state)
 
     def _record_event(
         self, event: StreamEvent, running: OpenAttempt, progress: CallProgress
@@ -175,6 +188,8 @@
             progress.attempt_event_at = self.clock()
         if not counts_as_evidence(self.clock() - progress.attempt_event_at):
             self.attempts.on_sound(progress)
+        if self.clock() - progress.attempt_event_at >= PART_SOUND_SECONDS:
+            self.attempts.on_writing(progress)
         progress.events += 1
         progress.last_event = event.event_id or progress.last_event
 
--- a/libs/routing/src/clementinebend_routing/fatal_runs.py
+++ b/libs/routing/src/clementinebend_routing/fatal_runs.py
@@ -14,6 +14,11 @@
 many callers send is present wherever it is routed, and is interrupted at any point.
 Ends at different points are therefore conclusive only if there are more of them.
 
+What is judged may also be a part that prompts share. Many requests have it, at several
+endpoints at once, so a run counts only for the moment at which the endpoint began to
+write. Endpoints that end at the same moment are one end: they were lost together. Ends
+under a single request are no evidence against its parts.
+
 Times are in seconds on the monotonic clock of the process that keeps the evidence.
 """
 
@@ -36,6 +41,18 @@
 """Sequential ends that are conclusive even if the request has run well before, or if
 another request was present at all of them."""
 
+MIN_PART_REQUESTS = 2
+"""Number of different requests whose runs must have ended with their endpoints before
+a part of their prompts is suspected. Otherwise the request is the cause."""
+
+PART_RISK_SECONDS = 0.15
+"""Seconds after its first event in which a run counts against the parts of its prompt,
+and by which the ends under a part must be apart to count as sequential."""
+
+PART_SOUND_SECONDS = 0.25
+"""Seconds after its first event for which the endpoint of a run must live to clear the
+parts of its prompt."""
+
 POINT_TOLERANCE = 0.1
 """Seconds by which two ends at the same point of a run may differ."""
 
@@ -60,16 +77,32 @@
     """A run that was cut off because one boot of its endpoint ended.
 
     ``first_event_at`` is when the first event of its stream arrived, None if none did.
+    ``request`` is the fingerprint of its request if it is evidence against a part.
     """
 
     endpoint: str
     sent_at: float
     ended_at: float
     first_event_at: float | None = None
+    request: str = ""
 
 
 Evidence = tuple[FatalRun, ...]
-"""The runs of one request that were cut off this way, at most one for each endpoint."""
+"""The runs of one request, or of one part of prompts, that were cut off this way: at
+most one for each endpoint."""
+
+
+def part_run(run: FatalRun, request: str) -> FatalRun | None:
+    """Return a run of a request as evidence against the parts of its prompt.
+
+    None if the endpoint had been writing for longer. ``sent_at`` is when the time began
+    in which the endpoint can have begun to write.
+    """
+    began_at = run.ended_at if run.first_event_at is None else run.first_event_at
+    if run.ended_at - began_at > PART_RISK_SECONDS:
+        return None
+    sent_at = max(run.sent_at, run.ended_at - PART_RISK_SECONDS)
+    return run._replace(sent_at=sent_at, first_event_at=None, request=request)
 
 
 def with_run(evidence: Evidence, run: FatalRun) -> Evidence:
@@ -118,9 +151,15 @@
     return run.ended_at if is_next else last
 
 
-def is_suspected(evidence: Evidence) -> bool:
-    """Return whether a request is a suspect."""
-    return sequential_ends(evidence) >= MIN_SUSPECT_ENDS
+def is_suspected(evidence: Evidence, min_requests: int = 1) -> bool:
+    """Return whether a request, or a part of ``min_requests``, is a suspect."""
+    is_sequence = sequential_ends(evidence) >= MIN_SUSPECT_ENDS
+    return is_sequence and len(requests_of(evidence)) >= min_requests
+
+
+def requests_of(evidence: Evidence) -> frozenset[str]:
+    """Return the requests under which the endpoints ended."""
+    return frozenset(run.request for run in evidence)
 
 
 def is_same_point(one: FatalRun, other: FatalRun) -> bool:
@@ -153,9 +192,12 @@
 
 
 def is_fatal(
-    evidence: Evidence, others: Iterable[Evidence], has_run_well: bool = False
+    evidence: Evidence,
+    others: Iterable[Evidence],
+    has_run_well: bool = False,
+    min_requests: int = 1,
 ) -> bool:
-    """Return whether a request crashes endpoints.
+    """Return whether a request, or a part of ``min_requests``, crashes endpoints.
 
     ``others`` is the evidence of all other requests. If another request was present at
     all the same ends, and at the same point as well, either may be the cause, and the
@@ -163,7 +205,7 @@
     before.
     """
     ends = sequential_ends(evidence)
-    if ends < MIN_FATAL_ENDS:
+    if ends < MIN_FATAL_ENDS or len(requests_of(evidence)) < min_requests:
         return False
     if ends >= CONCLUSIVE_ENDS:
         return True
