Take the end of an answer without length or chunks for no proof

Callers saw: a stream whose channel ended before its first event as a whole, empty answer. And the end of such an answer counted as a good run, so that an engine that ended at the boundary of an event cleared what had ended it. Change: a bare stream that ends before an event has broken off. After any other bare answer, bytes of its endpoint within 0.25 s show that it lives; without them its address is looked at. Evidence: of the tests with an engine whose answers are bare, two failed before (an empty stream passed on as whole; 19 requests with a fatal part later than allowed) and pass now. Whole bare answers, streams cut inside an event by a close or a reset, and the calls after them passed at once, and stay as tests.

--- a/libs/relay/src/clementinebend_relay/attempts.py
+++ b/libs/relay/src/clementinebend_relay/attempts.py
@@ -6,6 +6,7 @@
 from math import inf
 from typing import NamedTuple
 
+from clementinebend_relay.admission import Admitted
 from clementinebend_relay.bodies import read_body
 from clementinebend_relay.decisions import log_decision
 from clementinebend_relay.dispatch import (
@@ -48,6 +49,10 @@
 They don't count as attempts: no endpoint of the call's service was asked to run it.
 """
 
+BARE_END_SECONDS = 0.25
+"""Seconds after the end of an answer without length or chunks in which other bytes of
+its endpoint show that this has not ended with it."""
+
 RECALLED = "a part of the prompt ends endpoints: the run was recalled"
 
 SOUND_INTERVAL = 1.0
@@ -72,6 +77,15 @@
     cleanup: ExitStack
 
 
+class BareEnd(NamedTuple):
+    """An answer without length or chunks that has ended ``at`` some time."""
+
+    state: EndpointState
+    admitted: Admitted
+    sent_at: float
+    at: float
+
+
 class Attempts:
     """Sends a call to one endpoint after another."""
 
@@ -164,6 +178,37 @@
             progress.parts_sound_at = now
             self._clear_parts(progress.admitted.part_subjects)
 
+    def on_end(self, progress: CallProgress, running: OpenAttempt) -> None:
+        """Record that an answer has been read to its end."""
+        if not running.answer.ends_with_channel:
+            self.on_sound(progress)
+            self.on_whole(progress, running.state)
+            return
+        bare = BareEnd(running.state, progress.admitted, progress.sent_at, self.clock())
+        get_running_loop().call_later(
+            BARE_END_SECONDS, self._confirm, bare, progress.attempt_event_at
+        )
+
+    def _confirm(self, bare: BareEnd, first_event_at: float | None) -> None:
+        """Decide whether an answer whose end proves nothing was whole.
+
+        If its endpoint has been heard since, it was. If it has not, its address tells
+        whether it has ended.
+        """
+        state, admitted = bare.state, bare.admitted
+        if state.heard_at > bare.at:
+            for subject in (admitted.fingerprint, *admitted.part_subjects):
+                self.news.on_sound(subject)
+            return
+        self.dispatcher.ends.on_broken(
+            state,
+            admitted.fingerprint,
+            bare.sent_at,
+            first_event_at,
+            admitted.part_subjects,
+            bare.at,
+        )
+
     def on_whole(self, progress: CallProgress, state: EndpointState) -> None:
         """Record that an endpoint has completed an answer.
 
--- a/libs/relay/src/clementinebend_relay/plain.py
+++ b/libs/relay/src/clementinebend_relay/plain.py
@@ -46,7 +46,6 @@
             if body.error.broke_off:
                 self.attempts.on_broken(progress, running.state, body.error.problem)
             return None
-        self.attempts.on_sound(progress)
-        self.attempts.on_whole(progress, running.state)
+        self.attempts.on_end(progress, running)
         headers = self.dispatcher.protocol.caller_headers(running.answer.headers)
         return Response(running.answer.status, headers, body.ok)
--- a/libs/relay/src/clementinebend_relay/quarantine/end_detector.py
+++ b/libs/relay/src/clementinebend_relay/quarantine/end_detector.py
@@ -150,17 +150,19 @@
         sent_at: float,
         first_event_at: float | None = None,
         parts: tuple[str, ...] = (),
+        broke_at: float | None = None,
     ) -> None:
         """Record that an endpoint closed a connection before its answer was complete.
 
         ``first_event_at`` is when the first event of the answer arrived, if any did,
         and ``parts`` are the parts of the prompt that other requests may share.
-        Ignored if the endpoint is leaving or its announcement has lapsed: its end is
-        expected.
+        ``broke_at`` is when the connection closed, if that is not now. Ignored if the
+        endpoint is leaving or its announcement has lapsed: its end is expected.
         """
         if state.is_leaving(self.clock()) or state.lapsed_at is not None:
             return
-        boot, now = boot_name(state.endpoint), self.clock()
+        boot = boot_name(state.endpoint)
+        now = self.clock() if broke_at is None else broke_at
         self._drop_expired(now)
         broken = self.broken.setdefault(boot, BrokenAnswers(state.endpoint, now))
         run = FatalRun(boot, sent_at, now, first_event_at)
--- a/libs/relay/src/clementinebend_relay/streams.py
+++ b/libs/relay/src/clementinebend_relay/streams.py
@@ -156,8 +156,8 @@
                     yield event
                 if splitter.is_too_large():
                     raise self._break_stream(running, progress, "an event is too large")
-            if splitter.rest:
-                problem = "the stream ended within an event"
+            problem = _incomplete_end(running, splitter, progress)
+            if problem is not None:
                 self.attempts.on_broken(progress, state, problem)
                 raise StreamBroken(problem)
             is_complete = True
@@ -166,8 +166,7 @@
             running.cleanup.close()
             if is_complete:
                 endpoints.on_end(state, ok=True)
-                self.attempts.on_sound(progress)
-                self.attempts.on_whole(progress, state)
+                self.attempts.on_end(progress, running)
 
     def _record_event(
         self, event: StreamEvent, running: OpenAttempt, progress: CallProgress
@@ -281,3 +280,17 @@
         self.attempts.on_broken(progress, running.state, problem)
         self.dispatcher.endpoints.on_end(running.state, ok=False)
         return StreamBroken(problem)
+
+
+def _incomplete_end(
+    running: OpenAttempt, splitter: EventSplitter, progress: CallProgress
+) -> str | None:
+    """Return why a stream that has ended is not whole, None if it may be.
+
+    The end of a channel alone does not say that there is no event to come.
+    """
+    if splitter.rest:
+        return "the stream ended within an event"
+    if running.answer.ends_with_channel and progress.attempt_event_at is None:
+        return "the stream ended before an event"
+    return None
--- a/libs/transport/src/clementinebend_transport/http_client.py
+++ b/libs/transport/src/clementinebend_transport/http_client.py
@@ -39,6 +39,10 @@
 MAX_IDLE_SECONDS = 30.0
 """Idle connections older than this are closed, before most servers do."""
 
+FRAMING_HEADERS = frozenset(("content-length", "transfer-encoding"))
+BODILESS_STATUSES = frozenset((204, 304))
+"""What tells where a body ends; source: RFC 9112, section 6.3."""
+
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 """The largest body of a whole answer."""
 
@@ -56,13 +60,15 @@
 
     ``chunks`` raises ``TruncatedAnswer`` if the body ends before it is whole.
     Whoever does not read it to its end calls ``close``, which closes the
-    connection.
+    connection. With ``ends_with_channel`` the body has neither a length nor
+    chunks: that it has ended does not prove that it is whole.
     """
 
     status: int
     headers: dict[str, str]
     chunks: AsyncIterator[bytes]
     close: Callable[[], None]
+    ends_with_channel: bool = False
 
 
 class HttpFailure(NamedTuple):
@@ -190,9 +196,16 @@
             if head is None:
                 self._drop(connection)
         chunks = AnswerChunks(connection, self._release, self._drop)
+        headers = headers_by_name(head.headers)
+        is_framed = not FRAMING_HEADERS.isdisjoint(headers)
+        has_body = head.status_code not in BODILESS_STATUSES
         return Ok(
             OpenAnswer(
-                head.status_code, headers_by_name(head.headers), chunks, chunks.close
+                head.status_code,
+                headers,
+                chunks,
+                chunks.close,
+                ends_with_channel=has_body and not is_framed,
             )
         )
 
--- /dev/null
+++ b/tests/lib/bare_engine.py
@@ -0,0 +1,88 @@
+"""A stand-in engine whose answers have neither a length nor chunks.
+
+Each answer ends with its channel, which is closed or reset.
+"""
+
+from asyncio import StreamReader, StreamWriter, start_server
+from contextlib import suppress
+from socket import SO_LINGER, SOL_SOCKET
+from struct import pack
+from typing import Any
+
+from clementinebend_transport.exceptions import AnswerCutError
+from clementinebend_transport.http_types import Request, Response
+from tests.lib.platform_engine import EngineStandin
+from tests.lib.processes import LOCALHOST
+
+HEAD_END = b"\r\n\r\n"
+RESET = pack("ii", 1, 0)
+"""Socket option that lets a close reset the connection."""
+
+
+class BareServer:
+    """The listening socket of an engine, and its open channels."""
+
+    def __init__(self, server: Any, writers: set[StreamWriter]) -> None:
+        self.server = server
+        self.writers = writers
+        self.port: int = server.sockets[0].getsockname()[1]
+
+    async def close(self) -> None:
+        """End at once: close the socket and all channels."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.close()
+
+
+class BareEngine(EngineStandin):
+    """An engine with bare answers.
+
+    With ``resets`` a channel whose answer is cut is reset instead of closed. With
+    ``is_empty`` the channel ends right after the head.
+    """
+
+    resets = False
+    is_empty = False
+
+    async def start(self, port: int = 0) -> None:
+        """Listen on ``port``, or on a free one."""
+        self.writers: set[StreamWriter] = set()
+        server = await start_server(self._serve, LOCALHOST, port)
+        self.server = BareServer(server, self.writers)  # type: ignore[assignment]
+
+    async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+        self.writers.add(writer)
+        try:
+            with suppress(ConnectionError, EOFError):
+                await self._exchange(reader, writer)
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def _exchange(self, reader: StreamReader, writer: StreamWriter) -> None:
+        head = await reader.readuntil(HEAD_END)
+        line, *fields = head.decode().removesuffix("\r\n\r\n").split("\r\n")
+        method, target, _ = line.split(" ")
+        pairs = (field.partition(": ") for field in fields)
+        headers = {name.lower(): value for name, _, value in pairs}
+        body = await reader.readexactly(int(headers.get("content-length", "0")))
+        response = await self.handle(Request(method, target, headers, body))
+        await self._write(response, writer)
+
+    async def _write(self, response: Response, writer: StreamWriter) -> None:
+        fields = "".join(f"{name}: {value}\r\n" for name, value in response.headers)
+        writer.write(f"HTTP/1.1 {response.status} OK\r\n{fields}\r\n".encode())
+        await writer.drain()
+        if self.is_empty:
+            return
+        if isinstance(response.body, bytes):
+            writer.write(response.body)
+            return
+        try:
+            async for piece in response.body:
+                writer.write(piece)
+                await writer.drain()
+        except AnswerCutError:
+            if self.resets:
+                socket = writer.get_extra_info("socket")
+                socket.setsockopt(SOL_SOCKET, SO_LINGER, RESET)
--- a/tests/lib/crashing_engines.py
+++ b/tests/lib/crashing_engines.py
@@ -73,6 +73,10 @@
         """Return how many repetitions reached an engine too late."""
         return sum(at > self.window_end() for at in self.arrivals())
 
+    def new_engine(self, service: str, zone: str) -> EngineStandin:
+        """Return a later boot of an engine."""
+        return EngineStandin(service, zone)
+
     def mend(self) -> None:
         """Let no engine end under the request any more."""
         self.fatal_body = None
@@ -96,7 +100,7 @@
     async def _come_back(self, ended: EngineStandin) -> None:
         assert ended.server is not None
         await sleep(BACK_SECONDS)
-        engine = EngineStandin(self.service, ended.zone)
+        engine = self.new_engine(self.service, ended.zone)
         self._prepare(engine)
         await engine.start(ended.server.port)
         engine.announced_port = ended.announced_port
