Send a fatal part, herds and bare answers in the soak; drop calling runs back

The soak's engines end under a part of prompts, too, and some of their later boots have bare answers; sound requests share all other parts, at times as a herd of new channels at one entry.

--- a/libs/relay/src/clementinebend_relay/attempts.py
+++ b/libs/relay/src/clementinebend_relay/attempts.py
@@ -53,8 +53,6 @@
 """Seconds after the end of an answer without length or chunks in which other bytes of
 its endpoint show that this has not ended with it."""
 
-RECALLED = "a part of the prompt ends endpoints: the run was recalled"
-
 SOUND_INTERVAL = 1.0
 """Seconds between two records that a long answer still runs well."""
 
@@ -134,8 +132,7 @@
                 progress.reports = placement.reports
                 sending = self.dispatcher.in_flight(progress.admitted, placement)
                 cleanup.enter_context(sending)
-                async with self.quarantine.runs.until_recalled(parts):
-                    outcome = await self._send(progress, state)
+                outcome = await self._send(progress, state)
                 if _is_endpoint_missing(outcome):
                     progress.missing_endpoints += 1
                     progress.attempts -= 1
@@ -143,9 +140,6 @@
                     self.quarantine.turns.on_unreachable(fingerprint)
                     continue
                 running = await self._relayable_attempt(progress, outcome, cleanup)
-            except TimeoutError:
-                progress.problem = RECALLED
-                return None
             finally:
                 if running is None:
                     cleanup.close()
--- a/libs/relay/src/clementinebend_relay/quarantine/runs.py
+++ b/libs/relay/src/clementinebend_relay/quarantine/runs.py
@@ -1,9 +1,9 @@
 """Runs of requests that are in progress at this entry."""
 
-from asyncio import Event, Timeout, get_running_loop, timeout
-from collections import Counter, defaultdict
-from collections.abc import AsyncIterator, Collection, Iterator
-from contextlib import ExitStack, asynccontextmanager, contextmanager
+from asyncio import Event
+from collections import Counter
+from collections.abc import Collection, Iterator
+from contextlib import ExitStack, contextmanager
 
 MAX_BEGUN = 10_000
 """Maximum number of parts whose runs are counted, about 1 MB."""
@@ -14,8 +14,7 @@
 
     ``in_flight`` counts runs at endpoints, ``in_check`` runs that broke off and whose
     endpoint is being checked. ``changed`` wakes the calls that wait for either.
-    ``begun`` counts the runs begun at this entry by the parts of their prompts, and
-    ``recallable`` holds those that may be recalled.
+    ``begun`` counts the runs begun at this entry by the parts of their prompts.
     """
 
     def __init__(self) -> None:
@@ -23,7 +22,6 @@
         self.in_check: Counter[str] = Counter()
         self.begun: Counter[str] = Counter()
         self.changed = Event()
-        self.recallable: defaultdict[str, set[Timeout]] = defaultdict(set)
 
     @contextmanager
     def running(self, fingerprint: str, *parts: str) -> Iterator[None]:
@@ -42,34 +40,6 @@
                 {name: n // 2 for name, n in self.begun.items() if n > 1}
             )
 
-    @asynccontextmanager
-    async def until_recalled(self, parts: Collection[str]) -> AsyncIterator[None]:
-        """Raise ``TimeoutError`` in the context once one of the parts is recalled."""
-        if not parts:
-            yield
-            return
-        async with timeout(None) as scope:
-            for part in parts:
-                self.recallable[part].add(scope)
-            try:
-                yield
-            finally:
-                for part in parts:
-                    self._forget(part, scope)
-
-    def recall(self, part: str) -> None:
-        """End the runs with a part whose endpoints have not begun to write."""
-        for scope in self.recallable.pop(part, set()):
-            for runs in self.recallable.values():
-                runs.discard(scope)
-            scope.reschedule(get_running_loop().time())
-
-    def _forget(self, part: str, scope: Timeout) -> None:
-        runs = self.recallable.get(part, set())
-        runs.discard(scope)
-        if not runs:
-            self.recallable.pop(part, None)
-
     @contextmanager
     def checking(self, fingerprint: str) -> Iterator[None]:
         """Count a run as broken off, with its endpoint in doubt, during the context."""
--- a/libs/relay/src/clementinebend_relay/quarantine/state.py
+++ b/libs/relay/src/clementinebend_relay/quarantine/state.py
@@ -309,7 +309,6 @@
         self._log("quarantined", subject, ended, reason)
         self._update_gauges()
         self._drop_endpoints(ended)
-        self.runs.recall(subject)
         self.runs.notify()
 
     def _drop_endpoints(self, ended: Collection[str]) -> None:
--- a/libs/relay/src/clementinebend_relay/streams.py
+++ b/libs/relay/src/clementinebend_relay/streams.py
@@ -8,7 +8,7 @@
 from collections.abc import AsyncGenerator, AsyncIterator, Callable
 from contextlib import aclosing
 
-from clementinebend_relay.attempts import RECALLED, Attempts, OpenAttempt
+from clementinebend_relay.attempts import Attempts, OpenAttempt
 from clementinebend_relay.decisions import log_decision
 from clementinebend_relay.dispatch import Dispatcher
 from clementinebend_relay.events import EventSplitter, StreamEvent, is_next_event
@@ -64,13 +64,9 @@
         while (running := await self.attempts.next(progress)) is not None:
             source = self._read_events(running, progress)
             try:
-                first = await self._first_event(source, progress)
+                first = await anext(source, None)
             except StreamBroken:
                 continue
-            except TimeoutError:
-                await source.aclose()
-                progress.problem = RECALLED
-                break
             except BaseException:
                 await source.aclose()
                 raise
@@ -79,14 +75,6 @@
             return Response(running.answer.status, headers, body)
         return progress.failure
 
-    async def _first_event(
-        self, source: AsyncGenerator[StreamEvent, None], progress: CallProgress
-    ) -> StreamEvent | None:
-        """Return the first event; raise ``TimeoutError`` if the run is recalled."""
-        runs = self.attempts.quarantine.runs
-        async with runs.until_recalled(progress.admitted.part_subjects):
-            return await anext(source, None)
-
     async def _relay_events(
         self,
         first: StreamEvent | None,
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -16,6 +16,7 @@
 from tests.lib.waiting import until
 from tests.soak.crashes import Crashes
 from tests.soak.limits import Limits
+from tests.soak.parts import PartClients
 from tests.soak.popular import PopularCalls
 from tests.soak.promises import Seen, broken_promises
 from tests.soak.proxy import MODES, FaultProxy
@@ -78,6 +79,8 @@
             crashes = self.crashes = Crashes(self.seed, self.fleet, self.calls)
             crashing = crashes.run(ENTRIES, lambda: self.has_stopped)
             clients.append(create_task(crashing))
+            parts = PartClients(self.seed, self.fleet, self.calls, crashes.engines)
+            clients.append(create_task(parts.run(ENTRIES, lambda: self.has_stopped)))
             popular = self.popular = PopularCalls(self.seed, self.fleet, self.calls)
             clients += [
                 create_task(popular.call(ENTRIES, lambda: self.has_stopped))
@@ -97,6 +100,7 @@
             problems += self._ended() + await self._unserved()
             problems += limits.problems(self.engine_cuts)
             problems += await self._calls_to_evacuated_zones()
+            problems += await parts.problems(ENTRIES)
             return problems + await crashes.problems(ENTRIES)
         finally:
             await self.fleet.stop()
