--- a/libs/relay/src/clementinebend_relay/plain.py
+++ b/libs/relay/src/clementinebend_relay/plain.py
@@ -44,8 +44,10 @@
         if body.is_error():
             progress.problem = body.error.problem
             if body.error.broke_off:
-                self.attempts.on_broken(progress, running.state, body.error.problem)
+                self.attempts.outcomes.on_broken(
+                    progress, running.state, body.error.problem
+                )
             return None
-        self.attempts.on_end(progress, running)
+        self.attempts.outcomes.on_end(progress, running.state, running.answer)
         headers = self.dispatcher.protocol.caller_headers(running.answer.headers)
         return Response(running.answer.status, headers, body.ok)
--- a/libs/relay/src/clementinebend_relay/streams.py
+++ b/libs/relay/src/clementinebend_relay/streams.py
@@ -146,7 +146,7 @@
                     raise self._break_stream(running, progress, "an event is too large")
             problem = _incomplete_end(running, splitter, progress)
             if problem is not None:
-                self.attempts.on_broken(progress, state, problem)
+                self.attempts.outcomes.on_broken(progress, state, problem)
                 raise StreamBroken(problem)
             is_complete = True
         finally:
@@ -154,7 +154,7 @@
             running.cleanup.close()
             if is_complete:
                 endpoints.on_end(state, ok=True)
-                self.attempts.on_end(progress, running)
+                self.attempts.outcomes.on_end(progress, running.state, running.answer)
 
     def _record_event(
         self, event: StreamEvent, running: OpenAttempt, progress: CallProgress
@@ -174,9 +174,9 @@
         if progress.attempt_event_at is None:
             progress.attempt_event_at = self.clock()
         if not counts_as_evidence(self.clock() - progress.attempt_event_at):
-            self.attempts.on_sound(progress)
+            self.attempts.outcomes.on_sound(progress)
         if self.clock() - progress.attempt_event_at >= PART_SOUND_SECONDS:
-            self.attempts.on_writing(progress)
+            self.attempts.outcomes.on_writing(progress)
         progress.events += 1
         progress.last_event = event.event_id or progress.last_event
 
@@ -265,7 +265,7 @@
     def _break_stream(
         self, running: OpenAttempt, progress: CallProgress, problem: str
     ) -> StreamBroken:
-        self.attempts.on_broken(progress, running.state, problem)
+        self.attempts.outcomes.on_broken(progress, running.state, problem)
         self.dispatcher.endpoints.on_end(running.state, ok=False)
         return StreamBroken(problem)
 
