--- a/libs/relay/src/clementinebend_relay/quarantine/runs.py
+++ b/libs/relay/src/clementinebend_relay/quarantine/runs.py
@@ -3,7 +3,7 @@
 from asyncio import Event
 from collections import Counter
 from collections.abc import Collection, Iterator
-from contextlib import ExitStack, contextmanager
+from contextlib import contextmanager
 
 MAX_BEGUN = 10_000
 """Maximum number of parts whose runs are counted, about 1 MB."""
@@ -26,11 +26,21 @@
     @contextmanager
     def running(self, fingerprint: str, *parts: str) -> Iterator[None]:
         """Count a run of a request, and of parts, as in progress during the context."""
-        with ExitStack() as counted:
-            self._count_begun(parts)
-            for subject in (fingerprint, *parts):
-                counted.enter_context(self._counted(self.in_flight, subject))
-            yield
+        self._count_begun(parts)
+        self.in_flight.update(parts)
+        try:
+            with self._counted(self.in_flight, fingerprint):
+                yield
+        finally:
+            self._uncount(parts)
+
+    def _uncount(self, parts: Collection[str]) -> None:
+        """Count a run with some parts as ended."""
+        in_flight = self.in_flight
+        for part in parts:
+            in_flight[part] -= 1
+            if not in_flight[part]:
+                del in_flight[part]
 
     def _count_begun(self, parts: Collection[str]) -> None:
         """Count a run; the counts of all parts are halved when there are many."""
--- a/libs/relay/src/clementinebend_relay/quarantine/state.py
+++ b/libs/relay/src/clementinebend_relay/quarantine/state.py
@@ -225,7 +225,13 @@
 
     def on_sound(self, subject: str) -> bool:
         """Clear a subject that ran well; return if there was anything against it."""
-        self.verdicts.table(subject).history.on_good_run(subject)
+        table = self.verdicts.table(subject)
+        table.history.on_good_run(subject)
+        has_evidence = bool(table.get(subject)) or subject in self.quarantined
+        if is_part(subject) and not has_evidence:
+            # Each run has several parts, against which there is hardly ever anything.
+            table.set_sound(subject, self.clock())
+            return False
         return self.clear(subject, "it ran well")
 
     def clear(self, subject: str, reason: str) -> bool:
