Test what single requests and old good runs say of a part

Three rules could be switched off without a test failing: two requests make a suspect, an entry that hears of an end says that the part runs well there, and a verdict is objected to by a good run that is no longer recent but later than the first end. Each has a test that fails without it. The test of objections set its good run so recently that another rule answered, and is replaced.

--- a/tests/unit/relay/test_part_verdicts.py
+++ b/tests/unit/relay/test_part_verdicts.py
@@ -3,6 +3,7 @@
 from asyncio import get_running_loop, sleep
 from collections.abc import Callable, Coroutine
 from itertools import count
+from math import inf
 from typing import Any
 
 import pytest
@@ -12,6 +13,8 @@
 from clementinebend_bench.models.virtual_loop import run_virtually
 from clementinebend_relay.messages import (
     EndpointEndedMessage,
+    FatalityMessage,
+    QuarantineMessage,
     ReportedPart,
     ReportedRun,
     RunDetails,
@@ -20,7 +23,7 @@
 )
 from clementinebend_relay.models import Reason, boot_name
 from clementinebend_relay.quarantine.end_detector import EndedRun
-from clementinebend_relay.quarantine.evidence import MAX_SUSPECTS
+from clementinebend_relay.quarantine.evidence import MAX_SUSPECTS, SOUND_SECONDS
 from clementinebend_relay.quarantine.news import MAX_PARTS_PER_MESSAGE
 from clementinebend_relay.quarantine.state import QUARANTINE_RETRY_DELAY
 from clementinebend_relay.quarantine.subjects import (
@@ -130,6 +133,32 @@
     play(scenario)
 
 
+def test_ends_under_a_single_request_make_no_suspect_of_its_parts() -> None:
+    async def scenario(world: PartWorld) -> None:
+        for number in range(2):
+            world.end_with((PART,), number, request="d" * 24)
+            await sleep(GAP)
+        suspects = [entry.quarantine.is_suspected(PART) for entry in world.all()]
+        assert not any(suspects)
+        world.end_with((PART,), 2)
+        await sleep(GAP / 10)
+        assert all(entry.quarantine.is_suspected(PART) for entry in world.all())
+
+    play(scenario)
+
+
+def test_an_entry_at_which_a_part_runs_well_says_so_when_it_hears_of_an_end() -> None:
+    """Guards against evidence that grows at entries which rarely see the part."""
+
+    async def scenario(world: PartWorld) -> None:
+        world.all()[2].sync.on_sound(SHARED)
+        world.end_with((SHARED,), 0)
+        await sleep(GAP)
+        assert not any(entry.quarantine.parts.runs for entry in world.all())
+
+    play(scenario)
+
+
 def test_endpoints_that_end_together_are_one_end() -> None:
     """Guards against a loss of a zone that is held against what all prompts share."""
 
@@ -171,23 +200,28 @@
     play(scenario)
 
 
-def test_an_entry_at_which_a_part_runs_well_objects_to_its_verdict() -> None:
-    """Its good runs are older than usual, but later than the first of the ends."""
+def test_an_entry_at_which_a_part_ran_well_since_the_first_end_objects() -> None:
+    """Its good run is older than what counts as recent, but later than an end."""
 
     async def scenario(world: PartWorld) -> None:
-        deaf = world.all()[2]
-        handle = deaf.sync.on_message
-        deaf.sync.on_message = lambda message: None  # type: ignore[method-assign]
+        objecting = world.all()[2]
+        ended = world.end_with((SHARED,), 0)
+        await sleep(GAP)
+        objecting.quarantine.parts.pop(SHARED)
+        objecting.quarantine.parts.set_sound(SHARED, get_running_loop().time())
+        handle = objecting.sync.on_message
+
+        def hear_verdicts(message: FatalityMessage) -> None:
+            if isinstance(message, QuarantineMessage):
+                handle(message)
+
+        objecting.sync.on_message = hear_verdicts  # type: ignore[method-assign]
+        await sleep(SOUND_SECONDS)
         for number in range(2):
             world.end_with((SHARED,), number)
             await sleep(GAP)
-        deaf.quarantine.ends.on_ended("i-1/", get_running_loop().time() - 2 * GAP)
-        deaf.quarantine.parts.set_sound(SHARED, get_running_loop().time())
-        deaf.sync.on_message = handle  # type: ignore[method-assign]
-        await sleep(GAP)
-        world.end_with((SHARED,), 0)
-        await sleep(SPREAD_SECONDS)
-        assert not any(is_refused(entry, SHARED) for entry in world.all())
+        assert objecting.quarantine.ends.known_end(ended) < inf
+        assert not any(SHARED in entry.quarantine.quarantined for entry in world.all())
 
     play(scenario)
 
