--- a/tests/unit/relay/test_part_verdicts.py
+++ b/tests/unit/relay/test_part_verdicts.py
@@ -243,6 +243,43 @@
     play(scenario)
 
 
+def test_of_two_parts_at_the_same_ends_the_one_of_fewer_runs_is_the_cause() -> None:
+    """Guards against five ends, or the refusal of all, where none has run well yet."""
+
+    async def scenario(world: PartWorld) -> None:
+        for entry in world.all():
+            entry.quarantine.runs.begun.update({SHARED: 9, PART: 3})
+        await quarantine(world, SHARED, PART)
+        assert all(is_refused(entry, PART) for entry in world.all())
+        assert not any(is_refused(entry, SHARED) for entry in world.all())
+
+    play(scenario)
+
+
+def test_a_call_waits_for_the_decision_about_its_part() -> None:
+    """Guards against one more endpoint for each call that comes before it."""
+
+    async def scenario(world: PartWorld) -> None:
+        await quarantine_all_but_decided(world)
+        entry = world.all()[2].quarantine
+        before = get_running_loop().time()
+        refusal = await entry.wait_for_turn("f" * 24, before + 4.0, True, (PART,))
+        assert refusal is not None
+        assert refusal.reason is Reason.PART_QUARANTINED
+        waited = get_running_loop().time() - before
+        assert waited <= DECIDED_SECONDS
+        assert await entry.wait_for_turn("f" * 24, before + 4.0, True) is None
+
+    play(scenario)
+
+
+async def quarantine_all_but_decided(world: PartWorld) -> None:
+    """Let three endpoints end under different requests with the part just now."""
+    for number in range(3):
+        await sleep(GAP)
+        world.end_with((PART,), number)
+
+
 def test_verdicts_on_parts_spread_without_datagrams_and_to_entries_that_start() -> None:
     async def scenario(world: PartWorld) -> None:
         for _ in range(3):
