Take late bytes of an ended engine for no life after a bare answer

Seen: ten requests with a fatal part later than allowed, in one of 12 runs of test_a_part_is_found_though_the_end_of_a_bare_answer_looks_whole[event] beside load. Cause, by its logs: bytes that an engine had sent before its end were read 5 ms after the end of a bare answer there and taken for life, so that the part was cleared 60 ms after its verdict. Change: bytes count from 0.1 s after such an end on, and only of an engine that is neither known nor suspected to have ended. Functional tests whole on this state: passed, 245.

--- a/libs/relay/src/clementinebend_relay/run_outcomes.py
+++ b/libs/relay/src/clementinebend_relay/run_outcomes.py
@@ -25,6 +25,10 @@
 its endpoint show that this has not ended with it."""
 
 
+LATE_BYTES_SECONDS = 0.1
+"""Seconds after the end of an endpoint in which bytes that it sent before are read."""
+
+
 class BareEnd(NamedTuple):
     """An answer without length or chunks that has ended ``at`` some time."""
 
@@ -74,11 +78,12 @@
     def _confirm(self, bare: BareEnd, first_event_at: float | None) -> None:
         """Decide whether an answer whose end proves nothing was whole.
 
-        If its endpoint has been heard since, it was. If it has not, its address tells
-        whether it has ended.
+        If its endpoint has been heard well after it, it was. If not, its address tells
+        whether it has ended: what the endpoint sent before may be read later.
         """
         state, admitted = bare.state, bare.admitted
-        if state.heard_at > bare.at:
+        was_heard = state.heard_at > bare.at + LATE_BYTES_SECONDS
+        if was_heard and not self._may_have_ended(boot_name(state.endpoint)):
             for subject in (admitted.fingerprint, *admitted.part_subjects):
                 self.news.on_sound(subject)
             return
@@ -107,10 +112,14 @@
         get_running_loop().call_later(pause, self._clear_if_alive, parts, boot)
 
     def _clear_if_alive(self, parts: tuple[str, ...], boot: str) -> None:
-        has_ended = self.quarantine.ends.known_end(boot) < inf
-        if not has_ended and boot not in self.dispatcher.ends.broken:
+        if not self._may_have_ended(boot):
             self._clear_parts(parts)
 
+    def _may_have_ended(self, boot: str) -> bool:
+        """Return whether an endpoint is known or suspected to have ended."""
+        is_known = self.quarantine.ends.known_end(boot) < inf
+        return is_known or boot in self.dispatcher.ends.broken
+
     def _clear_parts(self, parts: tuple[str, ...]) -> None:
         for part in parts:
             self.news.on_sound(part)
