--- a/tests/unit/relay/crash_endpoints.py
+++ b/tests/unit/relay/crash_endpoints.py
@@ -95,9 +95,13 @@
 class CrashingEndpoint:
     """One boot of an endpoint; ``arrivals`` are the requests that reached it.
 
-    ``version`` is that of its software, which each of its events shows.
+    ``version`` is that of its software, which each of its events shows. With
+    ``is_bare`` its streams have neither length nor chunks: where it ends they only
+    stop.
     """
 
+    is_bare = False
+
     def __init__(
         self,
         name: str,
@@ -163,8 +167,10 @@
         }
         first = int(sent.get("last-event-id", "0")) + 1
         source = self._chunks(work, body, first, is_stream)
+        if self.is_bare:
+            source = _without_cut(source)
         chunks = Chunks(source, self.start)
-        return Ok(OpenAnswer(200, headers, chunks, chunks.close))
+        return Ok(OpenAnswer(200, headers, chunks, chunks.close, self.is_bare))
 
     async def _work_before_head(self, work: Work, body: bytes, is_stream: bool) -> None:
         with self._run(body):
@@ -220,6 +226,13 @@
     yield b""
 
 
+async def _without_cut(source: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+    """Return the chunks; where they break off, they end."""
+    with suppress(TruncatedAnswer):
+        async for chunk in source:
+            yield chunk
+
+
 def _event(number: int, version: str) -> bytes:
     return f"id: {number}\ndata: piece {version}\n\n".encode()
 
--- a/tests/unit/relay/part_world.py
+++ b/tests/unit/relay/part_world.py
@@ -6,11 +6,12 @@
 
 from asyncio import Task, gather, sleep
 from itertools import count
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from clementinebend_bench.models.mark_store import Outage, StoreModel
 from clementinebend_bench.models.virtual_loop import run_virtually
-from tests.unit.relay.crash_endpoints import Work
+from clementinebend_transport.client_connection import Address
+from tests.unit.relay.crash_endpoints import CrashingEndpoint, Work
 from tests.unit.relay.crash_world import CallResult, CrashWorld
 
 ALLOWED_ENDS = 5
@@ -46,6 +47,7 @@
     ``sound`` sound ones are sent. ``kills`` endpoints are killed ``gap`` apart, where
     the newest call went; with ``zone`` so many endpoints end together after 3 s. At
     ``restart_at`` the first entries, ``restarted`` of them, are killed and start anew.
+    With ``is_bare`` streams have neither length nor chunks.
     """
 
     work: Work = READS
@@ -61,6 +63,7 @@
     restart_at: float | None = None
     restarted: int = 1
     store_away: bool = False
+    is_bare: bool = False
 
 
 class PartResult(NamedTuple):
@@ -91,6 +94,15 @@
 
     fatal_work = READS
 
+    def __init__(self, *arguments: Any, is_bare: bool = False, **named: Any) -> None:
+        self.is_bare = is_bare
+        super().__init__(*arguments, **named)
+
+    def _start_endpoint(self, address: Address) -> CrashingEndpoint:
+        endpoint = super()._start_endpoint(address)
+        endpoint.is_bare = self.is_bare
+        return endpoint
+
     def work_of(self, body: bytes) -> Work:
         """Return what endpoints do for a request."""
         return self.fatal_work if body.startswith(FATAL_PREFIX) else self.work
@@ -103,7 +115,9 @@
         self, scenario: PartScenario, entries: int, number: int, loss: float = 0.0
     ) -> None:
         self.scenario = scenario
-        self.world = PartWorld(entries, number=number, loss=loss)
+        self.world = PartWorld(
+            entries, number=number, loss=loss, is_bare=scenario.is_bare
+        )
         self.world.fatal_work = scenario.work
         if scenario.store_away:
             self.world.store = StoreModel((Outage(0.0, scenario.seconds * 2),))
--- a/tests/unit/relay/test_part_verdicts.py
+++ b/tests/unit/relay/test_part_verdicts.py
@@ -256,6 +256,42 @@
     play(scenario)
 
 
+def test_a_part_of_many_runs_waits_for_a_suspect_of_fewer() -> None:
+    """Guards against the refusal of all while one end of the cause is not known yet."""
+
+    async def scenario(world: PartWorld) -> None:
+        for entry in world.all():
+            entry.quarantine.runs.begun.update({SHARED: 9, PART: 3})
+        for parts in ((SHARED, PART), (SHARED, PART), (SHARED,)):
+            world.end_with(parts)
+            await sleep(GAP)
+        assert not any(is_refused(entry, SHARED) for entry in world.all())
+        world.end_with((SHARED, PART))
+        await sleep(GAP)
+        assert all(is_refused(entry, PART) for entry in world.all())
+        assert not any(is_refused(entry, SHARED) for entry in world.all())
+
+    play(scenario)
+
+
+def test_a_part_is_tried_without_those_that_were_at_its_ends() -> None:
+    """Guards against a trial that ends its endpoint under another part."""
+
+    async def scenario(world: PartWorld) -> None:
+        for entry in world.all():
+            entry.quarantine.runs.begun.update({SHARED: 9, PART: 3})
+        for parts in ((SHARED, PART), (SHARED,), (SHARED,)):
+            world.end_with(parts)
+            await sleep(GAP)
+        assert all(is_refused(entry, SHARED) for entry in world.all())
+        await sleep(PART_TRIAL_DELAYS[0])
+        trying = [entry for entry in world.all() if not is_refused(entry, SHARED)]
+        assert len(trying) == 1
+        assert is_refused(trying[0], SHARED, PART)
+
+    play(scenario)
+
+
 def test_a_call_waits_for_the_decision_about_its_part() -> None:
     """Guards against one more endpoint for each call that comes before it."""
 
