Let a part of many runs wait for a suspect of fewer, and be tried without it

Seen: part-aa, which all prompts share, quarantined 0.6 s after the first end in a run beside load; the run that tried it 3 s later had the fatal part, so that all requests were refused for 30 s. Cause: entries had just started, no run had gone well, and the evidence against the fatal part came later than that against what its neighbours share, so that it had two ends when part-aa had three. Change: a part is not condemned while a suspect that fewer runs had was at half of its ends, up to ten ends; and a trial run has none of the parts of fewer runs that were at the ends.

--- a/libs/relay/src/clementinebend_relay/quarantine/state.py
+++ b/libs/relay/src/clementinebend_relay/quarantine/state.py
@@ -87,7 +87,8 @@
         """
         if not self.quarantined:
             return None
-        refused = filter(self._is_refused, (fingerprint, *parts))
+        known = [each for each in (fingerprint, *parts) if each in self.quarantined]
+        refused = (each for each in known if self._is_refused(each, parts))
         return next(map(self.rejection, refused), None)
 
     def refusal_since(
@@ -100,13 +101,13 @@
         later = (each for each in known if self.quarantined[each].since > since)
         return next(map(self.rejection, later), None)
 
-    def _is_refused(self, subject: str) -> bool:
-        """Return whether a subject is quarantined and not tried by this call."""
-        quarantined = self.quarantined.get(subject)
-        if quarantined is None:
-            return False
+    def _is_refused(self, subject: str, parts: Iterable[str]) -> bool:
+        """Return whether a call with ``parts`` does not try a quarantined subject."""
+        quarantined = self.quarantined[subject]
         if self.runs.in_flight[subject] or not is_on_trial(quarantined, self.clock()):
             return True
+        if not quarantined.companions.isdisjoint(parts):
+            return True
         return is_part(subject) and not self.is_trial_entry(subject)
 
     def rejection(self, subject: str) -> Rejection:
@@ -305,11 +306,16 @@
             return
         table = self.verdicts.table(subject)
         self.turns.report_due_at.pop(subject, None)
-        ended = endpoints_of(table.pop(subject)).union(endpoints)
+        companions: frozenset[str] = frozenset()
         delays: tuple[float, ...] = PART_TRIAL_DELAYS
-        if not is_part(subject):
+        if is_part(subject):
+            companions = self.verdicts.companions(subject)
+        else:
             delays = TRIAL_DELAYS if table.history.has_run_well(subject) else ()
-        self.quarantined[subject] = quarantined_request(ended, self.clock(), delays)
+        ended = endpoints_of(table.pop(subject)).union(endpoints)
+        self.quarantined[subject] = quarantined_request(
+            ended, self.clock(), delays, companions
+        )
         if len(self.quarantined) > MAX_QUARANTINED:
             del self.quarantined[next(iter(self.quarantined))]
         self._log("quarantined", subject, ended, reason)
--- a/libs/relay/src/clementinebend_relay/quarantine/trials.py
+++ b/libs/relay/src/clementinebend_relay/quarantine/trials.py
@@ -33,7 +33,8 @@
     ``endpoints`` are the boots of endpoints that ended under it. ``since`` is when the
     quarantine, or its last trial, began. ``trial_at`` is when a run may be tried, or
     infinity. ``failed_trials`` is the number of trials that ended an endpoint, and
-    ``delays`` are the seconds before each trial.
+    ``delays`` are the seconds before each trial. A trial run of a part must have none
+    of its ``companions``, parts that may have been the cause of the same ends.
     """
 
     endpoints: frozenset[str]
@@ -41,14 +42,20 @@
     trial_at: float = inf
     failed_trials: int = 0
     delays: tuple[float, ...] = ()
+    companions: frozenset[str] = frozenset()
 
 
 def quarantined_request(
-    endpoints: Iterable[str], now: float, delays: tuple[float, ...] = ()
+    endpoints: Iterable[str],
+    now: float,
+    delays: tuple[float, ...] = (),
+    companions: frozenset[str] = frozenset(),
 ) -> QuarantinedRequest:
     """Return a subject that is quarantined from now on, with the delays of trials."""
     trial_at = now + delays[0] if delays else inf
-    return QuarantinedRequest(frozenset(endpoints), now, trial_at, delays=delays)
+    return QuarantinedRequest(
+        frozenset(endpoints), now, trial_at, delays=delays, companions=companions
+    )
 
 
 def is_on_trial(request: QuarantinedRequest, now: float) -> bool:
@@ -70,7 +77,9 @@
     failed = request.failed_trials + 1
     delays = request.delays
     trial_at = inf if failed >= len(delays) else now + delays[failed]
-    return QuarantinedRequest(endpoints, now, trial_at, failed, delays)
+    return request._replace(
+        endpoints=endpoints, since=now, trial_at=trial_at, failed_trials=failed
+    )
 
 
 def retry_delay(request: QuarantinedRequest, now: float, without_trial: float) -> float:
--- a/libs/relay/src/clementinebend_relay/quarantine/verdicts.py
+++ b/libs/relay/src/clementinebend_relay/quarantine/verdicts.py
@@ -1,6 +1,7 @@
 """Decides which subjects are fatal, once all entries' reports can have arrived."""
 
 from collections.abc import Callable
+from math import ceil
 from random import random
 
 from clementinebend_relay.quarantine.evidence import EvidenceTable
@@ -17,6 +18,9 @@
 """The same delay if another subject shares enough of the ends to be the cause. Its
 report of the last end may have to be repeated, or its proof is the next boot."""
 
+MAX_DEFERRED_ENDS = 10
+"""Ends after which a part no longer waits for the decision about another one."""
+
 DECISION_JITTER = 0.1
 """Maximum random addition to that delay in seconds: the first entry to decide informs
 the others."""
@@ -79,16 +83,34 @@
     def is_fatal(self, subject: str) -> bool:
         """Return whether a subject crashes endpoints.
 
-        A part explains ends better than one that more runs had.
+        A part explains ends better than one that more runs had, which waits for the
+        decision about it.
         """
         table = self.table(subject)
         if not table.get(subject):
             return False
         if not is_part(subject):
             return table.is_fatal(subject)
+        if self._has_narrower_suspect(subject):
+            return False
         begun = self.runs.begun
         return table.is_fatal(subject, lambda other: begun[other] <= begun[subject])
 
+    def _has_narrower_suspect(self, part: str) -> bool:
+        """Return whether a suspect that fewer runs had was at half of a part's ends."""
+        ends = len(self.parts.get(part))
+        if ends >= MAX_DEFERRED_ENDS:
+            return False
+        sharing = self.parts.sharing(part, ceil(ends / 2))
+        suspects = filter(self.parts.is_suspected, sharing)
+        return any(self.runs.begun[name] < self.runs.begun[part] for name in suspects)
+
+    def companions(self, part: str) -> frozenset[str]:
+        """Return the parts that fewer runs had and that were at an end of a part."""
+        begun = self.runs.begun
+        sharing = self.parts.sharing(part, 1)
+        return frozenset(name for name in sharing if begun[name] < begun[part])
+
     def _candidates(self, table: EvidenceTable) -> list[str]:
         return [
             name
