Hold the end of an answer without length or chunks against nobody

Such an answer stayed in doubt for 3 s if its endpoint was idle after it; if the endpoint ended within that time, the request and its parts, answered before, were evidence. Now a connection is tried first, and only a refused one begins a check. Damaged and forged reports of parts are part of the fuzzed datagrams now.

--- a/libs/relay/src/clementinebend_relay/quarantine/state.py
+++ b/libs/relay/src/clementinebend_relay/quarantine/state.py
@@ -80,7 +80,9 @@
         self.is_trial_entry: Callable[[str], bool] = lambda subject: True
         self.on_lift: Callable[[str], None] | None = None
 
-    def refusal(self, fingerprint: str, parts: Iterable[str] = ()) -> Rejection | None:
+    def refusal(
+        self, fingerprint: str, parts: Collection[str] = ()
+    ) -> Rejection | None:
         """Return the rejection of a quarantined request or part, None for others.
 
         None as well for a trial run, of which this entry has one at a time.
@@ -101,7 +103,7 @@
         later = (each for each in known if self.quarantined[each].since > since)
         return next(map(self.rejection, later), None)
 
-    def _is_refused(self, subject: str, parts: Iterable[str]) -> bool:
+    def _is_refused(self, subject: str, parts: Collection[str]) -> bool:
         """Return whether a call with ``parts`` does not try a quarantined subject."""
         quarantined = self.quarantined[subject]
         if self.runs.in_flight[subject] or not is_on_trial(quarantined, self.clock()):
--- a/libs/relay/src/clementinebend_relay/run_outcomes.py
+++ b/libs/relay/src/clementinebend_relay/run_outcomes.py
@@ -1,6 +1,6 @@
 """What the end of a run, or its going on, says of its request and its endpoint."""
 
-from asyncio import get_running_loop
+from asyncio import Task, create_task, get_running_loop
 from collections.abc import Callable
 from math import inf
 from typing import NamedTuple
@@ -51,6 +51,7 @@
         self.quarantine = news.quarantine
         self.news = news
         self.clock = clock
+        self.tasks: set[Task[None]] = set()
 
     def on_writing(self, progress: CallProgress) -> None:
         """Record that an endpoint has written on a prompt for a while, and lives.
@@ -78,8 +79,8 @@
     def _confirm(self, bare: BareEnd, first_event_at: float | None) -> None:
         """Decide whether an answer whose end proves nothing was whole.
 
-        If its endpoint has been heard well after it, it was. If not, its address tells
-        whether it has ended: what the endpoint sent before may be read later.
+        If its endpoint has been heard well after it, it was: what the endpoint sent
+        before may be read later. If not, only a refused connection tells anything.
         """
         state, admitted = bare.state, bare.admitted
         was_heard = state.heard_at > bare.at + LATE_BYTES_SECONDS
@@ -87,14 +88,24 @@
             for subject in (admitted.fingerprint, *admitted.part_subjects):
                 self.news.on_sound(subject)
             return
-        self.dispatcher.ends.on_broken(
-            state,
-            admitted.fingerprint,
-            bare.sent_at,
-            first_event_at,
-            admitted.part_subjects,
-            bare.at,
-        )
+        task = create_task(self._look_at_address(bare, first_event_at))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _look_at_address(
+        self, bare: BareEnd, first_event_at: float | None
+    ) -> None:
+        """Count a bare answer as broken if nobody listens at its endpoint's address."""
+        state, admitted = bare.state, bare.admitted
+        if await self.dispatcher.ends.is_refused(state.endpoint):
+            self.dispatcher.ends.on_broken(
+                state,
+                admitted.fingerprint,
+                bare.sent_at,
+                first_event_at,
+                admitted.part_subjects,
+                bare.at,
+            )
 
     def on_whole(self, progress: CallProgress, state: EndpointState) -> None:
         """Record that an endpoint has completed an answer.
--- a/tests/unit/relay/test_message_fuzz.py
+++ b/tests/unit/relay/test_message_fuzz.py
@@ -25,6 +25,7 @@
     QuarantineMessage,
     ReadMessage,
     RemainingBudget,
+    ReportedPart,
     ReportedRun,
     ReportMessage,
     SentMessage,
@@ -46,6 +47,7 @@
 names = st.sampled_from(["entry-1#2", "entry-7#9", "", "x" * 300])
 numbers = st.integers(-(2**40), 2**40)
 fingerprints = st.sampled_from(["a" * 24, "b" * 24, "", "x" * 300])
+part_names = st.sampled_from(["part-aa", "part-~", "aa", "part-" + "x" * 300])
 parts = st.lists(st.builds(PromptPart, names, numbers), max_size=4).map(tuple)
 messages = st.one_of(
     st.builds(LeavingMessage, names),
@@ -95,6 +97,10 @@
         st.lists(st.builds(ReportedRun, fingerprints, st.floats()), max_size=4).map(
             tuple
         ),
+        st.just(()),
+        st.lists(
+            st.builds(ReportedPart, part_names, fingerprints, st.floats()), max_size=4
+        ).map(tuple),
     ),
     st.builds(QuarantineMessage, names, fingerprints, st.tuples(names, names)),
     st.builds(SoundMessage, names, fingerprints),
@@ -118,7 +124,13 @@
         TransferMessage(
             "a#1", "b#1", TEAM, Transfer(1, 5), True, RemainingBudget(1, 2)
         ),
-        EndpointEndedMessage("a#1", "e/", 0.5, (ReportedRun("a" * 24, 0.7),)),
+        EndpointEndedMessage(
+            "a#1",
+            "e/",
+            0.5,
+            (ReportedRun("a" * 24, 0.7),),
+            parts=(ReportedPart("part-aa", "a" * 24, 0.7),),
+        ),
         QuarantineMessage("a#1", "a" * 24, ("e/",)),
         SoundMessage("a#1", "a" * 24),
         EndpointLeavingMessage("a#1", "e/"),
