--- a/tests/unit/relay/crash_world.py
+++ b/tests/unit/relay/crash_world.py
@@ -192,6 +192,16 @@
         for process in self.entries:
             process.entries.put(name, item)
 
+    def add_entry(self) -> None:
+        """Start another entry, of which all learn."""
+        number = len(self.entries)
+        name = f"edge-{number}"
+        item = Announcement(f"{name}#1", "z", "10.1.0.1", number)
+        self.announcements[name] = item
+        self.entries.append(self.start_entry(name))
+        for process in self.entries:
+            process.entries.put(name, item)
+
     def version_at(self, address: Address) -> str:
         """Return the version of the software of endpoints that start at an address."""
         return "v1"
--- a/tests/unit/relay/part_world.py
+++ b/tests/unit/relay/part_world.py
@@ -47,7 +47,8 @@
     ``sound`` sound ones are sent. ``kills`` endpoints are killed ``gap`` apart, where
     the newest call went; with ``zone`` so many endpoints end together after 3 s. At
     ``restart_at`` the first entries, ``restarted`` of them, are killed and start anew.
-    With ``is_bare`` streams have neither length nor chunks.
+    At ``added_at`` another entry starts. With ``is_bare`` streams have neither length
+    nor chunks.
     """
 
     work: Work = READS
@@ -62,6 +63,7 @@
     zone: int = 0
     restart_at: float | None = None
     restarted: int = 1
+    added_at: float | None = None
     store_away: bool = False
     is_bare: bool = False
 
@@ -134,6 +136,8 @@
             world.start(self._lose_zone())
         if scenario.restart_at is not None:
             world.start(self._restart(scenario.restart_at))
+        if scenario.added_at is not None:
+            world.start(self._add(scenario.added_at))
         await self._send()
         await gather(*self.fatal, *self.sound, return_exceptions=True)
         result = self._result()
@@ -175,9 +179,14 @@
 
     async def _restart(self, at: float) -> None:
         await sleep(at)
-        for number in range(self.scenario.restarted):
+        entries = len(self.world.entries)
+        for number in range(min(entries, self.scenario.restarted)):
             self.world.restart_entry(number)
 
+    async def _add(self, at: float) -> None:
+        await sleep(at)
+        self.world.add_entry()
+
     def _result(self) -> PartResult:
         world = self.world
         ends = [each.at for each in world.ends if (each.cause or b"")[:1] == b"f"]
--- a/tests/unit/relay/test_fatal_parts.py
+++ b/tests/unit/relay/test_fatal_parts.py
@@ -11,6 +11,7 @@
 )
 
 SIZES = (3, 30)
+LOSS = 0.3
 SEEDS = (1, 2, 3)
 MIN_SOUND_SHARE = 0.5
 """Share of the sound requests that the rule asks for."""
@@ -29,7 +30,12 @@
     "one a second": PartScenario(rate=1.0, seconds=25.0),
     "two parts": PartScenario(parts=2),
     "an entry restarts": PartScenario(restart_at=1.5),
-    "all entries restart": PartScenario(restart_at=4.0, restarted=3),
+    "all entries restart": PartScenario(restart_at=4.0, restarted=400),
+    "all entries restart early": PartScenario(restart_at=0.5, restarted=400),
+    "an entry is added": PartScenario(added_at=1.5),
+    "bare streams": PartScenario(Work(fatal_way="event"), is_bare=True),
+    "the store is away": PartScenario(store_away=True),
+    "datagrams are lost": PartScenario(),
 }
 
 HARMLESS = {
@@ -43,7 +49,8 @@
 @pytest.mark.parametrize("entries", SIZES)
 @pytest.mark.parametrize("name", SCENARIOS)
 def test_a_fatal_part_reaches_few_endpoints(name: str, entries: int) -> None:
-    result = run_parts(SCENARIOS[name], entries)
+    loss = LOSS if name == "datagrams are lost" else 0.0
+    result = run_parts(SCENARIOS[name], entries, loss=loss)
     assert result.later <= ALLOWED_LATER
     assert result.sound_begun >= MIN_SOUND_SHARE * result.sound_sent
 
