Write the settings of programs in one step in tests and the launcher

What was seen: test_racing_operators_have_one_winner_that_is_in_force_everywhere failed once beside other tests: one of four commands ended with 2 instead of 3. Cause: each command wrote the operator's settings anew while another one read them: "log_url is missing".

--- a/libs/bench/src/clementinebend_bench/launcher/fleet_files.py
+++ b/libs/bench/src/clementinebend_bench/launcher/fleet_files.py
@@ -146,9 +146,13 @@
 
 
 def write_yaml(path: Path, content: Mapping[str, Any]) -> Path:
-    """Write a YAML file and return its path."""
-    path.write_text(safe_dump(dict(content), sort_keys=False))
-    return path
+    """Write a YAML file and return its path.
+
+    A program that reads it meanwhile finds the old or the new content, never a part.
+    """
+    written = path.with_name(f"{path.name}.new")
+    written.write_text(safe_dump(dict(content), sort_keys=False))
+    return written.replace(path)
 
 
 def _endpoint_places(
