Kill all entry programs that a test has started, also replaced ones

Seen: one entry program of test_an_order_to_reload_ends_no_program ran on after the functional tests: restart_entry forgets the program before. It goes on reading from its store's address, which the system may give to another test's stand-in.

--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -109,6 +109,7 @@
         self.store = StoreStandin()
         self.client = HttpClient()
         self.entries: list[Entry] = []
+        self.programs: list[Process] = []
         self.engines: list[EngineStandin] = []
         self.version = 0
         self.cold_per_s = 0.0
@@ -136,12 +137,12 @@
             await self.add_entry(f"edge-{number}", f"z{number}")
 
     async def stop(self) -> None:
-        """Kill what still runs."""
+        """Kill all programs that still run, also those that others have replaced."""
         await self.client.close()
-        for entry in self.entries:
+        for program in self.programs:
             with suppress(ProcessLookupError):
-                entry.process.kill()
-            await entry.process.wait()
+                program.kill()
+            await program.wait()
         for engine in self.engines:
             await engine.stop()
         await self.store.stop()
@@ -265,6 +266,7 @@
                 stdout=file,
                 stderr=subprocess.STDOUT,
             )
+        self.programs.append(process)
         return Entry(name, ports[0], ports[1], ports[3], process, output)
 
     async def is_ready(self, entry: Entry) -> bool:
