Test that a part that turns fatal reaches few endpoints (known red)

Endpoints do not end under the parts for 4 s, as before a release of their software. Cause: an entry that was told that a part runs well tells so for 3 s itself, with each end that is reported, so that entries keep it for sound with no good run at all.

--- a/tests/unit/relay/part_world.py
+++ b/tests/unit/relay/part_world.py
@@ -48,7 +48,7 @@
     the newest call went; with ``zone`` so many endpoints end together after 3 s. At
     ``restart_at`` the first entries, ``restarted`` of them, are killed and start anew.
     At ``added_at`` another entry starts. With ``is_bare`` streams have neither length
-    nor chunks.
+    nor chunks. Until ``fatal_from`` endpoints do not end under the parts.
     """
 
     work: Work = READS
@@ -66,6 +66,7 @@
     added_at: float | None = None
     store_away: bool = False
     is_bare: bool = False
+    fatal_from: float = 0.0
 
 
 class PartResult(NamedTuple):
@@ -96,9 +97,16 @@
 
     fatal_work = READS
 
-    def __init__(self, *arguments: Any, is_bare: bool = False, **named: Any) -> None:
+    def __init__(
+        self,
+        *arguments: Any,
+        is_bare: bool = False,
+        fatal_from: float = 0.0,
+        **named: Any,
+    ) -> None:
         self.is_bare = is_bare
         super().__init__(*arguments, **named)
+        self.fatal_at = self.clock() + fatal_from
 
     def _start_endpoint(self, address: Address) -> CrashingEndpoint:
         endpoint = super()._start_endpoint(address)
@@ -107,7 +115,8 @@
 
     def work_of(self, body: bytes) -> Work:
         """Return what endpoints do for a request."""
-        return self.fatal_work if body.startswith(FATAL_PREFIX) else self.work
+        is_fatal = body.startswith(FATAL_PREFIX) and self.clock() >= self.fatal_at
+        return self.fatal_work if is_fatal else self.work
 
 
 class PartRun:
@@ -118,7 +127,11 @@
     ) -> None:
         self.scenario = scenario
         self.world = PartWorld(
-            entries, number=number, loss=loss, is_bare=scenario.is_bare
+            entries,
+            number=number,
+            loss=loss,
+            is_bare=scenario.is_bare,
+            fatal_from=scenario.fatal_from,
         )
         self.world.fatal_work = scenario.work
         if scenario.store_away:
--- a/tests/unit/relay/test_fatal_parts.py
+++ b/tests/unit/relay/test_fatal_parts.py
@@ -36,6 +36,9 @@
     "bare streams": PartScenario(Work(fatal_way="event"), is_bare=True),
     "the store is away": PartScenario(store_away=True),
     "datagrams are lost": PartScenario(),
+    "turns fatal": PartScenario(fatal_from=4.0, seconds=20.0),
+    "turns fatal, 12 a second": PartScenario(fatal_from=4.0, seconds=20.0, rate=12.0),
+    "turns fatal, plain": PartScenario(fatal_from=4.0, seconds=20.0, kind="safe"),
 }
 
 HARMLESS = {
