--- a/libs/relay/src/clementinebend_relay/process.py
+++ b/libs/relay/src/clementinebend_relay/process.py
@@ -158,7 +158,11 @@
                 "gateways", logs.gateways, self.gateways, clock, DIRECTORY_MAX_DELAY
             ),
             PartitionReader(
-                "quarantine", logs.quarantine, self.sync, clock, DIRECTORY_MAX_DELAY
+                "quarantine",
+                logs.quarantine,
+                self.sync.records,
+                clock,
+                DIRECTORY_MAX_DELAY,
             ),
         )
         self.budgets.is_store_lost = lambda: any(
@@ -220,7 +224,7 @@
             announce(self.logs.entries, self.settings.name, own),
             self.peers.watch(),
             self.witnesses.run(),
-            self.sync.run(),
+            self.sync.records.run(),
             self.evacuations.ask_while(self.operator_reader.is_lost),
             self.paths.run(self.probe),
         ]
--- a/tests/unit/relay/crash_world.py
+++ b/tests/unit/relay/crash_world.py
@@ -176,7 +176,7 @@
         process = super().start_entry(name)
         process.dispatcher.ends.is_refused = self._is_refused
         reader = process.readers[-1]
-        tasks = (create_task(process.sync.run()), create_task(reader.run()))
+        tasks = (create_task(process.sync.records.run()), create_task(reader.run()))
         self.entry_tasks[name] = set(tasks)
         return process
 
--- a/tests/unit/relay/quarantine_world.py
+++ b/tests/unit/relay/quarantine_world.py
@@ -43,10 +43,10 @@
             self.boot, self.quarantine, self.directory, log, world.send_all, clock
         )
         reader = PartitionReader(
-            "quarantine", log, self.sync, clock, DIRECTORY_MAX_DELAY
+            "quarantine", log, self.sync.records, clock, DIRECTORY_MAX_DELAY
         )
         self.tasks: list[Task[None]] = [
-            create_task(self.sync.run()),
+            create_task(self.sync.records.run()),
             create_task(reader.run()),
         ]
 
--- a/tests/unit/relay/test_part_verdicts.py
+++ b/tests/unit/relay/test_part_verdicts.py
@@ -24,7 +24,7 @@
 from clementinebend_relay.models import Reason, boot_name
 from clementinebend_relay.quarantine.end_detector import EndedRun
 from clementinebend_relay.quarantine.evidence import MAX_SUSPECTS, SOUND_SECONDS
-from clementinebend_relay.quarantine.news import MAX_PARTS_PER_MESSAGE
+from clementinebend_relay.quarantine.part_reports import MAX_PARTS_PER_MESSAGE
 from clementinebend_relay.quarantine.state import QUARANTINE_RETRY_DELAY
 from clementinebend_relay.quarantine.subjects import (
     is_part,
@@ -334,7 +334,7 @@
     async def scenario(world: PartWorld) -> None:
         await quarantine(world)
         await sleep(SPREAD_SECONDS)
-        log = world.all()[0].sync.log
+        log = world.all()[0].sync.records.log
         await log.append(((PART, b""),), None)
         await sleep(2 * SPREAD_SECONDS + 1.0)
         assert not any(PART in entry.quarantine.quarantined for entry in world.all())
--- a/tests/unit/relay/test_quarantine.py
+++ b/tests/unit/relay/test_quarantine.py
@@ -129,7 +129,7 @@
             await sleep(PAUSE)
         await sleep(SPREAD_SECONDS)
         assert not any(entry.is_quarantined(HARMLESS) for entry in world.all())
-        assert all(not entry.sync.recorded for entry in world.all())
+        assert all(not entry.sync.records.recorded for entry in world.all())
         world.end()
 
     run_virtually(main())
