Tell with its age that a part ran well, so that a part that turns fatal is refused

Callers saw (virtual time): a part that ran well for 4 s and then turned fatal was never refused: 52 to 106 endpoints ended at 3 entries, 21 to 38 at 30, up to 144 requests later than 3 s after the fifth end, and sound requests were refused. Cause: an entry that is told of a good run held the part for sound for 3 s from then on, and told the others so itself with each end that was reported, so that it never ended. Change: a good run of a part is told with its age (older builds read none); ends that are reported more than 1 s after it are evidence, earlier evidence only is dropped, and a quarantine is lifted only by a good run since its first end.

--- a/libs/relay/src/clementinebend_relay/messages.py
+++ b/libs/relay/src/clementinebend_relay/messages.py
@@ -266,10 +266,14 @@
 
 
 class SoundMessage(Struct, tag="sound", array_like=True):
-    """A request, or one with a part, ran well: it is no longer suspected."""
+    """A request, or one with a part, ran well: it is no longer suspected.
+
+    A part ran well ``ago`` seconds ago; older builds send no age and read none.
+    """
 
     boot: str
     fingerprint: str
+    ago: float = 0.0
 
 
 FatalityMessage = EndpointEndedMessage | QuarantineMessage | SoundMessage
--- a/libs/relay/src/clementinebend_relay/quarantine/evidence.py
+++ b/libs/relay/src/clementinebend_relay/quarantine/evidence.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Callable, Iterable, Iterator
 from itertools import islice
+from typing import NamedTuple
 
 from clementinebend_relay.quarantine.history import RunHistory
-from clementinebend_relay.quarantine.subjects import SubjectRules
 from clementinebend_routing.fatal_runs import (
+    MIN_PART_REQUESTS,
     Evidence,
     FatalRun,
     endpoints_of,
@@ -20,6 +21,10 @@
 """Seconds after a complete answer during which ends are not held against its request:
 the report of an earlier end may arrive that much later than the answer."""
 
+PART_GRACE_SECONDS = 1.0
+"""The same for a part of prompts. Shorter, as a part may turn fatal while many requests
+have it, and ends under a part are proved sooner."""
+
 MAX_SUSPECTS = 2_000
 MAX_SOUND = 5_000
 """Maximum numbers of suspected and of cleared requests kept, about 1 MB in total."""
@@ -30,6 +35,22 @@
 displace those that ended several."""
 
 
+class SubjectRules(NamedTuple):
+    """How subjects of one kind are judged.
+
+    ``min_requests`` is the number of different requests whose ends make up evidence.
+    Ends that are reported within ``grace_seconds`` after a good run are no evidence.
+    """
+
+    kind: str
+    min_requests: int
+    grace_seconds: float
+
+
+REQUEST_RULES = SubjectRules("request", 1, SOUND_SECONDS)
+PART_RULES = SubjectRules("part", MIN_PART_REQUESTS, PART_GRACE_SECONDS)
+
+
 class EvidenceTable:
     """Evidence of this entry against subjects of one kind.
 
@@ -109,10 +130,15 @@
         if len(self.sound_at) > MAX_SOUND:
             del self.sound_at[next(iter(self.sound_at))]
 
+    def since(self, subject: str, at: float) -> Evidence:
+        """Return the runs whose endpoints ended well after a good run at some time."""
+        later = at + self.rules.grace_seconds
+        return tuple(run for run in self.get(subject) if run.ended_at > later)
+
     def is_sound(self, subject: str) -> bool:
         """Return whether a subject was recently answered completely, or cleared."""
         at = self.sound_at.get(subject)
-        return at is not None and self.clock() - at < SOUND_SECONDS
+        return at is not None and self.clock() - at < self.rules.grace_seconds
 
     def _evict(self) -> None:
         """Evict the suspect with the least evidence among the oldest, if too many."""
--- a/libs/relay/src/clementinebend_relay/quarantine/news.py
+++ b/libs/relay/src/clementinebend_relay/quarantine/news.py
@@ -121,8 +121,13 @@
             case QuarantineMessage():
                 self._apply_quarantine(message)
             case SoundMessage() if is_valid_subject(message.fingerprint):
-                self.part_reports.cancel_objection(message.fingerprint)
-                self.quarantine.clear(message.fingerprint, "it ran well elsewhere")
+                self._apply_sound(message)
+
+    def _apply_sound(self, message: SoundMessage) -> None:
+        if is_part(message.fingerprint):
+            self.part_reports.on_sound(message)
+        else:
+            self.quarantine.clear(message.fingerprint, "it ran well elsewhere")
 
     def _apply_end(self, message: EndpointEndedMessage) -> None:
         is_valid_name = len(message.endpoint) <= MAX_NAME_LENGTH
@@ -192,7 +197,11 @@
         self._schedule_decision()
 
     def _broadcast_sound(self, subject: str) -> None:
-        self._broadcast(lambda: SoundMessage(self.boot, subject))
+        def message() -> Message:
+            ago = self.clock() - self.quarantine.good_run_at(subject)
+            return SoundMessage(self.boot, subject, ago)
+
+        self._broadcast(message)
 
     def _broadcast_quarantine(self, fingerprint: str) -> None:
         def message() -> Message | None:
--- a/libs/relay/src/clementinebend_relay/quarantine/part_reports.py
+++ b/libs/relay/src/clementinebend_relay/quarantine/part_reports.py
@@ -4,10 +4,15 @@
 from collections.abc import Callable
 from random import random
 
-from clementinebend_relay.messages import EndpointEndedMessage, Message, ReportedPart
+from clementinebend_relay.messages import (
+    EndpointEndedMessage,
+    Message,
+    ReportedPart,
+    SoundMessage,
+)
 from clementinebend_relay.models import Endpoint, boot_name
 from clementinebend_relay.quarantine.end_detector import EndedRun
-from clementinebend_relay.quarantine.state import Quarantine
+from clementinebend_relay.quarantine.state import REPORT_SKEW_SECONDS, Quarantine
 from clementinebend_relay.quarantine.subjects import is_part, is_valid_subject
 from clementinebend_routing.fatal_runs import FatalRun, part_run
 
@@ -22,6 +27,9 @@
 """Seconds over which entries spread their word that a part has run well, so that the
 first ones spare the others theirs. Shorter than the delay of a decision."""
 
+MAX_GOOD_RUN_AGE = 10.0
+"""Maximum age in seconds of a reported good run; reports of older ones are ignored."""
+
 MAX_OBJECTIONS = 1_000
 """Maximum number of objections that are due at once."""
 
@@ -92,10 +100,9 @@
                 self._apply(message, part)
 
     def _apply(self, message: EndpointEndedMessage, reported: ReportedPart) -> None:
-        """Apply a reported end under a part, or object to it."""
+        """Apply a reported end under a part; tell of a recent good run of the part."""
         if self.quarantine.is_sound(reported.part):
             self._object_later(reported.part)
-            return
         now = self.clock()
         run = FatalRun(
             message.endpoint,
@@ -117,8 +124,16 @@
         del self.objections[part]
         self.broadcast_sound(part)
 
-    def cancel_objection(self, subject: str) -> None:
-        """Leave out an objection that another entry has made."""
-        timer = self.objections.pop(subject, None)
+    def on_sound(self, message: SoundMessage) -> None:
+        """Apply a good run of a part at another entry; don't repeat its report."""
+        if not 0.0 <= message.ago <= MAX_GOOD_RUN_AGE:
+            return
+        part, at = message.fingerprint, self.clock() - message.ago
+        if at >= self.quarantine.good_run_at(part) - REPORT_SKEW_SECONDS:
+            self._cancel_objection(part)
+        self.quarantine.on_part_reported_sound(part, at)
+
+    def _cancel_objection(self, part: str) -> None:
+        timer = self.objections.pop(part, None)
         if timer is not None:
             timer.cancel()
--- a/libs/relay/src/clementinebend_relay/quarantine/state.py
+++ b/libs/relay/src/clementinebend_relay/quarantine/state.py
@@ -14,14 +14,15 @@
 from clementinebend_relay.models import Reason, Rejection
 from clementinebend_relay.quarantine.confinement import Confinement
 from clementinebend_relay.quarantine.endpoint_ends import EndpointEnds
-from clementinebend_relay.quarantine.evidence import SOUND_SECONDS, EvidenceTable
-from clementinebend_relay.quarantine.history import GoodRuns
-from clementinebend_relay.quarantine.runs import RunsInProgress
-from clementinebend_relay.quarantine.subjects import (
+from clementinebend_relay.quarantine.evidence import (
     PART_RULES,
     REQUEST_RULES,
-    is_part,
+    SOUND_SECONDS,
+    EvidenceTable,
 )
+from clementinebend_relay.quarantine.history import GoodRuns
+from clementinebend_relay.quarantine.runs import RunsInProgress
+from clementinebend_relay.quarantine.subjects import is_part
 from clementinebend_relay.quarantine.trials import (
     PART_TRIAL_DELAYS,
     TRIAL_DELAYS,
@@ -160,10 +161,18 @@
         return self.verdicts.table(subject).is_sound(subject)
 
     def has_run_well_since(self, subject: str, endpoints: Iterable[str]) -> bool:
-        """Return whether a subject has run well since the first of some ends."""
-        table = self.verdicts.table(subject)
+        """Return whether a subject has run well since the first of some ends.
+
+        Recently, if none of these ends is known.
+        """
         first = min(map(self.ends.known_end, endpoints), default=inf)
-        return table.is_sound(subject) or table.sound_at.get(subject, -inf) > first
+        if first == inf:
+            return self.is_sound(subject)
+        return self.good_run_at(subject) > first
+
+    def good_run_at(self, subject: str) -> float:
+        """Return when a subject last ran well or was cleared, as far as is known."""
+        return self.verdicts.table(subject).sound_at.get(subject, -inf)
 
     def knows_good_runs(self, fingerprint: str) -> bool:
         """Return whether other entries should hear of good runs of a request."""
@@ -203,7 +212,7 @@
         if run.sent_at > run.ended_at + REPORT_SKEW_SECONDS:
             return False
         table = self.verdicts.table(subject)
-        if run.ended_at <= table.sound_at.get(subject, -inf):
+        if run.ended_at <= self.good_run_at(subject):
             return False
         if subject in self.quarantined:
             self._on_end_in_quarantine(subject, run)
@@ -237,13 +246,37 @@
             return False
         return self.clear(subject, "it ran well")
 
-    def clear(self, subject: str, reason: str) -> bool:
+    def on_part_reported_sound(self, part: str, at: float) -> None:
+        """Record that a part ran well at another entry at some time.
+
+        Ends before that are no evidence. A quarantine ends if the part ran well since
+        its first end.
+        """
+        if at <= self.good_run_at(part):
+            return
+        quarantined = self.quarantined.get(part)
+        if quarantined is not None and at <= self._first_end(quarantined):
+            return
+        later = self.parts.since(part, at)
+        if not later:
+            self.clear(part, "it ran well elsewhere", at)
+            return
+        self.parts.set(part, later)
+        self.parts.set_sound(part, at)
+
+    def _first_end(self, quarantined: QuarantinedRequest) -> float:
+        """Return when the first known end under a quarantined subject was."""
+        ends = map(self.ends.known_end, quarantined.endpoints)
+        return min(quarantined.since, min(ends, default=inf))
+
+    def clear(self, subject: str, reason: str, at: float | None = None) -> bool:
         """Remove evidence and quarantine of a subject; return if there was any.
 
-        For ``SOUND_SECONDS`` late reports of other entries are ignored as well.
+        It was cleared ``at`` some time, or now. For some time late reports of other
+        entries are ignored as well.
         """
         table = self.verdicts.table(subject)
-        table.set_sound(subject, self.clock())
+        table.set_sound(subject, self.clock() if at is None else at)
         self.turns.report_due_at.pop(subject, None)
         was_suspected = table.is_suspected(subject)
         evidence = table.pop(subject)
--- a/libs/relay/src/clementinebend_relay/quarantine/subjects.py
+++ b/libs/relay/src/clementinebend_relay/quarantine/subjects.py
@@ -5,10 +5,8 @@
 
 from functools import lru_cache
 from re import compile as pattern
-from typing import NamedTuple
 
 from clementinebend_records.identifiers import KEY_DIGEST_BYTES, digest_of
-from clementinebend_routing.fatal_runs import MIN_PART_REQUESTS
 
 PART_PREFIX = "part-"
 DIGEST_PREFIX = f"{PART_PREFIX}~"
@@ -24,20 +22,6 @@
 """Number of parts whose subjects are kept instead of computed for each call."""
 
 
-class SubjectRules(NamedTuple):
-    """How subjects of one kind are judged.
-
-    ``min_requests`` is the number of different requests whose ends make up evidence.
-    """
-
-    kind: str
-    min_requests: int
-
-
-REQUEST_RULES = SubjectRules("request", 1)
-PART_RULES = SubjectRules("part", MIN_PART_REQUESTS)
-
-
 @lru_cache(MAX_CACHED_SUBJECTS)
 def part_subject(name: str) -> str:
     """Return the subject of a part of a prompt."""
--- a/tests/unit/relay/test_message_fuzz.py
+++ b/tests/unit/relay/test_message_fuzz.py
@@ -103,7 +103,7 @@
         ).map(tuple),
     ),
     st.builds(QuarantineMessage, names, fingerprints, st.tuples(names, names)),
-    st.builds(SoundMessage, names, fingerprints),
+    st.builds(SoundMessage, names, fingerprints, st.floats()),
     st.builds(EndpointLeavingMessage, names, names),
     st.builds(EvacuationMessage, names, names, numbers, st.booleans()),
     st.builds(EvacuationRequestMessage, names),
--- a/tests/unit/relay/test_part_verdicts.py
+++ b/tests/unit/relay/test_part_verdicts.py
@@ -3,7 +3,7 @@
 from asyncio import get_running_loop, sleep
 from collections.abc import Callable, Coroutine
 from itertools import count
-from math import inf
+from math import inf, nan
 from typing import Any
 
 import pytest
@@ -23,7 +23,11 @@
 )
 from clementinebend_relay.models import Reason, boot_name
 from clementinebend_relay.quarantine.end_detector import EndedRun
-from clementinebend_relay.quarantine.evidence import MAX_SUSPECTS, SOUND_SECONDS
+from clementinebend_relay.quarantine.evidence import (
+    MAX_SUSPECTS,
+    PART_GRACE_SECONDS,
+    SOUND_SECONDS,
+)
 from clementinebend_relay.quarantine.part_reports import MAX_PARTS_PER_MESSAGE
 from clementinebend_relay.quarantine.state import QUARANTINE_RETRY_DELAY
 from clementinebend_relay.quarantine.subjects import (
@@ -226,6 +230,63 @@
     play(scenario)
 
 
+def test_an_entry_that_is_told_of_a_good_run_does_not_tell_of_another_one() -> None:
+    """Guards against entries that keep a part for sound which ends endpoints by now."""
+
+    async def scenario(world: PartWorld) -> None:
+        world.end_with((PART,), 0)
+        await sleep(GAP)
+        world.all()[2].sync.on_sound(PART)
+        for number in range(12):
+            await sleep(GAP)
+            world.end_with((PART,), number % 3)
+        await sleep(GAP)
+        assert all(is_refused(entry, PART) for entry in world.all())
+
+    play(scenario)
+
+
+def test_a_good_run_takes_only_earlier_ends_off_a_part() -> None:
+    async def scenario(world: PartWorld) -> None:
+        entry, other = world.all()[0], world.all()[1].boot
+        world.end_with((PART,), 0)
+        await sleep(GAP + PART_GRACE_SECONDS)
+        ended = world.end_with((PART,), 0)
+        entry.sync.on_message(SoundMessage(other, PART, 1.1 * PART_GRACE_SECONDS))
+        evidence = entry.quarantine.parts.get(PART)
+        assert [run.endpoint for run in evidence] == [ended]
+        await quarantine(world)
+        entry.sync.on_message(SoundMessage(other, PART, 4 * GAP))
+        assert is_refused(entry, PART)
+        entry.sync.on_message(SoundMessage(other, PART, GAP / 2))
+        assert not is_refused(entry, PART)
+
+    play(scenario)
+
+
+def test_a_good_run_ends_a_quarantine_of_which_no_end_is_known() -> None:
+    async def scenario(world: PartWorld) -> None:
+        entry, other = world.all()[0], world.all()[1].boot
+        entry.sync.on_message(QuarantineMessage(other, PART, ()))
+        await sleep(GAP)
+        assert is_refused(entry, PART)
+        entry.sync.on_message(SoundMessage(other, PART, GAP / 2))
+        assert not is_refused(entry, PART)
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("ago", [-1.0, 11.0, inf, nan])
+def test_good_runs_at_impossible_times_are_ignored(ago: float) -> None:
+    async def scenario(world: PartWorld) -> None:
+        await quarantine(world)
+        entry, other = world.all()[0], world.all()[1].boot
+        entry.sync.on_message(SoundMessage(other, PART, ago))
+        assert is_refused(entry, PART)
+
+    play(scenario)
+
+
 def test_a_verdict_on_a_part_takes_its_ends_off_all_else() -> None:
     async def scenario(world: PartWorld) -> None:
         bystander = part_subject("bystander")
