--- a/tests/unit/relay/test_part_verdicts.py
+++ b/tests/unit/relay/test_part_verdicts.py
@@ -19,6 +19,7 @@
     ReportedRun,
     RunDetails,
     SoundMessage,
+    decode_message,
     encode_message,
 )
 from clementinebend_relay.models import Reason, boot_name
@@ -445,6 +446,17 @@
     assert older.runs == ()
 
 
+def test_older_builds_read_good_runs_without_an_age() -> None:
+    class OlderMessage(Struct, tag="sound", array_like=True):
+        boot: str
+        fingerprint: str
+
+    data = encode_message(SoundMessage("a#1", PART, 0.5))
+    assert decode(data, type=OlderMessage) == OlderMessage("a#1", PART)
+    older = encode_message(OlderMessage("a#1", PART))  # type: ignore[arg-type]
+    assert decode_message(older) == SoundMessage("a#1", PART, 0.0)
+
+
 def test_reports_fit_into_a_packet() -> None:
     async def scenario(world: PartWorld) -> None:
         names = (f"{'x' * 60}{number}" for number in range(5 * MAX_PARTS_PER_MESSAGE))
