Hold a bare answer against nothing if its endpoint is known to have ended later

Cause: an answer without length or chunks was whole, its endpoint ended 0.2 s later, and as nobody listened at the address 0.25 s after the answer, it was evidence, and dated the end: the fatal run, sent after that, was dropped. Change: it is no evidence if bytes came after it, or if another entry has reported a later end, for which it waits 0.05 s more. Both new tests fail before.

--- a/libs/relay/src/clementinebend_relay/run_outcomes.py
+++ b/libs/relay/src/clementinebend_relay/run_outcomes.py
@@ -1,6 +1,6 @@
 """What the end of a run, or its going on, says of its request and its endpoint."""
 
-from asyncio import Task, create_task, get_running_loop
+from asyncio import Task, create_task, get_running_loop, sleep
 from collections.abc import Callable
 from math import inf
 from typing import NamedTuple
@@ -24,6 +24,9 @@
 """Seconds after the end of an answer without length or chunks in which other bytes of
 its endpoint show that this has not ended with it."""
 
+REPORT_SECONDS = 0.05
+"""Seconds to wait for other entries' reports of an end that a refused connection
+shows: they tell when it was."""
 
 LATE_BYTES_SECONDS = 0.1
 """Seconds after the end of an endpoint in which bytes that it sent before are read."""
@@ -80,13 +83,14 @@
         """Decide whether an answer whose end proves nothing was whole.
 
         If its endpoint has been heard well after it, it was: what the endpoint sent
-        before may be read later. If not, only a refused connection tells anything.
+        before may be read later. That proves nothing if the endpoint has ended since.
+        If it was not heard, only a refused connection tells anything.
         """
         state, admitted = bare.state, bare.admitted
-        was_heard = state.heard_at > bare.at + LATE_BYTES_SECONDS
-        if was_heard and not self._may_have_ended(boot_name(state.endpoint)):
-            for subject in (admitted.fingerprint, *admitted.part_subjects):
-                self.news.on_sound(subject)
+        if state.heard_at > bare.at + LATE_BYTES_SECONDS:
+            if not self._may_have_ended(boot_name(state.endpoint)):
+                for subject in (admitted.fingerprint, *admitted.part_subjects):
+                    self.news.on_sound(subject)
             return
         task = create_task(self._look_at_address(bare, first_event_at))
         self.tasks.add(task)
@@ -95,9 +99,16 @@
     async def _look_at_address(
         self, bare: BareEnd, first_event_at: float | None
     ) -> None:
-        """Count a bare answer as broken if nobody listens at its endpoint's address."""
+        """Count a bare answer as broken if nobody listens at its endpoint's address.
+
+        It was whole if the endpoint is known to have ended later.
+        """
         state, admitted = bare.state, bare.admitted
-        if await self.dispatcher.ends.is_refused(state.endpoint):
+        if not await self.dispatcher.ends.is_refused(state.endpoint):
+            return
+        await sleep(REPORT_SECONDS)
+        known_end = self.quarantine.ends.known_end(boot_name(state.endpoint))
+        if known_end == inf or known_end <= bare.at + LATE_BYTES_SECONDS:
             self.dispatcher.ends.on_broken(
                 state,
                 admitted.fingerprint,
--- a/tests/unit/relay/test_run_outcomes.py
+++ b/tests/unit/relay/test_run_outcomes.py
@@ -33,7 +33,7 @@
         self.state = EndpointState(endpoint, clock())
         self.evidence: list[EndedRun] = []
         self.sound: list[str] = []
-        quarantine = Quarantine(clock)
+        self.quarantine = quarantine = Quarantine(clock)
 
         async def look(_: Endpoint) -> bool:
             return is_refused
@@ -90,3 +90,25 @@
     rig.ends.on_gone(rig.state.endpoint)
     assert not rig.evidence
     assert not rig.sound
+
+
+async def test_a_bare_answer_is_no_evidence_if_its_endpoint_ended_later() -> None:
+    """Guards against an end that is dated before its cause was sent."""
+    rig = OutcomeRig(is_refused=True)
+    rig.end_bare()
+    await sleep(BARE_END_SECONDS)
+    rig.quarantine.ends.on_ended(boot_name(rig.state.endpoint), rig.clock())
+    await sleep(LOOKED_SECONDS)
+    assert not rig.evidence
+    assert not rig.sound
+
+
+async def test_a_bare_answer_is_no_evidence_if_bytes_came_after_it() -> None:
+    rig = OutcomeRig(is_refused=True)
+    rig.end_bare()
+    await sleep(BARE_END_SECONDS * 0.8)
+    rig.state.on_heard(rig.clock())
+    rig.quarantine.ends.on_ended(boot_name(rig.state.endpoint), rig.clock())
+    await sleep(BARE_END_SECONDS + LOOKED_SECONDS)
+    assert not rig.evidence
+    assert not rig.sound
