Leave the decision between two parts to entries that ran one of them

Cause of the same failure: parts that share ends are told apart by how many runs had them; an entry that ran neither judged by the evidence alone, in which part-aa had one end more, and its verdict reached all others. The new test fails before.

--- a/libs/relay/src/clementinebend_relay/quarantine/verdicts.py
+++ b/libs/relay/src/clementinebend_relay/quarantine/verdicts.py
@@ -97,13 +97,17 @@
         return table.is_fatal(subject, lambda other: begun[other] <= begun[subject])
 
     def _has_narrower_suspect(self, part: str) -> bool:
-        """Return whether a suspect that fewer runs had was at half of a part's ends."""
+        """Return whether a suspect that fewer runs had was at half of a part's ends.
+
+        An entry that ran neither can't tell, and leaves the decision to others.
+        """
         ends = len(self.parts.get(part))
         if ends >= MAX_DEFERRED_ENDS:
             return False
         sharing = self.parts.sharing(part, ceil(ends / 2))
         suspects = filter(self.parts.is_suspected, sharing)
-        return any(self.runs.begun[name] < self.runs.begun[part] for name in suspects)
+        fewer_than = max(1, self.runs.begun[part])
+        return any(self.runs.begun[name] < fewer_than for name in suspects)
 
     def companions(self, part: str) -> frozenset[str]:
         """Return the parts that fewer runs had and that were at an end of a part."""
--- a/tests/unit/relay/test_part_verdicts.py
+++ b/tests/unit/relay/test_part_verdicts.py
@@ -336,6 +336,28 @@
     play(scenario)
 
 
+def test_an_entry_that_ran_neither_part_leaves_the_decision_to_others() -> None:
+    """Guards against a part that all share and of which an entry knows one end more."""
+
+    async def scenario(world: PartWorld) -> None:
+        for entry in world.all()[:2]:
+            for other in (PART, "part-m1", "part-m2"):
+                with entry.quarantine.runs.running("e" * 24, SHARED, other):
+                    pass
+        judging = world.all()[2].quarantine
+        judging.parts.add(SHARED, FatalRun("i-99/", -1.1, -1.0, request="d" * 24))
+        for number in range(3):
+            world.end_with((SHARED, PART), number % 2)
+            await sleep(GAP if number < 2 else GAP / 10)
+        assert len(judging.parts.get(SHARED)) > len(judging.parts.get(PART))
+        assert not judging.verdicts.is_fatal(SHARED)
+        await sleep(GAP)
+        assert all(is_refused(entry, PART) for entry in world.all())
+        assert not any(is_refused(entry, SHARED) for entry in world.all())
+
+    play(scenario)
+
+
 def test_a_part_is_tried_without_those_that_were_at_its_ends() -> None:
     """Guards against a trial that ends its endpoint under another part."""
 
