Hold idle connections to a longer idle limit as soon as it is configured

What callers saw: a connection that they reused by the configured idle limit had been closed by the shorter one before.

Cause: the limit was read once, before the wait for the next request.

Change: the reader asks for the limit again when the wait ends. A planned stop is one of the cases now, so that the limit is decided in one place.

Evidence: a connection idle for 0.4 s, the limit raised from 0.2 s to 4 s meanwhile. Before: closed. After: answered.

Tests: tests/unit/transport whole, passed; the new one failed before.

--- a/libs/transport/src/clementinebend_transport/http_connection.py
+++ b/libs/transport/src/clementinebend_transport/http_connection.py
@@ -78,7 +78,6 @@
         self.limits = limits
         self.parser = Parser(SERVER, max_incomplete_event_size=limits.max_header_bytes)
         self.reader = RequestReader(channel, self.parser, limits)
-        self.idle_limit = min(limits.idle_timeout, limits.header_timeout)
         self.request: Request | None = None
         """The request that is being answered."""
         self.slices: deque[bytes] = deque()
@@ -116,16 +115,23 @@
         return self.idle_since <= idle_since and not self.channel.has_arrivals()
 
     def change_limits(self, limits: ServerLimits) -> None:
-        """Hold the next request to ``limits``."""
+        """Hold the next request, and the wait for it, to ``limits``."""
         self.limits = limits
         self.reader.limits = limits
 
+    def _idle_limit(self) -> float:
+        """Return for how many seconds the caller may send nothing between requests."""
+        if self.is_draining:
+            return DRAIN_GRACE_SECONDS
+        if self.idle_since == inf:
+            return min(self.limits.idle_timeout, self.limits.header_timeout)
+        return self.limits.idle_timeout
+
     async def serve(self, task: Task[None]) -> None:
         """Answer requests until the connection ends; ``task`` runs this."""
         try:
             while await self._serve_one(task):
                 self.parser.start_next_cycle()
-                self.idle_limit = self.limits.idle_timeout
                 self.idle_since = get_running_loop().time()
                 await sleep(0)  # pipelined requests take turns with other tasks
             if self.is_last and not self.channel.ended:
@@ -138,8 +144,7 @@
 
     async def _serve_one(self, task: Task[None]) -> bool:
         """Answer the next request; return whether another may follow."""
-        idle_limit = DRAIN_GRACE_SECONDS if self.is_draining else self.idle_limit
-        request = await self.reader.read(idle_limit)
+        request = await self.reader.read(self._idle_limit)
         if isinstance(request, ConnectionEnd):
             return False
         if isinstance(request, Refusal):
--- a/libs/transport/src/clementinebend_transport/http_reader.py
+++ b/libs/transport/src/clementinebend_transport/http_reader.py
@@ -4,7 +4,7 @@
 """
 
 from asyncio import get_running_loop
-from contextlib import suppress
+from collections.abc import Callable
 from typing import NamedTuple
 
 from h11 import Connection as Parser
@@ -41,8 +41,13 @@
         self.limits = limits
         self.is_idle = True
 
-    async def read(self, idle_limit: float) -> Request | Refusal | ConnectionEnd:
-        """Return the next request, if it begins within ``idle_limit`` seconds."""
+    async def read(
+        self, idle_limit: Callable[[], float]
+    ) -> Request | Refusal | ConnectionEnd:
+        """Return the next request, if it begins within ``idle_limit`` seconds.
+
+        The limit may change while nothing comes.
+        """
         if not await self._wait_for_first_byte(idle_limit):
             return ConnectionEnd()
         try:
@@ -54,14 +59,25 @@
                 return ConnectionEnd()
             return Refusal(error.error_status_hint, str(error))
 
-    async def _wait_for_first_byte(self, idle_limit: float) -> bool:
+    async def _wait_for_first_byte(self, idle_limit: Callable[[], float]) -> bool:
+        if self.parser.trailing_data[0]:
+            return True
         self.is_idle = True
-        with suppress(TimeoutError):
-            if not self.parser.trailing_data[0]:
-                until = self._until(idle_limit)
-                self.parser.receive_data(await self.channel.read(until))
+        data = await self._read_first_bytes(idle_limit)
         self.is_idle = False
-        return bool(self.parser.trailing_data[0])
+        self.parser.receive_data(data)
+        return bool(data)
+
+    async def _read_first_bytes(self, idle_limit: Callable[[], float]) -> bytes:
+        """Return the first bytes of a request; none at the end or the idle limit."""
+        clock = get_running_loop().time
+        since = clock()
+        while (until := since + idle_limit()) > clock() or self.channel.received:
+            try:
+                return await self.channel.read(until)
+            except TimeoutError:
+                continue
+        return b""
 
     async def _read_parts(self) -> Request | Refusal | ConnectionEnd:
         try:
--- a/tests/unit/transport/test_late_event_loop.py
+++ b/tests/unit/transport/test_late_event_loop.py
@@ -73,3 +73,16 @@
         delay_event_loop(LATE_SECONDS)
         assert await read_all(reader) == b""
         writer.close()
+
+
+async def test_a_longer_idle_limit_holds_for_connections_that_are_idle() -> None:
+    """Guards against closing connections that callers reuse by the new limit."""
+    async with serving(echo, LIMITS) as server:
+        reader, writer = await connect(server.port)
+        writer.write(GET)
+        await read_until(reader, b"\r\n\r\n")
+        server.change_limits(LIMITS._replace(idle_timeout=20 * LIMIT_SECONDS))
+        await sleep(2 * LIMIT_SECONDS)
+        writer.write(GET)
+        assert (await read_until(reader, b"\r\n\r\n")).startswith(b"HTTP/1.1 200 ")
+        writer.close()
