Cut no caller that reads on while the event loop is late

What callers saw: a streamed answer cut off, though they read it.

Cause: the write timeout was due in the same iteration as the room to write that came back, and won. The same class as the requests that arrived together with a timeout.

Change: the timeout is for seconds in which nothing could be written: if the unsent bytes became fewer meanwhile, the wait goes on.

A caller that reads nothing is still cut (test_a_slow_reader_is_cut_and_holds_no_memory).

--- a/libs/transport/src/clementinebend_transport/channel.py
+++ b/libs/transport/src/clementinebend_transport/channel.py
@@ -248,11 +248,15 @@
         return bool(self.received) or self.ended
 
     async def _wait_writable(self, limit: float | None) -> None:
-        try:
-            async with timeout(limit):
-                await self.writable.wait()
-        except TimeoutError:
-            raise SlowReaderError(f"nothing could be sent for {limit} s") from None
+        while not self.writable.is_set():
+            unsent = self.transport.get_write_buffer_size()
+            try:
+                async with timeout(limit):
+                    await self.writable.wait()
+            except TimeoutError:
+                if self.transport.get_write_buffer_size() >= unsent:
+                    message = f"nothing could be sent for {limit} s"
+                    raise SlowReaderError(message) from None
 
     def _overrun(self) -> None:
         self.overrun = True
--- a/tests/unit/transport/test_late_event_loop.py
+++ b/tests/unit/transport/test_late_event_loop.py
@@ -1,22 +1,35 @@
 """Requests that arrive while the event loop is late, together with a timeout."""
 
-from asyncio import sleep
+from asyncio import create_task, sleep
+from collections.abc import AsyncIterator
 from socket import create_connection, socket
-from threading import Timer
+from threading import Thread, Timer
 
 import pytest
 
-from clementinebend_transport.http_server import HttpServer, ServerLimits
+from clementinebend_transport.channel import WRITE_BUFFER_BYTES
+from clementinebend_transport.http_connection import (
+    DRAIN_GRACE_SECONDS,
+    HttpConnection,
+)
+from clementinebend_transport.http_server import (
+    HttpServer,
+    Request,
+    Response,
+    ServerLimits,
+)
 from tests.unit.transport.loopback import (
     GET,
     HOST,
+    PATIENCE,
     connect,
     delay_event_loop,
     read_all,
     read_until,
     serving,
+    until,
 )
-from tests.unit.transport.test_http_server import POST, echo
+from tests.unit.transport.test_http_server import LAST_CHUNK, POST, echo
 
 LIMIT_SECONDS = 0.2
 LIMITS = ServerLimits(
@@ -86,3 +99,57 @@
         writer.write(GET)
         assert (await read_until(reader, b"\r\n\r\n")).startswith(b"HTTP/1.1 200 ")
         writer.close()
+
+
+async def test_requests_that_arrive_as_a_planned_stop_closes_idle_connections() -> None:
+    """Guards against a stop that closes connections with a request in the socket."""
+    async with serving(echo) as server:
+        sockets = await connect_callers(server, GET)
+        drained = create_task(server.drain(PATIENCE))
+        await sleep(DRAIN_GRACE_SECONDS / 4)
+        timers = [
+            Timer(DRAIN_GRACE_SECONDS / 4, each.sendall, [GET]) for each in sockets
+        ]
+        for timer in timers:
+            timer.start()
+        delay_event_loop(2 * DRAIN_GRACE_SECONDS)
+        assert await drained
+        answers = [each.recv(1000) for each in sockets]
+        for each in sockets:
+            each.close()
+    assert [answer[:13] for answer in answers] == [b"HTTP/1.1 200 "] * 20
+
+
+async def test_a_caller_that_has_read_on_is_not_cut_after_a_late_iteration() -> None:
+    """Guards against a timeout that is due as room to write comes back."""
+
+    async def pieces() -> AsyncIterator[bytes]:
+        for _ in range(100):
+            yield b"a" * WRITE_BUFFER_BYTES
+
+    async def handler(request: Request) -> Response:
+        return Response(200, (), pieces())
+
+    limits = LIMITS._replace(write_timeout=LIMIT_SECONDS)
+    async with serving(handler, limits) as server:
+        caller = create_connection((HOST, server.port), PATIENCE)
+        caller.sendall(GET)
+        (connection,) = await connections(server, 1)
+        await until(lambda: not connection.channel.writable.is_set())
+        answer = bytearray()
+        reading = Thread(target=read_to_last_chunk, args=(caller, answer))
+        reading.start()
+        delay_event_loop(LATE_SECONDS)
+        await until(lambda: not reading.is_alive())
+        caller.close()
+    assert answer.endswith(LAST_CHUNK)
+
+
+def read_to_last_chunk(caller: socket, answer: bytearray) -> None:
+    while not answer.endswith(LAST_CHUNK) and (data := caller.recv(1 << 20)):
+        answer.extend(data)
+
+
+async def connections(server: HttpServer, count: int) -> list[HttpConnection]:
+    await until(lambda: len(server.connections) == count)
+    return list(server.connections.values())
