Reject requests that come after the last answer of a planned stop

What callers saw: a request that came on a connection whose answer had begun before the stop was read, dropped, and its connection closed: neither an answer nor a refusal.

Change: such a request gets 503 not_run with Retry-After 0, and the connection is closed. Idle connections are closed by one check, as those of an entry out of rotation are: also the socket must hold nothing.

--- a/libs/transport/src/clementinebend_transport/http_connection.py
+++ b/libs/transport/src/clementinebend_transport/http_connection.py
@@ -43,6 +43,11 @@
 """How long a quiet connection stays open in a planned stop, for a request that
 is on its way."""
 
+STOPPING = error_response(
+    503, "not_run", "this process stops; connect to another one", retry_after=0
+)
+"""The answer to a request that comes after the last one that is taken."""
+
 CLOSE_HEADER = (b"connection", b"close")
 BODILESS_STATUSES = frozenset((204, 304))
 FRAMING = frozenset(("content-length", "transfer-encoding", "connection"))
@@ -91,7 +96,7 @@
         self.idle_since = inf
         """When the last answer was whole; infinite before the first one."""
         self.is_last = False
-        """Whether no further request is taken, also if the caller was not told."""
+        """Whether further requests are rejected; the caller may not have been told."""
 
     def is_idle(self) -> bool:
         """Return whether no part of a request is here and no answer is going out."""
@@ -108,11 +113,11 @@
         """Close at once, and drop what the caller has not taken."""
         self.channel.abort()
 
-    def may_close(self, idle_since: float) -> bool:
-        """Return whether it was idle since then, and no request has arrived."""
+    def may_close(self) -> bool:
+        """Return whether it is open and idle, and no request has arrived."""
         if self.channel.transport.is_closing() or not self.is_idle():
             return False
-        return self.idle_since <= idle_since and not self.channel.has_arrivals()
+        return not self.channel.has_arrivals()
 
     def change_limits(self, limits: ServerLimits) -> None:
         """Hold the next request, and the wait for it, to ``limits``."""
@@ -121,6 +126,8 @@
 
     def _idle_limit(self) -> float:
         """Return for how many seconds the caller may send nothing between requests."""
+        if self.is_last:
+            return 0.0
         if self.is_draining:
             return DRAIN_GRACE_SECONDS
         if self.idle_since == inf:
@@ -156,8 +163,6 @@
         return await self._answer_while_present(request, task) and self._may_go_on()
 
     def _may_go_on(self) -> bool:
-        if self.is_last:
-            return False
         is_open = not self.channel.ended and not self.channel.overrun
         return is_open and is_cycle_done(self.parser)
 
@@ -185,6 +190,8 @@
                 _abandoned.inc()
 
     async def _ask_handler(self, request: Request, task: Task[None]) -> Response:
+        if self.is_last:
+            return STOPPING
         try:
             return await self.handler(request)
         except CancelledError:
--- a/libs/transport/src/clementinebend_transport/http_reader.py
+++ b/libs/transport/src/clementinebend_transport/http_reader.py
@@ -72,12 +72,12 @@
         """Return the first bytes of a request; none at the end or the idle limit."""
         clock = get_running_loop().time
         since = clock()
-        while (until := since + idle_limit()) > clock() or self.channel.received:
+        while True:
             try:
-                return await self.channel.read(until)
+                return await self.channel.read(since + idle_limit())
             except TimeoutError:
-                continue
-        return b""
+                if clock() >= since + idle_limit():
+                    return b""
 
     async def _read_parts(self) -> Request | Refusal | ConnectionEnd:
         try:
--- a/libs/transport/src/clementinebend_transport/http_server.py
+++ b/libs/transport/src/clementinebend_transport/http_server.py
@@ -113,7 +113,7 @@
         closing = [
             connection
             for connection in idle[: ceil(share * len(idle))]
-            if connection.may_close(idle_since)
+            if connection.may_close()
         ]
         for connection in closing:
             connection.channel.transport.close()
@@ -167,14 +167,15 @@
         listener.close()
 
     def _end_connections(self) -> None:
-        """Close quiet connections, and the others after their present answer.
+        """Close quiet connections, and those that are answered after their answer.
 
-        The head of that answer may have gone out before the stop began: its
-        caller takes the connection for one that stays.
+        The head of that answer may have gone out before the stop began: its caller
+        takes the connection for one that stays. A request that comes then is rejected.
         """
         for connection in self.connections.values():
-            connection.is_last = True
-            if connection.is_idle():
+            if connection.request is not None:
+                connection.is_last = True
+            elif connection.may_close():
                 connection.channel.transport.close()
 
     def _on_connected(self, channel: Channel) -> None:
--- a/libs/transport/src/clementinebend_transport/http_types.py
+++ b/libs/transport/src/clementinebend_transport/http_types.py
@@ -55,7 +55,12 @@
 """Answers one request; cancelled when the caller leaves."""
 
 
-def error_response(status: int, kind: str, message: str) -> Response:
-    """Return a whole answer with a JSON error body."""
+def error_response(
+    status: int, kind: str, message: str, retry_after: int | None = None
+) -> Response:
+    """Return a whole answer with a JSON error body; ``retry_after`` is in seconds."""
     body = encode({"error": {"type": kind, "message": message}})
-    return Response(status, (("content-type", "application/json"),), body)
+    headers = [("content-type", "application/json")]
+    if retry_after is not None:
+        headers.append(("retry-after", str(retry_after)))
+    return Response(status, tuple(headers), body)
