Read answers that arrive together with a timeout

What callers saw: a failure, a second attempt, or a stream taken for silent, though the endpoint's answer was here.

Cause: the same class as requests that arrive together with a timeout. After a late iteration of the event loop the timeout around a read won over bytes that had been received.

Change: the client's reads of heads, bodies and streams take the time by which bytes must come, and take what is here before they raise TimeoutError. A stream is read no further once its time limit has passed, whatever its endpoint still sends.

Evidence: an answer that comes while the event loop is blocked for twice the timeout. Before: "no answer in time" for all of it, for the rest of its head and of its body.

Tests: tests/unit/transport whole and the tests of bounds, unread answers and the platform client passed; the three new cases failed before.

--- a/libs/relay/src/clementinebend_relay/bodies.py
+++ b/libs/relay/src/clementinebend_relay/bodies.py
@@ -6,6 +6,7 @@
 
 from expression import Error, Ok, Result
 
+from clementinebend_transport.client_connection import next_piece
 from clementinebend_transport.exceptions import TruncatedAnswer
 from clementinebend_transport.http_client import OpenAnswer
 
@@ -38,15 +39,14 @@
     size = 0
     is_whole = False
     try:
-        async with timeout_at(deadline):
-            await reserve(min(max_bytes, _announced_size(answer)))
-            async for chunk in answer.chunks:
-                chunks_read.append(chunk)
-                size += len(chunk)
-                if size > max_bytes:
-                    problem = f"the answer is larger than {max_bytes} bytes"
-                    return Error(BodyFailure(problem))
-                await reserve(size)
+        await _within(deadline, reserve(min(max_bytes, _announced_size(answer))))
+        while (chunk := await next_piece(answer.chunks, deadline)) is not None:
+            chunks_read.append(chunk)
+            size += len(chunk)
+            if size > max_bytes:
+                problem = f"the answer is larger than {max_bytes} bytes"
+                return Error(BodyFailure(problem))
+            await _within(deadline, reserve(size))
         is_whole = True
     except TimeoutError:
         return Error(BodyFailure("the time limit passed within the answer"))
@@ -58,6 +58,12 @@
     return Ok(b"".join(chunks_read))
 
 
+async def _within(deadline: float, reserving: Awaitable[None]) -> None:
+    """Wait for room; raise ``TimeoutError`` if there is none by the deadline."""
+    async with timeout_at(deadline):
+        await reserving
+
+
 async def _reserve_nothing(size: int) -> None:
     """Set no limit to the bytes of all answers together."""
 
--- a/libs/relay/src/clementinebend_relay/streams.py
+++ b/libs/relay/src/clementinebend_relay/streams.py
@@ -4,7 +4,6 @@
 can resume at another endpoint after the last event that the caller has received.
 """
 
-from asyncio import timeout_at
 from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
 from contextlib import aclosing
 
@@ -23,6 +22,7 @@
 )
 from clementinebend_routing.fatal_runs import PART_SOUND_SECONDS, counts_as_evidence
 from clementinebend_routing.silence import SILENT_SECONDS
+from clementinebend_transport.client_connection import next_piece
 from clementinebend_transport.exceptions import AnswerCutError, TruncatedAnswer
 from clementinebend_transport.http_types import Response
 
@@ -265,22 +265,20 @@
     ) -> bytes | None:
         """Return the next chunk of an attempt's response, or None at its end."""
         can_resume = progress.admitted.route.is_resumable and progress.attempts_left > 0
-        while True:
+        while self.clock() < progress.deadline:
             until = progress.deadline
             if can_resume:
                 until = min(until, self.clock() + SILENCE_CHECK_SECONDS)
             try:
-                async with timeout_at(until):
-                    return await anext(running.answer.chunks, None)
+                return await next_piece(running.answer.chunks, until)
             except TimeoutError:
                 self._check_silence(running, progress)
             except TruncatedAnswer as error:
                 raise self._break_stream(running, progress, str(error)) from error
+        raise StreamBroken("the time limit has passed")
 
     def _check_silence(self, running: OpenAttempt, progress: CallProgress) -> None:
         now = self.clock()
-        if now >= progress.deadline:
-            raise StreamBroken("the time limit has passed")
         is_silent = now - running.state.heard_at > SILENT_SECONDS
         if running.state.is_overloaded():
             is_silent = False  # the bytes may wait in this entry
--- a/libs/transport/src/clementinebend_transport/client_connection.py
+++ b/libs/transport/src/clementinebend_transport/client_connection.py
@@ -3,8 +3,9 @@
 Source: RFC 9112; parsing by ``h11``.
 """
 
-from asyncio import get_running_loop
+from asyncio import get_running_loop, timeout_at
 from collections.abc import AsyncIterator, Callable
+from functools import singledispatch
 from math import inf
 from re import IGNORECASE, compile
 from typing import NamedTuple
@@ -69,24 +70,26 @@
             post_event(self.parser, self.channel, event)
         self.channel.flush()
 
-    async def read_head(self) -> HttpResponse:
+    async def read_head(self, until: float | None = None) -> HttpResponse:
         """Return the final head of the answer.
 
-        Raises ``TruncatedAnswer`` if there is none.
+        Raises ``TruncatedAnswer`` if there is none, and ``TimeoutError`` if it has not
+        come by ``until``, in the time of the event loop.
         """
-        while isinstance(event := await self._next_event(), InformationalResponse):
+        while isinstance(event := await self._next_event(until), InformationalResponse):
             continue
         if isinstance(event, HttpResponse):
             self.keep_alive = keep_alive_of(event)
             return event
         raise TruncatedAnswer("the connection ended before an answer")
 
-    async def read_piece(self) -> bytes | None:
+    async def read_piece(self, until: float | None = None) -> bytes | None:
         """Return the next piece of the answer's body; ``None`` at its end.
 
-        Raises ``TruncatedAnswer`` if the body is not whole.
+        Raises ``TruncatedAnswer`` if the body is not whole, and ``TimeoutError`` if
+        nothing more has come by ``until``, in the time of the event loop.
         """
-        event = await self._next_event()
+        event = await self._next_event(until)
         if isinstance(event, Data):
             return bytes(event.data)
         if isinstance(event, EndOfMessage):
@@ -107,9 +110,9 @@
         """Close at once."""
         self.channel.abort()
 
-    async def _next_event(self) -> object:
+    async def _next_event(self, until: float | None) -> object:
         try:
-            return await next_event(self.parser, self.channel)
+            return await next_event(self.parser, self.channel, until)
         except (RemoteProtocolError, LocalProtocolError) as error:
             raise TruncatedAnswer(f"the answer is not whole: {error}") from error
 
@@ -133,18 +136,29 @@
 
         Raises ``TruncatedAnswer`` if the body ends before it is whole.
         """
-        if self.is_ended:
+        piece = await self.read()
+        if piece is None:
             raise StopAsyncIteration
+        return piece
+
+    async def read(self, until: float | None = None) -> bytes | None:
+        """Return the next piece; ``None`` at the end of the body.
+
+        Raises ``TruncatedAnswer`` if the body ends before it is whole, and
+        ``TimeoutError`` if nothing more has come by ``until``, in the time of the event
+        loop; it may be read on then.
+        """
+        if self.is_ended:
+            return None
         try:
-            piece = await self.connection.read_piece()
+            piece = await self.connection.read_piece(until)
         except TruncatedAnswer:
             self.close()
             raise
-        if piece is not None:
-            return piece
-        self.is_ended = True
-        self.release(self.connection)
-        raise StopAsyncIteration
+        if piece is None:
+            self.is_ended = True
+            self.release(self.connection)
+        return piece
 
     def buffered_bytes(self) -> int:
         """Return how many bytes have arrived and are not read, at most."""
@@ -169,6 +183,26 @@
             self.drop(self.connection)
 
 
+@singledispatch
+async def next_piece(
+    chunks: AsyncIterator[bytes], until: float | None = None
+) -> bytes | None:
+    """Return the next piece of an answer's body; ``None`` at its end.
+
+    Raises ``TimeoutError`` if none has come by ``until``, in the time of the event
+    loop, and ``TruncatedAnswer`` if the body ends before it is whole. Of an answer
+    from a connection, a piece that is here by then is returned although the event loop
+    runs late.
+    """
+    async with timeout_at(until):
+        return await anext(chunks, None)
+
+
+@next_piece.register
+async def _(chunks: AnswerChunks, until: float | None = None) -> bytes | None:
+    return await chunks.read(until)
+
+
 def keep_alive_of(head: HttpResponse) -> float:
     """Return how long (seconds) the connection may be idle and be used again."""
     named = (value for name, value in head.headers if name == b"keep-alive")
--- a/libs/transport/src/clementinebend_transport/http_client.py
+++ b/libs/transport/src/clementinebend_transport/http_client.py
@@ -5,9 +5,9 @@
 """
 
 from asyncio import get_running_loop, timeout_at
-from asyncio import timeout as time_limit
 from collections import defaultdict, deque
 from collections.abc import AsyncIterator, Callable, Iterable
+from math import inf
 from typing import NamedTuple
 from urllib.parse import urlsplit
 
@@ -21,6 +21,7 @@
     AnswerChunks,
     ClientConnection,
     connect,
+    next_piece,
 )
 from clementinebend_transport.exceptions import TruncatedAnswer
 from clementinebend_transport.http_events import headers_by_name
@@ -199,9 +200,8 @@
         self.busy.add(connection)
         head: HttpResponse | None = None
         try:
-            async with timeout_at(deadline):
-                connection.send(request, body)
-                head = await connection.read_head()
+            connection.send(request, body)
+            head = await connection.read_head(deadline)
         except TimeoutError:
             return Error(HttpFailure(True, "no answer in time"))
         except TruncatedAnswer as error:
@@ -303,9 +303,9 @@
     before; ``None`` sets no such limit.
     """
     body = _Body()
+    deadline = get_running_loop().time() + timeout
     try:
-        async with time_limit(timeout):
-            await body.read(opened.chunks, piece_timeout)
+        await body.read(opened.chunks, deadline, piece_timeout)
     except TimeoutError:
         return Error(body.failure("the answer took too long"))
     except TruncatedAnswer as error:
@@ -323,10 +323,18 @@
         self.size = 0
 
     async def read(
-        self, chunks: AsyncIterator[bytes], piece_timeout: float | None
+        self,
+        chunks: AsyncIterator[bytes],
+        deadline: float,
+        piece_timeout: float | None,
     ) -> None:
-        """Read to the end; raise ``TruncatedAnswer`` if the body stops or is large."""
-        while (piece := await _next_piece(chunks, piece_timeout)) is not None:
+        """Read to the end; raise ``TruncatedAnswer`` if the body stops or is large.
+
+        Raises ``TimeoutError`` at the deadline, in the time of the event loop.
+        """
+        while (
+            piece := await _piece_within(chunks, deadline, piece_timeout)
+        ) is not None:
             self.size += len(piece)
             if self.size > MAX_ANSWER_BYTES:
                 raise TruncatedAnswer(
@@ -340,13 +348,16 @@
         return HttpFailure(True, message, self.size)
 
 
-async def _next_piece(
-    chunks: AsyncIterator[bytes], piece_timeout: float | None
+async def _piece_within(
+    chunks: AsyncIterator[bytes], deadline: float, piece_timeout: float | None
 ) -> bytes | None:
+    allowed = inf if piece_timeout is None else piece_timeout
+    stops_at = get_running_loop().time() + allowed
     try:
-        async with time_limit(piece_timeout):
-            return await anext(chunks, None)
+        return await next_piece(chunks, min(deadline, stops_at))
     except TimeoutError as error:
+        if stops_at >= deadline:
+            raise
         raise TruncatedAnswer(f"the answer stopped for {piece_timeout} s") from error
 
 
--- a/tests/unit/transport/test_late_event_loop.py
+++ b/tests/unit/transport/test_late_event_loop.py
@@ -1,13 +1,16 @@
 """Requests that arrive while the event loop is late, together with a timeout."""
 
-from asyncio import create_task, sleep
+from asyncio import create_task, sleep, wrap_future
 from collections.abc import AsyncIterator
-from socket import create_connection, socket
+from concurrent.futures import ThreadPoolExecutor
+from socket import create_connection, create_server, socket
 from threading import Thread, Timer
+from time import sleep as block
 
 import pytest
 
 from clementinebend_transport.channel import WRITE_BUFFER_BYTES
+from clementinebend_transport.http_client import HttpClient
 from clementinebend_transport.http_connection import (
     DRAIN_GRACE_SECONDS,
     HttpConnection,
@@ -153,3 +156,34 @@
 async def connections(server: HttpServer, count: int) -> list[HttpConnection]:
     await until(lambda: len(server.connections) == count)
     return list(server.connections.values())
+
+
+ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody"
+
+
+@pytest.mark.parametrize(
+    "split", [0, 20, 40], ids=["all", "rest of a head", "rest of a body"]
+)
+async def test_an_answer_that_arrives_in_a_late_iteration_is_read(split: int) -> None:
+    """Guards against an answer that is here, and taken for one that did not come."""
+    with create_server((HOST, 0)) as listener, ThreadPoolExecutor(1) as pool:
+
+        def answer() -> None:
+            caller, _ = listener.accept()
+            caller.recv(1000)
+            caller.sendall(ANSWER[:split])
+            block(LIMIT_SECONDS / 2)
+            caller.sendall(ANSWER[split:])
+            caller.recv(1000)
+            caller.close()
+
+        answering = pool.submit(answer)
+        client = HttpClient()
+        url = f"http://{HOST}:{listener.getsockname()[1]}/"
+        calling = create_task(client.request("GET", url, timeout=LIMIT_SECONDS))
+        await sleep(LIMIT_SECONDS / 4)
+        delay_event_loop(LATE_SECONDS)
+        answered = await calling
+        await client.close()
+        await wrap_future(answering)
+    assert answered.is_ok() and answered.ok.body == b"body", answered
