Order the events of the tests of a late event loop

The tests sent from timers of other threads at 0.05 s and relied on the machine being in time. Now one call keeps the event loop from running, sends in the middle, and each test waits for the state that it begins with. Limits are 1 s instead of 0.2 s; what is asked for is unchanged.

--- a/tests/unit/transport/test_late_event_loop.py
+++ b/tests/unit/transport/test_late_event_loop.py
@@ -1,10 +1,11 @@
 """Requests that arrive while the event loop is late, together with a timeout."""
 
-from asyncio import create_task, sleep, wrap_future
-from collections.abc import AsyncIterator
+from asyncio import create_task, get_running_loop, sleep, wrap_future
+from asyncio import timeout as time_limit
+from collections.abc import AsyncIterator, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from socket import create_connection, create_server, socket
-from threading import Thread, Timer
+from threading import Thread
 from time import sleep as block
 
 import pytest
@@ -34,26 +35,58 @@
 )
 from tests.unit.transport.test_http_server import LAST_CHUNK, POST, echo
 
-LIMIT_SECONDS = 0.2
+LIMIT_SECONDS = 1.0
 LIMITS = ServerLimits(
     idle_timeout=LIMIT_SECONDS, header_timeout=LIMIT_SECONDS, body_timeout=LIMIT_SECONDS
 )
-LATE_SECONDS = 2 * LIMIT_SECONDS
+LATE_SECONDS = 1.5 * LIMIT_SECONDS
 """How long one iteration of the event loop takes."""
 
+CALLERS = 20
+
 
 async def connect_callers(server: HttpServer, sent: bytes) -> list[socket]:
-    """Return connections on which ``sent`` has arrived, answered if it is whole."""
-    sockets = [create_connection((HOST, server.port), 10.0) for _ in range(20)]
+    """Return connections on which ``sent`` has been read, and answered if whole."""
+    sockets = [create_connection((HOST, server.port)) for _ in range(CALLERS)]
     for each in sockets:
         each.sendall(sent)
-    await sleep(LIMIT_SECONDS / 4)
+        each.setblocking(False)
+    await until(lambda: len(server.connections) == CALLERS)
     if sent == GET:
         for each in sockets:
-            assert each.recv(1000).startswith(b"HTTP/1.1 200 ")
+            assert (await receive(each)).startswith(b"HTTP/1.1 200 ")
+    is_begun = sent not in (b"", GET)
+    await until(lambda: set(is_waiting(server)) == {not is_begun})
     return sockets
 
 
+def is_waiting(server: HttpServer) -> Iterator[bool]:
+    """Return of each connection whether it waits for a request to begin."""
+    return (connection.reader.is_idle for connection in server.connections.values())
+
+
+async def receive(caller: socket) -> bytes:
+    """Return what arrives next on a connection."""
+    async with time_limit(PATIENCE):
+        return await get_running_loop().sock_recv(caller, 1000)
+
+
+def send_during_delay(sockets: list[socket], data: bytes, seconds: float) -> None:
+    """Keep the event loop from running; send ``data`` after a third of the time."""
+    delay_event_loop(seconds / 3)
+    for each in sockets:
+        each.sendall(data)
+    delay_event_loop(2 * seconds / 3)
+
+
+async def statuses(sockets: list[socket]) -> list[bytes]:
+    """Return the beginning of the answer on each connection, and close it."""
+    answers = [await receive(each) for each in sockets]
+    for each in sockets:
+        each.close()
+    return [answer[:12] for answer in answers]
+
+
 @pytest.mark.parametrize(
     ("before", "late"),
     [
@@ -70,15 +103,9 @@
     """Guards against a timeout that closes a connection with a request in it."""
     async with serving(echo, LIMITS) as server:
         sockets = await connect_callers(server, before)
-        timers = [Timer(LIMIT_SECONDS / 4, each.sendall, [late]) for each in sockets]
-        for timer in timers:
-            timer.start()
-        delay_event_loop(LATE_SECONDS)
-        await sleep(LIMIT_SECONDS / 2)
-        answers = [each.recv(1000) for each in sockets]
-        for each in sockets:
-            each.close()
-    assert [answer[:13] for answer in answers] == [b"HTTP/1.1 200 "] * 20
+        send_during_delay(sockets, late, LATE_SECONDS)
+        answered = await statuses(sockets)
+    assert answered == [b"HTTP/1.1 200"] * CALLERS
 
 
 async def test_a_silent_caller_is_still_disconnected_after_a_late_iteration() -> None:
@@ -97,8 +124,8 @@
         reader, writer = await connect(server.port)
         writer.write(GET)
         await read_until(reader, b"\r\n\r\n")
-        server.change_limits(LIMITS._replace(idle_timeout=20 * LIMIT_SECONDS))
-        await sleep(2 * LIMIT_SECONDS)
+        server.change_limits(LIMITS._replace(idle_timeout=PATIENCE))
+        await sleep(1.5 * LIMIT_SECONDS)
         writer.write(GET)
         assert (await read_until(reader, b"\r\n\r\n")).startswith(b"HTTP/1.1 200 ")
         writer.close()
@@ -109,18 +136,11 @@
     async with serving(echo) as server:
         sockets = await connect_callers(server, GET)
         drained = create_task(server.drain(PATIENCE))
-        await sleep(DRAIN_GRACE_SECONDS / 4)
-        timers = [
-            Timer(DRAIN_GRACE_SECONDS / 4, each.sendall, [GET]) for each in sockets
-        ]
-        for timer in timers:
-            timer.start()
-        delay_event_loop(2 * DRAIN_GRACE_SECONDS)
+        await until(lambda: server.is_draining)
+        send_during_delay(sockets, GET, 2 * DRAIN_GRACE_SECONDS)
         assert await drained
-        answers = [each.recv(1000) for each in sockets]
-        for each in sockets:
-            each.close()
-    assert [answer[:13] for answer in answers] == [b"HTTP/1.1 200 "] * 20
+        answered = await statuses(sockets)
+    assert answered == [b"HTTP/1.1 200"] * CALLERS
 
 
 async def test_a_caller_that_has_read_on_is_not_cut_after_a_late_iteration() -> None:
