Receive all waiting datagrams in one iteration of the event loop

Cause: asyncio receives one datagram of a socket in each iteration. After a late iteration, the timeouts of all requests are due in the first iteration, while their answers still wait behind others in the socket: queue reports, permits, origins and tokens that are here counted as missing.

Change: the socket receives up to 200 waiting datagrams in one iteration, before any timeout is handled. A datagram that comes alone costs one more recvfrom.

Evidence: both tests fail before (51 datagrams: 1 received in the first iteration; the queue report behind 50 others is not used) and pass after.

--- a/libs/relay/src/clementinebend_relay/datagrams.py
+++ b/libs/relay/src/clementinebend_relay/datagrams.py
@@ -4,7 +4,7 @@
 from asyncio.trsock import TransportSocket
 from collections.abc import Callable, Iterable
 from contextlib import suppress
-from socket import SO_RCVBUF, SOL_SOCKET
+from socket import SO_RCVBUF, SOL_SOCKET, socket
 from typing import Any, cast
 
 from clementinebend_relay.decisions import log_decision
@@ -21,6 +21,13 @@
 """Size of the receive buffer in bytes, where the system allows it. Datagrams wait there
 while the event loop is late, and are lost once it is full."""
 
+MAX_RECEIVED_AT_ONCE = 200
+"""Maximum number of datagrams received in one iteration of the event loop, some 10 ms.
+asyncio receives one, so that answers would wait while their timeouts expire."""
+
+MAX_DATAGRAM_BYTES = 65_536
+"""Maximum size of a datagram in bytes; source: udp(7)."""
+
 
 class DatagramSocket(DatagramProtocol):
     """Sends messages and passes received ones to ``on_message``."""
@@ -28,12 +35,37 @@
     def __init__(self, on_message: Callable[[Message, Address], None]) -> None:
         self.on_message = on_message
         self.transport: DatagramTransport | None = None
+        self.socket: socket | None = None
 
     def connection_made(self, transport: object) -> None:
         """Store the transport of the open socket."""
         self.transport = cast(DatagramTransport, transport)
+        self.socket = self.transport.get_extra_info("socket").dup()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Release the socket."""
+        if self.socket is not None:
+            self.socket.close()
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
+        """Pass on a datagram, and those that wait behind it."""
+        self._receive(data, addr)
+        for _ in range(MAX_RECEIVED_AT_ONCE - 1):
+            waiting = self._next_waiting()
+            if waiting is None:
+                return
+            self._receive(*waiting)
+
+    def _next_waiting(self) -> tuple[bytes, Any] | None:
+        """Return the next datagram that the socket holds and its sender, if any."""
+        if self.socket is None:
+            return None
+        try:
+            return self.socket.recvfrom(MAX_DATAGRAM_BYTES)
+        except OSError:  # none is left, or the socket is closed
+            return None
+
+    def _receive(self, data: bytes, addr: Any) -> None:
         """Decode a datagram; log and drop it if it is not a message."""
         traffic.received += len(data)
         message = decode_message(data)
