Use a permit that arrives together with the timeout of its request

Cause: `async with timeout` around the answer's future raises TimeoutError even if the answer came in the same late iteration. The permit was lost, and the endpoint got no call of that class for 0.1 s.

--- a/libs/relay/src/clementinebend_relay/permit_requests.py
+++ b/libs/relay/src/clementinebend_relay/permit_requests.py
@@ -1,8 +1,7 @@
 """Requests for permits to send calls to endpoints that name a request limit."""
 
-from asyncio import Future, get_running_loop, timeout
+from asyncio import Future, get_running_loop
 from collections.abc import Callable, Iterable
-from contextlib import suppress
 from itertools import count
 
 from clementinebend_membership.rendezvous import rendezvous
@@ -16,6 +15,7 @@
 from clementinebend_relay.queue_probes import QueueProbes
 from clementinebend_routing.request_permits import CallClass
 from clementinebend_transport.client_connection import Address
+from clementinebend_transport.late_waits import wait_until_done
 
 PERMIT_TIMEOUT = 0.03
 """How long a call waits for a permit, in seconds, about ten times a usual answer. A
@@ -102,7 +102,7 @@
         is_backup: bool,
     ) -> PermitMessage | None:
         number = next(self.numbers)
-        self.pending[number] = get_running_loop().create_future()
+        future = self.pending[number] = get_running_loop().create_future()
         message = PermitRequestMessage(
             number,
             boot_name(state.endpoint),
@@ -114,12 +114,10 @@
         )
         self.send(message, keeper.address)
         try:
-            with suppress(TimeoutError):
-                async with timeout(PERMIT_TIMEOUT):
-                    return await self.pending[number]
+            is_answered = await wait_until_done(future, PERMIT_TIMEOUT)
         finally:
             del self.pending[number]
-        return None
+        return future.result() if is_answered else None
 
     def _granting(self, endpoint: Endpoint) -> list[tuple[Announcement, bool]]:
         """Return who grants permits for an endpoint, and whether as a backup."""
--- a/tests/unit/relay/test_late_event_loop.py
+++ b/tests/unit/relay/test_late_event_loop.py
@@ -8,20 +8,25 @@
 
 from clementinebend_relay.datagrams import open_socket
 from clementinebend_relay.discovery import Announcement, Directory
+from clementinebend_relay.endpoint_state import EndpointState
 from clementinebend_relay.messages import (
     InvalidMessage,
     LeavingMessage,
+    LimitReport,
     Message,
     PermitMessage,
+    PermitRequestMessage,
     ProbeMessage,
     ReportMessage,
     decode_message,
     encode_message,
 )
 from clementinebend_relay.models import Endpoint
-from clementinebend_relay.permit_requests import new_permit_requests
+from clementinebend_relay.permit_requests import PERMIT_TIMEOUT, new_permit_requests
 from clementinebend_relay.queue_probes import PROBE_TIMEOUT, QueueProbes
 from clementinebend_routing.endpoint_queue import QueueReport
+from clementinebend_routing.request_limits import RequestLimit
+from clementinebend_routing.request_permits import CallClass
 from clementinebend_transport.client_connection import Address
 from tests.unit.transport.loopback import HOST, PATIENCE, delay_event_loop
 
@@ -99,6 +104,18 @@
     assert len(rig.received) == OTHERS + 1
 
 
+async def test_a_permit_that_arrives_in_a_late_iteration_is_used(rig: Rig) -> None:
+    """Guards against a call refused, and a permit lost, as the event loop was late."""
+    state = EndpointState(ENDPOINT, 0.0)
+    asking = create_task(rig.permits.request("r", state, CallClass(0, "")))
+    asked, entry = await rig.asked()
+    assert isinstance(asked, PermitRequestMessage)
+    limit = LimitReport(RequestLimit(1, 4.0), 0.0)
+    rig.answer(PermitMessage(KEEPER, asked.number, True, limit), entry)
+    delay_event_loop(2 * PERMIT_TIMEOUT)
+    assert await asking
+
+
 async def test_a_queue_report_that_arrives_in_a_late_iteration_is_used(
     rig: Rig,
 ) -> None:
