Reserve tokens that arrive together with the end of the wait

Cause: tokens of the home that are received in the same late iteration of the event loop as the end of a call's wait were left in the account, and the call was refused for want of budget.

Change: after the wait, the account is looked at once more.

--- a/libs/relay/src/clementinebend_relay/budgets.py
+++ b/libs/relay/src/clementinebend_relay/budgets.py
@@ -23,6 +23,7 @@
 from clementinebend_relay.quota_view import FRESH_SECONDS, QuotaView, Shortfall
 from clementinebend_relay.request_pacing import HOME_REQUEST_INTERVAL, RequestPacing
 from clementinebend_relay.witnesses import Witnesses
+from clementinebend_transport.late_waits import late_waits
 
 FALLBACK_SECONDS = HOME_REQUEST_INTERVAL
 """Seconds that a waiting call gives the home or the store, which answer in some 5 and
@@ -203,6 +204,9 @@
                     )
         finally:
             account.waiting -= amount
+        if not is_reserved and account.reserve(amount):  # came with the timeout
+            late_waits.inc()
+            is_reserved = True
         if is_reserved:
             return Reservation(team.name, amount)
         self._return_surplus(manager, team.name)
--- a/tests/unit/relay/test_request_pacing.py
+++ b/tests/unit/relay/test_request_pacing.py
@@ -4,9 +4,10 @@
 
 import pytest
 
+from clementinebend_bench.models.virtual_loop import run_virtually
 from clementinebend_ledger.quota_requests import TokenRequest
 from clementinebend_records.identifiers import new_incarnation
-from clementinebend_relay.budgets import Budgets
+from clementinebend_relay.budgets import FALLBACK_SECONDS, Budgets, Reservation
 from clementinebend_relay.discovery import Directory
 from clementinebend_relay.models import Team
 from clementinebend_relay.quota_manager import BORROWER_COMMIT_INTERVAL
@@ -21,6 +22,8 @@
 
 WAIT = 0.3
 HOME = "entry-0"
+SAME_ITERATION = 1e-10
+"""Seconds between two timers that the event loop handles in the same iteration."""
 
 
 class CountingLog(FakeLog):
@@ -135,3 +138,21 @@
     assert not budgets.is_log_unavailable()
     budgets.is_store_lost = lambda: True
     assert budgets.is_log_unavailable()
+
+
+async def is_reserved_with_grant(wait: float) -> bool:
+    """Return whether a call gets tokens that come as its wait ends.
+
+    Both are handled in the same iteration of the event loop.
+    """
+    budgets = make_budgets(FakeLog([], []))
+    budgets.attach(StubPeers(budgets, answers=False))
+    grant_at = wait - SAME_ITERATION
+    get_running_loop().call_later(grant_at, budgets.on_transfer, TEAM, 100, HOME)
+    outcome = await budgets.reserve(Team(TEAM, 1_000_000, None), 100, wait)
+    return isinstance(outcome, Reservation)
+
+
+def test_tokens_that_arrive_together_with_the_end_of_the_wait_are_used() -> None:
+    """Guards against a refusal while the tokens are here, as the loop was late."""
+    assert run_virtually(is_reserved_with_grant(1.5 * FALLBACK_SECONDS))
