Take in a batch that is read back together with its retry

Cause: the writer's wait for an event raises TimeoutError even if the event came in the same late iteration of the event loop. The clock was then looked at first, and a batch that had been read back was appended again.

Change: an event that is queued when the wait expires is taken in first.

Evidence: the test fails before (two appends) and passes after.

--- a/libs/platform_client/src/clementinebend_platform_client/writer.py
+++ b/libs/platform_client/src/clementinebend_platform_client/writer.py
@@ -173,7 +173,7 @@
             async with timeout_at(wake):
                 return await self.events.get()
         except TimeoutError:
-            return Ticked()
+            return Ticked() if self.events.empty() else self.events.get_nowait()
 
     def take_queued(self) -> None:
         """Take in all events that wait."""
--- a/tests/unit/platform_client/test_streams.py
+++ b/tests/unit/platform_client/test_streams.py
@@ -1,6 +1,6 @@
 """A writer and a tail together, over the log's faults."""
 
-from asyncio import Condition, gather, timeout
+from asyncio import Condition, gather, get_running_loop, sleep, timeout
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack
 from itertools import count
@@ -8,6 +8,7 @@
 import pytest
 from msgpack import packb
 
+from clementinebend_bench.models.virtual_loop import VirtualLoop, run_virtually
 from clementinebend_platform_client.checkpoint_policy import CheckpointPolicy
 from clementinebend_platform_client.exceptions import (
     BrokenInvariantError,
@@ -27,6 +28,9 @@
 HANG_SECONDS = 60.0
 """Only a condition that never comes true is waited for so long."""
 
+SAME_ITERATION = 1e-10
+"""Seconds between two timers that the event loop handles in the same iteration."""
+
 FAST = WriterSettings(
     appends_per_second=1000.0,
     share=1.0,
@@ -333,3 +337,30 @@
     await other.writer.close(0.0)
     assert sent.result().error.maybe_done
     assert not queued.result().error.maybe_done
+
+
+async def appends_of_batch_read_back_in_time() -> int:
+    """Return the appends of a batch that is read back as its patience ends.
+
+    Both are handled in the same iteration of the event loop.
+    """
+    log = FakeLog()
+    settings = FAST._replace(read_back_patience=1.0)
+    writer = StreamWriter(log.client("n0"), STREAM, Incarnation("n0"), settings)
+    posted = writer.post((top_up("a"),))
+    await sleep(settings.read_back_patience / 2)
+    assert writer.state.in_flight is not None
+    retry_at = writer.state.in_flight.retry_at
+    ((offset, batch),) = log.batches(STREAM)
+    loop = get_running_loop()
+    assert isinstance(loop, VirtualLoop)
+    loop.call_at(retry_at - SAME_ITERATION, writer.on_read, offset, batch)
+    loop.call_at(retry_at - SAME_ITERATION / 2, setattr, loop.jumping, "now", retry_at)
+    assert (await posted).is_ok()
+    await writer.close(HANG_SECONDS)
+    return log.appends[STREAM]
+
+
+def test_a_batch_that_is_read_back_together_with_its_retry_is_appended_once() -> None:
+    """Guards against a repeated append after a late iteration of the event loop."""
+    assert run_virtually(appends_of_batch_read_back_in_time()) == 1
