--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -128,6 +128,7 @@
         self.engines: list[EngineStandin] = []
         self.version = 0
         self.cold_per_s = 0.0
+        self.idle_timeout_ms: int | None = None
         self.more_services: tuple[str, ...] = ()
         self.more_teams: dict[str, int | None] = {}
         self.ids = count(1)
@@ -168,8 +169,10 @@
     ) -> None:
         """Write a new version of the configuration."""
         self.version += 1
+        idle = self.idle_timeout_ms
         document = {
             "version": self.version,
+            **({} if idle is None else {"limits": {"idle_timeout_ms": idle}}),
             "routes": list(routes),
             "services": [
                 {
