Search each byte of a stream's events once, and bound events without numbers

Cause: the splitter joined what it had with each piece and searched all of it again, so that one event without end in small pieces blocked the event loop; blank events, comments and events without numbers were relayed without end; a number of more than 4,300 digits raised ValueError. Change: only the new bytes are searched (and the three before them); more than 256 events in a row without a number are too large; numbers have 19 digits at most. Open: numbered events beyond what the call asked for are bounded by time only (streams.py).

--- a/libs/relay/src/clementinebend_relay/events.py
+++ b/libs/relay/src/clementinebend_relay/events.py
@@ -16,6 +16,18 @@
 Typical events have a few hundred bytes.
 """
 
+MAX_UNNUMBERED_EVENTS = 256
+"""Maximum number of events in a row without a number, comments and blank ones included.
+
+The numbers of a stream bound the others: they are consecutive.
+"""
+
+MAX_ID_DIGITS = 19
+"""Maximum number of digits of an event's ID, those of a 64-bit integer."""
+
+EVENT_END_BYTES = 4
+"""Maximum size of what ends an event."""
+
 
 class StreamEvent(NamedTuple):
     """One complete event: its bytes, and its ID if it has one."""
@@ -25,24 +37,43 @@
 
 
 class EventSplitter:
-    """Splits chunks into complete events, and buffers the incomplete rest."""
+    """Splits chunks into complete events, and buffers the incomplete ``rest``.
+
+    Each byte is searched once, however small the chunks are. ``unnumbered`` counts the
+    last events in a row without a number.
+    """
 
     def __init__(self) -> None:
-        self.rest = b""
+        self.rest = bytearray()
+        self.unnumbered = 0
 
     def is_too_large(self) -> bool:
-        """Return whether the buffered, incomplete event is too large."""
-        return len(self.rest) > MAX_EVENT_BYTES
+        """Return whether the buffered, incomplete event is too large.
+
+        So are events without numbers that come without end.
+        """
+        is_endless = self.unnumbered > MAX_UNNUMBERED_EVENTS
+        return is_endless or len(self.rest) > MAX_EVENT_BYTES
 
     def feed(self, chunk: bytes) -> list[StreamEvent]:
-        """Add a chunk and return the events that it completes."""
-        data = self.rest + chunk
+        """Add a chunk and return the events that it completes.
+
+        None are returned after the first one that makes the stream too large.
+        """
+        position = max(0, len(self.rest) - EVENT_END_BYTES + 1)
+        self.rest += chunk
         events = []
         start = 0
-        for end in EVENT_END.finditer(data):
-            events.append(_event(data[start : end.end()]))
-            start = end.end()
-        self.rest = data[start:]
+        while self.unnumbered <= MAX_UNNUMBERED_EVENTS:
+            found = EVENT_END.search(self.rest, position)
+            if found is None:
+                break
+            position = found.end()
+            event = _event(bytes(self.rest[start:position]))
+            events.append(event)
+            start = position
+            self.unnumbered = 0 if _is_numbered(event) else self.unnumbered + 1
+        del self.rest[:start]
         return events
 
 
@@ -50,15 +81,21 @@
     """Return whether an event may directly follow the one with the ID ``previous``.
 
     IDs must be consecutive numbers. An event without an ID, or with one that is not a
-    number, is accepted in any order.
+    number, is accepted in any order; one with a number of too many digits is not.
     """
     if event_id is None or previous is None:
         return True
     if not (event_id.isdecimal() and previous.isdecimal()):
         return True
+    if max(len(event_id), len(previous)) > MAX_ID_DIGITS:
+        return False
     return int(event_id) == int(previous) + 1
 
 
+def _is_numbered(event: StreamEvent) -> bool:
+    return event.event_id is not None and event.event_id.isdecimal()
+
+
 def _event(data: bytes) -> StreamEvent:
     found = EVENT_ID.search(data)
     return StreamEvent(data, None if found is None else found[1].decode("latin-1"))
--- a/tests/unit/relay/test_bounds.py
+++ b/tests/unit/relay/test_bounds.py
@@ -2,12 +2,27 @@
 
 from asyncio import get_running_loop, sleep
 from collections.abc import AsyncIterator
+from time import process_time
+
+import pytest
 
 from clementinebend_relay.bodies import read_body
-from clementinebend_relay.events import MAX_EVENT_BYTES, EventSplitter
+from clementinebend_relay.events import (
+    MAX_EVENT_BYTES,
+    MAX_UNNUMBERED_EVENTS,
+    EventSplitter,
+    is_next_event,
+)
 from clementinebend_transport.exceptions import TruncatedAnswer
 from clementinebend_transport.http_client import OpenAnswer
 
+SMALL_PIECE = 64
+"""Bytes of the pieces in which an event without end arrives."""
+
+SPLIT_SECONDS = 1.0
+"""Processor time within which such an event has been found to be too large; a search
+of all its bytes with each piece takes ten times as long."""
+
 
 class CloseRecorder:
     """Records whether a response was closed."""
@@ -81,6 +96,50 @@
     assert not splitter.is_too_large()
 
 
+def test_an_event_without_end_in_small_pieces_is_searched_once() -> None:
+    """Guards against a search of the whole event with each piece of it."""
+    splitter = EventSplitter()
+    began = process_time()
+    while not splitter.is_too_large():
+        splitter.feed(b"x" * SMALL_PIECE)
+    assert process_time() - began < SPLIT_SECONDS
+
+
+@pytest.mark.parametrize("size", range(1, 12))
+def test_events_are_split_alike_however_their_bytes_arrive(size: int) -> None:
+    data = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\n\r\nid: 4\r\n\nid"
+    splitter = EventSplitter()
+    pieces = [data[start : start + size] for start in range(0, len(data), size)]
+    events = [event for piece in pieces for event in splitter.feed(piece)]
+    assert events == EventSplitter().feed(data)
+    assert [event.event_id for event in events] == ["1", "2", "3", "4"]
+    assert splitter.rest == b"id"
+
+
+@pytest.mark.parametrize("event", [b"\n\n", b": comment\n\n", b"id: x\ndata: x\n\n"])
+def test_events_without_numbers_that_come_without_end_are_too_large(
+    event: bytes,
+) -> None:
+    splitter = EventSplitter()
+    assert len(splitter.feed(event * MAX_UNNUMBERED_EVENTS)) == MAX_UNNUMBERED_EVENTS
+    assert not splitter.is_too_large()
+    assert len(splitter.feed(event * MAX_UNNUMBERED_EVENTS)) == 1
+    assert splitter.is_too_large()
+
+
+def test_events_without_numbers_between_others_are_passed_on() -> None:
+    splitter = EventSplitter()
+    for number in range(2 * MAX_UNNUMBERED_EVENTS):
+        assert len(splitter.feed(b": comment\n\nid: %d\n\n" % number)) == 2
+    assert not splitter.is_too_large()
+
+
+def test_an_event_whose_number_has_no_end_is_not_the_next_one() -> None:
+    """Guards against a conversion that raises for numbers of so many digits."""
+    assert not is_next_event("1" * 5000, "1")
+    assert not is_next_event("2", "1" * 5000)
+
+
 def distant_deadline() -> float:
     """Return a deadline that does not expire during a test."""
     return get_running_loop().time() + 10
