Let streams without event numbers be longer than 256 events

Now it counts events that carry neither, such as comments and blank lines.

Endless events with data are bounded by the call's time limit only, so far.

--- a/libs/relay/src/clementinebend_relay/events.py
+++ b/libs/relay/src/clementinebend_relay/events.py
@@ -8,6 +8,7 @@
 
 EVENT_END = compile(rb"\r?\n\r?\n")
 EVENT_ID = compile(rb"^id: ?([^\r\n]*)", MULTILINE)
+EVENT_DATA = compile(rb"^data:", MULTILINE)
 
 
 MAX_EVENT_BYTES = 256 * 1024
@@ -16,11 +17,9 @@
 Typical events have a few hundred bytes.
 """
 
-MAX_UNNUMBERED_EVENTS = 256
-"""Maximum number of events in a row without a number, comments and blank ones included.
-
-The numbers of a stream bound the others: they are consecutive.
-"""
+MAX_EMPTY_EVENTS = 256
+"""Maximum number of events in a row with neither data nor a number, such as comments
+and blank lines."""
 
 MAX_ID_DIGITS = 19
 """Maximum number of digits of an event's ID, those of a 64-bit integer."""
@@ -39,20 +38,20 @@
 class EventSplitter:
     """Splits chunks into complete events, and buffers the incomplete ``rest``.
 
-    Each byte is searched once, however small the chunks are. ``unnumbered`` counts the
-    last events in a row without a number.
+    Each byte is searched once, however small the chunks are. ``empty`` counts the last
+    events in a row that carry nothing.
     """
 
     def __init__(self) -> None:
         self.rest = bytearray()
-        self.unnumbered = 0
+        self.empty = 0
 
     def is_too_large(self) -> bool:
         """Return whether the buffered, incomplete event is too large.
 
-        So are events without numbers that come without end.
+        So are empty events that come without end.
         """
-        is_endless = self.unnumbered > MAX_UNNUMBERED_EVENTS
+        is_endless = self.empty > MAX_EMPTY_EVENTS
         return is_endless or len(self.rest) > MAX_EVENT_BYTES
 
     def feed(self, chunk: bytes) -> list[StreamEvent]:
@@ -64,7 +63,7 @@
         self.rest += chunk
         events = []
         start = 0
-        while self.unnumbered <= MAX_UNNUMBERED_EVENTS:
+        while self.empty <= MAX_EMPTY_EVENTS:
             found = EVENT_END.search(self.rest, position)
             if found is None:
                 break
@@ -72,7 +71,7 @@
             event = _event(bytes(self.rest[start:position]))
             events.append(event)
             start = position
-            self.unnumbered = 0 if _is_numbered(event) else self.unnumbered + 1
+            self.empty = self.empty + 1 if _is_empty(event) else 0
         del self.rest[:start]
         return events
 
@@ -92,8 +91,10 @@
     return int(event_id) == int(previous) + 1
 
 
-def _is_numbered(event: StreamEvent) -> bool:
-    return event.event_id is not None and event.event_id.isdecimal()
+def _is_empty(event: StreamEvent) -> bool:
+    """Return whether an event has neither data nor a number."""
+    is_numbered = event.event_id is not None and event.event_id.isdecimal()
+    return not is_numbered and EVENT_DATA.search(event.data) is None
 
 
 def _event(data: bytes) -> StreamEvent:
