Tell why connections of callers end, and which requests are left unanswered

Cause: an entry that closed a connection with a request in it left no line and no figure, so that a request without an answer could not be traced.

Change: each end has a reason, counted; whole requests without a whole answer whose callers were still there are counted by reason and logged with the id that the entry's protocol reads; connections closed with unread bytes are logged with the caller's address, the time since the last byte and how late the event loop noticed the limit. Reads that found their bytes after the timeout are counted. Callers whose connection the entry itself ends no longer count as having left.

Evidence: tests/unit/transport, the unit tests of unread answers, overloaded entries and the layout pass; the new file does not import before the change. Not run: functional tests; that the line of an entry program has the id.

--- a/libs/relay/src/clementinebend_relay/process.py
+++ b/libs/relay/src/clementinebend_relay/process.py
@@ -22,7 +22,7 @@
 from clementinebend_relay.leaving_notifier import LeavingNotifier
 from clementinebend_relay.load_monitor import LoadMonitor
 from clementinebend_relay.messages import Message
-from clementinebend_relay.models import Configuration
+from clementinebend_relay.models import Configuration, Rejection
 from clementinebend_relay.moving_callers import close_some_idle
 from clementinebend_relay.origin_replicas import OriginReplicas
 from clementinebend_relay.pace_rates import PaceRates
@@ -279,7 +279,7 @@
         self.socket = await open_socket(self.settings.peers, self._on_message)
         limits = ServerLimits()
         self.servers = [
-            await serve_http(self.handler.handle, *callers, limits),
+            await serve_http(self.handler.handle, *callers, limits, self._request_id),
             await serve_http(self._ready, *ready, limits),
             await serve_http(self._metrics, callers.host, metrics_port, limits),
         ]
@@ -379,6 +379,10 @@
                 )
             )
 
+    def _request_id(self, request: Request) -> str | None:
+        call = self.handler.protocol.read_call(request)
+        return None if isinstance(call, Rejection) else call.request_id
+
     async def _ready(self, request: Request) -> Response:
         if not self.protocol.is_ready_check(request):
             return Response(404, (), b"")
--- a/libs/transport/src/clementinebend_transport/channel.py
+++ b/libs/transport/src/clementinebend_transport/channel.py
@@ -21,10 +21,13 @@
 from select import POLLIN, poll
 from socket import SO_LINGER, SOL_SOCKET
 from struct import calcsize, pack, unpack
-from termios import TIOCOUTQ
+from termios import FIONREAD, TIOCOUTQ
+from time import monotonic
 from typing import cast
 
+from clementinebend_transport.connection_ends import LATE_READS
 from clementinebend_transport.exceptions import SlowReaderError
+from clementinebend_transport.metrics import counter
 from clementinebend_transport.traffic import traffic
 
 READ_BUFFER_BYTES = 128 * 1024
@@ -37,7 +40,11 @@
 """The ``struct linger`` that makes close send a reset; source: socket(7)."""
 
 QUEUE_FORMAT = "i"
-"""How the system tells the size of a socket's send queue; source: tcp(7)."""
+"""How the system tells the size of a socket's queues; source: tcp(7)."""
+
+_late_reads = counter(
+    LATE_READS, "Reads that found their bytes only after their timeout had expired."
+)
 
 
 class Channel(Protocol):
@@ -48,6 +55,12 @@
         self.on_end: Callable[[], object] | None = None
         self.received: list[bytes] = []
         self.received_bytes = 0
+        self.received_at = 0.0
+        """When the last byte came, by ``time.monotonic``."""
+        self.discarded_bytes = 0
+        """Bytes that were dropped unread so far."""
+        self.untaken_bytes = 0
+        """Bytes that were dropped as the connection was closed at once."""
         self.parsing_bytes = 0
         """Upper bound of the bytes that a parser has been given and not returned."""
         self.written_bytes = 0
@@ -71,13 +84,16 @@
         """Take over a new connection."""
         self.transport = cast(Transport, transport)
         self.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        self.received_at = monotonic()
         if self.on_connected is not None:
             self.on_connected(self)
 
     def data_received(self, data: bytes) -> None:
         """Keep bytes until they are read; above the limit stop receiving."""
         traffic.received += len(data)
+        self.received_at = monotonic()
         if self.discarding:
+            self.discarded_bytes += len(data)
             return
         self.received.append(data)
         self.received_bytes += len(data)
@@ -125,6 +141,7 @@
             except TimeoutError:
                 if not await self._take_arrivals():
                     raise
+                _late_reads.inc()
         data = self.received[0] if len(self.received) == 1 else b"".join(self.received)
         self.received.clear()
         if self.received_bytes > READ_BUFFER_BYTES and not self.ended:
@@ -178,9 +195,14 @@
         return (
             self.written_bytes
             - self.transport.get_write_buffer_size()
-            - _send_queue_bytes(self.transport)
+            - _queue_bytes(self.transport, TIOCOUTQ)
         )
 
+    def unread_bytes(self) -> int:
+        """Return how many bytes have come, and were dropped or are not read yet."""
+        waiting = _queue_bytes(self.transport, FIONREAD)
+        return self.discarded_bytes + self.received_bytes + waiting
+
     def pause_receiving(self, is_paused: bool) -> None:
         """Stop receiving while nothing is read, or go on.
 
@@ -211,6 +233,7 @@
         if self.received_bytes > READ_BUFFER_BYTES and not self.ended:
             self.transport.resume_reading()
         self.received.clear()
+        self.discarded_bytes += self.received_bytes
         self.received_bytes = 0
 
     async def close(self, limit: float) -> None:
@@ -221,10 +244,12 @@
             async with timeout(limit):
                 await self.lost.wait()
         except TimeoutError:
-            self.transport.abort()
+            self.abort()
 
     def abort(self) -> None:
         """Close at once; what is buffered is dropped."""
+        if not self.lost.is_set():
+            self.untaken_bytes += self.unsent_bytes()
         self.outgoing.clear()
         self.outgoing_bytes = 0
         self.transport.abort()
@@ -271,13 +296,16 @@
             self.on_end()
 
 
-def _send_queue_bytes(transport: BaseTransport) -> int:
-    """Return the bytes that the other side has not acknowledged, 0 if unknown."""
+def _queue_bytes(transport: BaseTransport, queue: int) -> int:
+    """Return the bytes in a queue of the socket, 0 if unknown.
+
+    ``FIONREAD``: not received yet; ``TIOCOUTQ``: not acknowledged by the other side.
+    """
     socket = transport.get_extra_info("socket")
     if socket is None or socket.fileno() < 0:
         return 0
     try:
-        queued = ioctl(socket.fileno(), TIOCOUTQ, bytes(calcsize(QUEUE_FORMAT)))
+        queued = ioctl(socket.fileno(), queue, bytes(calcsize(QUEUE_FORMAT)))
     except OSError:
         return 0
     return int(unpack(QUEUE_FORMAT, queued)[0])
--- a/libs/transport/src/clementinebend_transport/http_connection.py
+++ b/libs/transport/src/clementinebend_transport/http_connection.py
@@ -10,6 +10,7 @@
 from contextlib import suppress
 from logging import getLogger
 from math import inf
+from time import monotonic
 
 from h11 import SERVER, Data, EndOfMessage
 from h11 import Connection as Parser
@@ -17,6 +18,12 @@
 from h11 import Response as HttpResponse
 
 from clementinebend_transport.channel import WRITE_BUFFER_BYTES, Channel
+from clementinebend_transport.connection_ends import (
+    EndedConnection,
+    EndReason,
+    on_ended,
+    on_unanswered,
+)
 from clementinebend_transport.exceptions import AnswerCutError, SlowReaderError
 from clementinebend_transport.http_events import is_cycle_done, post_event
 from clementinebend_transport.http_reader import (
@@ -26,10 +33,12 @@
 )
 from clementinebend_transport.http_types import (
     Handler,
+    Identify,
     Request,
     Response,
     ServerLimits,
     error_response,
+    no_id,
 )
 from clementinebend_transport.metrics import counter
 
@@ -76,15 +85,24 @@
     """State of one caller's connection, owned by one task."""
 
     def __init__(
-        self, channel: Channel, handler: Handler, limits: ServerLimits
+        self,
+        channel: Channel,
+        handler: Handler,
+        limits: ServerLimits,
+        identify: Identify = no_id,
     ) -> None:
         self.channel = channel
         self.handler = handler
+        self.identify = identify
         self.limits = limits
         self.parser = Parser(SERVER, max_incomplete_event_size=limits.max_header_bytes)
         self.reader = RequestReader(channel, self.parser, limits)
         self.request: Request | None = None
         """The request that is being answered."""
+        self.last_target = ""
+        """The target of the last request whose answer was sent whole."""
+        self.end_reason: EndReason | None = None
+        """Why the connection ends; the first reason counts."""
         self.slices: deque[bytes] = deque()
         self.slices_bytes = 0
         """What is left of the whole body that is being sent, and its size."""
@@ -111,8 +129,24 @@
 
     def disconnect(self) -> None:
         """Close at once, and drop what the caller has not taken."""
+        self.abort(EndReason.MEMORY)
+
+    def abort(self, reason: EndReason) -> None:
+        """Close at once for ``reason``, and drop what the caller has not taken."""
+        self.end_as(reason)
         self.channel.abort()
 
+    def close_quiet(self, reason: EndReason) -> None:
+        """Close a connection that ``may_close`` for ``reason``."""
+        self.end_as(reason)
+        self.channel.transport.close()
+
+    def end_as(self, reason: EndReason) -> None:
+        """Note why the connection ends, unless it is known or the caller has left."""
+        if self.end_reason is None:
+            is_left = self.channel.ended
+            self.end_reason = EndReason.CALLER_LEFT if is_left else reason
+
     def may_close(self) -> bool:
         """Return whether it is open and idle, and no request has arrived."""
         if self.channel.transport.is_closing() or not self.is_idle():
@@ -145,16 +179,50 @@
                 await linger(self.channel)
         except SlowReaderError:
             _slow.inc()
-            self.channel.abort()
+            self.abort(EndReason.SLOW_READER)
         finally:
+            self.end_as(EndReason.FAULT)
+            await self._close()
+
+    async def _close(self) -> None:
+        unread = self._unread_bytes()
+        try:
             await self.channel.close(self.limits.write_timeout)
+        finally:
+            self._tell_end(unread)
+
+    def _unread_bytes(self) -> int:
+        """Return how many bytes have come that belong to no request."""
+        return len(self.parser.trailing_data[0]) + self.channel.unread_bytes()
+
+    def _tell_end(self, unread: int) -> None:
+        end = self._ended(unread)
+        is_taken = not end.untaken_bytes or end.reason is EndReason.CALLER_LEFT
+        if self.last_target and not is_taken:
+            on_unanswered(end, self.last_target, None, monotonic())
+        on_ended(end, monotonic())
+
+    def _ended(self, unread: int) -> EndedConnection:
+        reason = self.end_reason or EndReason.FAULT
+        is_idle_end = reason is EndReason.IDLE_LIMIT
+        return EndedConnection(
+            reason,
+            _peer(self.channel),
+            monotonic() - self.channel.received_at,
+            unread,
+            self.reader.late_seconds if is_idle_end else 0.0,
+            self.channel.untaken_bytes,
+        )
 
     async def _serve_one(self, task: Task[None]) -> bool:
         """Answer the next request; return whether another may follow."""
         request = await self.reader.read(self._idle_limit)
         if isinstance(request, ConnectionEnd):
+            is_stopping = self.is_last or self.is_draining
+            self.end_as(EndReason.PLANNED_STOP if is_stopping else EndReason.IDLE_LIMIT)
             return False
         if isinstance(request, Refusal):
+            self.end_as(EndReason.UNREADABLE_REQUEST)
             await self._refuse(request)
             return False
         if self.channel.ended:
@@ -163,8 +231,13 @@
         return await self._answer_while_present(request, task) and self._may_go_on()
 
     def _may_go_on(self) -> bool:
-        is_open = not self.channel.ended and not self.channel.overrun
-        return is_open and is_cycle_done(self.parser)
+        if self.channel.overrun:
+            self.end_as(EndReason.OVERRUN)
+        elif not is_cycle_done(self.parser):
+            self.end_as(EndReason.LAST_ANSWER)
+        elif not self.channel.ended:
+            return True
+        return False
 
     async def _refuse(self, refusal: Refusal) -> None:
         """Answer an unreadable request and let the caller read the answer."""
@@ -177,17 +250,35 @@
         """Answer; the caller's leaving cancels ``task``."""
         self.channel.on_end = task.cancel
         self.request = request
+        self.last_target = ""
+        is_whole = False
         try:
             # No name here keeps a body that is released while it is sent.
-            return await self._send_response(
+            is_whole = await self._send_response(
                 request.method, await self._ask_handler(request, task)
             )
+            return is_whole
+        except SlowReaderError:
+            self.end_as(EndReason.SLOW_READER)
+            raise
         finally:
             self.request = None
             self._release()
             self.channel.on_end = None
-            if self.channel.ended:
-                _abandoned.inc()
+            if is_whole:
+                self.last_target = request.target
+            else:
+                self._leave_unanswered(request)
+
+    def _leave_unanswered(self, request: Request) -> None:
+        """Count a request without a whole answer, by whether its caller has left."""
+        self.end_as(EndReason.FAULT)
+        if self.end_reason is EndReason.CALLER_LEFT:
+            _abandoned.inc()
+            return
+        end = self._ended(self._unread_bytes())
+        request_id = self.identify(request)
+        on_unanswered(end, request.target, request_id, monotonic())
 
     async def _ask_handler(self, request: Request, task: Task[None]) -> Response:
         if self.is_last:
@@ -269,6 +360,7 @@
     def _cut(self) -> None:
         """End the connection so that no caller takes the answer for whole."""
         _cut.inc()
+        self.end_as(EndReason.SOURCE_CUT)
         if self.parser.their_http_version == b"1.0":
             self.channel.reset()
 
@@ -304,6 +396,12 @@
             await channel.lost.wait()
 
 
+def _peer(channel: Channel) -> str:
+    """Return the caller's address and port, as log lines name it."""
+    address = channel.transport.get_extra_info("peername")
+    return "" if address is None else f"{address[0]}:{address[1]}"
+
+
 async def _close_iterator(body: AsyncIterator[bytes]) -> None:
     close = getattr(body, "aclose", None)
     if close is not None:
--- a/libs/transport/src/clementinebend_transport/http_reader.py
+++ b/libs/transport/src/clementinebend_transport/http_reader.py
@@ -40,6 +40,8 @@
         self.parser = parser
         self.limits = limits
         self.is_idle = True
+        self.late_seconds = 0.0
+        """How much later than due the last idle limit was noticed."""
 
     async def read(
         self, idle_limit: Callable[[], float]
@@ -76,7 +78,9 @@
             try:
                 return await self.channel.read(since + idle_limit())
             except TimeoutError:
-                if clock() >= since + idle_limit():
+                late = clock() - since - idle_limit()
+                if late >= 0:
+                    self.late_seconds = late
                     return b""
 
     async def _read_parts(self) -> Request | Refusal | ConnectionEnd:
--- a/libs/transport/src/clementinebend_transport/http_server.py
+++ b/libs/transport/src/clementinebend_transport/http_server.py
@@ -16,6 +16,7 @@
 from math import ceil
 
 from clementinebend_transport.channel import Channel
+from clementinebend_transport.connection_ends import EndReason, on_refused
 from clementinebend_transport.early_binding import BACKLOG, take_bound
 from clementinebend_transport.http_connection import (
     DRAIN_GRACE_SECONDS,
@@ -24,10 +25,12 @@
 )
 from clementinebend_transport.http_types import (
     Handler,
+    Identify,
     Request,
     Response,
     ServerLimits,
     error_response,
+    no_id,
 )
 from clementinebend_transport.metrics import counter
 
@@ -67,9 +70,12 @@
 class HttpServer:
     """A listening server; ``drain`` ends it in order, ``close`` at once."""
 
-    def __init__(self, handler: Handler, limits: ServerLimits) -> None:
+    def __init__(
+        self, handler: Handler, limits: ServerLimits, identify: Identify = no_id
+    ) -> None:
         self.handler = handler
         self.limits = limits
+        self.identify = identify
         self.host = ""
         self.port = 0
         self.listener: Server | None = None
@@ -116,7 +122,7 @@
             if connection.may_close()
         ]
         for connection in closing:
-            connection.channel.transport.close()
+            connection.close_quiet(EndReason.LEFT_ROTATION)
         return len(closing)
 
     def change_limits(self, limits: ServerLimits) -> None:
@@ -145,7 +151,7 @@
         await self._stop_listening()
         tasks = (*self.connections, *self.refusals)
         for connection in self.connections.values():
-            connection.channel.abort()
+            connection.abort(EndReason.PROCESS_CLOSING)
         for task in tasks:
             task.cancel()
         if tasks:
@@ -176,13 +182,13 @@
             if connection.request is not None:
                 connection.is_last = True
             elif connection.may_close():
-                connection.channel.transport.close()
+                connection.close_quiet(EndReason.PLANNED_STOP)
 
     def _on_connected(self, channel: Channel) -> None:
         if len(self.connections) >= self.limits.max_connections:
             self._refuse(channel)
             return
-        connection = HttpConnection(channel, self.handler, self.limits)
+        connection = HttpConnection(channel, self.handler, self.limits, self.identify)
         connection.is_draining = self.is_draining
         connection.is_moving = self.is_moving
         task = create_task(_serve(connection))
@@ -196,6 +202,7 @@
 
     def _refuse(self, channel: Channel) -> None:
         _refused.inc()
+        on_refused()
         if len(self.refusals) >= self.limits.max_connections:
             channel.abort()
             return
@@ -205,14 +212,19 @@
 
 
 async def serve_http(
-    handler: Handler, host: str, port: int, limits: ServerLimits = DEFAULT_LIMITS
+    handler: Handler,
+    host: str,
+    port: int,
+    limits: ServerLimits = DEFAULT_LIMITS,
+    identify: Identify = no_id,
 ) -> HttpServer:
     """Listen on ``host`` and ``port`` (0: a free one) and answer by ``handler``.
 
+    ``identify`` names requests in log lines.
     A port that ``bind_early`` holds is taken over, with the connections that
     wait there. Raises ``OSError`` if the address cannot be bound.
     """
-    server = HttpServer(handler, limits)
+    server = HttpServer(handler, limits, identify)
     loop = get_running_loop()
 
     def connected() -> Channel:
--- a/libs/transport/src/clementinebend_transport/http_types.py
+++ b/libs/transport/src/clementinebend_transport/http_types.py
@@ -55,6 +55,15 @@
 """Answers one request; cancelled when the caller leaves."""
 
 
+Identify = Callable[[Request], str | None]
+"""Returns the id by which log lines name a request, ``None`` if it has none."""
+
+
+def no_id(request: Request) -> str | None:
+    """Return that a request has no id."""
+    return None
+
+
 def error_response(
     status: int, kind: str, message: str, retry_after: int | None = None
 ) -> Response:
