Keep a last answer from being destroyed by what comes after it

What callers saw: a reset within an answer that had been sent whole.

Cause: after an answer with 'connection: close' the connection was closed at once. Bytes that came then, as of a pipelined request, made the system reset it, and drop what the caller had not received. Only refusals of unreadable requests waited for the caller's close.

A planned stop doesn't count such connections as requests in progress. An answer whose rest is dropped since the caller took nothing counts as one of a slow reader.

Evidence: 200,000 bytes to a caller with a small buffer that sends one more request. Not run: functional tests.

--- a/libs/transport/src/clementinebend_transport/channel.py
+++ b/libs/transport/src/clementinebend_transport/channel.py
@@ -236,8 +236,11 @@
         self.discarded_bytes += self.received_bytes
         self.received_bytes = 0
 
-    async def close(self, limit: float) -> None:
-        """Send what was posted and close; after ``limit`` seconds, drop it."""
+    async def close(self, limit: float) -> bool:
+        """Send what was posted and close; after ``limit`` seconds, drop it.
+
+        Returns whether it was not dropped by that.
+        """
         self.flush()
         self.transport.close()
         try:
@@ -245,6 +248,8 @@
                 await self.lost.wait()
         except TimeoutError:
             self.abort()
+            return False
+        return True
 
     def abort(self) -> None:
         """Close at once; what is buffered is dropped."""
--- a/libs/transport/src/clementinebend_transport/http_connection.py
+++ b/libs/transport/src/clementinebend_transport/http_connection.py
@@ -57,6 +57,16 @@
 )
 """The answer to a request that comes after the last one that is taken."""
 
+LINGERING = frozenset(
+    (
+        EndReason.LAST_ANSWER,
+        EndReason.OVERRUN,
+        EndReason.SOURCE_CUT,
+        EndReason.UNREADABLE_REQUEST,
+    )
+)
+"""Reasons for which a connection ends right after an answer."""
+
 CLOSE_HEADER = (b"connection", b"close")
 BODILESS_STATUSES = frozenset((204, 304))
 FRAMING = frozenset(("content-length", "transfer-encoding", "connection"))
@@ -115,6 +125,8 @@
         """When the last answer was whole; infinite before the first one."""
         self.is_last = False
         """Whether further requests are rejected; the caller may not have been told."""
+        self.is_lingering = False
+        """Whether all answers have been sent, and nothing more is read."""
 
     def is_idle(self) -> bool:
         """Return whether no part of a request is here and no answer is going out."""
@@ -175,7 +187,8 @@
                 self.parser.start_next_cycle()
                 self.idle_since = get_running_loop().time()
                 await sleep(0)  # pipelined requests take turns with other tasks
-            if self.is_last and not self.channel.ended:
+            if self.is_last or self.end_reason in LINGERING:
+                self.is_lingering = True
                 await linger(self.channel)
         except SlowReaderError:
             _slow.inc()
@@ -187,7 +200,9 @@
     async def _close(self) -> None:
         unread = self._unread_bytes()
         try:
-            await self.channel.close(self.limits.write_timeout)
+            is_sent = await self.channel.close(self.limits.write_timeout)
+            if not is_sent and self.end_reason is not EndReason.CALLER_LEFT:
+                self.end_reason = EndReason.SLOW_READER
         finally:
             self._tell_end(unread)
 
@@ -244,7 +259,6 @@
         response = error_response(refusal.status, "bad_request", refusal.message)
         self.is_draining = True
         await self._send_response("GET", response)
-        await linger(self.channel)
 
     async def _answer_while_present(self, request: Request, task: Task[None]) -> bool:
         """Answer; the caller's leaving cancels ``task``."""
@@ -386,14 +400,21 @@
 
 
 async def linger(channel: Channel) -> None:
-    """End our side and drop what still comes, for a short time."""
+    """End our side and drop what still comes, for a short time.
+
+    It begins anew while the other side takes what was sent before.
+    """
+    if channel.ended or channel.transport.is_closing():
+        return
     channel.discard()
     channel.flush()
-    if not channel.transport.is_closing():
-        channel.transport.write_eof()
-    with suppress(TimeoutError):
-        async with timeout(LINGER_SECONDS):
-            await channel.lost.wait()
+    channel.transport.write_eof()
+    unsent = inf
+    while channel.unsent_bytes() < unsent and not channel.lost.is_set():
+        unsent = channel.unsent_bytes()
+        with suppress(TimeoutError):
+            async with timeout(LINGER_SECONDS):
+                await channel.lost.wait()
 
 
 def _peer(channel: Channel) -> str:
--- a/libs/transport/src/clementinebend_transport/http_server.py
+++ b/libs/transport/src/clementinebend_transport/http_server.py
@@ -134,7 +134,8 @@
     async def drain(self, timeout: float) -> bool:
         """Stop accepting, and let requests in progress end whole.
 
-        Waits at most ``timeout`` seconds; returns whether all ended.
+        Waits at most ``timeout`` seconds; returns whether all ended, but for
+        connections that are still open for what comes after the last answer.
         """
         loop = get_running_loop()
         deadline = loop.time() + timeout
@@ -144,7 +145,7 @@
         loop.call_later(grace, self._end_connections)
         while self.connections and loop.time() < deadline:
             await wait(tuple(self.connections), timeout=deadline - loop.time())
-        return not self.connections
+        return all(each.is_lingering for each in self.connections.values())
 
     async def close(self) -> None:
         """Stop at once: requests in progress are cancelled and cut off."""
--- /dev/null
+++ b/tests/unit/transport/test_last_answers.py
@@ -0,0 +1,55 @@
+"""What happens to answers after which a connection is closed."""
+
+from asyncio import get_running_loop
+from asyncio import timeout as time_limit
+from socket import SO_RCVBUF, SOL_SOCKET, socket
+
+from clementinebend_transport.connection_ends import EndReason
+from clementinebend_transport.http_server import HttpServer, Request, Response
+from tests.unit.transport.loopback import (
+    GET,
+    HOST,
+    PATIENCE,
+    serving,
+    until,
+)
+from tests.unit.transport.test_http_server import CLOSE, SLOW_BUFFER
+
+BODY_BYTES = 200_000
+"""More than the caller's socket takes of an answer that is not read."""
+
+
+async def answer_large(request: Request) -> Response:
+    return Response(200, (), bytes(BODY_BYTES))
+
+
+async def slow_caller(server: HttpServer, sent: bytes) -> socket:
+    """Return the socket of a caller that has sent something and reads nothing."""
+    caller = socket()
+    caller.setsockopt(SOL_SOCKET, SO_RCVBUF, SLOW_BUFFER)
+    caller.setblocking(False)
+    await get_running_loop().sock_connect(caller, (HOST, server.port))
+    await get_running_loop().sock_sendall(caller, sent)
+    return caller
+
+
+async def receive_all(caller: socket) -> bytes:
+    received = bytearray()
+    async with time_limit(PATIENCE):
+        while data := await get_running_loop().sock_recv(caller, 1 << 16):
+            received += data
+    return bytes(received)
+
+
+async def test_bytes_that_come_after_the_last_answer_do_not_destroy_it() -> None:
+    """Guards against a reset that drops the rest of an answer on its way."""
+    async with serving(answer_large) as server:
+        caller = await slow_caller(server, CLOSE)
+        await until(lambda: bool(server.connections))
+        (connection,) = server.connections.values()
+        await until(lambda: connection.end_reason is EndReason.LAST_ANSWER)
+        await until(lambda: not connection.channel.unsent_bytes())
+        await get_running_loop().sock_sendall(caller, GET)
+        answer = await receive_all(caller)
+        caller.close()
+    assert answer.endswith(bytes(BODY_BYTES))
