Answer 500 in place of an answer that cannot be sent

What callers saw: a closed connection after a request that had been read whole.

Cause: a header or status that is no HTTP raised while the head was built, beyond what catches faults of the handler, and ended the connection's task.

Change: the head is built before anything is sent; if that fails, the fault is logged and a 500 without a body goes out. The source of a streamed body is started and closed as for any other answer, so that it cleans up.

Evidence: an invalid header value, header name and status, with whole and streamed bodies. Not run: functional tests.

--- a/libs/transport/src/clementinebend_transport/http_connection.py
+++ b/libs/transport/src/clementinebend_transport/http_connection.py
@@ -12,7 +12,7 @@
 from math import inf
 from time import monotonic
 
-from h11 import SERVER, Data, EndOfMessage
+from h11 import SERVER, Data, EndOfMessage, LocalProtocolError
 from h11 import Connection as Parser
 from h11 import Event as HttpEvent
 from h11 import Response as HttpResponse
@@ -68,6 +68,8 @@
 """Reasons for which a connection ends right after an answer."""
 
 CLOSE_HEADER = (b"connection", b"close")
+CHUNKED = ((b"transfer-encoding", b"chunked"),)
+NO_BODY = ((b"content-length", b"0"),)
 BODILESS_STATUSES = frozenset((204, 304))
 FRAMING = frozenset(("content-length", "transfer-encoding", "connection"))
 """Headers that are the connection's own business."""
@@ -312,8 +314,8 @@
         body = response.body
         if not isinstance(body, bytes):
             return await self._send_stream(method, response, body)
-        self._send_head(response, ((b"content-length", b"%d" % len(body)),))
-        if _has_body(method, response.status):
+        framing = ((b"content-length", b"%d" % len(body)),)
+        if self._send_head(response, framing) and _has_body(method, response.status):
             self._hold(body)
             del body, response
             await self._send_slices()
@@ -344,9 +346,11 @@
         self, method: str, response: Response, body: AsyncIterator[bytes]
     ) -> bool:
         self.source_bytes = getattr(body, "held_bytes", _no_bytes)
+        has_body = _has_body(method, response.status)
         try:
-            self._send_head(response, ((b"transfer-encoding", b"chunked"),))
-            if _has_body(method, response.status) and not await self._send_pieces(body):
+            if not self._send_head(response, CHUNKED):
+                await _start_iterator(body)
+            elif has_body and not await self._send_pieces(body):
                 return False
         finally:
             await _close_iterator(body)
@@ -378,8 +382,27 @@
         if self.parser.their_http_version == b"1.0":
             self.channel.reset()
 
-    def _send_head(self, response: Response, framing: Framing) -> None:
-        _answered.labels(response.status).inc()
+    def _send_head(self, response: Response, framing: Framing) -> bool:
+        """Send the head; return whether the body may follow.
+
+        In place of a head that cannot be sent, a failure without a body is sent.
+        """
+        is_valid = True
+        try:
+            head = self._head(response, framing)
+        except (LocalProtocolError, UnicodeEncodeError):
+            logger.exception("the answer cannot be sent")
+            is_valid = False
+            head = self._head(Response(500, (), b""), NO_BODY)
+        _answered.labels(head.status_code).inc()
+        self._send(head)
+        return is_valid
+
+    def _head(self, response: Response, framing: Framing) -> HttpResponse:
+        """Return the head.
+
+        Raises ``LocalProtocolError`` or ``UnicodeEncodeError`` if it is no HTTP.
+        """
         is_last = self._is_last_answer(response)
         own = (
             (name.encode("latin-1"), value.encode("latin-1", "replace"))
@@ -389,7 +412,7 @@
         framing = () if response.status in BODILESS_STATUSES else framing
         closing = (CLOSE_HEADER,) if is_last else ()
         headers = [*own, *framing, *closing]
-        self._send(HttpResponse(status_code=response.status, headers=headers))
+        return HttpResponse(status_code=response.status, headers=headers)
 
     def _is_last_answer(self, response: Response) -> bool:
         is_leaving = self.is_draining or self.is_moving
@@ -423,6 +446,12 @@
     return "" if address is None else f"{address[0]}:{address[1]}"
 
 
+async def _start_iterator(body: AsyncIterator[bytes]) -> None:
+    """Take the first piece: what is not started does not clean up as it is closed."""
+    with suppress(Exception):
+        await anext(body, None)
+
+
 async def _close_iterator(body: AsyncIterator[bytes]) -> None:
     close = getattr(body, "aclose", None)
     if close is not None:
--- a/tests/unit/transport/test_last_answers.py
+++ b/tests/unit/transport/test_last_answers.py
@@ -1,9 +1,12 @@
 """What happens to answers after which a connection is closed."""
 
-from asyncio import get_running_loop
+from asyncio import Event, get_running_loop
 from asyncio import timeout as time_limit
+from collections.abc import AsyncIterator
 from socket import SO_RCVBUF, SOL_SOCKET, socket
 
+import pytest
+
 from clementinebend_transport.connection_ends import EndReason
 from clementinebend_transport.http_server import HttpServer, Request, Response
 from tests.unit.transport.loopback import (
@@ -11,10 +14,15 @@
     HOST,
     PATIENCE,
     serving,
+    talk,
     until,
 )
-from tests.unit.transport.test_http_server import CLOSE, SLOW_BUFFER
+from tests.unit.transport.test_http_server import (
+    CLOSE,
+    SLOW_BUFFER,
+)
 
+STOP_SECONDS = 5.0
 BODY_BYTES = 200_000
 """More than the caller's socket takes of an answer that is not read."""
 
@@ -53,3 +61,38 @@
         answer = await receive_all(caller)
         caller.close()
     assert answer.endswith(bytes(BODY_BYTES))
+
+
+INVALID = Response(200, (("x-value", "two\nlines"),), b"body")
+
+
+@pytest.mark.parametrize(
+    "invalid",
+    [
+        INVALID,
+        INVALID._replace(headers=(("\u20ac", "name"),)),
+        INVALID._replace(status=99),
+    ],
+    ids=["header", "name", "status"],
+)
+@pytest.mark.parametrize("is_streamed", [False, True])
+async def test_an_answer_that_cannot_be_sent_is_replaced_by_a_failure(
+    invalid: Response, is_streamed: bool
+) -> None:
+    """Guards against a connection that is closed without an answer."""
+    closed = Event()
+
+    async def pieces() -> AsyncIterator[bytes]:
+        try:
+            yield b"body"
+        finally:
+            closed.set()
+
+    async def handle(request: Request) -> Response:
+        return invalid._replace(body=pieces()) if is_streamed else invalid
+
+    async with serving(handle) as server:
+        answer = await talk(server.port, CLOSE)
+    assert answer.startswith(b"HTTP/1.1 500 ")
+    assert b"body" not in answer
+    assert closed.is_set() == is_streamed
