Answer requests in progress as the process ends

What callers saw: a closed connection, as the time for a planned stop ran out.

Cause: HttpServer.close aborted all connections before it cancelled their tasks.

Change: a request that has no part of an answer yet is cancelled, and answered 504: its outcome is unknown, so that the answer promises nothing. Other answers are cut off as before. At most 0.2 s longer than before for callers that do not take it.

Evidence: a request whose handler is in progress as drain runs out and the server is closed. Before: closed without an answer; after: 504 with 'connection: close', the handler cancelled. tests/unit/transport and the unit tests of unread answers, overloaded entries and the layout pass. Not run: functional tests.

--- a/libs/transport/src/clementinebend_transport/http_connection.py
+++ b/libs/transport/src/clementinebend_transport/http_connection.py
@@ -57,6 +57,14 @@
 )
 """The answer to a request that comes after the last one that is taken."""
 
+CLOSING = error_response(
+    504, "outcome_unknown", "this process ended before the request did"
+)
+"""The answer to a request that is in progress as the process ends."""
+
+CLOSE_SECONDS = 0.2
+"""How long that answer may take to be sent."""
+
 LINGERING = frozenset(
     (
         EndReason.LAST_ANSWER,
@@ -111,6 +119,10 @@
         self.reader = RequestReader(channel, self.parser, limits)
         self.request: Request | None = None
         """The request that is being answered."""
+        self.is_head_sent = False
+        """Whether the head of its answer has been sent."""
+        self.is_closing = False
+        """Whether the process ends, and the request is to be answered at once."""
         self.last_target = ""
         """The target of the last request whose answer was sent whole."""
         self.end_reason: EndReason | None = None
@@ -150,6 +162,18 @@
         self.end_as(reason)
         self.channel.abort()
 
+    def close_now(self) -> None:
+        """Prepare for the end of the process: the task is to be cancelled after this.
+
+        A request that has no part of an answer yet gets ``CLOSING``; else the
+        connection is closed at once.
+        """
+        if self.request is None or self.is_head_sent:
+            self.abort(EndReason.PROCESS_CLOSING)
+        else:
+            self.end_as(EndReason.PROCESS_CLOSING)
+            self.is_closing = True
+
     def close_quiet(self, reason: EndReason) -> None:
         """Close a connection that ``may_close`` for ``reason``."""
         self.end_as(reason)
@@ -189,7 +213,7 @@
                 self.parser.start_next_cycle()
                 self.idle_since = get_running_loop().time()
                 await sleep(0)  # pipelined requests take turns with other tasks
-            if self.is_last or self.end_reason in LINGERING:
+            if not self.is_closing and self._must_linger():
                 self.is_lingering = True
                 await linger(self.channel)
         except SlowReaderError:
@@ -199,6 +223,9 @@
             self.end_as(EndReason.FAULT)
             await self._close()
 
+    def _must_linger(self) -> bool:
+        return self.is_last or self.end_reason in LINGERING
+
     async def _close(self) -> None:
         unread = self._unread_bytes()
         try:
@@ -266,6 +293,7 @@
         """Answer; the caller's leaving cancels ``task``."""
         self.channel.on_end = task.cancel
         self.request = request
+        self.is_head_sent = False
         self.last_target = ""
         is_whole = False
         try:
@@ -302,6 +330,9 @@
         try:
             return await self.handler(request)
         except CancelledError:
+            if self.is_closing and not self.channel.ended:
+                task.uncancel()
+                return CLOSING
             if task.cancelling():
                 raise
             logger.exception("handler cancelled itself")
@@ -395,6 +426,7 @@
             is_valid = False
             head = self._head(Response(500, (), b""), NO_BODY)
         _answered.labels(head.status_code).inc()
+        self.is_head_sent = True
         self._send(head)
         return is_valid
 
@@ -415,7 +447,7 @@
         return HttpResponse(status_code=response.status, headers=headers)
 
     def _is_last_answer(self, response: Response) -> bool:
-        is_leaving = self.is_draining or self.is_moving
+        is_leaving = self.is_draining or self.is_moving or self.is_closing
         return is_leaving or response.is_last or self.channel.overrun
 
     def _send(self, event: HttpEvent) -> None:
--- a/libs/transport/src/clementinebend_transport/http_server.py
+++ b/libs/transport/src/clementinebend_transport/http_server.py
@@ -19,6 +19,7 @@
 from clementinebend_transport.connection_ends import EndReason, on_refused
 from clementinebend_transport.early_binding import BACKLOG, take_bound
 from clementinebend_transport.http_connection import (
+    CLOSE_SECONDS,
     DRAIN_GRACE_SECONDS,
     HttpConnection,
     linger,
@@ -148,13 +149,21 @@
         return all(each.is_lingering for each in self.connections.values())
 
     async def close(self) -> None:
-        """Stop at once: requests in progress are cancelled and cut off."""
+        """Stop at once: requests in progress are cancelled.
+
+        Those that have no part of an answer yet are answered that their outcome is
+        unknown; other answers are cut off.
+        """
         await self._stop_listening()
         tasks = (*self.connections, *self.refusals)
         for connection in self.connections.values():
-            connection.abort(EndReason.PROCESS_CLOSING)
+            connection.close_now()
         for task in tasks:
             task.cancel()
+        if tasks:
+            await wait(tasks, timeout=CLOSE_SECONDS)
+        for connection in self.connections.values():
+            connection.abort(EndReason.PROCESS_CLOSING)
         if tasks:
             await wait(tasks)
 
--- a/tests/unit/transport/test_last_answers.py
+++ b/tests/unit/transport/test_last_answers.py
@@ -13,6 +13,8 @@
     GET,
     HOST,
     PATIENCE,
+    connect,
+    read_all,
     serving,
     talk,
     until,
@@ -20,6 +22,7 @@
 from tests.unit.transport.test_http_server import (
     CLOSE,
     SLOW_BUFFER,
+    new_gate,
 )
 
 STOP_SECONDS = 5.0
@@ -96,3 +99,19 @@
     assert answer.startswith(b"HTTP/1.1 500 ")
     assert b"body" not in answer
     assert closed.is_set() == is_streamed
+
+
+async def test_a_request_in_progress_is_answered_as_the_process_ends() -> None:
+    """Guards against a request that is cut off without an answer."""
+    gate = new_gate()
+    async with serving(gate.handle) as server:
+        reader, writer = await connect(server.port)
+        writer.write(GET)
+        await gate.entered.wait()
+        assert not await server.drain(0.01)
+        await server.close()
+        answer = await read_all(reader)
+        writer.close()
+    assert gate.cancelled.is_set()
+    assert answer.startswith(b"HTTP/1.1 504 ")
+    assert b"connection: close" in answer.lower()
