--- a/libs/transport/src/clementinebend_transport/http_connection.py
+++ b/libs/transport/src/clementinebend_transport/http_connection.py
@@ -10,13 +10,20 @@
 from contextlib import suppress
 from logging import getLogger
 from math import inf
+from time import monotonic
 
-from h11 import SERVER, Data, EndOfMessage
+from h11 import SERVER, Data, EndOfMessage, LocalProtocolError
 from h11 import Connection as Parser
 from h11 import Event as HttpEvent
 from h11 import Response as HttpResponse
 
 from clementinebend_transport.channel import WRITE_BUFFER_BYTES, Channel
+from clementinebend_transport.connection_ends import (
+    EndedConnection,
+    EndReason,
+    on_ended,
+    on_unanswered,
+)
 from clementinebend_transport.exceptions import AnswerCutError, SlowReaderError
 from clementinebend_transport.http_events import is_cycle_done, post_event
 from clementinebend_transport.http_reader import (
@@ -26,10 +33,12 @@
 )
 from clementinebend_transport.http_types import (
     Handler,
+    Identify,
     Request,
     Response,
     ServerLimits,
     error_response,
+    no_id,
 )
 from clementinebend_transport.metrics import counter
 
@@ -48,7 +57,27 @@
 )
 """The answer to a request that comes after the last one that is taken."""
 
+CLOSING = error_response(
+    504, "outcome_unknown", "this process ended before the request did"
+)
+"""The answer to a request that is in progress as the process ends."""
+
+CLOSE_SECONDS = 0.2
+"""How long that answer may take to be sent."""
+
+LINGERING = frozenset(
+    (
+        EndReason.LAST_ANSWER,
+        EndReason.OVERRUN,
+        EndReason.SOURCE_CUT,
+        EndReason.UNREADABLE_REQUEST,
+    )
+)
+"""Reasons for which a connection ends right after an answer."""
+
 CLOSE_HEADER = (b"connection", b"close")
+CHUNKED = ((b"transfer-encoding", b"chunked"),)
+NO_BODY = ((b"content-length", b"0"),)
 BODILESS_STATUSES = frozenset((204, 304))
 FRAMING = frozenset(("content-length", "transfer-encoding", "connection"))
 """Headers that are the connection's own business."""
@@ -76,15 +105,28 @@
     """State of one caller's connection, owned by one task."""
 
     def __init__(
-        self, channel: Channel, handler: Handler, limits: ServerLimits
+        self,
+        channel: Channel,
+        handler: Handler,
+        limits: ServerLimits,
+        identify: Identify = no_id,
     ) -> None:
         self.channel = channel
         self.handler = handler
+        self.identify = identify
         self.limits = limits
         self.parser = Parser(SERVER, max_incomplete_event_size=limits.max_header_bytes)
         self.reader = RequestReader(channel, self.parser, limits)
         self.request: Request | None = None
         """The request that is being answered."""
+        self.is_head_sent = False
+        """Whether the head of its answer has been sent."""
+        self.is_closing = False
+        """Whether the process ends, and the request is to be answered at once."""
+        self.last_target = ""
+        """The target of the last request whose answer was sent whole."""
+        self.end_reason: EndReason | None = None
+        """Why the connection ends; the first reason counts."""
         self.slices: deque[bytes] = deque()
         self.slices_bytes = 0
         """What is left of the whole body that is being sent, and its size."""
@@ -97,6 +139,8 @@
         """When the last answer was whole; infinite before the first one."""
         self.is_last = False
         """Whether further requests are rejected; the caller may not have been told."""
+        self.is_lingering = False
+        """Whether all answers have been sent, and nothing more is read."""
 
     def is_idle(self) -> bool:
         """Return whether no part of a request is here and no answer is going out."""
@@ -111,8 +155,36 @@
 
     def disconnect(self) -> None:
         """Close at once, and drop what the caller has not taken."""
+        self.abort(EndReason.MEMORY)
+
+    def abort(self, reason: EndReason) -> None:
+        """Close at once for ``reason``, and drop what the caller has not taken."""
+        self.end_as(reason)
         self.channel.abort()
 
+    def close_now(self) -> None:
+        """Prepare for the end of the process: the task is to be cancelled after this.
+
+        A request that has no part of an answer yet gets ``CLOSING``; else the
+        connection is closed at once.
+        """
+        if self.request is None or self.is_head_sent:
+            self.abort(EndReason.PROCESS_CLOSING)
+        else:
+            self.end_as(EndReason.PROCESS_CLOSING)
+            self.is_closing = True
+
+    def close_quiet(self, reason: EndReason) -> None:
+        """Close a connection that ``may_close`` for ``reason``."""
+        self.end_as(reason)
+        self.channel.transport.close()
+
+    def end_as(self, reason: EndReason) -> None:
+        """Note why the connection ends, unless it is known or the caller has left."""
+        if self.end_reason is None:
+            is_left = self.channel.ended
+            self.end_reason = EndReason.CALLER_LEFT if is_left else reason
+
     def may_close(self) -> bool:
         """Return whether it is open and idle, and no request has arrived."""
         if self.channel.transport.is_closing() or not self.is_idle():
@@ -141,20 +213,60 @@
                 self.parser.start_next_cycle()
                 self.idle_since = get_running_loop().time()
                 await sleep(0)  # pipelined requests take turns with other tasks
-            if self.is_last and not self.channel.ended:
+            if not self.is_closing and self._must_linger():
+                self.is_lingering = True
                 await linger(self.channel)
         except SlowReaderError:
             _slow.inc()
-            self.channel.abort()
+            self.abort(EndReason.SLOW_READER)
+        finally:
+            self.end_as(EndReason.FAULT)
+            await self._close()
+
+    def _must_linger(self) -> bool:
+        return self.is_last or self.end_reason in LINGERING
+
+    async def _close(self) -> None:
+        unread = self._unread_bytes()
+        try:
+            is_sent = await self.channel.close(self.limits.write_timeout)
+            if not is_sent and self.end_reason is not EndReason.CALLER_LEFT:
+                self.end_reason = EndReason.SLOW_READER
         finally:
-            await self.channel.close(self.limits.write_timeout)
+            self._tell_end(unread)
+
+    def _unread_bytes(self) -> int:
+        """Return how many bytes have come that belong to no request."""
+        return len(self.parser.trailing_data[0]) + self.channel.unread_bytes()
+
+    def _tell_end(self, unread: int) -> None:
+        end = self._ended(unread)
+        is_taken = not end.untaken_bytes or end.reason is EndReason.CALLER_LEFT
+        if self.last_target and not is_taken:
+            on_unanswered(end, self.last_target, None, monotonic())
+        on_ended(end, monotonic())
+
+    def _ended(self, unread: int) -> EndedConnection:
+        reason = self.end_reason or EndReason.FAULT
+        is_idle_end = reason is EndReason.IDLE_LIMIT
+        return EndedConnection(
+            reason,
+            _peer(self.channel),
+            monotonic() - self.channel.received_at,
+            unread,
+            self.reader.late_seconds if is_idle_end else 0.0,
+            self.channel.untaken_bytes,
+        )
 
     async def _serve_one(self, task: Task[None]) -> bool:
         """Answer the next request; return whether another may follow."""
         request = await self.reader.read(self._idle_limit)
         if isinstance(request, ConnectionEnd):
+            is_stopping = self.is_last or self.is_draining
+            self.end_as(EndReason.PLANNED_STOP if is_stopping else EndReason.IDLE_LIMIT)
             return False
         if isinstance(request, Refusal):
+            self.end_as(EndReason.UNREADABLE_REQUEST)
             await self._refuse(request)
             return False
         if self.channel.ended:
@@ -163,31 +275,54 @@
         return await self._answer_while_present(request, task) and self._may_go_on()
 
     def _may_go_on(self) -> bool:
-        is_open = not self.channel.ended and not self.channel.overrun
-        return is_open and is_cycle_done(self.parser)
+        if self.channel.overrun:
+            self.end_as(EndReason.OVERRUN)
+        elif not is_cycle_done(self.parser):
+            self.end_as(EndReason.LAST_ANSWER)
+        elif not self.channel.ended:
+            return True
+        return False
 
     async def _refuse(self, refusal: Refusal) -> None:
         """Answer an unreadable request and let the caller read the answer."""
         response = error_response(refusal.status, "bad_request", refusal.message)
         self.is_draining = True
         await self._send_response("GET", response)
-        await linger(self.channel)
 
     async def _answer_while_present(self, request: Request, task: Task[None]) -> bool:
         """Answer; the caller's leaving cancels ``task``."""
         self.channel.on_end = task.cancel
         self.request = request
+        self.is_head_sent = False
+        self.last_target = ""
+        is_whole = False
         try:
             # No name here keeps a body that is released while it is sent.
-            return await self._send_response(
+            is_whole = await self._send_response(
                 request.method, await self._ask_handler(request, task)
             )
+            return is_whole
+        except SlowReaderError:
+            self.end_as(EndReason.SLOW_READER)
+            raise
         finally:
             self.request = None
             self._release()
             self.channel.on_end = None
-            if self.channel.ended:
-                _abandoned.inc()
+            if is_whole:
+                self.last_target = request.target
+            else:
+                self._leave_unanswered(request)
+
+    def _leave_unanswered(self, request: Request) -> None:
+        """Count a request without a whole answer, by whether its caller has left."""
+        self.end_as(EndReason.FAULT)
+        if self.end_reason is EndReason.CALLER_LEFT:
+            _abandoned.inc()
+            return
+        end = self._ended(self._unread_bytes())
+        request_id = self.identify(request)
+        on_unanswered(end, request.target, request_id, monotonic())
 
     async def _ask_handler(self, request: Request, task: Task[None]) -> Response:
         if self.is_last:
@@ -195,6 +330,9 @@
         try:
             return await self.handler(request)
         except CancelledError:
+            if self.is_closing and not self.channel.ended:
+                task.uncancel()
+                return CLOSING
             if task.cancelling():
                 raise
             logger.exception("handler cancelled itself")
@@ -207,8 +345,8 @@
         body = response.body
         if not isinstance(body, bytes):
             return await self._send_stream(method, response, body)
-        self._send_head(response, ((b"content-length", b"%d" % len(body)),))
-        if _has_body(method, response.status):
+        framing = ((b"content-length", b"%d" % len(body)),)
+        if self._send_head(response, framing) and _has_body(method, response.status):
             self._hold(body)
             del body, response
             await self._send_slices()
@@ -239,9 +377,11 @@
         self, method: str, response: Response, body: AsyncIterator[bytes]
     ) -> bool:
         self.source_bytes = getattr(body, "held_bytes", _no_bytes)
+        has_body = _has_body(method, response.status)
         try:
-            self._send_head(response, ((b"transfer-encoding", b"chunked"),))
-            if _has_body(method, response.status) and not await self._send_pieces(body):
+            if not self._send_head(response, CHUNKED):
+                await _start_iterator(body)
+            elif has_body and not await self._send_pieces(body):
                 return False
         finally:
             await _close_iterator(body)
@@ -269,11 +409,32 @@
     def _cut(self) -> None:
         """End the connection so that no caller takes the answer for whole."""
         _cut.inc()
+        self.end_as(EndReason.SOURCE_CUT)
         if self.parser.their_http_version == b"1.0":
             self.channel.reset()
 
-    def _send_head(self, response: Response, framing: Framing) -> None:
-        _answered.labels(response.status).inc()
+    def _send_head(self, response: Response, framing: Framing) -> bool:
+        """Send the head; return whether the body may follow.
+
+        In place of a head that cannot be sent, a failure without a body is sent.
+        """
+        is_valid = True
+        try:
+            head = self._head(response, framing)
+        except (LocalProtocolError, UnicodeEncodeError):
+            logger.exception("the answer cannot be sent")
+            is_valid = False
+            head = self._head(Response(500, (), b""), NO_BODY)
+        _answered.labels(head.status_code).inc()
+        self.is_head_sent = True
+        self._send(head)
+        return is_valid
+
+    def _head(self, response: Response, framing: Framing) -> HttpResponse:
+        """Return the head.
+
+        Raises ``LocalProtocolError`` or ``UnicodeEncodeError`` if it is no HTTP.
+        """
         is_last = self._is_last_answer(response)
         own = (
             (name.encode("latin-1"), value.encode("latin-1", "replace"))
@@ -283,10 +444,10 @@
         framing = () if response.status in BODILESS_STATUSES else framing
         closing = (CLOSE_HEADER,) if is_last else ()
         headers = [*own, *framing, *closing]
-        self._send(HttpResponse(status_code=response.status, headers=headers))
+        return HttpResponse(status_code=response.status, headers=headers)
 
     def _is_last_answer(self, response: Response) -> bool:
-        is_leaving = self.is_draining or self.is_moving
+        is_leaving = self.is_draining or self.is_moving or self.is_closing
         return is_leaving or response.is_last or self.channel.overrun
 
     def _send(self, event: HttpEvent) -> None:
@@ -294,14 +455,33 @@
 
 
 async def linger(channel: Channel) -> None:
-    """End our side and drop what still comes, for a short time."""
+    """End our side and drop what still comes, for a short time.
+
+    It begins anew while the other side takes what was sent before.
+    """
+    if channel.ended or channel.transport.is_closing():
+        return
     channel.discard()
     channel.flush()
-    if not channel.transport.is_closing():
-        channel.transport.write_eof()
-    with suppress(TimeoutError):
-        async with timeout(LINGER_SECONDS):
-            await channel.lost.wait()
+    channel.transport.write_eof()
+    unsent = inf
+    while channel.unsent_bytes() < unsent and not channel.lost.is_set():
+        unsent = channel.unsent_bytes()
+        with suppress(TimeoutError):
+            async with timeout(LINGER_SECONDS):
+                await channel.lost.wait()
+
+
+def _peer(channel: Channel) -> str:
+    """Return the caller's address and port, as log lines name it."""
+    address = channel.transport.get_extra_info("peername")
+    return "" if address is None else f"{address[0]}:{address[1]}"
+
+
+async def _start_iterator(body: AsyncIterator[bytes]) -> None:
+    """Take the first piece: what is not started does not clean up as it is closed."""
+    with suppress(Exception):
+        await anext(body, None)
 
 
 async def _close_iterator(body: AsyncIterator[bytes]) -> None:
--- a/libs/transport/src/clementinebend_transport/http_server.py
+++ b/libs/transport/src/clementinebend_transport/http_server.py
@@ -16,18 +16,22 @@
 from math import ceil
 
 from clementinebend_transport.channel import Channel
+from clementinebend_transport.connection_ends import EndReason, on_refused
 from clementinebend_transport.early_binding import BACKLOG, take_bound
 from clementinebend_transport.http_connection import (
+    CLOSE_SECONDS,
     DRAIN_GRACE_SECONDS,
     HttpConnection,
     linger,
 )
 from clementinebend_transport.http_types import (
     Handler,
+    Identify,
     Request,
     Response,
     ServerLimits,
     error_response,
+    no_id,
 )
 from clementinebend_transport.metrics import counter
 
@@ -67,9 +71,12 @@
 class HttpServer:
     """A listening server; ``drain`` ends it in order, ``close`` at once."""
 
-    def __init__(self, handler: Handler, limits: ServerLimits) -> None:
+    def __init__(
+        self, handler: Handler, limits: ServerLimits, identify: Identify = no_id
+    ) -> None:
         self.handler = handler
         self.limits = limits
+        self.identify = identify
         self.host = ""
         self.port = 0
         self.listener: Server | None = None
@@ -116,7 +123,7 @@
             if connection.may_close()
         ]
         for connection in closing:
-            connection.channel.transport.close()
+            connection.close_quiet(EndReason.LEFT_ROTATION)
         return len(closing)
 
     def change_limits(self, limits: ServerLimits) -> None:
@@ -128,7 +135,8 @@
     async def drain(self, timeout: float) -> bool:
         """Stop accepting, and let requests in progress end whole.
 
-        Waits at most ``timeout`` seconds; returns whether all ended.
+        Waits at most ``timeout`` seconds; returns whether all ended, but for
+        connections that are still open for what comes after the last answer.
         """
         loop = get_running_loop()
         deadline = loop.time() + timeout
@@ -138,16 +146,24 @@
         loop.call_later(grace, self._end_connections)
         while self.connections and loop.time() < deadline:
             await wait(tuple(self.connections), timeout=deadline - loop.time())
-        return not self.connections
+        return all(each.is_lingering for each in self.connections.values())
 
     async def close(self) -> None:
-        """Stop at once: requests in progress are cancelled and cut off."""
+        """Stop at once: requests in progress are cancelled.
+
+        Those that have no part of an answer yet are answered that their outcome is
+        unknown; other answers are cut off.
+        """
         await self._stop_listening()
         tasks = (*self.connections, *self.refusals)
         for connection in self.connections.values():
-            connection.channel.abort()
+            connection.close_now()
         for task in tasks:
             task.cancel()
+        if tasks:
+            await wait(tasks, timeout=CLOSE_SECONDS)
+        for connection in self.connections.values():
+            connection.abort(EndReason.PROCESS_CLOSING)
         if tasks:
             await wait(tasks)
 
@@ -176,13 +192,13 @@
             if connection.request is not None:
                 connection.is_last = True
             elif connection.may_close():
-                connection.channel.transport.close()
+                connection.close_quiet(EndReason.PLANNED_STOP)
 
     def _on_connected(self, channel: Channel) -> None:
         if len(self.connections) >= self.limits.max_connections:
             self._refuse(channel)
             return
-        connection = HttpConnection(channel, self.handler, self.limits)
+        connection = HttpConnection(channel, self.handler, self.limits, self.identify)
         connection.is_draining = self.is_draining
         connection.is_moving = self.is_moving
         task = create_task(_serve(connection))
@@ -196,6 +212,7 @@
 
     def _refuse(self, channel: Channel) -> None:
         _refused.inc()
+        on_refused()
         if len(self.refusals) >= self.limits.max_connections:
             channel.abort()
             return
@@ -205,14 +222,19 @@
 
 
 async def serve_http(
-    handler: Handler, host: str, port: int, limits: ServerLimits = DEFAULT_LIMITS
+    handler: Handler,
+    host: str,
+    port: int,
+    limits: ServerLimits = DEFAULT_LIMITS,
+    identify: Identify = no_id,
 ) -> HttpServer:
     """Listen on ``host`` and ``port`` (0: a free one) and answer by ``handler``.
 
+    ``identify`` names requests in log lines.
     A port that ``bind_early`` holds is taken over, with the connections that
     wait there. Raises ``OSError`` if the address cannot be bound.
     """
-    server = HttpServer(handler, limits)
+    server = HttpServer(handler, limits, identify)
     loop = get_running_loop()
 
     def connected() -> Channel:
