Bound informational answers, framing, small pieces and late reads of a client

Cause: informational answers were skipped for ever; a body in chunks of one byte, or with long chunk headers, was nearly all framing and read without letting other tasks run; since reads prefer what has come to a timeout, a server that always sends outlasted its time limit; a head that arrived whole had no bound but the buffer's, and joining repeated fields was quadratic; a Keep-Alive of more than 4,300 digits raised ValueError. Change: 16 informational answers, 64 KiB of fields, 128 KiB of framing beside as much as the body, 4,096 pieces of under 8 bytes in the mean; each ends the connection as one that broke off. Every 8 events other tasks run. After the time limit what comes is read on for 0.2 s. Already bounded, by h11: fields, one line, no answer at all, a chunk header and a trailer without end (64 KiB); these tests passed before, too.

--- a/libs/transport/src/clementinebend_transport/client_connection.py
+++ b/libs/transport/src/clementinebend_transport/client_connection.py
@@ -3,7 +3,7 @@
 Source: RFC 9112; parsing by ``h11``.
 """
 
-from asyncio import get_running_loop, timeout_at
+from asyncio import get_running_loop, sleep, timeout_at
 from collections.abc import AsyncIterator, Callable
 from functools import singledispatch
 from math import inf
@@ -27,8 +27,28 @@
 from clementinebend_transport.http_events import is_cycle_done, next_event, post_event
 
 MAX_ANSWER_HEADER_BYTES = 64 * 1024
+"""The largest head, chunk header or trailer of an answer."""
 
-KEEP_ALIVE_TIMEOUT = compile(rb"timeout\s*=\s*(\d+)", IGNORECASE)
+MAX_INFORMATIONAL_ANSWERS = 16
+"""The most informational answers (1xx) before the final one."""
+
+MAX_OVERHEAD_BYTES = 128 * 1024
+"""The most bytes of heads, chunk headers and trailers of an answer, beside as many as
+its body has."""
+
+MAX_SMALL_PIECES = 4096
+LEAST_PIECE_BYTES = 8
+"""The most pieces of a body whose mean size in bytes is below the least one."""
+
+EVENTS_PER_TURN = 8
+"""Pieces of an answer after which the event loop runs other tasks. What is here of
+them may be read without waiting."""
+
+LATE_READ_SECONDS = 0.2
+"""Time in which what has come is read on after the time for it has passed: a server
+that always sends would not be late otherwise."""
+
+KEEP_ALIVE_TIMEOUT = compile(rb"timeout\s*=\s*(\d{1,9})", IGNORECASE)
 """The seconds a server keeps an idle connection; source: RFC 2068, 19.7.1."""
 
 KEEP_ALIVE_USED = 0.6
@@ -52,6 +72,12 @@
         self.parser = Parser(CLIENT, max_incomplete_event_size=MAX_ANSWER_HEADER_BYTES)
         self.idle_since = 0.0
         self.keep_alive = inf
+        self.received_bytes = 0
+        """Bytes of this exchange that have been given to the parser."""
+        self.body_bytes = 0
+        self.pieces = 0
+        self.events = 0
+        self.late_since: float | None = None
 
     def is_fresh(self) -> bool:
         """Return whether an idle connection may carry another request.
@@ -76,21 +102,29 @@
         Raises ``TruncatedAnswer`` if there is none, and ``TimeoutError`` if it has not
         come by ``until``, in the time of the event loop.
         """
-        while isinstance(event := await self._next_event(until), InformationalResponse):
-            continue
-        if isinstance(event, HttpResponse):
-            self.keep_alive = keep_alive_of(event)
-            return event
-        raise TruncatedAnswer("the connection ended before an answer")
+        for _ in range(MAX_INFORMATIONAL_ANSWERS + 1):
+            event = await self._next_event(until)
+            if not isinstance(event, InformationalResponse):
+                break
+        else:
+            raise TruncatedAnswer("the informational answers don't end")
+        if not isinstance(event, HttpResponse):
+            raise TruncatedAnswer("the connection ended before an answer")
+        if _size(event) > MAX_ANSWER_HEADER_BYTES:
+            raise TruncatedAnswer("the head is too large")
+        self.keep_alive = keep_alive_of(event)
+        return event
 
     async def read_piece(self, until: float | None = None) -> bytes | None:
         """Return the next piece of the answer's body; ``None`` at its end.
 
-        Raises ``TruncatedAnswer`` if the body is not whole, and ``TimeoutError`` if
-        nothing more has come by ``until``, in the time of the event loop.
+        Raises ``TruncatedAnswer`` if the body is not whole or comes in too many small
+        pieces, and ``TimeoutError`` if nothing more has come by ``until``, in the time
+        of the event loop.
         """
         event = await self._next_event(until)
         if isinstance(event, Data):
+            self._on_piece(len(event.data))
             return bytes(event.data)
         if isinstance(event, EndOfMessage):
             return None
@@ -105,17 +139,53 @@
         """Make ready for another request; the connection is idle from ``now``."""
         self.parser.start_next_cycle()
         self.idle_since = now
+        self.received_bytes = self.body_bytes = self.pieces = 0
+        self.late_since = None
 
     def abort(self) -> None:
         """Close at once."""
         self.channel.abort()
 
     async def _next_event(self, until: float | None) -> object:
+        self.events += 1
+        if self.events % EVENTS_PER_TURN == 0:
+            await sleep(0)
+        self._check_lateness(until)
         try:
-            return await next_event(self.parser, self.channel, until)
+            return await next_event(self.parser, self.channel, until, self._on_read)
         except (RemoteProtocolError, LocalProtocolError) as error:
             raise TruncatedAnswer(f"the answer is not whole: {error}") from error
 
+    def _on_piece(self, size: int) -> None:
+        """Count a piece; raise ``TruncatedAnswer`` if there are too many small ones."""
+        self.body_bytes += size
+        self.pieces += 1
+        least = (self.pieces - MAX_SMALL_PIECES) * LEAST_PIECE_BYTES
+        if self.body_bytes < least:
+            raise TruncatedAnswer("the answer comes in too many small pieces")
+
+    def _on_read(self, size: int) -> None:
+        """Count bytes; raise ``TruncatedAnswer`` if those before are mostly no body.
+
+        At most an incomplete header of them is not parsed yet.
+        """
+        if self.received_bytes > MAX_OVERHEAD_BYTES + 2 * self.body_bytes:
+            raise TruncatedAnswer("the answer has too little body for its size")
+        self.received_bytes += size
+
+    def _check_lateness(self, until: float | None) -> None:
+        """Raise ``TimeoutError`` if bytes have been read for too long after ``until``.
+
+        It counts from the first read after it, as the event loop may run late.
+        """
+        now = get_running_loop().time()
+        if until is None or now <= until:
+            self.late_since = None
+        elif self.late_since is None:
+            self.late_since = now
+        elif now - self.late_since > LATE_READ_SECONDS:
+            raise TimeoutError("the answer goes on after the time for it")
+
 
 class AnswerChunks(AsyncIterator[bytes]):
     """The body of an open answer, piece by piece as it comes."""
@@ -210,6 +280,11 @@
     return inf if found is None else int(found[1]) * KEEP_ALIVE_USED
 
 
+def _size(head: HttpResponse) -> int:
+    """Return the bytes of an answer's fields."""
+    return sum(len(name) + len(value) for name, value in head.headers)
+
+
 async def connect(address: Address) -> ClientConnection:
     """Open a connection; raises ``OSError`` if that fails."""
     loop = get_running_loop()
--- a/libs/transport/src/clementinebend_transport/http_events.py
+++ b/libs/transport/src/clementinebend_transport/http_events.py
@@ -1,6 +1,7 @@
 """What both sides of an HTTP connection do with ``h11`` and a channel."""
 
-from collections.abc import Iterable
+from collections import defaultdict
+from collections.abc import Callable, Iterable
 
 from h11 import DONE, NEED_DATA, Connection, Data, Event
 
@@ -15,19 +16,25 @@
 
 
 async def next_event(
-    parser: Connection, channel: Channel, until: float | None = None
+    parser: Connection,
+    channel: Channel,
+    until: float | None = None,
+    on_read: Callable[[int], None] | None = None,
 ) -> object:
     """Return the next event, or a state of the parser that ends the reading.
 
     Raises ``h11.RemoteProtocolError`` on wrong input, ``TruncatedAnswer`` if the
     connection failed, which is no proper end of a body without length, and
     ``TimeoutError`` if more bytes are needed than have come by ``until``, in the time
-    of the event loop.
+    of the event loop. ``on_read`` is called with the number of bytes that have come,
+    before they are parsed; what it raises ends the reading.
     """
     while (event := parser.next_event()) is NEED_DATA:
         channel.parsing_bytes = 0
         data = await channel.read(until)
         channel.parsing_bytes = len(data)
+        if on_read is not None:
+            on_read(len(data))
         if not data and channel.failure is not None:
             raise TruncatedAnswer(f"the connection failed: {channel.failure}")
         parser.receive_data(data)
@@ -43,9 +50,7 @@
 
 def headers_by_name(pairs: Iterable[tuple[bytes, bytes]]) -> dict[str, str]:
     """Return headers by lower-case name; values of a repeated one are joined."""
-    headers: dict[str, str] = {}
+    values: defaultdict[str, list[str]] = defaultdict(list)
     for raw_name, raw_value in pairs:
-        name = raw_name.decode("latin-1").lower()
-        value = raw_value.decode("latin-1")
-        headers[name] = f"{headers[name]}, {value}" if name in headers else value
-    return headers
+        values[raw_name.decode("latin-1").lower()].append(raw_value.decode("latin-1"))
+    return {name: ", ".join(named) for name, named in values.items()}
