Bound the store's answers at 16 MiB, and leave the path of larger ones

Cause: an answer of the store without end was read up to 64 MiB, half the memory of the smallest host, and joined then; its end was no proof against the path, so that an overloaded entry stayed on it. Already bounded: the time (0.7 s between pieces, 30 s in all; probes 0.6 s). Open: an answer that trickles holds its call for the 30 s.

--- a/libs/platform_client/src/clementinebend_platform_client/store_calls.py
+++ b/libs/platform_client/src/clementinebend_platform_client/store_calls.py
@@ -18,6 +18,9 @@
 WHOLE_SECONDS = 30.0
 """Time for a whole answer, after which a path that hardly moves is left."""
 
+MAX_STORE_ANSWER_BYTES = 16 * 1024 * 1024
+"""The largest answer of the store. A read returns 1 MB at most, or one record."""
+
 REFUSED = frozenset((429, 503))
 """Statuses of a store that turns this host away, or has too much to do."""
 
@@ -44,7 +47,9 @@
             return self._on_silence(address, sent_at, opened.error)
         if not wait:
             self.paths.on_answer(self.paths.clock() - sent_at)
-        read = await read_answer(opened.ok, WHOLE_SECONDS, PIECE_SECONDS)
+        read = await read_answer(
+            opened.ok, WHOLE_SECONDS, PIECE_SECONDS, MAX_STORE_ANSWER_BYTES
+        )
         if read.is_error():
             return self._on_silence(address, sent_at, read.error)
         answer = read.ok
--- a/libs/transport/src/clementinebend_transport/http_client.py
+++ b/libs/transport/src/clementinebend_transport/http_client.py
@@ -45,7 +45,7 @@
 """What tells where a body ends; source: RFC 9112, section 6.3."""
 
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
-"""The largest body of a whole answer."""
+"""The largest body of a whole answer, unless the caller names another size."""
 
 
 class Answer(NamedTuple):
@@ -80,8 +80,8 @@
     """No whole answer; ``sent`` false proves that no byte of the request left.
 
     ``received`` counts the bytes of the body that had come. ``broke_off`` tells that
-    the other side ended the connection, or sent bytes that cannot be read, and
-    ``is_refused`` that it has refused a connection.
+    the other side ended the connection, or sent bytes that cannot be read or too many,
+    and ``is_refused`` that it has refused a connection.
     """
 
     sent: bool
@@ -121,14 +121,18 @@
         headers: Iterable[tuple[str, str]] = (),
         body: bytes = b"",
         timeout: float = 10.0,
+        max_bytes: int = MAX_ANSWER_BYTES,
     ) -> Result[Answer, HttpFailure]:
-        """Send a request and return the whole answer, within ``timeout`` seconds."""
+        """Send a request and return the whole answer, within ``timeout`` seconds.
+
+        A body of more than ``max_bytes`` is a failure.
+        """
         deadline = get_running_loop().time() + timeout
         opened = await self.open(method, url, headers, body, timeout)
         if opened.is_error():
             return Error(opened.error)
         left = deadline - get_running_loop().time()
-        answer = await read_answer(opened.ok, left)
+        answer = await read_answer(opened.ok, left, max_bytes=max_bytes)
         return answer.map_error(lambda failure: _about(method, url, failure))
 
     async def open(
@@ -295,14 +299,18 @@
 
 
 async def read_answer(
-    opened: OpenAnswer, timeout: float, piece_timeout: float | None = None
+    opened: OpenAnswer,
+    timeout: float,
+    piece_timeout: float | None = None,
+    max_bytes: int = MAX_ANSWER_BYTES,
 ) -> Result[Answer, HttpFailure]:
     """Return the whole of an open answer, within ``timeout`` seconds.
 
     Each piece of the body must come within ``piece_timeout`` seconds of the one
-    before; ``None`` sets no such limit.
+    before; ``None`` sets no such limit. More than ``max_bytes`` of it prove that
+    something is wrong with the other side.
     """
-    body = _Body()
+    body = _Body(max_bytes)
     deadline = get_running_loop().time() + timeout
     try:
         await body.read(opened.chunks, deadline, piece_timeout)
@@ -316,9 +324,10 @@
 
 
 class _Body:
-    """What has come of an answer's body."""
+    """What has come of an answer's body, which has ``max_bytes`` at most."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_bytes: int) -> None:
+        self.max_bytes = max_bytes
         self.pieces: list[bytes] = []
         self.size = 0
 
@@ -336,16 +345,17 @@
             piece := await _piece_within(chunks, deadline, piece_timeout)
         ) is not None:
             self.size += len(piece)
-            if self.size > MAX_ANSWER_BYTES:
+            if self.size > self.max_bytes:
                 raise TruncatedAnswer(
-                    f"the answer is larger than {MAX_ANSWER_BYTES} bytes"
+                    f"the answer is larger than {self.max_bytes} bytes"
                 )
             self.pieces.append(piece)
 
     def failure(self, problem: str) -> HttpFailure:
         """Return that the body is not whole."""
         message = f"{problem}, {self.size} bytes had come"
-        return HttpFailure(True, message, self.size)
+        is_too_large = self.size > self.max_bytes
+        return HttpFailure(True, message, self.size, broke_off=is_too_large)
 
 
 async def _piece_within(
--- a/tests/unit/platform_client/test_store_calls.py
+++ b/tests/unit/platform_client/test_store_calls.py
@@ -3,7 +3,12 @@
 from asyncio import StreamReader, StreamWriter, get_running_loop, sleep
 
 from clementinebend_platform_client.keyed_log import StoreFailure
-from clementinebend_platform_client.store_calls import PIECE_SECONDS, StoreCalls
+from clementinebend_platform_client.store_calls import (
+    MAX_STORE_ANSWER_BYTES,
+    PIECE_SECONDS,
+    StoreCalls,
+)
+from clementinebend_platform_client.store_metrics import discarded_bytes
 from clementinebend_platform_client.store_paths import LEAST_LIMIT, StorePaths
 from clementinebend_transport.client_connection import Address
 from clementinebend_transport.http_client import Answer, HttpClient
@@ -15,6 +20,9 @@
 PAUSE = LEAST_LIMIT / 3
 """Seconds between the pieces of a slow answer, which takes three times the limit."""
 
+MOST_AT_ONCE = 1024 * 1024
+"""More bytes than one read returns."""
+
 WAIT = 1.5
 """Seconds that a read may wait for a record."""
 
@@ -46,6 +54,31 @@
     await reader.read()
 
 
+async def endless(reader: StreamReader, writer: StreamWriter) -> None:
+    """Answer with bytes without end, as fast as they are taken."""
+    await read_until(reader, b"\r\n\r\n")
+    writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
+    while True:
+        writer.write(PIECE * 64)
+        await writer.drain()
+
+
+async def test_an_answer_without_end_is_left_at_its_largest_size() -> None:
+    """Guards against holding more of it than the smallest host has memory for."""
+    async with scripted(endless) as port:
+        calls = calls_of(port)
+        calls.paths.is_overloaded = lambda: True
+        before = discarded_bytes._value.get()
+        failure = await calls.call("GET", "/endless")
+        received = discarded_bytes._value.get() - before
+        assert not calls.client.busy
+        await calls.client.close()
+    assert isinstance(failure, StoreFailure)
+    assert failure.maybe_done
+    assert MAX_STORE_ANSWER_BYTES < received < MAX_STORE_ANSWER_BYTES + MOST_AT_ONCE
+    assert calls.paths.current == GATEWAY
+
+
 async def test_an_answer_that_keeps_coming_is_not_cut_off() -> None:
     async with scripted(slow) as port:
         calls = calls_of(port)
