Give up the bodies of refusals and failures that have no end

Cause: the body of an unsuccessful response, which is read only to reuse its connection or to pass a failure on, was read until the call's deadline. Change: it has a second, and at most half of the remaining time; a call that may repeat then goes elsewhere, another is answered 502. A body above its size is evidence against its endpoint, also in an entry under load and after a wait for room. Known by the status, so that attempts.py is unchanged.

--- a/libs/relay/src/clementinebend_relay/bodies.py
+++ b/libs/relay/src/clementinebend_relay/bodies.py
@@ -1,6 +1,6 @@
 """Reads complete response bodies from endpoints, with limits on time and size."""
 
-from asyncio import timeout_at
+from asyncio import get_running_loop, timeout_at
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -10,15 +10,33 @@
 from clementinebend_transport.exceptions import TruncatedAnswer
 from clementinebend_transport.http_client import OpenAnswer
 
+FIRST_FAILURE_STATUS = 300
+
+FAILURE_BODY_SECONDS = 1.0
+"""Maximum time in seconds for the body of an unsuccessful response."""
+
+FAILURE_BODY_SHARE = 0.5
+"""Maximum share of the remaining time that such a body takes."""
+
 Reserve = Callable[[int], Awaitable[None]]
 """Returns once there is room for so many bytes of an answer in all."""
 
 
 class BodyFailure(NamedTuple):
-    """Why a body is incomplete; ``broke_off`` is set if the connection closed early."""
+    """Why a body is incomplete.
+
+    ``broke_off`` is set if the connection closed early or sent no proper body,
+    ``is_too_large`` if more bytes came than the body may have.
+    """
 
     problem: str
     broke_off: bool = False
+    is_too_large: bool = False
+
+    @property
+    def is_proof(self) -> bool:
+        """Whether it shows a fault of the endpoint, whatever this side's load is."""
+        return self.broke_off or self.is_too_large
 
 
 async def read_body(
@@ -31,10 +49,13 @@
 
     ``deadline`` is in the time of the event loop. A response that is not read to its
     end is closed, as its connection can't be reused. With ``reserve`` it is read only
-    as there is room for it.
+    as there is room for it. The body of an unsuccessful response must come sooner: it
+    must not keep the call from being sent elsewhere.
     """
     if reserve is None:
         reserve = _reserve_nothing
+    if answer.status >= FIRST_FAILURE_STATUS:
+        deadline = _failure_deadline(deadline)
     chunks_read: list[bytes] = []
     size = 0
     is_whole = False
@@ -45,7 +66,7 @@
             size += len(chunk)
             if size > max_bytes:
                 problem = f"the answer is larger than {max_bytes} bytes"
-                return Error(BodyFailure(problem))
+                return Error(BodyFailure(problem, is_too_large=True))
             await _within(deadline, reserve(size))
         is_whole = True
     except TimeoutError:
@@ -58,6 +79,12 @@
     return Ok(b"".join(chunks_read))
 
 
+def _failure_deadline(deadline: float) -> float:
+    """Return the time by which the body of an unsuccessful response must be whole."""
+    now = get_running_loop().time()
+    return now + min(FAILURE_BODY_SECONDS, (deadline - now) * FAILURE_BODY_SHARE)
+
+
 async def _within(deadline: float, reserving: Awaitable[None]) -> None:
     """Wait for room; raise ``TimeoutError`` if there is none by the deadline."""
     async with timeout_at(deadline):
--- a/libs/relay/src/clementinebend_relay/plain.py
+++ b/libs/relay/src/clementinebend_relay/plain.py
@@ -71,12 +71,12 @@
         """Record an incomplete response.
 
         After a wait it is no evidence against the endpoint, which may have given up as
-        this entry did not read.
+        this entry did not read, unless the endpoint sent too much.
         """
         progress.problem = failure.problem
-        if reading.has_waited:
+        if reading.has_waited and not failure.is_too_large:
             return
-        self.dispatcher.endpoints.on_failure(running.state, failure.broke_off)
+        self.dispatcher.endpoints.on_failure(running.state, failure.is_proof)
         if failure.broke_off:
             self.attempts.outcomes.on_broken(progress, running.state, failure.problem)
 
--- a/tests/unit/relay/test_bounds.py
+++ b/tests/unit/relay/test_bounds.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from clementinebend_relay.bodies import read_body
+from clementinebend_relay.bodies import FAILURE_BODY_SECONDS, read_body
 from clementinebend_relay.events import (
     MAX_EVENT_BYTES,
     MAX_UNNUMBERED_EVENTS,
@@ -52,6 +52,13 @@
     await sleep(60)
 
 
+async def trickling_chunks() -> AsyncIterator[bytes]:
+    """Yield small chunks without end."""
+    while True:
+        yield b"x"
+        await sleep(0.01)
+
+
 def answer(chunks: AsyncIterator[bytes], on_close: CloseRecorder) -> OpenAnswer:
     """Return an open response with a body."""
     return OpenAnswer(200, {}, chunks, on_close)
@@ -73,7 +80,25 @@
     )
     assert "larger than 4 bytes" in body.error.problem
     assert not body.error.broke_off
+    assert body.error.is_proof
+    assert recorder.is_closed
+
+
+@pytest.mark.parametrize("status", [429, 500, 503])
+@pytest.mark.parametrize("share", [0.1, 1.0])
+async def test_a_refusal_whose_body_has_no_end_is_left_early(
+    status: int, share: float
+) -> None:
+    """Guards against a refusal that holds its call until the time limit."""
+    recorder = CloseRecorder()
+    time = get_running_loop().time
+    began, limit = time(), 4 * FAILURE_BODY_SECONDS * share
+    refusal = answer(trickling_chunks(), recorder)._replace(status=status)
+    body = await read_body(refusal, began + limit, 100_000)
+    assert "time limit" in body.error.problem
+    assert not body.error.is_proof
     assert recorder.is_closed
+    assert time() - began < min(0.75 * limit, 2 * FAILURE_BODY_SECONDS)
 
 
 async def test_a_body_that_breaks_off_or_is_late_is_closed() -> None:
