Yield to other tasks only within the pieces of one read

A read itself waits for the event loop, so that usual streams, with a piece or two a read, need no further turn of it. Counting since the last read keeps the bound on pieces that arrive together.

--- a/libs/transport/src/clementinebend_transport/client_connection.py
+++ b/libs/transport/src/clementinebend_transport/client_connection.py
@@ -41,8 +41,7 @@
 """The most pieces of a body whose mean size in bytes is below the least one."""
 
 EVENTS_PER_TURN = 8
-"""Pieces of an answer after which the event loop runs other tasks. What is here of
-them may be read without waiting."""
+"""Pieces of one read after which the event loop runs other tasks."""
 
 LATE_READ_SECONDS = 0.2
 """Time in which what has come is read on after the time for it has passed: a server
@@ -77,6 +76,7 @@
         self.body_bytes = 0
         self.pieces = 0
         self.events = 0
+        """Events since bytes were last given to the parser."""
         self.late_since: float | None = None
 
     def is_fresh(self) -> bool:
@@ -172,6 +172,7 @@
         if self.received_bytes > MAX_OVERHEAD_BYTES + 2 * self.body_bytes:
             raise TruncatedAnswer("the answer has too little body for its size")
         self.received_bytes += size
+        self.events = 0
 
     def _check_lateness(self, until: float | None) -> None:
         """Raise ``TimeoutError`` if bytes have been read for too long after ``until``.
