Decode large configurations in several iterations of the event loop

Cause: a configuration was decoded, converted and applied in one step of the reader. Requests, timeouts and answers waited meanwhile.

The version becomes current in one iteration, as before. The budgets are assigned to partitions in one pass over the teams, not in one for each partition.

--- a/libs/bench/src/clementinebend_bench/models/mark_fleet.py
+++ b/libs/bench/src/clementinebend_bench/models/mark_fleet.py
@@ -15,7 +15,7 @@
 from clementinebend_relay.discovery import Announcement, Directory
 from clementinebend_relay.endpoints import EndpointTable
 from clementinebend_relay.evacuations import Evacuations
-from clementinebend_relay.interfaces import InvalidRecord
+from clementinebend_relay.interfaces import ConfigurationSteps, InvalidRecord
 from clementinebend_relay.leaving_notifier import LeavingNotifier
 from clementinebend_relay.load_monitor import LoadMonitor
 from clementinebend_relay.messages import Message
@@ -46,6 +46,11 @@
         """Return that there is none."""
         return InvalidRecord("not modelled")
 
+    def configuration_steps(self, value: bytes) -> ConfigurationSteps:
+        """Return that there is none, without a step."""
+        yield from ()
+        return self.configuration(value)
+
     def evacuated_zone(self, key: str) -> None:
         """Return None: evacuations are not modelled."""
         return
--- a/libs/relay/src/clementinebend_relay/budgets.py
+++ b/libs/relay/src/clementinebend_relay/budgets.py
@@ -117,14 +117,12 @@
         """Apply the budgets of a configuration."""
         self.home_reports.forget_remaining()
         self.remaining_cache.clear()
-        for manager in self.managers:
-            manager.configure(
-                {
-                    team.name: team.prepaid
-                    for team in configuration.teams.values()
-                    if team.prepaid is not None and self.manager(team.name) is manager
-                }
-            )
+        prepaid: list[dict[str, int]] = [{} for _ in self.managers]
+        for team in configuration.teams.values():
+            if team.prepaid is not None:
+                prepaid[self.part(team.name)][team.name] = team.prepaid
+        for manager, of_part in zip(self.managers, prepaid, strict=True):
+            manager.configure(of_part)
 
     def manager(self, team: str) -> QuotaManager:
         """Return the quota manager of a team; all entries choose the same one."""
--- a/libs/relay/src/clementinebend_relay/configuration.py
+++ b/libs/relay/src/clementinebend_relay/configuration.py
@@ -1,6 +1,7 @@
 """The active configuration of this process; its version never decreases."""
 
-from collections.abc import Callable
+from asyncio import sleep
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from clementinebend_platform_client.keyed_log import KeyedRecord
@@ -13,6 +14,10 @@
 from clementinebend_relay.metrics import configuration_version
 from clementinebend_relay.models import Configuration, Route, Team
 
+MAX_BYTES_AT_ONCE = 32 * 1024
+"""Size in bytes up to which a configuration is decoded in one iteration of the event
+loop, which takes some 2 ms."""
+
 
 class ConfigurationTable:
     """Keeps the newest configuration and calls ``on_change`` with each newer one."""
@@ -24,11 +29,31 @@
         self.on_change = on_change
         self.current: Configuration | None = None
 
-    def on_record(self, record: KeyedRecord) -> None:
-        """Apply a record; anything but a newer configuration is ignored."""
+    def on_record(self, record: KeyedRecord) -> Awaitable[None] | None:
+        """Apply a record; anything but a newer configuration is ignored.
+
+        A large one is applied once what is returned has been awaited.
+        """
         if record.key != CONFIGURATION_KEY or not record.value:
-            return
-        decoded = self.records.configuration(record.value)
+            return None
+        if len(record.value) > MAX_BYTES_AT_ONCE:
+            return self._apply_in_steps(record.value)
+        self._apply(self.records.configuration(record.value), len(record.value))
+        return None
+
+    async def _apply_in_steps(self, value: bytes) -> None:
+        """Decode a configuration in several iterations of the event loop; apply it."""
+        steps = self.records.configuration_steps(value)
+        while True:
+            try:
+                next(steps)
+            except StopIteration as end:
+                self._apply(end.value, len(value))
+                return
+            await sleep(0.0)
+
+    def _apply(self, decoded: Configuration | InvalidRecord, size: int) -> None:
+        """Make a decoded configuration of some bytes the current one if it is newer."""
         if isinstance(decoded, InvalidRecord):
             log_decision("configuration refused", problem=decoded.problem)
         elif self.current is None or decoded.version > self.current.version:
@@ -39,7 +64,7 @@
                 "configuration applied",
                 version=decoded.version,
                 previous=previous,
-                bytes=len(record.value),
+                bytes=size,
             )
             self.on_change(decoded)
 
--- a/libs/relay/src/clementinebend_relay/interfaces.py
+++ b/libs/relay/src/clementinebend_relay/interfaces.py
@@ -3,7 +3,7 @@
 Adapters define the names, the formats and the calls of the platform.
 """
 
-from collections.abc import Mapping
+from collections.abc import Generator, Mapping
 from enum import StrEnum
 from typing import NamedTuple, Protocol
 
@@ -73,6 +73,10 @@
     problem: str
 
 
+ConfigurationSteps = Generator[None, None, Configuration | InvalidRecord]
+"""Decodes a configuration in short steps, and returns it after the last one."""
+
+
 class HttpProtocol(Protocol):
     """The HTTP protocol of callers and endpoints."""
 
@@ -114,6 +118,10 @@
         """Return the configuration that a record holds."""
         ...
 
+    def configuration_steps(self, value: bytes) -> ConfigurationSteps:
+        """Return the steps that decode the configuration that a record holds."""
+        ...
+
     def evacuated_zone(self, key: str) -> str | None:
         """Return the zone that an operator's record of this key evacuates.
 
--- a/libs/relay/src/clementinebend_relay/partition_reader.py
+++ b/libs/relay/src/clementinebend_relay/partition_reader.py
@@ -4,7 +4,7 @@
 """
 
 from asyncio import sleep
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple, Protocol
 
 from clementinebend_platform_client.keyed_log import (
@@ -48,8 +48,8 @@
 class Table(Protocol):
     """Receiver of the records that a reader reads."""
 
-    def on_record(self, record: KeyedRecord) -> None:
-        """Apply a record."""
+    def on_record(self, record: KeyedRecord) -> Awaitable[None] | None:
+        """Apply a record; return what is to be awaited first if that takes long."""
         ...
 
     def on_snapshot(self, keys: frozenset[str], end: int) -> None:
@@ -62,10 +62,11 @@
 
     tables: tuple[Table, ...]
 
-    def on_record(self, record: KeyedRecord) -> None:
+    def on_record(self, record: KeyedRecord) -> Awaitable[None] | None:
         """Pass a record to each table."""
-        for table in self.tables:
-            table.on_record(record)
+        applying = [table.on_record(record) for table in self.tables]
+        unfinished = [each for each in applying if each is not None]
+        return _await_each(unfinished) if unfinished else None
 
     def on_snapshot(self, keys: frozenset[str], end: int) -> None:
         """Pass the names of all keys, and the log's end, to each table."""
@@ -123,7 +124,7 @@
             is_snapshot = False
         match outcome:
             case Page():
-                self._apply_page(outcome, is_snapshot)
+                await self._apply_page(outcome, is_snapshot)
                 if outcome.records and self.pause:
                     await sleep(self.pause)
             case RecordsDropped():
@@ -132,7 +133,7 @@
                 self._on_failure(outcome)
                 await sleep(RETRY_DELAY)
 
-    def _apply_page(self, page: Page, is_snapshot: bool) -> None:
+    async def _apply_page(self, page: Page, is_snapshot: bool) -> None:
         self.read_at = self.clock()
         self.failures = 0
         if self.lost_at is not None:
@@ -140,7 +141,9 @@
             log_dependency(self.name, is_lost=False, lost_for_s=lost_for)
             self.lost_at = None
         for record in page.records:
-            self.table.on_record(record)
+            applying = self.table.on_record(record)
+            if applying is not None:
+                await applying
         if is_snapshot:
             names = frozenset(record.key for record in page.records)
             self.table.on_snapshot(names, page.next_offset)
@@ -156,3 +159,8 @@
 def patience_after(failures: int) -> float:
     """Return the extension of the timeout, in seconds, after some failures in a row."""
     return min(MAX_PATIENCE, failures * PATIENCE_STEP)
+
+
+async def _await_each(unfinished: list[Awaitable[None]]) -> None:
+    for each in unfinished:
+        await each
--- a/tests/unit/relay/test_endpoints.py
+++ b/tests/unit/relay/test_endpoints.py
@@ -11,7 +11,7 @@
     UnreadCall,
 )
 from clementinebend_relay.endpoints import ALL_LEAVING_RETRY_DELAY, EndpointTable
-from clementinebend_relay.interfaces import InvalidRecord
+from clementinebend_relay.interfaces import ConfigurationSteps, InvalidRecord
 from clementinebend_relay.models import Configuration, Endpoint
 from clementinebend_routing.silence import ANNOUNCEMENT_LAG_SECONDS, SILENT_SECONDS
 from clementinebend_transport.client_connection import Address
@@ -26,6 +26,10 @@
     def configuration(self, value: bytes) -> Configuration:
         raise NotImplementedError
 
+    def configuration_steps(self, value: bytes) -> ConfigurationSteps:
+        yield from ()
+        return self.configuration(value)
+
     def evacuated_zone(self, key: str) -> str | None:
         raise NotImplementedError
 
