Leave the objects of the start out of garbage collections

Cause: applying a configuration of 1,400 or more routes now and then starts a garbage collection of all objects, 40,000 of them from imports, which took 26 to 32 ms of one iteration of the event loop.

Change: `gc.freeze()` as a process starts. No collection goes before it, as one found nothing to free after the imports.

Evidence: the test fails before (no object left out) and passes after.

--- a/libs/transport/src/clementinebend_transport/lifecycle.py
+++ b/libs/transport/src/clementinebend_transport/lifecycle.py
@@ -2,6 +2,7 @@
 
 from asyncio import Event, get_running_loop, run
 from collections.abc import Awaitable, Callable
+from gc import freeze
 from logging import getLogger
 from signal import SIGINT, SIGTERM
 
@@ -23,8 +24,11 @@
     """Run ``main`` to its end and return its exit code.
 
     A signal asks for a planned stop by setting the event; further signals
-    change nothing, so that no request in progress is cut off.
+    change nothing, so that no request in progress is cut off. What has been
+    imported by then stays until the end, and garbage collections skip it: else
+    each of all objects would hold up the event loop.
     """
+    freeze()
     return run(_run_with_signals(main))
 
 
--- a/tests/unit/transport/test_process.py
+++ b/tests/unit/transport/test_process.py
@@ -1,5 +1,6 @@
 """Logs, metrics and the planned stop of a process."""
 
+import gc
 import os
 from asyncio import Event, sleep
 from logging import getLogger
@@ -56,3 +57,17 @@
         return EXIT_STOP_INCOMPLETE
 
     assert run_until_stopped(main) == EXIT_STOP_INCOMPLETE
+
+
+def test_the_objects_of_the_start_are_left_out_of_garbage_collections() -> None:
+    """Guards against collections that hold up the event loop for some 30 ms."""
+
+    async def main(stop: Event) -> int:
+        return gc.get_freeze_count()
+
+    gc.unfreeze()
+    known = len(gc.get_objects())
+    try:
+        assert run_until_stopped(main) > 0.9 * known
+    finally:
+        gc.unfreeze()
