Let the soak keep connections, delay event loops and silence endpoints

How late the test itself ran is taken off. The other checks stay; SIGKILLs are noted where they are sent, since an exit code reads 255 once Popen.send_signal has seen the end first.

--- a/tests/lib/kept_callers.py
+++ b/tests/lib/kept_callers.py
@@ -1,13 +1,15 @@
 """Callers that keep connections and send shortly before the idle limit."""
 
-from asyncio import sleep
+from asyncio import sleep, wait_for
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from itertools import count
 from random import Random
+from signal import SIGTERM
 
-from tests.lib.kept_connections import KeptConnection, Sent, connect, is_lost
+from tests.lib.kept_connections import Caller, KeptConnection, Sent, connect, is_lost
 from tests.lib.loop_delay import LoopDelay
-from tests.lib.platform_fleet import Fleet
+from tests.lib.platform_fleet import Entry, Fleet
 
 SHORTEST_LEAD, LONGEST_LEAD = 0.02, 0.5
 """Seconds before the idle limit at which callers send."""
@@ -15,7 +17,13 @@
 RECONNECT_SECONDS = 0.05
 """Seconds after which a caller whose connection was refused connects again."""
 
-DEADLINE_MS = 3000
+CALLER = Caller()
+
+END_SECONDS = 0.5
+"""Seconds within which the end of a process is known."""
+
+UNKNOWN_CODE = 255
+"""The exit code of a process whose end ``Popen.send_signal`` has noticed first."""
 
 
 class KeptCallers:
@@ -30,18 +38,20 @@
         seed: int,
         targets: tuple[str, ...],
         idle_limit: Callable[[], float],
-        deadline_ms: int = DEADLINE_MS,
+        caller: Caller = CALLER,
     ) -> None:
         self.fleet = fleet
-        self.random = Random(f"kept {seed}")
+        self.random = Random(f"{caller.name} {seed}")
         self.targets = targets
         self.idle_limit = idle_limit
-        self.deadline_ms = deadline_ms
+        self.caller = caller
         self.ids = count(1)
         self.sent: list[Sent] = []
         self.reused = 0
         self.delay = LoopDelay()
-        self.on_send: Callable[[str, str], None] = _ignore
+        self.runs: Callable[[str], int] = fleet.runs
+        self.killed: set[int] = set()
+        """Process ids of the entries that were killed."""
 
     async def run(self, entries: int, has_stopped: Callable[[], bool]) -> None:
         """Call one of the entries after another on kept connections."""
@@ -63,7 +73,7 @@
 
     def is_lost(self, sent: Sent) -> bool:
         """Tell whether an entry may have read a request and did not answer it."""
-        has_run = self.fleet.runs(sent.request_id) > 0
+        has_run = self.runs(sent.request_id) > 0
         return is_lost(sent, has_run, self.delay.before(sent.ended_at))
 
     async def _connect(self, entries: int) -> KeptConnection | None:
@@ -75,16 +85,25 @@
 
     async def _ask(self, connection: KeptConnection) -> KeptConnection | None:
         """Make a call; return the connection if it may be used again."""
-        request_id = f"kept-{next(self.ids)}-{self.random.randrange(10**9)}"
+        request_id = (
+            f"{self.caller.name}-{next(self.ids)}-{self.random.randrange(10**9)}"
+        )
         target = self.random.choice(self.targets)
-        self.on_send(request_id, target)
         self.reused += connection.status is not None
-        self.sent.append(await connection.ask(request_id, target, self.deadline_ms))
+        sent = await connection.ask(request_id, target, self.caller)
+        self.sent.append(sent if sent.is_whole else await self._with_end(sent))
         if connection.is_open():
             return connection
         connection.close()
         return None
 
+    async def _with_end(self, sent: Sent) -> Sent:
+        """Note whether the entry of an unanswered request was killed."""
+        process = sent.entry.process
+        if process.pid in self.killed or await _ended_unstarted(sent.entry):
+            return sent._replace(was_killed=True)
+        return sent
+
     def _pause(self) -> float:
         lead = self.random.uniform(SHORTEST_LEAD, LONGEST_LEAD)
         return max(0.0, self.idle_limit() - lead)
@@ -99,5 +118,13 @@
     ]
 
 
-def _ignore(request_id: str, target: str) -> None:
-    """Take no note of a request."""
+async def _ended_unstarted(entry: Entry) -> bool:
+    """Tell whether a signal has ended a program that was still being loaded.
+
+    It has logged nothing, and has accepted no connection.
+    """
+    if entry.lines():
+        return False
+    with suppress(TimeoutError):
+        await wait_for(entry.process.wait(), END_SECONDS)
+    return entry.process.returncode in (-SIGTERM, UNKNOWN_CODE)
--- a/tests/lib/kept_connections.py
+++ b/tests/lib/kept_connections.py
@@ -29,12 +29,26 @@
 
 READ_BYTES = 64 * 1024
 
+PROMPT = 20
+"""Tokens in the prompt of a stream."""
+
+
+class Caller(NamedTuple):
+    """What a caller sends: the team's key, and how long it waits.
+
+    The ids of its requests begin with ``name``.
+    """
+
+    name: str = "kept"
+    key: str = KEY
+    deadline_ms: int = 3000
+
 
 class Sent(NamedTuple):
     """One whole request; times are the event loop's, in seconds.
 
     ``status`` is None without the head of an answer, ``is_whole`` tells whether all of
-    the answer came.
+    the answer came, ``was_killed`` whether the entry was killed instead.
     """
 
     request_id: str
@@ -45,6 +59,7 @@
     status: int | None
     body: bytes
     is_whole: bool
+    was_killed: bool = False
 
     @property
     def seconds(self) -> float:
@@ -71,14 +86,14 @@
         """Close it."""
         self.writer.close()
 
-    async def ask(self, request_id: str, target: str, deadline_ms: int) -> Sent:
+    async def ask(self, request_id: str, target: str, caller: Caller) -> Sent:
         """Send a whole request, and read its answer until it or the connection ends."""
         clock = get_running_loop().time
         if self.parser.our_state is DONE:
             self.parser.start_next_cycle()
         self.status = None
         self.body.clear()
-        self.writer.write(self._bytes_of(_request(request_id, target, deadline_ms)))
+        self.writer.write(self._bytes_of(_request(request_id, target, caller)))
         sent_at = clock()
         try:
             async with time_limit(ANSWER_SECONDS):
@@ -127,19 +142,19 @@
     ``delay`` is how many seconds before ``ended_at`` the connection may have ended, as
     the caller was late itself.
     """
-    if sent.is_whole:
+    if sent.is_whole or sent.was_killed:
         return False
     return has_run or sent.seconds - delay > CROSSING_SECONDS
 
 
-def _request(request_id: str, target: str, deadline_ms: int) -> Request:
+def _request(request_id: str, target: str, caller: Caller) -> Request:
     headers = {
         "host": HOST,
-        "authorization": f"Bearer {KEY}",
+        "authorization": f"Bearer {caller.key}",
         "content-length": str(len(BODY)),
         "x-request-id": request_id,
-        "x-deadline-ms": str(deadline_ms),
+        "x-deadline-ms": str(caller.deadline_ms),
     }
     if "stream" in target:
-        headers |= {"x-token-usage": "100,24", "x-prefix-hash": "aa:50,bb:50"}
+        headers |= {"x-token-usage": f"{PROMPT},24", "x-prefix-hash": f"aa:{PROMPT}"}
     return Request(method="POST", target=target, headers=[*headers.items()])
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -27,7 +27,8 @@
         f"seed {seed}: {len(soak.calls)} calls, {served} served, "
         f"{len(soak.done)} faults, {len(problems)} broken; {_crashes(soak)}; "
         f"{_rotation(soak)}; "
-        f"{_versions(soak)}\n"
+        f"{_versions(soak)}; "
+        f"{'' if soak.kept is None else soak.kept.told()}\n"
     )
     for problem in problems[:5]:
         stdout.write(f"  {problem}\n")
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -2,8 +2,10 @@
 
 from typing import NamedTuple
 
+from tests.lib.kept_callers import KeptCallers, describe
 from tests.lib.platform_engine import EVENTS, WHOLE_STREAM, EngineStandin
 
+MILLISECONDS = 1000
 NOT_RUN = frozenset((408, 421, 429, 503))
 EVENT_TOKENS = 3
 
@@ -56,6 +58,30 @@
     return problems
 
 
+def unanswered(callers: KeptCallers) -> list[str]:
+    """Return the whole requests without an answer or refusal from a living entry.
+
+    A stream that has begun is not one of them: its engine may have broken off.
+    """
+    lost = (
+        sent
+        for sent in callers.lost()
+        if sent.status is None or "stream" not in sent.target
+    )
+    return [f"unanswered: {problem}" for problem in describe(lost)]
+
+
+def cut_streams(callers: KeptCallers) -> list[str]:
+    """Return the streams that a living entry cut off before their time limit."""
+    limit = callers.caller.deadline_ms / MILLISECONDS
+    cut = (
+        sent
+        for sent in callers.lost()
+        if sent.status is not None and sent.seconds < limit
+    )
+    return [f"stream cut: {problem}" for problem in describe(cut)]
+
+
 def _problems(call: Seen, runs: int) -> list[str]:
     problems = []
     if not call.may_repeat and runs > 1:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -8,7 +8,7 @@
 from json import loads
 from pathlib import Path
 from random import Random
-from signal import SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM
+from signal import SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM, Signals
 from typing import Any
 from zlib import crc32
 
@@ -18,11 +18,15 @@
 from tests.lib.platform_fleet import ROUTES, TEAM, Entry, Fleet, route
 from tests.lib.waiting import until
 from tests.soak.crashes import Crashes
+from tests.soak.kept import KeptClients
 from tests.soak.limits import Limits
 from tests.soak.parts import PartClients
 from tests.soak.popular import PopularCalls
 from tests.soak.promises import Seen, broken_promises
 from tests.soak.proxy import MODES, FaultProxy
+from tests.soak.silences import CALM
+from tests.soak.silences import SERVICE as CALM_SERVICE
+from tests.soak.silences import TEAM as CALM_TEAM
 from tests.soak.versions import RELEASE, SERVICE, VersionedStreams
 
 ENTRIES = 3
@@ -42,6 +46,7 @@
 LONG_PAUSE_SECONDS = 0.4
 """Seconds between events of an engine, usually and while its answers take long."""
 
+IDLE_MS = 1000
 PREPAID = 60_000
 PATHS = ("/safe/x", "/once/x", "/stream/x", "/stream/x", "/stream-once/x")
 ENGINE_FAULTS = ("full", "fail", "foreign", "cut", "gap", "silent")
@@ -86,6 +91,9 @@
         self.popular: PopularCalls | None = None
         self.has_small_links = seed % SMALL_LINK_EVERY == 0
         self.versions = VersionedStreams(seed, self.fleet, self.calls)
+        self.killed: set[int] = set()
+        self.paused: Counter[str] = Counter()
+        self.kept: KeptClients | None = None
 
     async def run(self) -> list[str]:
         """Play the seed; return the promises that were broken."""
@@ -107,12 +115,18 @@
             clients.append(create_task(versions))
             limits = Limits(self.seed, self.fleet)
             clients.append(create_task(limits.run(lambda: self.has_stopped)))
+            kept = self.kept = KeptClients(
+                self.seed, self.fleet, self.killed, self.paused, self._publish
+            )
+            await kept.silences.start()
+            keeping = kept.run(ENTRIES, self.calls, lambda: self.has_stopped)
+            clients.append(create_task(keeping))
             await self._disturb()
             await self._heal()
             self.has_stopped = True
             await gather(*clients)
             problems = broken_promises(self.calls, self.fleet.engines, self.prepaid)
-            problems += self.versions.problems()
+            problems += self.versions.problems() + kept.problems()
             problems += self._ended() + await self._unserved()
             problems += await self._out_of_rotation()
             problems += limits.problems(self.engine_cuts)
@@ -121,14 +135,18 @@
             return problems + await crashes.problems(ENTRIES)
         finally:
             await self.fleet.stop()
+            if self.kept is not None:
+                await self.kept.silences.stop()
             for proxy in (*self.store_proxies, *self.engine_proxies):
                 proxy.close()
 
     async def _start(self) -> None:
         fleet = self.fleet
         await fleet.store.start()
-        fleet.more_services = (SERVICE,)
-        fleet.configure(self.prepaid, (*ROUTES, RELEASE))
+        fleet.more_services = (SERVICE, CALM_SERVICE)
+        fleet.more_teams = {CALM_TEAM: None}
+        fleet.idle_timeout_ms = IDLE_MS
+        self._publish(is_large=False)
         for service, number in product(("pool", "desk"), range(ENGINES)):
             await self._add_engine(service, ZONES[number % len(ZONES)])
         for number in range(ENTRIES):
@@ -248,9 +266,14 @@
         entry = self.fleet.entries[number]
         signal = self.random.choice((SIGKILL, SIGTERM))
         self._note(f"{entry.name} {signal.name}")
+        self._end(entry, signal)
+        await self._restart(number, entry)
+
+    def _end(self, entry: Entry, signal: Signals) -> None:
+        if signal is SIGKILL:
+            self.killed.add(entry.process.pid)
         with suppress(ProcessLookupError):
             entry.process.send_signal(signal)
-        await self._restart(number, entry)
 
     async def _restart(self, number: int, ended: Entry) -> None:
         """Start an entry anew once it has ended, unless another fault does."""
@@ -265,8 +288,7 @@
         self._note("all killed")
         killed = self.fleet.entries[:ENTRIES]
         for entry in killed:
-            with suppress(ProcessLookupError):
-                entry.process.kill()
+            self._end(entry, SIGKILL)
         for number, entry in enumerate(killed):
             await self._restart(number, entry)
 
@@ -276,8 +298,7 @@
         self.fleet.store.fault = "slow"
         number = self._home_number()
         entry = self.fleet.entries[number]
-        with suppress(ProcessLookupError):
-            entry.process.kill()
+        self._end(entry, SIGKILL)
         await self._span()
         self.fleet.store.fault = ""
         await self._restart(number, entry)
@@ -323,10 +344,12 @@
     async def _pause_entry(self) -> None:
         entry = self.random.choice(self.fleet.entries)
         self._note(f"{entry.name} paused")
+        self.paused[entry.name] += 1
         with suppress(ProcessLookupError):
             entry.process.send_signal(SIGSTOP)
             await self._span()
             entry.process.send_signal(SIGCONT)
+        self.paused[entry.name] -= 1
 
     async def _evacuate(self) -> None:
         """Evacuate a zone for a while; the store may drop old records meanwhile."""
@@ -343,8 +366,13 @@
         self.prepaid += self.random.choice((0, 500))
         self._note("configuration")
         self.newest_path = f"/new-{len(self.done)}/"
+        self._publish(is_large=True)
+
+    def _publish(self, is_large: bool) -> None:
+        """Write a version of the configuration, with thousands of routes if large."""
         newest = route(self.newest_path, "safe", "desk")
-        self.fleet.configure(self.prepaid, (*ROUTES, RELEASE, *IDLE, newest))
+        routes = (*ROUTES, RELEASE, CALM, *(IDLE if is_large else ()), newest)
+        self.fleet.configure(self.prepaid, routes)
 
     async def _heal(self) -> None:
         for proxy in (*self.store_proxies, *self.engine_proxies):
