Keep the streams of silent endpoints until another one has taken them over

Cause: an endpoint that sent nothing for 0.6 s was left as soon as some other one was known, and only then was a second attempt made. Where that found no room, failed or was not allowed by the retry budget, the stream was cut, though its endpoint would have gone on.

Change: a second attempt is made beside the first one, with a progress of its own and counted as before (attempts, retry budget, version). Whichever brings the next event goes on, the other one is closed at once. A second attempt that comes to nothing is repeated after HANDOVER_PAUSE_SECONDS. If the first one breaks off meanwhile, the second one is waited for. Silence is not concluded from a check that ran late, nor while bytes are buffered. `stream cut` says why nothing else was tried; `stream handover` and clementinebend_relay_stream_handovers_total tell outcomes.

--- a/libs/relay/src/clementinebend_relay/attempts.py
+++ b/libs/relay/src/clementinebend_relay/attempts.py
@@ -17,7 +17,7 @@
 from clementinebend_relay.endpoint_state import EndpointState
 from clementinebend_relay.interfaces import Verdict
 from clementinebend_relay.models import Rejection, RouteKind
-from clementinebend_relay.progress import CallProgress
+from clementinebend_relay.progress import CallProgress, Obstacle
 from clementinebend_relay.quarantine.news import QuarantineSync
 from clementinebend_relay.run_outcomes import RunOutcomes
 from clementinebend_relay.survey import Placement, Survey
@@ -84,13 +84,12 @@
 
         If there is none, ``progress`` holds the reason and the last failure response.
         """
-        while progress.missing_endpoints < MAX_MISSING_ENDPOINTS and self._may_attempt(
-            progress
-        ):
+        while (obstacle := self._obstacle(progress)) is Obstacle.NONE:
             fingerprint = progress.admitted.fingerprint
             parts = progress.admitted.part_subjects
             progress.refusal = await self._turn(progress)
             if progress.refusal is not None:
+                progress.obstacle = Obstacle.NOT_ALLOWED
                 return None
             turn_at = self.clock()
             cleanup = ExitStack()
@@ -99,6 +98,7 @@
             try:
                 placement = await self._choose_placement(progress)
                 if placement is None:
+                    progress.obstacle = self._obstacle_to_placement(progress)
                     progress.pause = self.dispatcher.endpoints.retry_delay(
                         progress.admitted.service.name,
                         progress.admitted.software_version,
@@ -108,6 +108,7 @@
                     turn_at, fingerprint, parts
                 )
                 if progress.refusal is not None:
+                    progress.obstacle = Obstacle.NOT_ALLOWED
                     return None
                 state = placement.state
                 progress.reports = placement.reports
@@ -127,6 +128,7 @@
                     cleanup.close()
             if running is not None:
                 return running
+        progress.obstacle = obstacle
         return None
 
     async def _turn(self, progress: CallProgress) -> Rejection | None:
@@ -187,15 +189,27 @@
                 await sleep(RATE_LIMIT_PAUSE)
         return survey
 
-    def _may_attempt(self, progress: CallProgress) -> bool:
-        if progress.attempts_left <= 0 or self.clock() >= progress.deadline:
-            return False
+    def _obstacle(self, progress: CallProgress) -> Obstacle:
+        """Return why a call may not be sent again; count a retry if it may."""
+        if progress.missing_endpoints >= MAX_MISSING_ENDPOINTS:
+            return Obstacle.MISSING_ENDPOINTS
+        if progress.attempts_left <= 0:
+            return Obstacle.NO_ATTEMPT_LEFT
+        if self.clock() >= progress.deadline:
+            return Obstacle.TIME_LIMIT
         if progress.may_have_run and not progress.admitted.route.may_repeat:
-            return False
-        if progress.sent == 0:
-            return True
+            return Obstacle.MAY_HAVE_RUN
         service = progress.admitted.service.name
-        return self.dispatcher.may_retry(service)
+        if progress.sent == 0 or self.dispatcher.may_retry(service):
+            return Obstacle.NONE
+        return Obstacle.RETRY_BUDGET
+
+    def _obstacle_to_placement(self, progress: CallProgress) -> Obstacle:
+        if progress.refusal is not None:
+            return Obstacle.NOT_ALLOWED
+        if self.clock() >= progress.deadline:
+            return Obstacle.TIME_LIMIT
+        return Obstacle.NO_ENDPOINT
 
     async def _send(
         self, progress: CallProgress, state: EndpointState
--- /dev/null
+++ b/libs/relay/src/clementinebend_relay/event_reader.py
@@ -0,0 +1,73 @@
+"""Reads the response of one attempt of a stream, event by event."""
+
+from collections.abc import Callable
+
+from clementinebend_relay.attempts import OpenAttempt
+from clementinebend_relay.events import EventSplitter, StreamEvent
+from clementinebend_routing.silence import SILENT_SECONDS
+from clementinebend_transport.client_connection import next_piece
+
+LATE_CHECK_SECONDS = 0.1
+"""Seconds after which a check for silence is late. It proves nothing then: bytes may
+have come that the event loop has not read."""
+
+
+class EventReader:
+    """The response of one attempt.
+
+    ``ready`` holds events that have been read and not been returned; ``is_ended`` is
+    set once the response has been read to its end.
+    """
+
+    def __init__(self, running: OpenAttempt, clock: Callable[[], float]) -> None:
+        self.running = running
+        self.clock = clock
+        self.splitter = EventSplitter()
+        self.ready: list[StreamEvent] = []
+        self.is_ended = False
+
+    async def read(self, until: float) -> list[StreamEvent] | None:
+        """Return the events that the next chunk completes, or None at the end.
+
+        Raises ``TruncatedAnswer`` if the response breaks off, and ``TimeoutError`` if
+        nothing has come by ``until``; it may be read on then.
+        """
+        if self.ready:
+            events, self.ready = self.ready, []
+            return events
+        if self.is_ended:
+            return None
+        chunk = await next_piece(self.running.answer.chunks, until)
+        if chunk is None:
+            self.is_ended = True
+            return None
+        self.running.state.on_heard(self.clock())
+        return self.splitter.feed(chunk)
+
+    def is_silent(self, due: float) -> bool:
+        """Return whether the endpoint is silent, at a check that was ``due``.
+
+        While this entry is overloaded or late the bytes may wait in it.
+        """
+        now, state = self.clock(), self.running.state
+        if now - due > LATE_CHECK_SECONDS or state.is_overloaded():
+            return False
+        if self.running.answer.buffered_bytes():
+            return False
+        return now - state.heard_at > SILENT_SECONDS
+
+    def incomplete_end(self, has_events: bool) -> str | None:
+        """Return why a stream that has ended is not whole, None if it may be.
+
+        The end of a channel alone does not say that there is no event to come.
+        """
+        if self.splitter.rest:
+            return "the stream ended within an event"
+        if self.running.answer.ends_with_channel and not has_events:
+            return "the stream ended before an event"
+        return None
+
+    def close(self) -> None:
+        """Stop reading, and remove the attempt from those in flight."""
+        self.running.answer.close()
+        self.running.cleanup.close()
--- /dev/null
+++ b/libs/relay/src/clementinebend_relay/handovers.py
@@ -0,0 +1,284 @@
+"""Second attempts of streams whose endpoint is silent, beside the first ones.
+
+The first attempt stays open: its endpoint may go on. Whichever attempt brings the next
+event goes on, and the other one is closed.
+"""
+
+from asyncio import FIRST_COMPLETED, Task, create_task, wait
+from collections.abc import Callable
+
+from clementinebend_relay.attempts import Attempts
+from clementinebend_relay.decisions import log_decision
+from clementinebend_relay.event_reader import EventReader
+from clementinebend_relay.events import StreamEvent, is_next_event
+from clementinebend_relay.metrics import stream_handovers
+from clementinebend_relay.progress import CallProgress
+from clementinebend_transport.exceptions import TruncatedAnswer
+
+SILENCE_CHECK_SECONDS = 0.4
+"""Seconds without data on a stream after which its endpoint is checked for silence.
+
+This is half of the longest pause that still counts as good service.
+"""
+
+HANDOVER_PAUSE_SECONDS = 0.5
+"""Seconds after a second attempt that came to nothing until another one is made."""
+
+TAKEN_OVER = "taken over"
+SPOKE_AGAIN = "endpoint spoke again"
+REFUSED = "refused"
+ENDED = "ended"
+"""Outcome of a second attempt that was under way as the call ended."""
+
+Events = list[StreamEvent] | None
+
+
+class StreamBroken(Exception):  # noqa: N818 - ends the reading of one attempt
+    """The stream of an attempt can't be read any further."""
+
+
+class StreamTakenOver(Exception):  # noqa: N818 - ends the reading of one attempt
+    """The stream goes on with another attempt."""
+
+    def __init__(self, reader: EventReader, problem: str) -> None:
+        super().__init__(problem)
+        self.reader = reader
+
+
+class SecondAttempt:
+    """An attempt beside one whose endpoint is silent, with a progress of its own.
+
+    ``reader`` reads its response once it has a head. With ``is_alone`` the first
+    attempt has ended: the second one need not have brought an event to go on.
+    """
+
+    def __init__(self, attempts: Attempts, progress: CallProgress) -> None:
+        self.attempts = attempts
+        self.clock = attempts.clock
+        self.progress = progress.beside()
+        self.tried_before = len(progress.tried)
+        self.reader: EventReader | None = None
+        self.is_alone = False
+        self.task: Task[None] = create_task(self._run())
+
+    def close(self) -> None:
+        """End the attempt at once."""
+        self.task.cancel()
+        if self.reader is not None:
+            self.reader.close()
+
+    def endpoints_tried(self) -> list[str]:
+        """Return the names of the endpoints to which the call was sent."""
+        return self.progress.tried[self.tried_before :]
+
+    def failure(self) -> str:
+        """Return why the attempt came to nothing."""
+        return REFUSED if self.endpoints_tried() else str(self.progress.obstacle)
+
+    async def _run(self) -> None:
+        """Make attempts until one goes on, or no more can be made."""
+        while (running := await self.attempts.next(self.progress)) is not None:
+            reader = EventReader(running, self.clock)
+            self.reader = reader
+            if await self._goes_on(reader):
+                return
+            self.reader = None
+            reader.close()
+
+    async def _goes_on(self, reader: EventReader) -> bool:
+        """Wait for the first events; return whether the stream can go on with them."""
+        while not (reader.ready or reader.is_ended or self.is_alone):
+            until = min(self.progress.deadline, self.clock() + SILENCE_CHECK_SECONDS)
+            try:
+                events = await reader.read(until)
+            except TimeoutError:
+                if self._is_given_up(reader, until):
+                    return False
+                continue
+            except TruncatedAnswer as error:
+                self._on_broken(reader, str(error))
+                return False
+            problem = self._problem(reader, events)
+            if problem is not None:
+                self._on_broken(reader, problem)
+                return False
+            reader.ready = events or []
+        return True
+
+    def _problem(self, reader: EventReader, events: Events) -> str | None:
+        """Return why the stream can't go on with what was read, if it can't."""
+        if events is None:
+            return reader.incomplete_end(has_events=False)
+        if reader.splitter.is_too_large():
+            return "an event is too large"
+        last_event = self.progress.last_event
+        if events and not is_next_event(events[0].event_id, last_event):
+            return "an event is missing or duplicated"
+        return None
+
+    def _is_given_up(self, reader: EventReader, due: float) -> bool:
+        """Return whether another endpoint is tried instead of one that is silent."""
+        if self.clock() >= self.progress.deadline:
+            return True
+        return reader.is_silent(due) and can_hand_over(self.attempts, self.progress)
+
+    def _on_broken(self, reader: EventReader, problem: str) -> None:
+        state = reader.running.state
+        self.attempts.outcomes.on_broken(self.progress, state, problem)
+        self.attempts.dispatcher.endpoints.on_end(state, ok=False)
+
+
+def can_hand_over(attempts: Attempts, progress: CallProgress) -> bool:
+    """Return whether another endpoint may take a stream over."""
+    admitted = progress.admitted
+    if progress.attempts_left <= 0 or not admitted.route.is_resumable:
+        return False
+    if progress.is_origin_uncertain:
+        return False
+    candidates = attempts.dispatcher.endpoints.candidates(
+        admitted.service.name, admitted.software_version
+    )
+    return any(state.endpoint.name not in progress.tried for state in candidates)
+
+
+class Handover:
+    """The reading of a stream whose endpoint is silent, until its next event.
+
+    ``on_broken`` records that the first attempt is over, for a reason.
+    """
+
+    def __init__(
+        self,
+        attempts: Attempts,
+        progress: CallProgress,
+        first: EventReader,
+        on_broken: Callable[[str], None],
+    ) -> None:
+        self.attempts = attempts
+        self.clock = attempts.clock
+        self.progress = progress
+        self.first = first
+        self.on_broken = on_broken
+        self.silent_since = first.running.state.heard_at
+        self.second: SecondAttempt | None = None
+        self.reading = self._read_on()
+
+    async def run(self) -> Events:
+        """Return the next events of the first attempt, or None at its end.
+
+        Raises ``StreamTakenOver`` if a second attempt goes on, ``StreamBroken`` if the
+        first one breaks off and there is no second one that does.
+        """
+        self._begin_second()
+        try:
+            while True:
+                due = await self._wait()
+                if self.reading.done():
+                    events = await self._first_result()
+                    if events is None or events:
+                        return events
+                    self.reading = self._read_on()
+                elif self.second is not None and self.second.task.done():
+                    self._on_second_done(self.second)
+                elif self.second is None and self._is_due(due):
+                    self._begin_second()
+        finally:
+            self.reading.cancel()
+            self._end_second(self._outcome_of_first())
+
+    async def _wait(self) -> float:
+        """Wait for either attempt; return until when at most."""
+        due = self.clock() + HANDOVER_PAUSE_SECONDS
+        if self.second is None:
+            await wait([self.reading], timeout=HANDOVER_PAUSE_SECONDS)
+        else:
+            both = (self.reading, self.second.task)
+            await wait(both, return_when=FIRST_COMPLETED)
+        return due
+
+    def _is_due(self, due: float) -> bool:
+        return self.first.is_silent(due) and can_hand_over(self.attempts, self.progress)
+
+    def _read_on(self) -> Task[Events]:
+        task = create_task(self.first.read(self.progress.deadline))
+        task.add_done_callback(lambda done: done.cancelled() or done.exception())
+        return task
+
+    def _begin_second(self) -> None:
+        self.first.running.state.check_silence(self.clock())
+        self.second = SecondAttempt(self.attempts, self.progress)
+
+    async def _first_result(self) -> Events:
+        """Return what the first attempt has brought."""
+        try:
+            events = self.reading.result()
+        except TimeoutError as error:
+            raise StreamBroken("the time limit has passed") from error
+        except TruncatedAnswer as error:
+            await self._on_first_broken(str(error))
+            raise StreamBroken(str(error)) from error
+        rest = self.first.splitter.rest
+        self.progress.unrelayed_bytes = len(rest)
+        if not events and self.first.splitter.is_too_large():
+            problem = "an event is too large"
+            await self._on_first_broken(problem)
+            raise StreamBroken(problem)
+        return events
+
+    async def _on_first_broken(self, problem: str) -> None:
+        """Go on with the second attempt, if there is one that gets a head."""
+        self.on_broken(problem)
+        self.first.close()
+        second = self.second
+        if second is None:
+            return
+        second.is_alone = True
+        await wait([second.task])
+        second.task.result()
+        self._go_on_with(second, problem)
+
+    def _on_second_done(self, second: SecondAttempt) -> None:
+        """Go on with the second attempt if it has brought an event."""
+        second.task.result()
+        if second.reader is not None:
+            problem = "the endpoint has gone silent"
+            self.on_broken(problem)
+            self._go_on_with(second, problem)
+        self._end_second(second.failure())
+
+    def _go_on_with(self, second: SecondAttempt, problem: str) -> None:
+        """Raise ``StreamTakenOver`` if the second attempt can go on."""
+        reader = second.reader
+        if reader is None:
+            self._end_second(second.failure())
+            return
+        second.reader = None
+        self._end_second(TAKEN_OVER)
+        self.progress.adopt_attempt(second.progress)
+        raise StreamTakenOver(reader, problem)
+
+    def _outcome_of_first(self) -> str:
+        """Return the outcome of a second attempt that is under way at the end."""
+        done = self.reading
+        has_spoken = done.done() and not done.cancelled() and done.exception() is None
+        return SPOKE_AGAIN if has_spoken else ENDED
+
+    def _end_second(self, outcome: str) -> None:
+        """End a second attempt, if there is one, and count what it was."""
+        second, self.second = self.second, None
+        if second is None:
+            return
+        second.close()
+        progress = self.progress
+        progress.add_attempts(second.progress)
+        stream_handovers.labels(progress.admitted.service.name, outcome).inc()
+        log_decision(
+            "stream handover",
+            request_id=progress.admitted.call.request_id,
+            silent_endpoint=self.first.running.state.endpoint.name,
+            endpoints=second.endpoints_tried(),
+            silent_s=round(self.clock() - self.silent_since, 3),
+            after=progress.last_event,
+            problem=second.progress.problem,
+            outcome=outcome,
+        )
--- a/libs/relay/src/clementinebend_relay/metrics.py
+++ b/libs/relay/src/clementinebend_relay/metrics.py
@@ -28,6 +28,12 @@
     "began them (same or other).",
     ("service", "by", "software"),
 )
+stream_handovers = counter(
+    "clementinebend_relay_stream_handovers_total",
+    "Second attempts of streams whose endpoint was silent, by service and by outcome: "
+    "taken over, endpoint spoke again, refused, ended, or why none was made.",
+    ("service", "outcome"),
+)
 resumptions = counter(
     "clementinebend_relay_resumptions_total",
     "Streams that callers resumed, by service and by whether the version that began "
--- a/libs/relay/src/clementinebend_relay/progress.py
+++ b/libs/relay/src/clementinebend_relay/progress.py
@@ -1,5 +1,7 @@
 """The progress of one call: its attempts, its cost and why it failed."""
 
+from copy import copy
+from enum import StrEnum
 from math import inf
 from random import random
 from typing import NamedTuple
@@ -22,6 +24,21 @@
 """
 
 
+class Obstacle(StrEnum):
+    """Why no further attempt of a call is made."""
+
+    NONE = ""
+    NO_ATTEMPT_LEFT = "no attempt left"
+    TIME_LIMIT = "time limit"
+    MAY_HAVE_RUN = "may have run"
+    MISSING_ENDPOINTS = "missing endpoints"
+    RETRY_BUDGET = "retry budget"
+    NO_ENDPOINT = "no endpoint"
+    NOT_ALLOWED = "quarantine or request limit"
+    NOT_RESUMABLE = "not resumable"
+    VERSION_UNCERTAIN = "version uncertain"
+
+
 class Usage(NamedTuple):
     """What a call cost: its tokens and its attempts."""
 
@@ -51,8 +68,9 @@
     ``answer`` is the response whose stream is being read, ``unrelayed_bytes`` the size
     of what has been read of it and not been sent on.
 
-    ``refusal`` is why no further attempt was made. ``pause`` is the time in seconds
-    until an endpoint accepts calls again, if all have asked for a pause.
+    ``refusal`` is the rejection due to which no further attempt was made, ``obstacle``
+    why none was. ``pause`` is the time in seconds until an endpoint accepts calls
+    again, if all have asked for a pause.
     """
 
     def __init__(
@@ -80,6 +98,7 @@
         self.sound_at = -inf
         self.parts_sound_at = -inf
         self.refusal: Rejection | None = None
+        self.obstacle = Obstacle.NONE
         self.pause: float | None = None
         self.last_event = admitted.call.last_event
         self.is_whole = False
@@ -93,6 +112,39 @@
         """How many more attempts the call may make."""
         return self.admitted.route.max_attempts - self.attempts
 
+    def beside(self) -> "CallProgress":
+        """Return the progress of another attempt that runs beside the last one.
+
+        It has the same lists of endpoints tried and of their software versions.
+        """
+        other = copy(self)
+        other.answer = None
+        other.unrelayed_bytes = 0
+        other.attempt_event_at = None
+        return other
+
+    def add_attempts(self, other: "CallProgress") -> None:
+        """Count the attempts made beside the last one; that remains the last one."""
+        self.attempts = other.attempts
+        self.missing_endpoints = other.missing_endpoints
+        self.sent = other.sent
+        self.obstacle = other.obstacle
+        self.problem = other.problem
+        self.pause = other.pause
+        self.failure = other.failure
+
+    def adopt_attempt(self, other: "CallProgress") -> None:
+        """Go on with the last attempt of ``other`` as the call's last attempt."""
+        self.sent_at = other.sent_at
+        self.ahead = other.ahead
+        self.unread = other.unread
+        self.reports = other.reports
+        self.plain_choice = other.plain_choice
+        self.passed_over = other.passed_over
+        self.attempt_event_at = other.attempt_event_at
+        self.sound_at = other.sound_at
+        self.parts_sound_at = other.parts_sound_at
+
     def begin(self, software_version: str) -> None:
         """Bind the call to the version of the software that sent its first event."""
         if self.admitted.origin is None:
--- a/libs/relay/src/clementinebend_relay/streams.py
+++ b/libs/relay/src/clementinebend_relay/streams.py
@@ -10,10 +10,19 @@
 from clementinebend_relay.attempts import Attempts, OpenAttempt
 from clementinebend_relay.decisions import log_decision
 from clementinebend_relay.dispatch import Dispatcher
-from clementinebend_relay.events import EventSplitter, StreamEvent, is_next_event
+from clementinebend_relay.event_reader import EventReader
+from clementinebend_relay.events import StreamEvent, is_next_event
+from clementinebend_relay.handovers import (
+    SILENCE_CHECK_SECONDS,
+    Events,
+    Handover,
+    StreamBroken,
+    StreamTakenOver,
+    can_hand_over,
+)
 from clementinebend_relay.metrics import resumed_streams
 from clementinebend_relay.origin_replicas import OriginReplicas
-from clementinebend_relay.progress import CallProgress
+from clementinebend_relay.progress import CallProgress, Obstacle
 from clementinebend_relay.stream_origins import (
     MAX_STREAM_SECONDS,
     RESUME_SLACK_SECONDS,
@@ -21,21 +30,9 @@
     StreamOrigin,
 )
 from clementinebend_routing.fatal_runs import PART_SOUND_SECONDS, counts_as_evidence
-from clementinebend_routing.silence import SILENT_SECONDS
-from clementinebend_transport.client_connection import next_piece
 from clementinebend_transport.exceptions import AnswerCutError, TruncatedAnswer
 from clementinebend_transport.http_types import Response
 
-SILENCE_CHECK_SECONDS = 0.4
-"""Seconds without data on a stream after which its endpoint is checked for silence.
-
-This is half of the longest pause that still counts as good service.
-"""
-
-
-class StreamBroken(Exception):  # noqa: N818 - ends the reading of one attempt
-    """The stream of an attempt can't be read any further."""
-
 
 class RelayedEvents(AsyncIterator[bytes]):
     """The events of a stream on their way to its caller, and what is held of them."""
@@ -85,21 +82,31 @@
         or None. ``on_end`` is called when the stream ends for any reason, but not if
         there is no stream.
         """
-        while (running := await self.attempts.next(progress)) is not None:
-            source = self._read_events(running, progress)
+        reader = await self._next_reader(progress)
+        while reader is not None:
+            source = self._read_events(reader, progress)
             try:
                 first = await anext(source, None)
+            except StreamTakenOver as taken_over:
+                reader = taken_over.reader
+                continue
             except StreamBroken:
+                reader = await self._next_reader(progress)
                 continue
             except BaseException:
                 await source.aclose()
                 raise
-            headers = self.dispatcher.protocol.caller_headers(running.answer.headers)
+            answer = reader.running.answer
+            headers = self.dispatcher.protocol.caller_headers(answer.headers)
             events = self._relay_events(first, source, progress, on_end)
             body = RelayedEvents(events, progress)
-            return Response(running.answer.status, headers, body)
+            return Response(answer.status, headers, body)
         return progress.failure
 
+    async def _next_reader(self, progress: CallProgress) -> EventReader | None:
+        running = await self.attempts.next(progress)
+        return None if running is None else EventReader(running, self.clock)
+
     async def _relay_events(
         self,
         first: StreamEvent | None,
@@ -118,6 +125,8 @@
                             yield event.data
                     progress.is_whole = True
                     return
+                except StreamTakenOver as taken_over:
+                    source = self._go_on(progress, taken_over.reader, str(taken_over))
                 except StreamBroken as error:
                     source = await self._resume(progress, error)
         finally:
@@ -128,44 +137,58 @@
         self, progress: CallProgress, error: StreamBroken
     ) -> AsyncGenerator[StreamEvent, None]:
         """Return the remaining events of a stream from another endpoint."""
-        call = progress.admitted.call
-        running = None
-        if progress.admitted.route.is_resumable and not progress.is_origin_uncertain:
-            running = await self.attempts.next(progress)
-        if running is None:
+        reader = None
+        if not progress.admitted.route.is_resumable:
+            progress.obstacle = Obstacle.NOT_RESUMABLE
+        elif progress.is_origin_uncertain:
+            progress.obstacle = Obstacle.VERSION_UNCERTAIN
+        else:
+            reader = await self._next_reader(progress)
+        if reader is None:
             log_decision(
                 "stream cut",
-                request_id=call.request_id,
+                request_id=progress.admitted.call.request_id,
                 events=progress.events,
+                endpoints=progress.tried,
                 software_versions=progress.software_versions,
                 problem=str(error),
+                not_resumed=progress.obstacle,
+                last_problem=progress.problem,
             )
             raise AnswerCutError(str(error))
+        return self._go_on(progress, reader, str(error))
+
+    def _go_on(
+        self, progress: CallProgress, reader: EventReader, problem: str
+    ) -> AsyncGenerator[StreamEvent, None]:
+        """Return the remaining events of a stream from another attempt."""
+        endpoint = reader.running.state.endpoint
         log_decision(
             "stream resumed",
-            request_id=call.request_id,
-            endpoint=running.state.endpoint.name,
+            request_id=progress.admitted.call.request_id,
+            endpoint=endpoint.name,
             software_versions=progress.software_versions,
             after=progress.last_event,
-            problem=str(error),
+            problem=problem,
         )
-        version = running.state.endpoint.software_version
-        is_same = version == progress.admitted.software_version
+        is_same = endpoint.software_version == progress.admitted.software_version
         self._count_resumed(progress, "entry", "same" if is_same else "other")
-        return self._read_events(running, progress)
+        return self._read_events(reader, progress)
 
     async def _read_events(
-        self, running: OpenAttempt, progress: CallProgress
+        self, reader: EventReader, progress: CallProgress
     ) -> AsyncGenerator[StreamEvent, None]:
-        """Yield the events of one attempt; raise ``StreamBroken`` if it breaks off."""
-        splitter = EventSplitter()
+        """Yield the events of one attempt.
+
+        Raises ``StreamBroken`` if it breaks off, ``StreamTakenOver`` if another one
+        goes on in its place.
+        """
+        running, splitter = reader.running, reader.splitter
         progress.answer = running.answer
         state, endpoints = running.state, self.dispatcher.endpoints
         is_complete = False
         try:
-            while (chunk := await self._next_chunk(running, progress)) is not None:
-                state.on_heard(self.clock())
-                events = splitter.feed(chunk)
+            while (events := await self._next_events(reader, progress)) is not None:
                 split_bytes = sum(len(event.data) for event in events)
                 progress.unrelayed_bytes = split_bytes + len(splitter.rest)
                 for event in events:
@@ -174,15 +197,15 @@
                     progress.unrelayed_bytes -= len(event.data)
                 if splitter.is_too_large():
                     raise self._break_stream(running, progress, "an event is too large")
-            problem = _incomplete_end(running, splitter, progress)
+            has_events = progress.attempt_event_at is not None
+            problem = reader.incomplete_end(has_events)
             if problem is not None:
                 self.attempts.outcomes.on_broken(progress, state, problem)
                 raise StreamBroken(problem)
             is_complete = True
         finally:
             progress.unrelayed_bytes = 0
-            running.answer.close()
-            running.cleanup.close()
+            reader.close()
             if is_complete:
                 endpoints.on_end(state, ok=True)
                 self.attempts.outcomes.on_end(progress, running.state, running.answer)
@@ -260,38 +283,34 @@
             software_version=running.state.endpoint.software_version,
         )
 
-    async def _next_chunk(
-        self, running: OpenAttempt, progress: CallProgress
-    ) -> bytes | None:
-        """Return the next chunk of an attempt's response, or None at its end."""
+    async def _next_events(self, reader: EventReader, progress: CallProgress) -> Events:
+        """Return the next events of an attempt's response, or None at its end.
+
+        A resumable stream whose endpoint is silent may go on with another attempt.
+        """
         can_resume = progress.admitted.route.is_resumable and progress.attempts_left > 0
         while self.clock() < progress.deadline:
             until = progress.deadline
             if can_resume:
                 until = min(until, self.clock() + SILENCE_CHECK_SECONDS)
             try:
-                return await next_piece(running.answer.chunks, until)
+                return await reader.read(until)
             except TimeoutError:
-                self._check_silence(running, progress)
+                if reader.is_silent(until) and can_hand_over(self.attempts, progress):
+                    return await self._hand_over(reader, progress)
             except TruncatedAnswer as error:
-                raise self._break_stream(running, progress, str(error)) from error
+                raise self._break_stream(
+                    reader.running, progress, str(error)
+                ) from error
         raise StreamBroken("the time limit has passed")
 
-    def _check_silence(self, running: OpenAttempt, progress: CallProgress) -> None:
-        now = self.clock()
-        is_silent = now - running.state.heard_at > SILENT_SECONDS
-        if running.state.is_overloaded():
-            is_silent = False  # the bytes may wait in this entry
-        if is_silent and self._can_go_on_elsewhere(progress):
-            raise self._break_stream(running, progress, "the endpoint has gone silent")
+    async def _hand_over(self, reader: EventReader, progress: CallProgress) -> Events:
+        """Return the next events of a silent endpoint, unless another goes on first."""
 
-    def _can_go_on_elsewhere(self, progress: CallProgress) -> bool:
-        """Return whether another endpoint may take the stream over."""
-        admitted = progress.admitted
-        candidates = self.dispatcher.endpoints.candidates(
-            admitted.service.name, admitted.software_version
-        )
-        return any(state.endpoint.name not in progress.tried for state in candidates)
+        def on_broken(problem: str) -> None:
+            self._break_stream(reader.running, progress, problem)
+
+        return await Handover(self.attempts, progress, reader, on_broken).run()
 
     def _break_stream(
         self, running: OpenAttempt, progress: CallProgress, problem: str
@@ -299,17 +318,3 @@
         self.attempts.outcomes.on_broken(progress, running.state, problem)
         self.dispatcher.endpoints.on_end(running.state, ok=False)
         return StreamBroken(problem)
-
-
-def _incomplete_end(
-    running: OpenAttempt, splitter: EventSplitter, progress: CallProgress
-) -> str | None:
-    """Return why a stream that has ended is not whole, None if it may be.
-
-    The end of a channel alone does not say that there is no event to come.
-    """
-    if splitter.rest:
-        return "the stream ended within an event"
-    if running.answer.ends_with_channel and progress.attempt_event_at is None:
-        return "the stream ended before an event"
-    return None
