End a stop once callers have taken their answers

What operators saw: a planned stop that lasted as long as it may and ended with the exit code of an incomplete one, though no request was in progress.

Cause: quiet connections were closed once, 0.25 s after the stop began. One whose caller was still taking an answer then waited for a further request, for the idle limit of before the stop.

Change: drain looks for quiet connections every 0.25 s until none is left.

Evidence: an answer of 16 MB that is taken 0.5 s after a stop of 5 s began. Before: the caller saw no end of the connection within 20 s; after: closed, and drain returns True. tests/unit/transport and the unit tests of unread answers, overloaded entries and the layout pass. Not run: functional tests.

--- a/libs/transport/src/clementinebend_transport/http_server.py
+++ b/libs/transport/src/clementinebend_transport/http_server.py
@@ -143,9 +143,9 @@
         await self._stop_listening()
         self.announce_end()
         grace = min(DRAIN_GRACE_SECONDS, timeout / 2)
-        loop.call_later(grace, self._end_connections)
-        while self.connections and loop.time() < deadline:
-            await wait(tuple(self.connections), timeout=deadline - loop.time())
+        while self.connections and (left := deadline - loop.time()) > 0:
+            await wait(tuple(self.connections), timeout=min(grace, left))
+            self._end_connections()
         return all(each.is_lingering for each in self.connections.values())
 
     async def close(self) -> None:
--- a/tests/unit/transport/test_last_answers.py
+++ b/tests/unit/transport/test_last_answers.py
@@ -1,13 +1,15 @@
 """What happens to answers after which a connection is closed."""
 
-from asyncio import Event, get_running_loop
+from asyncio import Event, create_task, get_running_loop, sleep
 from asyncio import timeout as time_limit
 from collections.abc import AsyncIterator
+from math import inf
 from socket import SO_RCVBUF, SOL_SOCKET, socket
 
 import pytest
 
 from clementinebend_transport.connection_ends import EndReason
+from clementinebend_transport.http_connection import DRAIN_GRACE_SECONDS
 from clementinebend_transport.http_server import HttpServer, Request, Response
 from tests.unit.transport.loopback import (
     GET,
@@ -21,6 +23,7 @@
 )
 from tests.unit.transport.test_http_server import (
     CLOSE,
+    LARGE_BYTES,
     SLOW_BUFFER,
     new_gate,
 )
@@ -115,3 +118,25 @@
     assert gate.cancelled.is_set()
     assert answer.startswith(b"HTTP/1.1 504 ")
     assert b"connection: close" in answer.lower()
+
+
+async def test_a_stop_ends_a_connection_whose_answer_is_taken_after_the_grace() -> None:
+    """Guards against a stop that waits for connections without a request."""
+
+    async def handle(request: Request) -> Response:
+        return Response(200, (), bytes(LARGE_BYTES))
+
+    async with serving(handle) as server:
+        caller = await slow_caller(server, b"")
+        await until(lambda: bool(server.connections))
+        (connection,) = server.connections.values()
+        connection.channel.transport.set_write_buffer_limits(high=2 * LARGE_BYTES)
+        await get_running_loop().sock_sendall(caller, GET)
+        await until(lambda: connection.idle_since < inf)
+        drained = create_task(server.drain(STOP_SECONDS))
+        await sleep(2 * DRAIN_GRACE_SECONDS)
+        assert connection.channel.unsent_bytes()
+        answer = await receive_all(caller)
+        assert await drained
+        caller.close()
+    assert answer.endswith(bytes(LARGE_BYTES))
