--- a/tests/functional/test_platform_entry.py
+++ b/tests/functional/test_platform_entry.py
@@ -89,6 +89,19 @@
     assert fleet.runs("once") == 1
 
 
+async def test_a_request_left_unanswered_is_logged_with_its_id(fleet: Fleet) -> None:
+    await fleet.start()
+    for engine in fleet.engines_of("pool"):
+        engine.fault = "cut"
+    assert (await fleet.call("/stream-once/x", request_id="cut")).is_error()
+    left = "request left unanswered"
+    await until(lambda: any(has_logged(entry, left) for entry in fleet.entries))
+    lines = [line for entry in fleet.entries for line in entry.lines()]
+    (line,) = (line for line in lines if line["message"] == left)
+    assert (line["request_id"], line["reason"]) == ("cut", "source_cut")
+    assert line["target"] == "/stream-once/x"
+
+
 async def test_what_may_have_run_is_not_repeated(fleet: Fleet) -> None:
     await fleet.start()
     for engine in fleet.engines_of("desk"):
