Let callers go by an idle limit that a configuration has shortened

What callers saw: a connection that ended before they expected it, with a request on its way.

Cause: a shorter idle limit held from the next answer on, while callers reuse a connection by the limit that they know, and learn of a change later than entries.

Change: after a change to a shorter limit the earlier one holds for as long as it is, for connections made since, too.

Evidence: limit 5 s, shortened to 0.05 s, a caller that sends each 0.2 s. Before: closed after the first answer since the change; after: answered. Such a request wasn't read, so that this is no whole request without an answer. tests/unit/transport and the unit tests of unread answers, overloaded entries and the layout pass.

--- a/libs/transport/src/clementinebend_transport/http_connection.py
+++ b/libs/transport/src/clementinebend_transport/http_connection.py
@@ -40,6 +40,7 @@
     error_response,
     no_id,
 )
+from clementinebend_transport.idle_limit import IdleLimit
 from clementinebend_transport.metrics import counter
 
 logger = getLogger(__name__)
@@ -109,12 +110,14 @@
         channel: Channel,
         handler: Handler,
         limits: ServerLimits,
+        idle_limit: IdleLimit,
         identify: Identify = no_id,
     ) -> None:
         self.channel = channel
         self.handler = handler
         self.identify = identify
         self.limits = limits
+        self.idle_limit = idle_limit
         self.parser = Parser(SERVER, max_incomplete_event_size=limits.max_header_bytes)
         self.reader = RequestReader(channel, self.parser, limits)
         self.request: Request | None = None
@@ -192,7 +195,7 @@
         return not self.channel.has_arrivals()
 
     def change_limits(self, limits: ServerLimits) -> None:
-        """Hold the next request, and the wait for it, to ``limits``."""
+        """Hold the next request to ``limits``."""
         self.limits = limits
         self.reader.limits = limits
 
@@ -202,9 +205,10 @@
             return 0.0
         if self.is_draining:
             return DRAIN_GRACE_SECONDS
+        seconds = self.idle_limit.at(get_running_loop().time())
         if self.idle_since == inf:
-            return min(self.limits.idle_timeout, self.limits.header_timeout)
-        return self.limits.idle_timeout
+            return min(seconds, self.limits.header_timeout)
+        return seconds
 
     async def serve(self, task: Task[None]) -> None:
         """Answer requests until the connection ends; ``task`` runs this."""
--- a/libs/transport/src/clementinebend_transport/http_server.py
+++ b/libs/transport/src/clementinebend_transport/http_server.py
@@ -33,6 +33,7 @@
     error_response,
     no_id,
 )
+from clementinebend_transport.idle_limit import IdleLimit
 from clementinebend_transport.metrics import counter
 
 __all__ = [
@@ -76,6 +77,7 @@
     ) -> None:
         self.handler = handler
         self.limits = limits
+        self.idle_limit = IdleLimit(limits.idle_timeout)
         self.identify = identify
         self.host = ""
         self.port = 0
@@ -127,8 +129,12 @@
         return len(closing)
 
     def change_limits(self, limits: ServerLimits) -> None:
-        """Hold connections to ``limits`` from their next request on."""
+        """Hold connections to ``limits`` from their next request on.
+
+        A longer idle limit holds at once, a shorter one as ``IdleLimit`` says.
+        """
         self.limits = limits
+        self.idle_limit.change(limits.idle_timeout, get_running_loop().time())
         for connection in self.connections.values():
             connection.change_limits(limits)
 
@@ -198,7 +204,9 @@
         if len(self.connections) >= self.limits.max_connections:
             self._refuse(channel)
             return
-        connection = HttpConnection(channel, self.handler, self.limits, self.identify)
+        connection = HttpConnection(
+            channel, self.handler, self.limits, self.idle_limit, self.identify
+        )
         connection.is_draining = self.is_draining
         connection.is_moving = self.is_moving
         task = create_task(_serve(connection))
