Keep attempts of streams without a head until another one has brought an event

Cause: a resumable stream whose endpoint had sent no head for two latency targets was given up before a second attempt was placed. Where that was turned away, failed, or the retry budget allowed none, the call was rejected, though its endpoint would have answered.

Change: Opening waits for the head to the time limit, with a second attempt beside it after the same two targets, counted as before. An attempt whose head comes while the second one is under way is read beside it (EventReader.beside).

--- a/libs/relay/src/clementinebend_relay/attempts.py
+++ b/libs/relay/src/clementinebend_relay/attempts.py
@@ -191,14 +191,19 @@
 
     def _obstacle(self, progress: CallProgress) -> Obstacle:
         """Return why a call may not be sent again; count a retry if it may."""
-        if progress.missing_endpoints >= MAX_MISSING_ENDPOINTS:
-            return Obstacle.MISSING_ENDPOINTS
-        if progress.attempts_left <= 0:
-            return Obstacle.NO_ATTEMPT_LEFT
-        if self.clock() >= progress.deadline:
-            return Obstacle.TIME_LIMIT
-        if progress.may_have_run and not progress.admitted.route.may_repeat:
-            return Obstacle.MAY_HAVE_RUN
+        may_repeat = progress.admitted.route.may_repeat
+        obstacles = {
+            Obstacle.MISSING_ENDPOINTS: (
+                progress.missing_endpoints >= MAX_MISSING_ENDPOINTS
+            ),
+            Obstacle.NO_ATTEMPT_LEFT: progress.attempts_left <= 0,
+            Obstacle.UNDER_WAY: progress.has_second,
+            Obstacle.TIME_LIMIT: self.clock() >= progress.deadline,
+            Obstacle.MAY_HAVE_RUN: progress.may_have_run and not may_repeat,
+        }
+        found = next((each for each, is_met in obstacles.items() if is_met), None)
+        if found is not None:
+            return found
         service = progress.admitted.service.name
         if progress.sent == 0 or self.dispatcher.may_retry(service):
             return Obstacle.NONE
@@ -225,13 +230,17 @@
         progress.ahead, progress.unread = sent.ahead, sent.tokens
         may_have_run_before = progress.may_have_run
         progress.may_have_run = True
+        head_deadline = self._head_deadline(progress)
+        if progress.waits_for_head and head_deadline < progress.deadline:
+            progress.head_due_at, head_deadline = head_deadline, progress.deadline
         outcome = await self.dispatcher.open(
             progress.admitted,
             state,
             progress.deadline,
-            self._head_deadline(progress),
+            head_deadline,
             progress.last_event,
         )
+        progress.head_due_at = inf
         progress.sent += not isinstance(outcome, NotSent)
         if isinstance(outcome, NotSent):
             progress.may_have_run = may_have_run_before
--- a/libs/relay/src/clementinebend_relay/event_reader.py
+++ b/libs/relay/src/clementinebend_relay/event_reader.py
@@ -1,12 +1,16 @@
 """Reads the response of one attempt of a stream, event by event."""
 
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from clementinebend_relay.attempts import OpenAttempt
 from clementinebend_relay.events import EventSplitter, StreamEvent
 from clementinebend_routing.silence import SILENT_SECONDS
 from clementinebend_transport.client_connection import next_piece
 
+if TYPE_CHECKING:
+    from clementinebend_relay.handovers import SecondAttempt
+
 LATE_CHECK_SECONDS = 0.1
 """Seconds after which a check for silence is late. It proves nothing then: bytes may
 have come that the event loop has not read."""
@@ -16,7 +20,8 @@
     """The response of one attempt.
 
     ``ready`` holds events that have been read and not been returned; ``is_ended`` is
-    set once the response has been read to its end.
+    set once the response has been read to its end. ``beside`` is a second attempt that
+    was begun before the head of this response came.
     """
 
     def __init__(self, running: OpenAttempt, clock: Callable[[], float]) -> None:
@@ -25,6 +30,7 @@
         self.splitter = EventSplitter()
         self.ready: list[StreamEvent] = []
         self.is_ended = False
+        self.beside: SecondAttempt | None = None
 
     async def read(self, until: float) -> list[StreamEvent] | None:
         """Return the events that the next chunk completes, or None at the end.
@@ -69,5 +75,7 @@
 
     def close(self) -> None:
         """Stop reading, and remove the attempt from those in flight."""
+        if self.beside is not None:
+            self.beside.close()
         self.running.answer.close()
         self.running.cleanup.close()
--- a/libs/relay/src/clementinebend_relay/handovers.py
+++ b/libs/relay/src/clementinebend_relay/handovers.py
@@ -48,19 +48,61 @@
 class SecondAttempt:
     """An attempt beside one whose endpoint is silent, with a progress of its own.
 
+    ``silent_since`` is when the silent endpoint was heard last, or sent the call.
     ``reader`` reads its response once it has a head. With ``is_alone`` the first
     attempt has ended: the second one need not have brought an event to go on.
     """
 
-    def __init__(self, attempts: Attempts, progress: CallProgress) -> None:
+    def __init__(
+        self,
+        attempts: Attempts,
+        progress: CallProgress,
+        silent_endpoint: str,
+        silent_since: float,
+    ) -> None:
         self.attempts = attempts
         self.clock = attempts.clock
+        self.first_progress = progress
         self.progress = progress.beside()
+        self.silent_endpoint = silent_endpoint
+        self.silent_since = silent_since
+        progress.has_second = True
         self.tried_before = len(progress.tried)
         self.reader: EventReader | None = None
         self.is_alone = False
         self.task: Task[None] = create_task(self._run())
 
+    def take_reader(self) -> EventReader | None:
+        """Return the reader of the response if the stream can go on with it.
+
+        The first attempt's progress is that of this one from then on.
+        """
+        reader, self.reader = self.reader, None
+        if reader is None:
+            self.end(REFUSED if self.endpoints_tried() else str(self.progress.obstacle))
+            return None
+        self.end(TAKEN_OVER)
+        self.first_progress.adopt_attempt(self.progress)
+        return reader
+
+    def end(self, outcome: str) -> None:
+        """End the attempt, unless its reader has been taken, and count the outcome."""
+        self.close()
+        progress = self.first_progress
+        progress.has_second = False
+        progress.add_attempts(self.progress)
+        stream_handovers.labels(progress.admitted.service.name, outcome).inc()
+        log_decision(
+            "stream handover",
+            request_id=progress.admitted.call.request_id,
+            silent_endpoint=self.silent_endpoint,
+            endpoints=self.endpoints_tried(),
+            silent_s=round(self.clock() - self.silent_since, 3),
+            after=progress.last_event,
+            problem=self.progress.problem,
+            outcome=outcome,
+        )
+
     def close(self) -> None:
         """End the attempt at once."""
         self.task.cancel()
@@ -71,10 +113,6 @@
         """Return the names of the endpoints to which the call was sent."""
         return self.progress.tried[self.tried_before :]
 
-    def failure(self) -> str:
-        """Return why the attempt came to nothing."""
-        return REFUSED if self.endpoints_tried() else str(self.progress.obstacle)
-
     async def _run(self) -> None:
         """Make attempts until one goes on, or no more can be made."""
         while (running := await self.attempts.next(self.progress)) is not None:
@@ -159,8 +197,7 @@
         self.progress = progress
         self.first = first
         self.on_broken = on_broken
-        self.silent_since = first.running.state.heard_at
-        self.second: SecondAttempt | None = None
+        self.second, first.beside = first.beside, None
         self.reading = self._read_on()
 
     async def run(self) -> Events:
@@ -169,7 +206,8 @@
         Raises ``StreamTakenOver`` if a second attempt goes on, ``StreamBroken`` if the
         first one breaks off and there is no second one that does.
         """
-        self._begin_second()
+        if self.second is None:
+            self._begin_second()
         try:
             while True:
                 due = await self._wait()
@@ -205,8 +243,11 @@
         return task
 
     def _begin_second(self) -> None:
-        self.first.running.state.check_silence(self.clock())
-        self.second = SecondAttempt(self.attempts, self.progress)
+        state = self.first.running.state
+        state.check_silence(self.clock())
+        self.second = SecondAttempt(
+            self.attempts, self.progress, state.endpoint.name, state.heard_at
+        )
 
     async def _first_result(self) -> Events:
         """Return what the first attempt has brought."""
@@ -240,22 +281,17 @@
     def _on_second_done(self, second: SecondAttempt) -> None:
         """Go on with the second attempt if it has brought an event."""
         second.task.result()
+        problem = "the endpoint has gone silent"
         if second.reader is not None:
-            problem = "the endpoint has gone silent"
             self.on_broken(problem)
-            self._go_on_with(second, problem)
-        self._end_second(second.failure())
+        self._go_on_with(second, problem)
 
     def _go_on_with(self, second: SecondAttempt, problem: str) -> None:
         """Raise ``StreamTakenOver`` if the second attempt can go on."""
-        reader = second.reader
-        if reader is None:
-            self._end_second(second.failure())
-            return
-        second.reader = None
-        self._end_second(TAKEN_OVER)
-        self.progress.adopt_attempt(second.progress)
-        raise StreamTakenOver(reader, problem)
+        self.second = None
+        reader = second.take_reader()
+        if reader is not None:
+            raise StreamTakenOver(reader, problem)
 
     def _outcome_of_first(self) -> str:
         """Return the outcome of a second attempt that is under way at the end."""
@@ -264,21 +300,6 @@
         return SPOKE_AGAIN if has_spoken else ENDED
 
     def _end_second(self, outcome: str) -> None:
-        """End a second attempt, if there is one, and count what it was."""
         second, self.second = self.second, None
-        if second is None:
-            return
-        second.close()
-        progress = self.progress
-        progress.add_attempts(second.progress)
-        stream_handovers.labels(progress.admitted.service.name, outcome).inc()
-        log_decision(
-            "stream handover",
-            request_id=progress.admitted.call.request_id,
-            silent_endpoint=self.first.running.state.endpoint.name,
-            endpoints=second.endpoints_tried(),
-            silent_s=round(self.clock() - self.silent_since, 3),
-            after=progress.last_event,
-            problem=second.progress.problem,
-            outcome=outcome,
-        )
+        if second is not None:
+            second.end(outcome)
--- a/libs/relay/src/clementinebend_relay/progress.py
+++ b/libs/relay/src/clementinebend_relay/progress.py
@@ -37,6 +37,7 @@
     NOT_ALLOWED = "quarantine or request limit"
     NOT_RESUMABLE = "not resumable"
     VERSION_UNCERTAIN = "version uncertain"
+    UNDER_WAY = "another attempt is under way"
 
 
 class Usage(NamedTuple):
@@ -61,6 +62,10 @@
     event arrived, ``sound_at`` when it was last known to do no harm, and
     ``parts_sound_at`` when that was last known of the parts of its prompt.
 
+    ``waits_for_head`` is set if an attempt without the head of a response stays open to
+    the time limit; ``head_due_at`` is when another one may be made beside it, infinity
+    while none waits. ``has_second`` is set while there is one.
+
     ``tried`` and ``software_versions`` are the names of the endpoints that the call was
     sent to and the versions of their software. ``is_origin_uncertain`` is set once that
     of the endpoint that sent events turned out to be outdated.
@@ -86,6 +91,9 @@
         self.tried: list[str] = []
         self.software_versions: list[str] = []
         self.is_origin_uncertain = False
+        self.waits_for_head = False
+        self.head_due_at = inf
+        self.has_second = False
         self.may_have_run = False
         self.events = 0
         self.ahead = 0.0
@@ -121,6 +129,10 @@
         other.answer = None
         other.unrelayed_bytes = 0
         other.attempt_event_at = None
+        other.sent = max(1, self.sent)
+        other.waits_for_head = False
+        other.head_due_at = inf
+        other.has_second = False
         return other
 
     def add_attempts(self, other: "CallProgress") -> None:
@@ -136,6 +148,7 @@
     def adopt_attempt(self, other: "CallProgress") -> None:
         """Go on with the last attempt of ``other`` as the call's last attempt."""
         self.sent_at = other.sent_at
+        self.head_due_at = inf
         self.ahead = other.ahead
         self.unread = other.unread
         self.reports = other.reports
--- a/libs/relay/src/clementinebend_relay/streams.py
+++ b/libs/relay/src/clementinebend_relay/streams.py
@@ -21,6 +21,7 @@
     can_hand_over,
 )
 from clementinebend_relay.metrics import resumed_streams
+from clementinebend_relay.openings import Opening
 from clementinebend_relay.origin_replicas import OriginReplicas
 from clementinebend_relay.progress import CallProgress, Obstacle
 from clementinebend_relay.stream_origins import (
@@ -104,6 +105,8 @@
         return progress.failure
 
     async def _next_reader(self, progress: CallProgress) -> EventReader | None:
+        if progress.admitted.route.is_resumable:
+            return await Opening(self.attempts, progress).run()
         running = await self.attempts.next(progress)
         return None if running is None else EventReader(running, self.clock)
 
@@ -288,6 +291,8 @@
 
         A resumable stream whose endpoint is silent may go on with another attempt.
         """
+        if reader.beside is not None:
+            return await self._hand_over(reader, progress)
         can_resume = progress.admitted.route.is_resumable and progress.attempts_left > 0
         while self.clock() < progress.deadline:
             until = progress.deadline
--- a/tests/functional/test_silent_streams.py
+++ b/tests/functional/test_silent_streams.py
@@ -41,10 +41,10 @@
 class SilentEngine(EngineStandin):
     """An engine whose first run of a stream falls silent before one of its events.
 
-    ``silent_before`` is the number of the event, ``silent_seconds`` how long that
-    lasts. With ``refusal`` ``"full"`` or ``"fail"`` any later run is turned away, or
-    fails. ``made_at`` is when events were made, ``left_at`` when runs ended, both by
-    request.
+    ``silent_before`` is the number of the event, or 0: before the head of its answer;
+    ``silent_seconds`` is how long that lasts. With ``refusal`` ``"full"`` or ``"fail"``
+    any later run is turned away, or fails. ``made_at`` is when events were made,
+    ``left_at`` when runs ended, both by request.
     """
 
     begun: set[str]
@@ -58,11 +58,18 @@
         self.made_at: dict[str, list[float]] = {}
         self.left_at: dict[str, float] = {}
 
-    async def handle(self, request: Request) -> Response:
-        """Answer a request."""
+    async def _answer(self, request: Request) -> Response:
         request_id = request.headers.get("x-request-id", "")
-        self.fault = self.refusal if request_id in self.begun else ""
-        return await super().handle(request)
+        is_later = request_id in self.begun
+        if is_later and self.refusal == "full":
+            return Response(503, (("x-not-executed", "1"),), b"")
+        if is_later and self.refusal == "fail":
+            signed = ("x-response-signature", self.name)
+            return Response(500, (("x-request-id", request_id), signed), b"failed")
+        if not is_later and self.silent_before == 0 and "stream" in request.target:
+            self.begun.add(request_id)
+            await sleep(self.silent_seconds)
+        return await super()._answer(request)
 
     async def _events(self, request: Request, request_id: str) -> AsyncIterator[bytes]:
         is_first = request_id not in self.begun
@@ -132,7 +139,7 @@
     return list(await gather(*tasks))
 
 
-@pytest.mark.parametrize("before", [1, 4])
+@pytest.mark.parametrize("before", [0, 1, 4])
 @pytest.mark.parametrize("refusal", ["full", "fail"])
 async def test_streams_of_silent_engines_are_whole_if_no_other_takes_them(
     fleet: Fleet, before: int, refusal: str
--- a/tests/unit/relay/silent_world.py
+++ b/tests/unit/relay/silent_world.py
@@ -2,7 +2,8 @@
 
 from asyncio import create_task, gather, sleep
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
+from contextlib import contextmanager
 from typing import Any, NamedTuple
 
 from expression import Ok, Result
@@ -32,7 +33,8 @@
 class Silence(NamedTuple):
     """How the first run of each stream falls silent, and what later ones meet.
 
-    The run sends nothing for ``seconds`` before the event numbered ``before``.
+    The run sends nothing for ``seconds`` before the event numbered ``before``, or, if
+    that is 0, before the head of its answer.
     ``later`` is what later runs meet: ``""`` (they run), ``"full"`` (not run),
     ``"fail"`` (500), ``"silent"`` (silent in the same way), ``"second silent"`` (only
     the second one is) or ``"slow"``: the first event comes after ``slow_seconds``.
@@ -79,9 +81,13 @@
 
 
 class SilentEndpoint(CrashingEndpoint):
-    """An endpoint of a ``SilentWorld``."""
+    """An endpoint of a ``SilentWorld``.
+
+    ``numbers`` tells of each stream how many runs of it had begun with the one here.
+    """
 
     world: "SilentWorld"
+    numbers: dict[bytes, int]
 
     async def answer(
         self, request: HttpRequest, body: bytes
@@ -92,8 +98,13 @@
             headers = {"x-not-executed": "1", "x-instance-id": self.name}
             return Ok(OpenAnswer(503, headers, chunks, chunks.close))
         self.world.runs_begun[body] += 1
+        runs, later = self.world.runs_begun[body], self.world.silence.later
+        self.numbers[body] = runs
+        if self.world.silence.before == 0 and runs <= SILENT_RUNS.get(later, 1):
+            with self.world.holding():
+                await self._be_silent(self.world.silence)
         answered = await super().answer(request, body)
-        if self.world.runs_begun[body] > 1 and self.world.silence.later == "fail":
+        if runs > 1 and later == "fail":
             return answered.map(lambda answer: answer._replace(status=500))
         return answered
 
@@ -101,19 +112,20 @@
         self, work: Work, body: bytes, first: int, is_stream: bool
     ) -> AsyncIterator[bytes]:
         silence = self.world.silence
-        is_first = self.world.runs_begun[body] == 1
-        is_silent = self.world.runs_begun[body] <= SILENT_RUNS.get(silence.later, 1)
+        is_first = self.numbers[body] == 1
+        is_silent = self.numbers[body] <= SILENT_RUNS.get(silence.later, 1)
         run = RunSeen(body, self.name, [], [])
         self.world.runs.append(run)
         try:
-            for number in range(first, EVENTS + 1):
-                if number == silence.before and is_silent:
-                    await self._be_silent(silence)
-                elif number == first and not is_first and silence.later == "slow":
-                    await self._work(silence.slow_seconds)
-                await self._work(EVENT_PAUSE)
-                run.events.append((number, self.clock()))
-                yield f"id: {number}\ndata: piece {self.version}\n\n".encode()
+            with self.world.holding():
+                for number in range(first, EVENTS + 1):
+                    if number == silence.before and is_silent:
+                        await self._be_silent(silence)
+                    elif number == first and not is_first and silence.later == "slow":
+                        await self._work(silence.slow_seconds)
+                    await self._work(EVENT_PAUSE)
+                    run.events.append((number, self.clock()))
+                    yield f"id: {number}\ndata: piece {self.version}\n\n".encode()
         finally:
             run.ended.append(self.clock())
 
@@ -133,6 +145,8 @@
         self.silence = silence
         self.max_attempts = max_attempts
         self.runs_begun: Counter[bytes] = Counter()
+        self.held: set[object] = set()
+        self.asked_at: dict[bytes, float] = {}
         self.runs: list[RunSeen] = []
         super().__init__(1, endpoints)
 
@@ -156,6 +170,7 @@
             self._on_end,
         )
         endpoint.world = self
+        endpoint.numbers = {}
         self.endpoints.append(endpoint)
         self.by_address[address] = endpoint
         return endpoint
@@ -176,6 +191,7 @@
     ) -> StreamResult:
         """Read a stream; leave after some events, if ``leaves_after`` says so."""
         request = stream_request(number, path)
+        self.asked_at[request.body] = self.clock()
         response = await self.entries[0].handler.handle(request)
         if isinstance(response.body, bytes):
             return StreamResult(response.status, [], [], response.body.decode())
@@ -194,10 +210,31 @@
         tasks = [create_task(self.stream(each)) for each in range(number)]
         return list(await gather(*tasks))
 
+    @contextmanager
+    def holding(self) -> Iterator[None]:
+        """Count a run as in progress during the context."""
+        run = object()
+        self.held.add(run)
+        try:
+            yield
+        finally:
+            self.held.discard(run)
+
     async def settle(self) -> None:
         """Wait until what has been closed has ended."""
         await sleep(SETTLE_SECONDS)
 
+    def slowest_first_event(self) -> float:
+        """Return the longest time in seconds from a request to its first event."""
+        first_at = {
+            run.body: min(at for _, at in run.events) for run in self.runs if run.events
+        }
+        return max(first_at[body] - at for body, at in self.asked_at.items())
+
+    def runs_in_progress(self) -> int:
+        """Return at how many endpoints requests are in progress."""
+        return len(self.held)
+
     def overlap(self, body: bytes) -> float:
         """Return for how long two runs of a stream went on, in seconds.
 
--- a/tests/unit/relay/test_handovers.py
+++ b/tests/unit/relay/test_handovers.py
@@ -21,6 +21,10 @@
 TAKE_OVER_SECONDS = 1.0
 """Longest silence in seconds of a stream whose endpoint is silent for good."""
 
+HEAD_SECONDS = 1.0
+"""Seconds after which an endpoint that sent no head is not waited for alone: two
+latency targets of the route."""
+
 OVERLAP_SECONDS = 0.4
 """Longest time in seconds for which two endpoints work on a stream."""
 
@@ -70,7 +74,7 @@
     world.entries[0].dispatcher.may_retry = lambda service: False  # type: ignore[method-assign]
 
 
-@pytest.mark.parametrize("before", [1, 4])
+@pytest.mark.parametrize("before", [0, 1, 4])
 @pytest.mark.parametrize("later", ["full", "fail", "silent"])
 def test_a_silent_endpoint_goes_on_if_no_other_one_takes_the_stream(
     before: int, later: str
@@ -79,11 +83,12 @@
     run(Silence(before, later=later), all_whole)
 
 
-def test_a_silent_endpoint_goes_on_without_a_retry_budget() -> None:
+@pytest.mark.parametrize("before", [0, 4])
+def test_a_silent_endpoint_goes_on_without_a_retry_budget(before: int) -> None:
     """Guards against streams that are cut before a retry is allowed."""
-    before = handovers("retry budget")
-    run(Silence(), all_whole, prepare=without_retries)
-    assert handovers("retry budget") >= before + STREAMS
+    counted = handovers("retry budget")
+    run(Silence(before), all_whole, prepare=without_retries)
+    assert handovers("retry budget") >= counted + STREAMS
 
 
 def test_an_endpoint_that_speaks_again_is_not_taken_for_broken() -> None:
@@ -113,6 +118,28 @@
     assert handovers("taken over") == before + STREAMS
 
 
+def test_a_stream_without_a_head_goes_on_at_the_endpoint_that_speaks_first() -> None:
+    """Guards against two runs that go on side by side, and against late first events.
+
+    An endpoint that has sent no head by the time limit of a head is asked twice.
+    """
+
+    def check(world: SilentWorld, seen: list[StreamResult]) -> None:
+        all_whole(world, seen)
+        assert world.slowest_first_event() < HEAD_SECONDS + TAKE_OVER_SECONDS / 2
+
+    counted = handovers("taken over")
+    run(Silence(0, seconds=FOR_GOOD), check)
+    assert handovers("taken over") == counted + STREAMS
+
+
+def test_an_endpoint_sends_a_head_while_another_one_reads_the_prompt() -> None:
+    """Guards against a second run that is lost, or goes on, beside a late head."""
+    counted = handovers("endpoint spoke again")
+    run(Silence(0, later="slow", slow_seconds=FOR_GOOD), all_whole)
+    assert handovers("endpoint spoke again") == counted + STREAMS
+
+
 @pytest.mark.parametrize("before", [1, 4, 8])
 def test_a_stream_of_an_endpoint_that_is_silent_for_good_goes_on_elsewhere(
     before: int,
@@ -142,21 +169,23 @@
     run(silence, all_whole, streams=1)
 
 
-def test_a_caller_that_leaves_ends_both_runs() -> None:
+@pytest.mark.parametrize("before", [0, 4])
+def test_a_caller_that_leaves_ends_both_runs(before: int) -> None:
     """Guards against runs that go on for nobody (GONE)."""
 
     async def main() -> tuple[int, int, int]:
-        world = SilentWorld(Silence(seconds=FOR_GOOD, later="slow", slow_seconds=5.0))
+        silence = Silence(before, FOR_GOOD, later="slow", slow_seconds=5.0)
+        world = SilentWorld(silence)
         reading = create_task(world.stream(1))
         await sleep(1.5)
-        before = len([run for run in world.runs if not run.ended])
+        begun = world.runs_in_progress()
         reading.cancel()
         await gather(reading, return_exceptions=True)
         await sleep(0.01)
-        after = len([run for run in world.runs if not run.ended])
+        left = world.runs_in_progress()
         counted = world.in_flight()
         await world.stop()
-        return before, after, counted
+        return begun, left, counted
 
     assert run_virtually(main()) == (2, 0, 0)
 
