Close a stream's attempt whose head comes as its caller leaves

Cause: a head that came in the same iteration of the event loop as the caller's cancellation left its attempt open and in flight. Found on review, beside three smaller ones: an endpoint's own failure was forgotten as an attempt beside it was turned away; a second attempt whose first one had ended was given up for a silence; an endpoint that was left without a head no longer counted as failed.

Measured: tests/unit/relay/test_openings.py, its first test fails without the fix. The tests of the relay for streams, versions, attempts, quarantines and ends and tests/functional/test_silent_streams.py pass.

--- a/libs/relay/src/clementinebend_relay/handovers.py
+++ b/libs/relay/src/clementinebend_relay/handovers.py
@@ -130,7 +130,7 @@
             try:
                 events = await reader.read(until)
             except TimeoutError:
-                if self._is_given_up(reader, until):
+                if not self.is_alone and self._is_given_up(reader, until):
                     return False
                 continue
             except TruncatedAnswer as error:
--- a/libs/relay/src/clementinebend_relay/openings.py
+++ b/libs/relay/src/clementinebend_relay/openings.py
@@ -29,6 +29,7 @@
         self.head_seconds = STREAM_HEAD_TARGETS * route.latency_target
         self.look_at = self.clock()
         self.second: SecondAttempt | None = None
+        self.silent_endpoint = ""
         self.first = self._open()
 
     async def run(self) -> EventReader | None:
@@ -52,13 +53,32 @@
                 elif self.second is not None and self.second.task.done():
                     reader = self._on_second_done(self.second)
                     if reader is not None:
+                        self._leave_first()
                         return reader
                 elif self.second is None and self._is_due(due):
                     self._begin_second()
-        finally:
-            self.first.cancel()
-            if self.second is not None:
-                self.second.end(ENDED)
+        except BaseException:
+            self._close()
+            raise
+
+    def _close(self) -> None:
+        """End both attempts at once, also one whose head has just come."""
+        first = self.first
+        first.cancel()
+        if first.done() and not first.cancelled() and first.exception() is None:
+            running = first.result()
+            if running is not None:
+                EventReader(running, self.clock).close()
+        if self.second is not None:
+            self.second.end(ENDED)
+
+    def _leave_first(self) -> None:
+        """End the first attempt: its endpoint has sent no head in time."""
+        self.first.cancel()
+        endpoints = self.attempts.dispatcher.endpoints
+        state = endpoints.states.get(self.silent_endpoint)
+        if state is not None:
+            endpoints.on_failure(state, False, True)
 
     def _open(self) -> Task[OpenAttempt | None]:
         return create_task(self.attempts.next(self.progress))
@@ -89,8 +109,9 @@
 
     def _begin_second(self) -> None:
         progress = self.progress
+        self.silent_endpoint = progress.tried[-1]
         self.second = SecondAttempt(
-            self.attempts, progress, progress.tried[-1], progress.sent_at
+            self.attempts, progress, self.silent_endpoint, progress.sent_at
         )
 
     def _reader(self, running: OpenAttempt) -> EventReader:
--- a/libs/relay/src/clementinebend_relay/progress.py
+++ b/libs/relay/src/clementinebend_relay/progress.py
@@ -137,13 +137,13 @@
 
     def add_attempts(self, other: "CallProgress") -> None:
         """Count the attempts made beside the last one; that remains the last one."""
-        self.attempts = other.attempts
-        self.missing_endpoints = other.missing_endpoints
-        self.sent = other.sent
+        self.attempts = max(self.attempts, other.attempts)
+        self.missing_endpoints = max(self.missing_endpoints, other.missing_endpoints)
+        self.sent = max(self.sent, other.sent)
         self.obstacle = other.obstacle
         self.problem = other.problem
         self.pause = other.pause
-        self.failure = other.failure
+        self.failure = other.failure or self.failure
 
     def adopt_attempt(self, other: "CallProgress") -> None:
         """Go on with the last attempt of ``other`` as the call's last attempt."""
