Observe late event loops, and judge nobody by silence meanwhile

Cause: after a late iteration, what endpoints, homes, queue keepers and the store have sent is not read yet. An endpoint with streams was doubted after 0.35 s of the entry's own delay, and counted as perhaps cold once it was heard; three requests in late iterations made a home suspect.

While an entry is late and 0.05 s after, silence proves nothing, as while it is overloaded. The pace of prompt checks depends on load only, as before.

--- a/libs/relay/src/clementinebend_relay/gateway.py
+++ b/libs/relay/src/clementinebend_relay/gateway.py
@@ -26,6 +26,7 @@
 from clementinebend_platform_client.keyed_log import KeyedLog
 from clementinebend_relay.datagrams import DatagramSocket, open_socket
 from clementinebend_relay.discovery import Announcement, announce
+from clementinebend_relay.loop_delay import LoopDelay
 from clementinebend_relay.messages import Message, QueueMessage
 from clementinebend_relay.origin_keeper import OriginKeeper
 from clementinebend_relay.origin_messages import OriginRequestMessage, OriginsMessage
@@ -134,8 +135,10 @@
     socket = await _open_entry_socket(boot, address)
     logger.info("started", extra={"gateway": name})
     discovery = create_task(announce(log, name, Announcement(boot, zone, *address)))
+    sampling = create_task(LoopDelay(get_running_loop().time).run())
     await stop.wait()
     discovery.cancel()
+    sampling.cancel()
     server.close()
     await gateway.close()
     socket.close()
--- a/libs/relay/src/clementinebend_relay/process.py
+++ b/libs/relay/src/clementinebend_relay/process.py
@@ -21,6 +21,7 @@
 from clementinebend_relay.interfaces import HttpProtocol, Logs, RecordDecoder
 from clementinebend_relay.leaving_notifier import LeavingNotifier
 from clementinebend_relay.load_monitor import LoadMonitor
+from clementinebend_relay.loop_delay import LoopDelay
 from clementinebend_relay.messages import Message
 from clementinebend_relay.models import Configuration
 from clementinebend_relay.moving_callers import close_some_idle
@@ -133,6 +134,7 @@
         self.load = LoadMonitor(
             boot, settings.capacity, self.zone_loads, self._send_all, clock
         )
+        self.loop_delay = LoopDelay(clock)
         self.witnesses.is_needed = self.peers.homes.is_candidate
         quarantine = Quarantine(clock)
         self.sync = QuarantineSync(
@@ -231,17 +233,16 @@
             clock,
         )
         self.servers: list[HttpServer] = []
-        self.load.on_rotation = lambda is_out: self.servers[0].move_callers(is_out)
         self.unread_answers.connections = self.caller_connections
+        self._attach_load(prompt_queues)
+
+    def _attach_load(self, prompt_queues: PromptQueues) -> None:
+        """Let this entry's load act on the parts that depend on it."""
+        self.load.on_rotation = lambda is_out: self.servers[0].move_callers(is_out)
         self.load.while_out = lambda seconds: close_some_idle(self.servers[0], seconds)
-        for component in (
-            self.endpoints,
-            self.probes,
-            self.peers.homes,
-            paths,
-            prompt_queues,
-        ):
-            component.is_overloaded = self.load.is_saturated
+        prompt_queues.is_overloaded = self.load.is_saturated
+        for component in (self.endpoints, self.probes, self.peers.homes, self.paths):
+            component.is_overloaded = self.may_miss_answers
 
     def background_coroutines(self) -> list[Coroutine[Any, Any, None]]:
         """Return the coroutines that run until the process stops."""
@@ -261,6 +262,7 @@
             self.evacuations.ask_while(self.operator_reader.is_lost),
             self.paths.run(self.probe),
             self.load.run(self.known),
+            self.loop_delay.run(),
             self.unread_answers.run(),
         ]
 
@@ -301,6 +303,10 @@
         """Return the connections of callers, none before the entry listens."""
         return self.servers[0].connections.values() if self.servers else ()
 
+    def may_miss_answers(self) -> bool:
+        """Return whether answers may be missing due to this entry itself."""
+        return self.load.is_saturated() or self.loop_delay.is_late()
+
     def is_ready(self) -> bool:
         """Return whether the load balancer should send callers here."""
         is_out = self.is_stopping or self.load.rotation.is_out
