Clear no part of a prompt before late breaks have been read

Cause: 0.25 s after an answer, its endpoint counts as sound unless a break is known. After a late iteration of the event loop, that timer ran before the break that had arrived meanwhile was handled, and the parts of the prompt were cleared at all entries.

Change: the timer looks at the endpoint some iterations of the event loop later.

--- a/libs/relay/src/clementinebend_relay/run_outcomes.py
+++ b/libs/relay/src/clementinebend_relay/run_outcomes.py
@@ -2,6 +2,7 @@
 
 from asyncio import Task, create_task, get_running_loop, sleep
 from collections.abc import Callable
+from functools import partial
 from math import inf
 from typing import NamedTuple
 
@@ -31,6 +32,10 @@
 LATE_BYTES_SECONDS = 0.1
 """Seconds after the end of an endpoint in which bytes that it sent before are read."""
 
+SETTLE_ITERATIONS = 6
+"""Iterations of the event loop after which the end of a connection that had arrived
+before the first one has been handled."""
+
 
 class BareEnd(NamedTuple):
     """An answer without length or chunks that has ended ``at`` some time."""
@@ -131,7 +136,8 @@
         written = 0.0 if began_at is None else self.clock() - began_at
         pause = max(0.0, PART_SOUND_SECONDS - written)
         boot = boot_name(state.endpoint)
-        get_running_loop().call_later(pause, self._clear_if_alive, parts, boot)
+        clear = partial(self._clear_if_alive, parts, boot)
+        get_running_loop().call_later(pause, _call_settled, clear, SETTLE_ITERATIONS)
 
     def _clear_if_alive(self, parts: tuple[str, ...], boot: str) -> None:
         if not self._may_have_ended(boot):
@@ -189,3 +195,14 @@
                 streamed_from,
                 admitted.part_subjects,
             )
+
+
+def _call_settled(callback: Callable[[], None], iterations: int) -> None:
+    """Call back after some iterations of the event loop.
+
+    If it was late, what has arrived meanwhile is handled first.
+    """
+    if iterations:
+        get_running_loop().call_soon(_call_settled, callback, iterations - 1)
+    else:
+        callback()
--- a/tests/unit/relay/test_run_outcomes.py
+++ b/tests/unit/relay/test_run_outcomes.py
@@ -1,6 +1,7 @@
 """What the end of an answer without length or chunks says of its endpoint."""
 
-from asyncio import get_running_loop, sleep
+from asyncio import Task, create_task, get_running_loop, sleep
+from socket import socketpair
 from types import SimpleNamespace
 from typing import Any
 
@@ -12,9 +13,11 @@
 from clementinebend_relay.quarantine.end_detector import EndDetector, EndedRun
 from clementinebend_relay.quarantine.state import Quarantine
 from clementinebend_relay.run_outcomes import BARE_END_SECONDS, RunOutcomes
+from clementinebend_routing.fatal_runs import PART_SOUND_SECONDS
 from clementinebend_routing.sessions import PromptPart
 from clementinebend_transport.client_connection import Address
 from tests.unit.relay import calls
+from tests.unit.transport.loopback import delay_event_loop, until
 
 PARTS = (PromptPart("aa", 50), PromptPart("own", 50))
 LOOKED_SECONDS = 0.2
@@ -112,3 +115,37 @@
     await sleep(BARE_END_SECONDS + LOOKED_SECONDS)
     assert not rig.evidence
     assert not rig.sound
+
+
+@pytest.mark.parametrize("breaks", [False, True])
+async def test_a_break_that_arrives_in_a_late_iteration_clears_no_part(
+    breaks: bool,
+) -> None:
+    """Guards against parts that are cleared since the entry was late itself."""
+    rig = OutcomeRig()
+    call = calls.CALL._replace(parts=PARTS)
+    admitted = calls.admitted(calls.route(RouteKind.STREAM), call)
+    progress = CallProgress(admitted, rig.clock() + 9.0)
+    ours, theirs = socketpair()
+
+    async def read_break() -> None:
+        await sleep(0.0)
+        rig.ends.on_broken(rig.state, "other", rig.clock() - 0.1)
+
+    tasks: list[Task[None]] = []
+
+    def on_readable() -> None:
+        ours.recv(1)
+        tasks.append(create_task(read_break()))
+
+    get_running_loop().add_reader(ours, on_readable)
+    rig.outcomes.on_whole(progress, rig.state)
+    if breaks:
+        theirs.send(b"x")
+    delay_event_loop(PART_SOUND_SECONDS + 0.1)
+    await until(lambda: bool(tasks and tasks[0].done()) or bool(rig.sound))
+    await sleep(0.05)
+    assert rig.sound == ([] if breaks else ["part-aa"])
+    get_running_loop().remove_reader(ours)
+    ours.close()
+    theirs.close()
