Prove the end of an endpoint by a refusal that arrives with its timeout

Cause: a refused connection that is here as the check's timeout expires, after a late iteration of the event loop, was taken for no answer. The end of the endpoint, and what it ended under, stayed unknown until the second check.

Change: the check waits by `wait_until_done`, which lets a task that has got what it waits for end, within four iterations of the event loop. The function for events is removed, as nothing uses it.

Evidence: the test fails before (also with the new wait but without these iterations) and passes after; without a refusal it passes before and after.

--- a/libs/transport/src/clementinebend_transport/late_waits.py
+++ b/libs/transport/src/clementinebend_transport/late_waits.py
@@ -5,11 +5,14 @@
 missing.
 """
 
-from asyncio import Event, Future, get_running_loop, timeout, wait
+from asyncio import Future, get_running_loop, sleep, wait
 from typing import Any
 
 from clementinebend_transport.metrics import counter
 
+SETTLE_ITERATIONS = 4
+"""Iterations of the event loop in which a task ends that has got what it waits for."""
+
 late_waits = counter(
     "clementinebend_late_waits_total",
     "Waits that found what they waited for only after their timeout had expired.",
@@ -26,18 +29,9 @@
     loop = get_running_loop()
     until = loop.time() + seconds
     await wait((future,), timeout=seconds)
+    for _ in range(SETTLE_ITERATIONS):
+        if not future.done():
+            await sleep(0.0)
     if future.done() and loop.time() >= until:
         late_waits.inc()
     return future.done()
-
-
-async def wait_until_set(event: Event, seconds: float) -> bool:
-    """Wait up to some seconds for an event; return whether it is set."""
-    try:
-        async with timeout(seconds):
-            await event.wait()
-    except TimeoutError:
-        if not event.is_set():
-            return False
-        late_waits.inc()
-    return True
--- a/tests/unit/relay/test_endpoint_ends.py
+++ b/tests/unit/relay/test_endpoint_ends.py
@@ -1,6 +1,14 @@
 """Detection of ended endpoints, and of the runs that they interrupted."""
 
-from asyncio import Server, StreamReader, StreamWriter, start_server
+from asyncio import (
+    Event,
+    Server,
+    StreamReader,
+    StreamWriter,
+    create_task,
+    sleep,
+    start_server,
+)
 from collections.abc import AsyncIterator, Callable
 from typing import NamedTuple
 
@@ -8,16 +16,20 @@
 
 from clementinebend_relay.endpoint_state import EndpointState
 from clementinebend_relay.models import Endpoint, boot_name
+from clementinebend_relay.quarantine import end_detector
 from clementinebend_relay.quarantine.end_detector import (
+    CONNECT_TIMEOUT,
     LATE_DATA_SECONDS,
     UNCONFIRMED_SECONDS,
     EndDetector,
     EndedRun,
+    is_refused,
 )
 from clementinebend_relay.quarantine.state import Quarantine
 from clementinebend_transport.client_connection import Address
 from tests.lib.processes import free_port
 from tests.lib.waiting import until
+from tests.unit.transport.loopback import delay_event_loop
 
 
 class DetectorRig(NamedTuple):
@@ -164,3 +176,22 @@
         broken.held_runs.pop_all()
     )  # the context that counts the run has been entered
     await wait_for_checks(rig)
+
+
+@pytest.mark.parametrize("refuses", [True, False])
+async def test_a_refusal_that_arrives_in_a_late_iteration_proves_the_end(
+    rig: DetectorRig, monkeypatch: pytest.MonkeyPatch, refuses: bool
+) -> None:
+    """Guards against an end that stays unknown since this entry was late."""
+    begun = Event()
+
+    async def connect(*address: object) -> None:
+        begun.set()
+        await sleep(CONNECT_TIMEOUT if refuses else 10 * CONNECT_TIMEOUT)
+        raise ConnectionRefusedError
+
+    monkeypatch.setattr(end_detector, "open_connection", connect)
+    checking = create_task(is_refused(rig.state.endpoint))
+    await begun.wait()
+    delay_event_loop(1.5 * CONNECT_TIMEOUT)
+    assert await checking == refuses
