--- a/tests/soak/kept.py
+++ b/tests/soak/kept.py
@@ -83,7 +83,8 @@
             f"{len(self.callers.sent)} requests on kept connections, "
             f"{self.callers.reused} sent again, {self.delays.made} delays; "
             f"{len(silent.callers.sent)} streams, {silent.begun()} begun, "
-            f"{silent.whole()} whole, through {silent.silences} silences; "
+            f"{silent.whole()} whole, {silent.ended_by_kill()} ended by a kill, "
+            f"through {silent.silences} silences; "
             f"the test's event loop at most {self.callers.delay.longest():.2f} s late"
         )
 
--- a/tests/soak/silences.py
+++ b/tests/soak/silences.py
@@ -57,6 +57,11 @@
         """Return how many streams came whole."""
         return sum(sent.status == 200 and sent.is_whole for sent in self.callers.sent)
 
+    def ended_by_kill(self) -> int:
+        """Return how many streams had begun as their entry was killed."""
+        sent = self.callers.sent
+        return sum(each.status == 200 and each.was_killed for each in sent)
+
     async def start(self) -> None:
         """Start the engines, and announce them."""
         for engine in self.engines:
