Let bodies without length and end not wait for each other's room

Cause: a body of unknown size doubled its room as it grew, so that several of them each held a part of all room and waited for the rest, until their calls' deadlines; sound answers waited with them. Small pieces were held one by one, at several times their size. Change: above 256 KiB such a body takes the room of the largest (4 MiB), once; pieces are added up in one buffer; a body announced above its bound isn't read. Evidence: both new tests fail before.

--- a/libs/relay/src/clementinebend_relay/bodies.py
+++ b/libs/relay/src/clementinebend_relay/bodies.py
@@ -18,6 +18,13 @@
 FAILURE_BODY_SHARE = 0.5
 """Maximum share of the remaining time that such a body takes."""
 
+MAX_GROWING_BYTES = 256 * 1024
+"""Maximum size of a body of unknown size whose room grows with it.
+
+A larger one takes the room of the largest: else several of them could each hold a part
+of all room and wait for the rest.
+"""
+
 Reserve = Callable[[int], Awaitable[None]]
 """Returns once there is room for so many bytes of an answer in all."""
 
@@ -56,18 +63,20 @@
         reserve = _reserve_nothing
     if answer.status >= FIRST_FAILURE_STATUS:
         deadline = _failure_deadline(deadline)
-    chunks_read: list[bytes] = []
-    size = 0
+    body = bytearray()
     is_whole = False
+    announced = _announced_size(answer)
     try:
-        await _within(deadline, reserve(min(max_bytes, _announced_size(answer))))
+        if announced > max_bytes:
+            return Error(BodyFailure(f"an answer of {announced} bytes is too large"))
+        await _within(deadline, reserve(announced))
         while (chunk := await next_piece(answer.chunks, deadline)) is not None:
-            chunks_read.append(chunk)
-            size += len(chunk)
-            if size > max_bytes:
+            body += chunk
+            if len(body) > max_bytes:
                 problem = f"the answer is larger than {max_bytes} bytes"
                 return Error(BodyFailure(problem, is_too_large=True))
-            await _within(deadline, reserve(size))
+            needed = _needed_room(len(body), announced, max_bytes)
+            await _within(deadline, reserve(needed))
         is_whole = True
     except TimeoutError:
         return Error(BodyFailure("the time limit passed within the answer"))
@@ -76,7 +85,7 @@
     finally:
         if not is_whole:
             answer.close()
-    return Ok(b"".join(chunks_read))
+    return Ok(bytes(body))
 
 
 def _failure_deadline(deadline: float) -> float:
@@ -95,6 +104,13 @@
     """Set no limit to the bytes of all answers together."""
 
 
+def _needed_room(size: int, announced: int, max_bytes: int) -> int:
+    """Return the room that a body of which ``size`` bytes have come may need."""
+    if size <= max(announced, MAX_GROWING_BYTES):
+        return size
+    return max(size, max_bytes)
+
+
 def _announced_size(answer: OpenAnswer) -> int:
     """Return the size that a response's head names, 0 if it names none."""
     length = answer.headers.get("content-length", "")
--- a/tests/unit/relay/test_bounds.py
+++ b/tests/unit/relay/test_bounds.py
@@ -84,6 +84,16 @@
     assert recorder.is_closed
 
 
+async def test_a_body_that_is_announced_above_its_bound_is_not_read() -> None:
+    recorder = CloseRecorder()
+    announced = answer(stalled_chunks(), recorder)._replace(
+        headers={"content-length": "5"}
+    )
+    body = await read_body(announced, get_running_loop().time() + 60, 4)
+    assert "5 bytes" in body.error.problem
+    assert recorder.is_closed
+
+
 @pytest.mark.parametrize("status", [429, 500, 503])
 @pytest.mark.parametrize("share", [0.1, 1.0])
 async def test_a_refusal_whose_body_has_no_end_is_left_early(
--- a/tests/unit/relay/test_unread_answers.py
+++ b/tests/unit/relay/test_unread_answers.py
@@ -3,6 +3,7 @@
 from asyncio import (
     Event,
     create_task,
+    gather,
     get_running_loop,
     open_connection,
     sleep,
@@ -19,7 +20,9 @@
 import pytest
 
 from clementinebend_platform.http_protocol import PlatformProtocol
+from clementinebend_relay.answer_room import AnswerRoom
 from clementinebend_relay.attempts import OpenAttempt
+from clementinebend_relay.bodies import BodyFailure, read_body
 from clementinebend_relay.decisions import logger as decisions
 from clementinebend_relay.endpoint_state import EndpointState, UnreadCall
 from clementinebend_relay.metrics import disconnected_callers
@@ -41,6 +44,7 @@
 ANSWER_BYTES = 8 * MIB
 IDLE_CALLERS = 8
 SMALL_BUFFER = 4096
+ENDLESS_ANSWERS = 20
 READ_BYTES = 100_000
 READ_PAUSE = 0.02
 """Pause in seconds before each ``READ_BYTES`` that a slow caller reads."""
@@ -234,6 +238,29 @@
     running.cancel()
 
 
+async def endless_chunks() -> AsyncIterator[bytes]:
+    while True:
+        yield bytes(SMALL_BUFFER)
+        await sleep(0)
+
+
+async def test_answers_without_end_do_not_wait_for_each_other() -> None:
+    """Guards against answers that each hold a part of the room to their deadlines."""
+    unread = UnreadAnswers(MEMORY, PlatformProtocol(), get_running_loop().time)
+    running = create_task(unread.run())
+
+    async def read(room: AnswerRoom) -> BodyFailure:
+        answer = OpenAnswer(200, {}, endless_chunks(), lambda: None)
+        with room.reading(answer, progress(PLAIN)) as reading:
+            return (await read_body(answer, inf, 4 * MIB, reading.reserve)).error
+
+    async with time_limit(PATIENCE):
+        failures = await gather(*(read(unread.room) for _ in range(ENDLESS_ANSWERS)))
+    running.cancel()
+    assert all(failure.is_too_large for failure in failures)
+    assert unread.room.reserved_bytes() == 0
+
+
 async def test_a_caller_that_leaves_gives_its_place_up() -> None:
     """An answer whose call has ended must not be waited for."""
     full = FullRoom()
