--- a/libs/relay/src/clementinebend_relay/loop_delay.py
+++ b/libs/relay/src/clementinebend_relay/loop_delay.py
@@ -11,7 +11,7 @@
 from clementinebend_relay.decisions import log_decision
 from clementinebend_transport.metrics import histogram
 
-SAMPLE_SECONDS = 0.05
+SAMPLE_SECONDS = 0.1
 """Interval in seconds of the samples."""
 
 LATE_SECONDS = 0.1
