Keep a second attempt that is left alone

Cause: a second attempt whose response had begun was given up on its read timeout although the first attempt had ended in the meantime, so that the stream was cut between two endpoints.

Change: while it is alone, a second attempt is given up at the deadline only.

Before: with one retry allowed, max_attempts 3 and a second endpoint that needs 1.4 s, the stream was cut after event 3 if the first one broke off after 1.3, 1.4 or 1.5 s (3 of 3 cases of the new test failed). After: all whole.

Evidence: tests/unit/relay/test_handover_ends.py with test_handovers.py, 19 passed.

--- a/libs/relay/src/clementinebend_relay/handovers.py
+++ b/libs/relay/src/clementinebend_relay/handovers.py
@@ -120,6 +120,8 @@
         """Return whether another endpoint is tried instead of one that is silent."""
         if self.clock() >= self.progress.deadline:
             return True
+        if self.is_alone:
+            return False
         return reader.is_silent(due) and can_hand_over(self.attempts, self.progress)
 
     def _on_broken(self, reader: EventReader, problem: str) -> None:
