Go on with the second attempt if the first one ends wrongly

Cause: a hand-over returned the end of the first attempt, or events with a wrong number, before either was checked. The second attempt was closed for it, and the check that came after cut the stream if no attempt was left.

Change: both are checked within the hand-over while a second attempt is under way. It goes on then, as it does where the first one breaks off. All numbers of a chunk are checked, of both attempts. What the first one brought in the same chunk before a wrong number is dropped: the second one sends it.

--- a/libs/relay/src/clementinebend_relay/events.py
+++ b/libs/relay/src/clementinebend_relay/events.py
@@ -3,6 +3,7 @@
 Format: WHATWG HTML Living Standard, "Server-sent events".
 """
 
+from collections.abc import Iterable
 from re import MULTILINE, compile
 from typing import NamedTuple
 
@@ -91,6 +92,15 @@
     return int(event_id) == int(previous) + 1
 
 
+def are_next_events(events: Iterable[StreamEvent], previous: str | None) -> bool:
+    """Return whether events may directly follow the one with the ID ``previous``."""
+    for event in events:
+        if not is_next_event(event.event_id, previous):
+            return False
+        previous = event.event_id or previous
+    return True
+
+
 def _is_empty(event: StreamEvent) -> bool:
     """Return whether an event has neither data nor a number."""
     is_numbered = event.event_id is not None and event.event_id.isdecimal()
--- a/libs/relay/src/clementinebend_relay/handovers.py
+++ b/libs/relay/src/clementinebend_relay/handovers.py
@@ -10,7 +10,7 @@
 from clementinebend_relay.attempts import Attempts
 from clementinebend_relay.decisions import log_decision
 from clementinebend_relay.event_reader import EventReader
-from clementinebend_relay.events import StreamEvent, is_next_event
+from clementinebend_relay.events import StreamEvent, are_next_events
 from clementinebend_relay.metrics import stream_handovers
 from clementinebend_relay.progress import CallProgress
 from clementinebend_transport.exceptions import TruncatedAnswer
@@ -111,8 +111,7 @@
             return reader.incomplete_end(has_events=False)
         if reader.splitter.is_too_large():
             return "an event is too large"
-        last_event = self.progress.last_event
-        if events and not is_next_event(events[0].event_id, last_event):
+        if not are_next_events(events, self.progress.last_event):
             return "an event is missing or duplicated"
         return None
 
@@ -219,14 +218,25 @@
         except TruncatedAnswer as error:
             await self._on_first_broken(str(error))
             raise StreamBroken(str(error)) from error
-        rest = self.first.splitter.rest
-        self.progress.unrelayed_bytes = len(rest)
-        if not events and self.first.splitter.is_too_large():
-            problem = "an event is too large"
+        self.progress.unrelayed_bytes = len(self.first.splitter.rest)
+        problem = self._problem(events)
+        if problem is not None:
             await self._on_first_broken(problem)
             raise StreamBroken(problem)
         return events
 
+    def _problem(self, events: Events) -> str | None:
+        """Return why the first attempt can't go on with what was read, if it can't."""
+        if events is None:
+            has_events = self.progress.attempt_event_at is not None
+            return self.first.incomplete_end(has_events)
+        if not events and self.first.splitter.is_too_large():
+            return "an event is too large"
+        last_event = self.progress.last_event
+        if self.second is not None and not are_next_events(events, last_event):
+            return "an event is missing or duplicated"
+        return None
+
     async def _on_first_broken(self, problem: str) -> None:
         """Go on with the second attempt, if there is one that gets a head."""
         self.on_broken(problem)
--- a/tests/unit/relay/test_handover_ends.py
+++ b/tests/unit/relay/test_handover_ends.py
@@ -1,15 +1,25 @@
 """The ends of hand-overs of silent streams, whole entries in virtual time."""
 
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from itertools import chain, repeat
+from typing import NamedTuple
 
 import pytest
 
 from clementinebend_bench.models.virtual_loop import run_virtually
+from clementinebend_transport.client_connection import Address
+from clementinebend_transport.exceptions import AnswerCutError
+from tests.unit.relay.crash_endpoints import CrashingEndpoint, Work
 from tests.unit.relay.silent_world import (
+    EVENT_PAUSE,
+    EVENTS,
     FOR_GOOD,
+    RunSeen,
     Silence,
+    SilentEndpoint,
     SilentWorld,
     StreamResult,
+    stream_request,
 )
 
 
@@ -48,3 +58,126 @@
     )
     _, seen = read_stream(lambda: SilentWorld(silence, max_attempts=3), one_retry)
     assert seen.is_whole, seen
+
+
+class Piece(NamedTuple):
+    """Bytes that a run sends ``seconds`` after those before."""
+
+    seconds: float
+    data: bytes
+
+
+class Script(NamedTuple):
+    """What the first two runs of a stream send; later runs send each event."""
+
+    first: tuple[Piece, ...]
+    second: tuple[Piece, ...]
+
+
+class ScriptedEndpoint(SilentEndpoint):
+    """An endpoint of a ``ScriptedWorld``."""
+
+    world: "ScriptedWorld"
+
+    async def _chunks(
+        self, work: Work, body: bytes, first: int, is_stream: bool
+    ) -> AsyncIterator[bytes]:
+        run_number = self.world.runs_begun[body]
+        pieces = events(first, EVENTS)
+        if run_number <= len(self.world.script):
+            pieces = self.world.script[run_number - 1]
+        run = RunSeen(body, self.name, [], [])
+        self.world.runs.append(run)
+        try:
+            for piece in pieces:
+                await self._work(piece.seconds)
+                yield piece.data
+        finally:
+            run.ended.append(self.clock())
+
+
+class ScriptedWorld(SilentWorld):
+    """An entry before endpoints whose runs follow a script."""
+
+    def __init__(self, script: Script, max_attempts: int = 2) -> None:
+        self.script = script
+        super().__init__(Silence(), max_attempts=max_attempts)
+
+    def _start_endpoint(self, address: Address) -> CrashingEndpoint:
+        started = super()._start_endpoint(address)
+        endpoint = ScriptedEndpoint(
+            started.name,
+            address,
+            self.clock,
+            self.work_of,
+            self.start,
+            self._on_end,
+        )
+        endpoint.world = self
+        self.endpoints[-1] = endpoint
+        self.by_address[address] = endpoint
+        return endpoint
+
+    async def stream(
+        self, number: int, path: str = "/stream/x", leaves_after: int | None = None
+    ) -> StreamResult:
+        """Read a stream, of which empty events are passed over."""
+        response = await self.entries[0].handler.handle(stream_request(number, path))
+        assert not isinstance(response.body, bytes)
+        numbers: list[int] = []
+        times: list[float] = []
+        try:
+            async for piece in response.body:
+                if piece.startswith(b"id: "):
+                    numbers.append(int(piece.split(b"\n")[0].removeprefix(b"id: ")))
+                    times.append(self.clock())
+        except AnswerCutError as error:
+            return StreamResult(response.status, numbers, times, str(error))
+        return StreamResult(response.status, numbers, times, "")
+
+
+def events(
+    first: int, last: int, first_pause: float = EVENT_PAUSE
+) -> tuple[Piece, ...]:
+    """Return events with consecutive numbers, the first one after a pause."""
+    pauses = chain([first_pause], repeat(EVENT_PAUSE))
+    numbers = range(first, last + 1)
+    return tuple(
+        Piece(pause, event(number))
+        for number, pause in zip(numbers, pauses, strict=False)
+    )
+
+
+def event(number: int) -> bytes:
+    """Return one event."""
+    return f"id: {number}\ndata: piece\n\n".encode()
+
+
+def read_script(script: Script, max_attempts: int = 2) -> StreamResult:
+    """Read one stream of a script."""
+    return read_stream(lambda: ScriptedWorld(script, max_attempts))[1]
+
+
+@pytest.mark.parametrize(
+    "end",
+    [
+        pytest.param((Piece(1.4, b"id: 4\nda"),), id="half an event"),
+        pytest.param(events(6, 8, 1.4), id="events are missing"),
+        pytest.param(events(3, 8, 1.4), id="an event is duplicated"),
+        pytest.param((Piece(1.4, event(4) + event(6)),), id="an event is missing"),
+    ],
+)
+def test_a_stream_goes_on_elsewhere_if_the_silent_endpoint_ends_wrongly(
+    end: tuple[Piece, ...],
+) -> None:
+    """Guards against a second attempt that is closed for a response of no use."""
+    script = Script((*events(1, 3), *end), events(4, EVENTS, 1.0))
+    seen = read_script(script)
+    assert seen.is_whole, seen
+
+
+def test_a_whole_end_of_the_silent_endpoint_ends_the_stream() -> None:
+    """Guards against streams that wait for a second attempt after their end."""
+    script = Script((*events(1, EVENTS), Piece(1.4, b"")), (Piece(FOR_GOOD, b""),))
+    seen = read_script(script)
+    assert seen.is_whole, seen
