Let no empty event end a hand-over

Cause: an event with neither data nor a number, such as a comment, counted as the first event of a second attempt, which took the stream over and closed a sound endpoint; one of the silent endpoint closed the second attempt.

Change: both attempts are read on to an event with data or a number. Empty events are held until then, at most MAX_EMPTY_EVENTS in a row, and relayed with it; they count in unrelayed_bytes.

Before: after a comment of the second endpoint the longest gap was 3.86 s, though the first one went on after 1.4 s; after a comment of an endpoint that sends nothing else the stream was cut at its time limit; too many comments closed the second attempt (3 of 4 new tests failed, the fourth guards the end of a stream after a comment). After: all whole, gaps below 2 s.

Evidence: tests/unit/relay/test_handover_ends.py with test_handovers.py, 28 passed.

--- a/libs/relay/src/clementinebend_relay/events.py
+++ b/libs/relay/src/clementinebend_relay/events.py
@@ -72,7 +72,7 @@
             event = _event(bytes(self.rest[start:position]))
             events.append(event)
             start = position
-            self.empty = self.empty + 1 if _is_empty(event) else 0
+            self.empty = self.empty + 1 if is_empty(event) else 0
         del self.rest[:start]
         return events
 
@@ -101,7 +101,7 @@
     return True
 
 
-def _is_empty(event: StreamEvent) -> bool:
+def is_empty(event: StreamEvent) -> bool:
     """Return whether an event has neither data nor a number."""
     is_numbered = event.event_id is not None and event.event_id.isdecimal()
     return not is_numbered and EVENT_DATA.search(event.data) is None
--- a/libs/relay/src/clementinebend_relay/handovers.py
+++ b/libs/relay/src/clementinebend_relay/handovers.py
@@ -1,7 +1,8 @@
 """Second attempts of streams whose endpoint is silent, beside the first ones.
 
 The first attempt stays open: its endpoint may go on. Whichever attempt brings the next
-event goes on, and the other one is closed.
+event goes on, and the other one is closed. Events with neither data nor a number do not
+count: they are held until another one comes.
 """
 
 from asyncio import FIRST_COMPLETED, Task, create_task, wait
@@ -10,7 +11,7 @@
 from clementinebend_relay.attempts import Attempts
 from clementinebend_relay.decisions import log_decision
 from clementinebend_relay.event_reader import EventReader
-from clementinebend_relay.events import StreamEvent, are_next_events
+from clementinebend_relay.events import StreamEvent, are_next_events, is_empty
 from clementinebend_relay.metrics import stream_handovers
 from clementinebend_relay.progress import CallProgress
 from clementinebend_transport.exceptions import TruncatedAnswer
@@ -87,7 +88,8 @@
 
     async def _goes_on(self, reader: EventReader) -> bool:
         """Wait for the first events; return whether the stream can go on with them."""
-        while not (reader.ready or reader.is_ended or self.is_alone):
+        held: list[StreamEvent] = []
+        while not (has_content(held) or reader.is_ended or self.is_alone):
             until = min(self.progress.deadline, self.clock() + SILENCE_CHECK_SECONDS)
             try:
                 events = await reader.read(until)
@@ -102,7 +104,8 @@
             if problem is not None:
                 self._on_broken(reader, problem)
                 return False
-            reader.ready = events or []
+            held += events or []
+        reader.ready = held
         return True
 
     def _problem(self, reader: EventReader, events: Events) -> str | None:
@@ -129,6 +132,11 @@
         self.attempts.dispatcher.endpoints.on_end(state, ok=False)
 
 
+def has_content(events: list[StreamEvent]) -> bool:
+    """Return whether there is an event with data or a number."""
+    return not all(is_empty(event) for event in events)
+
+
 def can_hand_over(attempts: Attempts, progress: CallProgress) -> bool:
     """Return whether another endpoint may take a stream over."""
     admitted = progress.admitted
@@ -162,6 +170,7 @@
         self.on_broken = on_broken
         self.silent_since = first.running.state.heard_at
         self.second: SecondAttempt | None = None
+        self.held: list[StreamEvent] = []
         self.reading = self._read_on()
 
     async def run(self) -> Events:
@@ -176,8 +185,11 @@
                 due = await self._wait()
                 if self.reading.done():
                     events = await self._first_result()
-                    if events is None or events:
-                        return events
+                    if events is None:
+                        return self.held or None
+                    self.held += events
+                    if has_content(events):
+                        return self.held
                     self.reading = self._read_on()
                 elif self.second is not None and self.second.task.done():
                     self._on_second_done(self.second)
@@ -218,7 +230,8 @@
         except TruncatedAnswer as error:
             await self._on_first_broken(str(error))
             raise StreamBroken(str(error)) from error
-        self.progress.unrelayed_bytes = len(self.first.splitter.rest)
+        held_bytes = sum(len(event.data) for event in (*self.held, *(events or ())))
+        self.progress.unrelayed_bytes = held_bytes + len(self.first.splitter.rest)
         problem = self._problem(events)
         if problem is not None:
             await self._on_first_broken(problem)
@@ -230,7 +243,7 @@
         if events is None:
             has_events = self.progress.attempt_event_at is not None
             return self.first.incomplete_end(has_events)
-        if not events and self.first.splitter.is_too_large():
+        if not has_content(events) and self.first.splitter.is_too_large():
             return "an event is too large"
         last_event = self.progress.last_event
         if self.second is not None and not are_next_events(events, last_event):
--- a/tests/unit/relay/test_handover_ends.py
+++ b/tests/unit/relay/test_handover_ends.py
@@ -7,6 +7,7 @@
 import pytest
 
 from clementinebend_bench.models.virtual_loop import run_virtually
+from clementinebend_relay.events import MAX_EMPTY_EVENTS
 from clementinebend_transport.client_connection import Address
 from clementinebend_transport.exceptions import AnswerCutError
 from tests.unit.relay.crash_endpoints import CrashingEndpoint, Work
@@ -181,3 +182,43 @@
     script = Script((*events(1, EVENTS), Piece(1.4, b"")), (Piece(FOR_GOOD, b""),))
     seen = read_script(script)
     assert seen.is_whole, seen
+
+
+def test_an_empty_event_of_the_second_attempt_is_not_its_first_one() -> None:
+    """Guards against a sound endpoint that is closed for a comment of another one."""
+    ping = Piece(0.05, b": ping\n\n")
+    script = Script(
+        (*events(1, 3), *events(4, EVENTS, 1.4)), (ping, *events(4, EVENTS, 3.0))
+    )
+    seen = read_script(script)
+    assert seen.is_whole, seen
+    assert seen.longest_gap < 2.0
+
+
+def test_an_empty_event_of_the_silent_endpoint_does_not_end_the_second_attempt() -> (
+    None
+):
+    """Guards against streams that wait for an endpoint that only sends comments."""
+    pings = (Piece(1.0, b": ping\n\n"), Piece(FOR_GOOD, b": ping\n\n"))
+    script = Script((*events(1, 3), *pings), events(4, EVENTS, 0.5))
+    seen = read_script(script)
+    assert seen.is_whole, seen
+    assert seen.longest_gap < 2.0
+
+
+def test_a_whole_end_after_an_empty_event_ends_the_stream() -> None:
+    """Guards against streams that wait for a second attempt after their end."""
+    ping = Piece(1.2, b": ping\n\n")
+    script = Script((*events(1, EVENTS), ping), (Piece(FOR_GOOD, b""),))
+    seen = read_script(script)
+    assert seen.is_whole, seen
+
+
+def test_empty_events_without_end_break_a_silent_endpoint_off() -> None:
+    """Guards against comments that are held without limit."""
+    pings = (Piece(1.0, b": ping\n\n" * (MAX_EMPTY_EVENTS + 1)),)
+    rest = (Piece(FOR_GOOD, b""),)
+    script = Script((*events(1, 3), *pings, *rest), events(4, EVENTS, 1.0))
+    seen = read_script(script)
+    assert seen.is_whole, seen
+    assert seen.longest_gap < 2.0
