Give back retries of hand-overs that were not sent

Cause: an attempt counts a retry before an endpoint is chosen. A silent stream without another endpoint tried twice a second, and each time used up a retry of the budget and wrote a log line.

Change: a second attempt that found no endpoint, or was not allowed, gives its retry back; the pause after one that was sent nowhere doubles up to 4 s.

Before: one stream silent for 6 s with surveys without placement made 11 second attempts; 11 retries were counted and none was sent (2 of 3 new tests failed, the third guards that a retry that was sent stays counted). After: at most 3 attempts, no retry counted.

Not given back: a retry counted as the call's time limit passes, or whose attempt is cancelled before it is sent, since the first one went on.

Evidence: tests/unit/relay/test_handover_ends.py with test_handovers.py, 31 passed; tests/unit/admission/test_retry_window.py, 2 passed.

--- a/libs/admission/src/clementinebend_admission/retry_window.py
+++ b/libs/admission/src/clementinebend_admission/retry_window.py
@@ -42,6 +42,12 @@
         self.retries.append(now)
         return True
 
+    def give_back(self, since: float) -> None:
+        """Remove the first retry counted at or after ``since``: it was not sent."""
+        counted = next((at for at in self.retries if at >= since), None)
+        if counted is not None:
+            self.retries.remove(counted)
+
 
 def _drop_before(times: deque[float], oldest: float) -> None:
     while times and times[0] < oldest:
--- a/libs/relay/src/clementinebend_relay/handovers.py
+++ b/libs/relay/src/clementinebend_relay/handovers.py
@@ -13,7 +13,7 @@
 from clementinebend_relay.event_reader import EventReader
 from clementinebend_relay.events import StreamEvent, are_next_events, is_empty
 from clementinebend_relay.metrics import stream_handovers
-from clementinebend_relay.progress import CallProgress
+from clementinebend_relay.progress import CallProgress, Obstacle
 from clementinebend_transport.exceptions import TruncatedAnswer
 
 SILENCE_CHECK_SECONDS = 0.4
@@ -23,7 +23,12 @@
 """
 
 HANDOVER_PAUSE_SECONDS = 0.5
-"""Seconds after a second attempt that came to nothing until another one is made."""
+"""Seconds after a second attempt that came to nothing until another one is made.
+
+Doubled after each one that was sent to no endpoint, up to the maximum.
+"""
+
+MAX_HANDOVER_PAUSE_SECONDS = 4.0
 
 TAKEN_OVER = "taken over"
 SPOKE_AGAIN = "endpoint spoke again"
@@ -31,6 +36,9 @@
 ENDED = "ended"
 """Outcome of a second attempt that was under way as the call ended."""
 
+UNSENT_RETRIES = (Obstacle.NO_ENDPOINT, Obstacle.NOT_ALLOWED)
+"""Obstacles to an attempt that has been counted as a retry."""
+
 Events = list[StreamEvent] | None
 
 
@@ -60,6 +68,7 @@
         self.tried_before = len(progress.tried)
         self.reader: EventReader | None = None
         self.is_alone = False
+        self.began_at = self.clock()
         self.task: Task[None] = create_task(self._run())
 
     def close(self) -> None:
@@ -76,6 +85,17 @@
         """Return why the attempt came to nothing."""
         return REFUSED if self.endpoints_tried() else str(self.progress.obstacle)
 
+    def give_back(self) -> None:
+        """Give a retry back that was counted and not sent, if there is one.
+
+        Retries are counted before an endpoint is chosen.
+        """
+        if self.progress.obstacle not in UNSENT_RETRIES:
+            return
+        service = self.progress.admitted.service.name
+        window = self.attempts.dispatcher.retry_window(service)
+        window.give_back(self.began_at)
+
     async def _run(self) -> None:
         """Make attempts until one goes on, or no more can be made."""
         while (running := await self.attempts.next(self.progress)) is not None:
@@ -170,6 +190,7 @@
         self.on_broken = on_broken
         self.silent_since = first.running.state.heard_at
         self.second: SecondAttempt | None = None
+        self.pause = HANDOVER_PAUSE_SECONDS
         self.held: list[StreamEvent] = []
         self.reading = self._read_on()
 
@@ -201,9 +222,9 @@
 
     async def _wait(self) -> float:
         """Wait for either attempt; return until when at most."""
-        due = self.clock() + HANDOVER_PAUSE_SECONDS
+        due = self.clock() + self.pause
         if self.second is None:
-            await wait([self.reading], timeout=HANDOVER_PAUSE_SECONDS)
+            await wait([self.reading], timeout=self.pause)
         else:
             both = (self.reading, self.second.task)
             await wait(both, return_when=FIRST_COMPLETED)
@@ -269,13 +290,22 @@
             problem = "the endpoint has gone silent"
             self.on_broken(problem)
             self._go_on_with(second, problem)
+        self._on_second_failed(second)
+
+    def _on_second_failed(self, second: SecondAttempt) -> None:
+        """End a second attempt that came to nothing."""
+        second.give_back()
+        if second.endpoints_tried():
+            self.pause = HANDOVER_PAUSE_SECONDS
+        else:
+            self.pause = min(2 * self.pause, MAX_HANDOVER_PAUSE_SECONDS)
         self._end_second(second.failure())
 
     def _go_on_with(self, second: SecondAttempt, problem: str) -> None:
         """Raise ``StreamTakenOver`` if the second attempt can go on."""
         reader = second.reader
         if reader is None:
-            self._end_second(second.failure())
+            self._on_second_failed(second)
             return
         second.reader = None
         self._end_second(TAKEN_OVER)
--- a/tests/unit/relay/test_handover_ends.py
+++ b/tests/unit/relay/test_handover_ends.py
@@ -1,13 +1,16 @@
 """The ends of hand-overs of silent streams, whole entries in virtual time."""
 
-from collections.abc import AsyncIterator, Callable
-from itertools import chain, repeat
+from collections.abc import AsyncIterator, Callable, Collection
+from itertools import accumulate, chain, count, repeat, takewhile
 from typing import NamedTuple
 
 import pytest
 
 from clementinebend_bench.models.virtual_loop import run_virtually
+from clementinebend_relay.admission import Admitted
 from clementinebend_relay.events import MAX_EMPTY_EVENTS
+from clementinebend_relay.handovers import HANDOVER_PAUSE_SECONDS
+from clementinebend_relay.survey import Survey
 from clementinebend_transport.client_connection import Address
 from clementinebend_transport.exceptions import AnswerCutError
 from tests.unit.relay.crash_endpoints import CrashingEndpoint, Work
@@ -22,6 +25,7 @@
     StreamResult,
     stream_request,
 )
+from tests.unit.relay.test_handovers import handovers
 
 
 def read_stream(
@@ -222,3 +226,44 @@
     seen = read_script(script)
     assert seen.is_whole, seen
     assert seen.longest_gap < 2.0
+
+
+def without_placement(world: SilentWorld) -> None:
+    """Leave no endpoint for second attempts."""
+    dispatcher = world.entries[0].dispatcher
+    survey = dispatcher.survey
+
+    async def survey_in_vain(admitted: Admitted, tried: Collection[str]) -> Survey:
+        found = await survey(admitted, tried)
+        return found._replace(placement=None) if tried else found
+
+    dispatcher.survey = survey_in_vain  # type: ignore[method-assign]
+
+
+def test_attempts_that_are_not_sent_use_up_no_retries() -> None:
+    """Guards against streams that wait and leave no retry to other calls."""
+    silence = Silence(seconds=6.0)
+    before = handovers("no endpoint")
+    world, seen = read_stream(lambda: SilentWorld(silence), without_placement)
+    assert seen.is_whole, seen
+    assert handovers("no endpoint") > before
+    assert not world.entries[0].dispatcher.retry_window("pool").retries
+
+
+def test_attempts_that_are_sent_are_counted_as_retries() -> None:
+    """Guards against retries that are given back although they were sent."""
+    silence = Silence(seconds=FOR_GOOD)
+    world, seen = read_stream(lambda: SilentWorld(silence))
+    assert seen.is_whole, seen
+    assert len(world.entries[0].dispatcher.retry_window("pool").retries) == 1
+
+
+def test_second_attempts_that_find_no_endpoint_become_rare() -> None:
+    """Guards against surveys and log lines twice a second for each silent stream."""
+    silence = Silence(seconds=6.0)
+    before = handovers("no endpoint")
+    _, seen = read_stream(lambda: SilentWorld(silence), without_placement)
+    assert seen.is_whole, seen
+    pauses = accumulate(HANDOVER_PAUSE_SECONDS * 2**each for each in count())
+    most = len(list(takewhile(lambda passed: passed < silence.seconds, pauses)))
+    assert handovers("no endpoint") - before <= most
