Let no error in a second attempt end the first one

Cause: the exception of a second attempt was raised in the reading of the first one, which ended a sound stream.

Change: the second attempt logs an unexpected error, closes its response and ends with the outcome "failed"; the first one goes on. No exception is left in its task.

After: whole streams, the error in the log, nothing reported by the event loop.

--- a/libs/relay/src/clementinebend_relay/handovers.py
+++ b/libs/relay/src/clementinebend_relay/handovers.py
@@ -7,6 +7,7 @@
 
 from asyncio import FIRST_COMPLETED, Task, create_task, wait
 from collections.abc import Callable
+from logging import getLogger
 
 from clementinebend_relay.attempts import Attempts
 from clementinebend_relay.decisions import log_decision
@@ -16,6 +17,8 @@
 from clementinebend_relay.progress import CallProgress, Obstacle
 from clementinebend_transport.exceptions import TruncatedAnswer
 
+logger = getLogger(__name__)
+
 SILENCE_CHECK_SECONDS = 0.4
 """Seconds without data on a stream after which its endpoint is checked for silence.
 
@@ -33,6 +36,7 @@
 TAKEN_OVER = "taken over"
 SPOKE_AGAIN = "endpoint spoke again"
 REFUSED = "refused"
+FAILED = "failed"
 ENDED = "ended"
 """Outcome of a second attempt that was under way as the call ended."""
 
@@ -68,6 +72,7 @@
         self.tried_before = len(progress.tried)
         self.reader: EventReader | None = None
         self.is_alone = False
+        self.has_failed = False
         self.began_at = self.clock()
         self.task: Task[None] = create_task(self._run())
 
@@ -83,6 +88,8 @@
 
     def failure(self) -> str:
         """Return why the attempt came to nothing."""
+        if self.has_failed:
+            return FAILED
         return REFUSED if self.endpoints_tried() else str(self.progress.obstacle)
 
     def give_back(self) -> None:
@@ -90,21 +97,35 @@
 
         Retries are counted before an endpoint is chosen.
         """
-        if self.progress.obstacle not in UNSENT_RETRIES:
+        if self.has_failed or self.progress.obstacle not in UNSENT_RETRIES:
             return
         service = self.progress.admitted.service.name
         window = self.attempts.dispatcher.retry_window(service)
         window.give_back(self.began_at)
 
     async def _run(self) -> None:
+        """Make attempts; an unexpected error ends them, and not the first attempt."""
+        try:
+            await self._make_attempts()
+        except Exception:
+            request_id = self.progress.admitted.call.request_id
+            logger.exception("second attempt failed", extra={"request_id": request_id})
+            self.has_failed = True
+            self._drop_reader()
+
+    def _drop_reader(self) -> None:
+        reader, self.reader = self.reader, None
+        if reader is not None:
+            reader.close()
+
+    async def _make_attempts(self) -> None:
         """Make attempts until one goes on, or no more can be made."""
         while (running := await self.attempts.next(self.progress)) is not None:
             reader = EventReader(running, self.clock)
             self.reader = reader
             if await self._goes_on(reader):
                 return
-            self.reader = None
-            reader.close()
+            self._drop_reader()
 
     async def _goes_on(self, reader: EventReader) -> bool:
         """Wait for the first events; return whether the stream can go on with them."""
@@ -280,12 +301,10 @@
             return
         second.is_alone = True
         await wait([second.task])
-        second.task.result()
         self._go_on_with(second, problem)
 
     def _on_second_done(self, second: SecondAttempt) -> None:
         """Go on with the second attempt if it has brought an event."""
-        second.task.result()
         if second.reader is not None:
             problem = "the endpoint has gone silent"
             self.on_broken(problem)
--- a/tests/unit/relay/test_handover_ends.py
+++ b/tests/unit/relay/test_handover_ends.py
@@ -1,8 +1,10 @@
 """The ends of hand-overs of silent streams, whole entries in virtual time."""
 
+from asyncio import get_running_loop
 from collections.abc import AsyncIterator, Callable, Collection
+from gc import collect
 from itertools import accumulate, chain, count, repeat, takewhile
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import pytest
 
@@ -27,6 +29,8 @@
 )
 from tests.unit.relay.test_handovers import handovers
 
+FAULT = "a fault of the relay"
+
 
 def read_stream(
     world_of: Callable[[], SilentWorld],
@@ -267,3 +271,67 @@
     pauses = accumulate(HANDOVER_PAUSE_SECONDS * 2**each for each in count())
     most = len(list(takewhile(lambda passed: passed < silence.seconds, pauses)))
     assert handovers("no endpoint") - before <= most
+
+
+def failing_survey(world: SilentWorld) -> None:
+    """Let second attempts fail before they are sent."""
+    dispatcher = world.entries[0].dispatcher
+    survey = dispatcher.survey
+
+    async def failing(admitted: Admitted, tried: Collection[str]) -> Survey:
+        if tried:
+            raise RuntimeError(FAULT)
+        return await survey(admitted, tried)
+
+    dispatcher.survey = failing  # type: ignore[method-assign]
+
+
+def failing_events(world: SilentWorld) -> None:
+    """Let second attempts fail as they read their first event."""
+    outcomes = world.entries[0].handler.streams.attempts.outcomes
+
+    def failing(*args: Any) -> None:
+        raise RuntimeError(FAULT)
+
+    outcomes.on_broken = failing  # type: ignore[method-assign, assignment]
+
+
+def read_with_fault(
+    world_of: Callable[[], SilentWorld], prepare: Callable[[SilentWorld], None]
+) -> tuple[StreamResult, list[dict[str, Any]]]:
+    """Read a stream; return what the event loop reports, too."""
+    reports: list[dict[str, Any]] = []
+
+    def prepared(world: SilentWorld) -> None:
+        handler = reports.append
+        get_running_loop().set_exception_handler(lambda _, report: handler(report))
+        prepare(world)
+
+    seen = read_stream(world_of, prepared)[1]
+    collect()
+    return seen, reports
+
+
+def test_an_error_before_a_second_attempt_is_sent_does_not_end_the_first_one(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against sound streams that an error beside them ends."""
+    before = handovers("failed")
+    seen, reports = read_with_fault(lambda: SilentWorld(Silence()), failing_survey)
+    assert seen.is_whole, seen
+    assert reports == []
+    assert FAULT in caplog.text
+    assert handovers("failed") > before
+
+
+def test_an_error_in_a_second_attempt_does_not_end_the_first_one(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against sound streams that an error beside them ends."""
+    script = Script((*events(1, 3), *events(4, EVENTS, 1.4)), events(7, 8))
+    before = handovers("failed")
+    seen, reports = read_with_fault(lambda: ScriptedWorld(script), failing_events)
+    assert seen.is_whole, seen
+    assert reports == []
+    assert FAULT in caplog.text
+    assert handovers("failed") == before + 1
