--- a/libs/relay/src/clementinebend_relay/events.py
+++ b/libs/relay/src/clementinebend_relay/events.py
@@ -3,6 +3,7 @@
 Format: WHATWG HTML Living Standard, "Server-sent events".
 """
 
+from collections.abc import Iterable
 from re import MULTILINE, compile
 from typing import NamedTuple
 
@@ -71,7 +72,7 @@
             event = _event(bytes(self.rest[start:position]))
             events.append(event)
             start = position
-            self.empty = self.empty + 1 if _is_empty(event) else 0
+            self.empty = self.empty + 1 if is_empty(event) else 0
         del self.rest[:start]
         return events
 
@@ -91,7 +92,16 @@
     return int(event_id) == int(previous) + 1
 
 
-def _is_empty(event: StreamEvent) -> bool:
+def are_next_events(events: Iterable[StreamEvent], previous: str | None) -> bool:
+    """Return whether events may directly follow the one with the ID ``previous``."""
+    for event in events:
+        if not is_next_event(event.event_id, previous):
+            return False
+        previous = event.event_id or previous
+    return True
+
+
+def is_empty(event: StreamEvent) -> bool:
     """Return whether an event has neither data nor a number."""
     is_numbered = event.event_id is not None and event.event_id.isdecimal()
     return not is_numbered and EVENT_DATA.search(event.data) is None
--- a/libs/relay/src/clementinebend_relay/handovers.py
+++ b/libs/relay/src/clementinebend_relay/handovers.py
@@ -1,20 +1,24 @@
 """Second attempts of streams whose endpoint is silent, beside the first ones.
 
 The first attempt stays open: its endpoint may go on. Whichever attempt brings the next
-event goes on, and the other one is closed.
+event goes on, and the other one is closed. Events with neither data nor a number do not
+count: they are held until another one comes.
 """
 
 from asyncio import FIRST_COMPLETED, Task, create_task, wait
 from collections.abc import Callable
+from logging import getLogger
 
 from clementinebend_relay.attempts import Attempts
 from clementinebend_relay.decisions import log_decision
 from clementinebend_relay.event_reader import EventReader
-from clementinebend_relay.events import StreamEvent, is_next_event
+from clementinebend_relay.events import StreamEvent, are_next_events, is_empty
 from clementinebend_relay.metrics import stream_handovers
-from clementinebend_relay.progress import CallProgress
+from clementinebend_relay.progress import CallProgress, Obstacle
 from clementinebend_transport.exceptions import TruncatedAnswer
 
+logger = getLogger(__name__)
+
 SILENCE_CHECK_SECONDS = 0.4
 """Seconds without data on a stream after which its endpoint is checked for silence.
 
@@ -22,14 +26,23 @@
 """
 
 HANDOVER_PAUSE_SECONDS = 0.5
-"""Seconds after a second attempt that came to nothing until another one is made."""
+"""Seconds after a second attempt that came to nothing until another one is made.
+
+Doubled after each one that was sent to no endpoint, up to the maximum.
+"""
+
+MAX_HANDOVER_PAUSE_SECONDS = 4.0
 
 TAKEN_OVER = "taken over"
 SPOKE_AGAIN = "endpoint spoke again"
 REFUSED = "refused"
+FAILED = "failed"
 ENDED = "ended"
 """Outcome of a second attempt that was under way as the call ended."""
 
+UNSENT_RETRIES = (Obstacle.NO_ENDPOINT, Obstacle.NOT_ALLOWED)
+"""Obstacles to an attempt that has been counted as a retry."""
+
 Events = list[StreamEvent] | None
 
 
@@ -70,6 +83,8 @@
         self.tried_before = len(progress.tried)
         self.reader: EventReader | None = None
         self.is_alone = False
+        self.has_failed = False
+        self.began_at = self.clock()
         self.task: Task[None] = create_task(self._run())
 
     def take_reader(self) -> EventReader | None:
@@ -79,7 +94,8 @@
         """
         reader, self.reader = self.reader, None
         if reader is None:
-            self.end(REFUSED if self.endpoints_tried() else str(self.progress.obstacle))
+            self.give_back()
+            self.end(self.failure())
             return None
         self.end(TAKEN_OVER)
         self.first_progress.adopt_attempt(self.progress)
@@ -113,24 +129,56 @@
         """Return the names of the endpoints to which the call was sent."""
         return self.progress.tried[self.tried_before :]
 
+    def failure(self) -> str:
+        """Return why the attempt came to nothing."""
+        if self.has_failed:
+            return FAILED
+        return REFUSED if self.endpoints_tried() else str(self.progress.obstacle)
+
+    def give_back(self) -> None:
+        """Give a retry back that was counted and not sent, if there is one.
+
+        Retries are counted before an endpoint is chosen.
+        """
+        if self.has_failed or self.progress.obstacle not in UNSENT_RETRIES:
+            return
+        service = self.progress.admitted.service.name
+        window = self.attempts.dispatcher.retry_window(service)
+        window.give_back(self.began_at)
+
     async def _run(self) -> None:
+        """Make attempts; an unexpected error ends them, and not the first attempt."""
+        try:
+            await self._make_attempts()
+        except Exception:
+            request_id = self.progress.admitted.call.request_id
+            logger.exception("second attempt failed", extra={"request_id": request_id})
+            self.has_failed = True
+            self._drop_reader()
+
+    def _drop_reader(self) -> None:
+        reader, self.reader = self.reader, None
+        if reader is not None:
+            reader.close()
+
+    async def _make_attempts(self) -> None:
         """Make attempts until one goes on, or no more can be made."""
         while (running := await self.attempts.next(self.progress)) is not None:
             reader = EventReader(running, self.clock)
             self.reader = reader
             if await self._goes_on(reader):
                 return
-            self.reader = None
-            reader.close()
+            self._drop_reader()
 
     async def _goes_on(self, reader: EventReader) -> bool:
         """Wait for the first events; return whether the stream can go on with them."""
-        while not (reader.ready or reader.is_ended or self.is_alone):
+        held: list[StreamEvent] = []
+        while not (has_content(held) or reader.is_ended or self.is_alone):
             until = min(self.progress.deadline, self.clock() + SILENCE_CHECK_SECONDS)
             try:
                 events = await reader.read(until)
             except TimeoutError:
-                if not self.is_alone and self._is_given_up(reader, until):
+                if self._is_given_up(reader, until):
                     return False
                 continue
             except TruncatedAnswer as error:
@@ -140,7 +188,8 @@
             if problem is not None:
                 self._on_broken(reader, problem)
                 return False
-            reader.ready = events or []
+            held += events or []
+        reader.ready = held
         return True
 
     def _problem(self, reader: EventReader, events: Events) -> str | None:
@@ -149,8 +198,7 @@
             return reader.incomplete_end(has_events=False)
         if reader.splitter.is_too_large():
             return "an event is too large"
-        last_event = self.progress.last_event
-        if events and not is_next_event(events[0].event_id, last_event):
+        if not are_next_events(events, self.progress.last_event):
             return "an event is missing or duplicated"
         return None
 
@@ -158,6 +206,8 @@
         """Return whether another endpoint is tried instead of one that is silent."""
         if self.clock() >= self.progress.deadline:
             return True
+        if self.is_alone:
+            return False
         return reader.is_silent(due) and can_hand_over(self.attempts, self.progress)
 
     def _on_broken(self, reader: EventReader, problem: str) -> None:
@@ -166,6 +216,11 @@
         self.attempts.dispatcher.endpoints.on_end(state, ok=False)
 
 
+def has_content(events: list[StreamEvent]) -> bool:
+    """Return whether there is an event with data or a number."""
+    return not all(is_empty(event) for event in events)
+
+
 def can_hand_over(attempts: Attempts, progress: CallProgress) -> bool:
     """Return whether another endpoint may take a stream over."""
     admitted = progress.admitted
@@ -198,6 +253,8 @@
         self.first = first
         self.on_broken = on_broken
         self.second, first.beside = first.beside, None
+        self.pause = HANDOVER_PAUSE_SECONDS
+        self.held: list[StreamEvent] = []
         self.reading = self._read_on()
 
     async def run(self) -> Events:
@@ -213,8 +270,11 @@
                 due = await self._wait()
                 if self.reading.done():
                     events = await self._first_result()
-                    if events is None or events:
-                        return events
+                    if events is None:
+                        return self.held or None
+                    self.held += events
+                    if has_content(events):
+                        return self.held
                     self.reading = self._read_on()
                 elif self.second is not None and self.second.task.done():
                     self._on_second_done(self.second)
@@ -226,9 +286,9 @@
 
     async def _wait(self) -> float:
         """Wait for either attempt; return until when at most."""
-        due = self.clock() + HANDOVER_PAUSE_SECONDS
+        due = self.clock() + self.pause
         if self.second is None:
-            await wait([self.reading], timeout=HANDOVER_PAUSE_SECONDS)
+            await wait([self.reading], timeout=self.pause)
         else:
             both = (self.reading, self.second.task)
             await wait(both, return_when=FIRST_COMPLETED)
@@ -258,14 +318,26 @@
         except TruncatedAnswer as error:
             await self._on_first_broken(str(error))
             raise StreamBroken(str(error)) from error
-        rest = self.first.splitter.rest
-        self.progress.unrelayed_bytes = len(rest)
-        if not events and self.first.splitter.is_too_large():
-            problem = "an event is too large"
+        held_bytes = sum(len(event.data) for event in (*self.held, *(events or ())))
+        self.progress.unrelayed_bytes = held_bytes + len(self.first.splitter.rest)
+        problem = self._problem(events)
+        if problem is not None:
             await self._on_first_broken(problem)
             raise StreamBroken(problem)
         return events
 
+    def _problem(self, events: Events) -> str | None:
+        """Return why the first attempt can't go on with what was read, if it can't."""
+        if events is None:
+            has_events = self.progress.attempt_event_at is not None
+            return self.first.incomplete_end(has_events)
+        if not has_content(events) and self.first.splitter.is_too_large():
+            return "an event is too large"
+        last_event = self.progress.last_event
+        if self.second is not None and not are_next_events(events, last_event):
+            return "an event is missing or duplicated"
+        return None
+
     async def _on_first_broken(self, problem: str) -> None:
         """Go on with the second attempt, if there is one that gets a head."""
         self.on_broken(problem)
@@ -275,12 +347,10 @@
             return
         second.is_alone = True
         await wait([second.task])
-        second.task.result()
         self._go_on_with(second, problem)
 
     def _on_second_done(self, second: SecondAttempt) -> None:
         """Go on with the second attempt if it has brought an event."""
-        second.task.result()
         problem = "the endpoint has gone silent"
         if second.reader is not None:
             self.on_broken(problem)
@@ -292,6 +362,14 @@
         reader = second.take_reader()
         if reader is not None:
             raise StreamTakenOver(reader, problem)
+        self._adapt_pause(second)
+
+    def _adapt_pause(self, second: SecondAttempt) -> None:
+        """Double the pause after a second attempt that was sent nowhere."""
+        if second.endpoints_tried():
+            self.pause = HANDOVER_PAUSE_SECONDS
+        else:
+            self.pause = min(2 * self.pause, MAX_HANDOVER_PAUSE_SECONDS)
 
     def _outcome_of_first(self) -> str:
         """Return the outcome of a second attempt that is under way at the end."""
--- a/libs/relay/src/clementinebend_relay/streams.py
+++ b/libs/relay/src/clementinebend_relay/streams.py
@@ -11,7 +11,7 @@
 from clementinebend_relay.decisions import log_decision
 from clementinebend_relay.dispatch import Dispatcher
 from clementinebend_relay.event_reader import EventReader
-from clementinebend_relay.events import StreamEvent, is_next_event
+from clementinebend_relay.events import StreamEvent, is_empty, is_next_event
 from clementinebend_relay.handovers import (
     SILENCE_CHECK_SECONDS,
     Events,
@@ -34,6 +34,9 @@
 from clementinebend_transport.exceptions import AnswerCutError, TruncatedAnswer
 from clementinebend_transport.http_types import Response
 
+MAX_EXTRA_EVENTS = 16
+"""Events that a stream may have beyond the tokens that the call asked for."""
+
 
 class RelayedEvents(AsyncIterator[bytes]):
     """The events of a stream on their way to its caller, and what is held of them."""
@@ -236,6 +239,10 @@
             self.attempts.outcomes.on_writing(progress)
         progress.events += 1
         progress.last_event = event.event_id or progress.last_event
+        progress.content_events += not is_empty(event)
+        if _is_too_long(progress):
+            problem = "the stream has more events than the call asked for"
+            raise self._break_stream(running, progress, problem)
 
     def _check_boot(self, running: OpenAttempt, progress: CallProgress) -> None:
         """Break a stream off if its endpoint's name belongs to another version now.
@@ -323,3 +330,12 @@
         self.attempts.outcomes.on_broken(progress, running.state, problem)
         self.dispatcher.endpoints.on_end(running.state, ok=False)
         return StreamBroken(problem)
+
+
+def _is_too_long(progress: CallProgress) -> bool:
+    """Return whether a stream goes on beyond the output that its call allows.
+
+    An event has a token at least; a call need not name how many it allows.
+    """
+    allowed = progress.admitted.call.max_output_tokens
+    return 0 < allowed < progress.content_events - MAX_EXTRA_EVENTS
