Use a connection that stands as its timeout expires

Cause: after a late iteration of the event loop, the connect timeout is due together with the connection; asyncio.timeout cancelled the connect, and a server that listens was reported as NotSent 'no connection in time'.

Change: the connect runs as a task (set_up_within). As the time expires the event loop runs eight more iterations, so that a connection that stands is used. A connect that is given up, or whose caller is cancelled, is cancelled; a connection that is complete by then is closed. If the whole time for the request has passed too, the new connection is closed and nothing is sent.

Measured: test_a_connection_that_stands_in_a_late_iteration_is_used failed for 3 of its 8 cases before (1 to 3 iterations after the call) and passes for all now. The tests on requests without time left, given-up and cancelled connects passed before and pass now. Unit tests of transport pass.

--- a/libs/transport/src/clementinebend_transport/client_connection.py
+++ b/libs/transport/src/clementinebend_transport/client_connection.py
@@ -69,6 +69,8 @@
         self.channel = channel
         self.address = address
         self.parser = Parser(CLIENT, max_incomplete_event_size=MAX_ANSWER_HEADER_BYTES)
+        self.is_new = True
+        """Whether no request has been sent over it."""
         self.idle_since = 0.0
         self.keep_alive = inf
         self.received_bytes = 0
@@ -91,6 +93,7 @@
 
     def send(self, request: HttpRequest, body: bytes) -> None:
         """Send a whole request."""
+        self.is_new = False
         data = (Data(data=body),) if body else ()
         for event in (request, *data, EndOfMessage()):
             post_event(self.parser, self.channel, event)
--- a/libs/transport/src/clementinebend_transport/http_client.py
+++ b/libs/transport/src/clementinebend_transport/http_client.py
@@ -4,7 +4,7 @@
 out; the caller decides on retries.
 """
 
-from asyncio import get_running_loop, timeout_at
+from asyncio import get_running_loop
 from collections import defaultdict, deque
 from collections.abc import AsyncIterator, Callable, Iterable
 from math import inf
@@ -25,6 +25,7 @@
 )
 from clementinebend_transport.exceptions import TruncatedAnswer
 from clementinebend_transport.http_events import headers_by_name
+from clementinebend_transport.late_waits import set_up_within
 
 __all__ = [
     "Answer",
@@ -175,10 +176,12 @@
         """
         deadline = get_running_loop().time() + timeout
         allowed = timeout if connect_timeout is None else min(connect_timeout, timeout)
-        connect_by = get_running_loop().time() + allowed
-        connection = await self._connection(address, connect_by, max_idle)
+        connection = await self._connection(address, allowed, max_idle)
         if isinstance(connection, HttpFailure):
             return Error(connection)
+        if connection.is_new and get_running_loop().time() >= deadline:
+            connection.abort()
+            return Error(HttpFailure(False, "no connection in time"))
         return await self._exchange(connection, request, body, deadline)
 
     def close_idle(self, address: Address) -> None:
@@ -230,17 +233,21 @@
         )
 
     async def _connection(
-        self, address: Address, deadline: float, max_idle: float
+        self, address: Address, allowed: float, max_idle: float
     ) -> ClientConnection | HttpFailure:
-        """Return a fresh idle connection or a new one, or why there is none."""
+        """Return a fresh idle connection or a new one, or why there is none.
+
+        ``allowed`` seconds bound the setting up of a new one.
+        """
         if self.is_closed:
             return HttpFailure(False, "the client is closed")
         connection = self._take_idle(address, max_idle)
         if connection is not None:
             return connection
         try:
-            async with timeout_at(deadline):
-                return await connect(address)
+            return await set_up_within(
+                connect(address), allowed, ClientConnection.abort
+            )
         except TimeoutError:
             return HttpFailure(False, "no connection in time")
         except OSError as error:
--- a/libs/transport/src/clementinebend_transport/late_waits.py
+++ b/libs/transport/src/clementinebend_transport/late_waits.py
@@ -5,11 +5,27 @@
 missing.
 """
 
-from asyncio import Event, Future, get_running_loop, timeout, wait
-from typing import Any
+from asyncio import (
+    Event,
+    Future,
+    Task,
+    create_task,
+    get_running_loop,
+    sleep,
+    timeout,
+    wait,
+)
+from collections.abc import Callable, Coroutine
+from functools import partial
+from typing import Any, TypeVar
 
 from clementinebend_transport.metrics import counter
 
+T = TypeVar("T")
+
+SETUP_PASSES = 8
+"""Event loop iterations after which a connection that stands has been set up."""
+
 late_waits = counter(
     "clementinebend_late_waits_total",
     "Waits that found what they waited for only after their timeout had expired.",
@@ -41,3 +57,40 @@
             return False
         late_waits.inc()
     return True
+
+
+async def set_up_within(
+    setup: Coroutine[Any, Any, T], seconds: float, discard: Callable[[T], object]
+) -> T:
+    """Return the connection that ``setup`` opens, within some seconds.
+
+    Raises ``TimeoutError``, or what ``setup`` raises. A connection that stands as the
+    time expires is returned. One that is complete after it was given up, or with the
+    caller cancelled, goes to ``discard``.
+    """
+    task = create_task(setup)
+    try:
+        await wait_until_done(task, seconds)
+        await _finish_setup(task)
+        if not task.done():
+            raise TimeoutError("no connection in time")
+    except BaseException:
+        task.cancel()
+        task.add_done_callback(partial(_discard_result, discard))
+        raise
+    return task.result()
+
+
+async def _finish_setup(task: Task[Any]) -> None:
+    """Run the event loop until a connection that stands has been set up."""
+    if task.done():
+        return
+    for _ in range(SETUP_PASSES):
+        await sleep(0)
+    if task.done():
+        late_waits.inc()
+
+
+def _discard_result(discard: Callable[[T], object], task: Task[T]) -> None:
+    if not task.cancelled() and task.exception() is None:
+        discard(task.result())
--- a/tests/unit/transport/test_late_event_loop.py
+++ b/tests/unit/transport/test_late_event_loop.py
@@ -4,6 +4,8 @@
 from asyncio import timeout as time_limit
 from collections.abc import AsyncIterator, Iterator
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack
+from pathlib import Path
 from socket import create_connection, create_server, socket
 from threading import Thread
 from time import sleep as block
@@ -207,3 +209,101 @@
         await client.close()
         await wrap_future(answering)
     assert answered.is_ok() and answered.ok.body == b"body", answered
+
+
+CONNECT_SECONDS = 0.1
+PASSES = range(1, 9)
+"""Iterations of the event loop after which a connection is at a certain step."""
+
+
+def answer_one(listener: socket) -> None:
+    """Accept a connection and answer what it asks."""
+    caller, _ = listener.accept()
+    caller.recv(1000)
+    caller.sendall(ANSWER)
+    caller.recv(1000)
+    caller.close()
+
+
+def url_of(listener: socket) -> str:
+    return f"http://{HOST}:{listener.getsockname()[1]}/"
+
+
+async def run_event_loop(passes: int) -> None:
+    for _ in range(passes):
+        await sleep(0)
+
+
+def open_files() -> int:
+    return len(list(Path("/proc/self/fd").iterdir()))
+
+
+@pytest.mark.parametrize("passes", PASSES)
+async def test_a_connection_that_stands_in_a_late_iteration_is_used(
+    passes: int,
+) -> None:
+    """Guards against a server that listens, and is taken for out of reach."""
+    client = HttpClient()
+    with create_server((HOST, 0)) as listener, ThreadPoolExecutor(1) as pool:
+        answering = pool.submit(answer_one, listener)
+        opening = create_task(
+            client.open("GET", url_of(listener), connect_timeout=CONNECT_SECONDS)
+        )
+        await run_event_loop(passes)
+        delay_event_loop(2 * CONNECT_SECONDS)
+        opened = await opening
+        await client.close()
+        if opened.is_error():
+            create_connection(listener.getsockname()).close()
+        await wrap_future(answering)
+    assert opened.is_ok() and opened.ok.status == 200, opened
+
+
+async def test_a_request_without_time_left_is_not_sent_over_a_late_connection() -> None:
+    """Guards against a request that is sent, and can only be given up."""
+    client = HttpClient()
+    with create_server((HOST, 0)) as listener:
+        opening = create_task(
+            client.open("GET", url_of(listener), timeout=CONNECT_SECONDS)
+        )
+        await run_event_loop(1)
+        delay_event_loop(2 * CONNECT_SECONDS)
+        opened = await opening
+        caller, _ = listener.accept()
+        caller.settimeout(PATIENCE)
+        assert caller.recv(1000) == b""
+        caller.close()
+    assert opened.is_error() and not opened.error.sent
+    await client.close()
+
+
+async def test_a_connection_that_is_given_up_is_closed() -> None:
+    """Guards against sockets that stay open as the server never accepts."""
+    client = HttpClient()
+    with ExitStack() as stack:
+        listener = stack.enter_context(create_server((HOST, 0), backlog=0))
+        stack.enter_context(create_connection(listener.getsockname()))
+        before = open_files()
+        for _ in range(3):
+            opened = await client.open(
+                "GET", url_of(listener), connect_timeout=CONNECT_SECONDS
+            )
+            assert opened.is_error() and not opened.error.sent
+        await until(lambda: open_files() == before)
+    await client.close()
+
+
+@pytest.mark.parametrize("passes", PASSES)
+async def test_a_connection_that_stands_as_its_caller_is_cancelled_is_closed(
+    passes: int,
+) -> None:
+    """Guards against sockets that stay open as nobody waits for them."""
+    client = HttpClient()
+    with create_server((HOST, 0)) as listener:
+        before = open_files()
+        opening = create_task(client.open("GET", url_of(listener)))
+        await run_event_loop(passes)
+        opening.cancel()
+        await until(lambda: opening.done() and open_files() == before)
+    assert opening.cancelled()
+    await client.close()
