Use messages and links that come as their timeout expires

Cause: after a late iteration of the event loop, a timeout is due together with what it waits for, and asyncio.timeout raises although it is here. An entry dropped answers of peers, closed connections whose Hello was in the socket, took links for silent with messages in it, missed listening processes, and gave up runs, retried calls and scopes whose link or log had come.

Change: PeerLink.ask, Follower.reopen, wait_until_up and Ledger.until_changed wait by late_waits; MessageLink and connect_messages ask the stream for what is in its socket before they give up, and set connections up by set_up_within.

ledger.py run (dirty) and stopping.py are left: the first does the same in both cases, the second is not a wait for an event.

--- a/libs/entry/src/clementinebend_entry/attachment.py
+++ b/libs/entry/src/clementinebend_entry/attachment.py
@@ -1,6 +1,6 @@
 """Attaches a retried call to the existing run of its idempotency key."""
 
-from asyncio import sleep, timeout
+from asyncio import sleep
 from time import monotonic
 from typing import NamedTuple
 
@@ -15,6 +15,7 @@
 from clementinebend_records.identifiers import new_run_id
 from clementinebend_records.messages import RunAttach
 from clementinebend_records.reasons import NotRunReason
+from clementinebend_transport.late_waits import wait_until_set
 
 LINK_TIMEOUT_S = 1.0
 """How long to wait for the link to the sidecar of the earlier run."""
@@ -67,9 +68,4 @@
 async def wait_until_up(link: SidecarLink, deadline: float) -> bool:
     """Wait briefly for a link; return whether it is up."""
     left = max(0.0, deadline - monotonic())
-    try:
-        async with timeout(min(LINK_TIMEOUT_S, left)):
-            await link.up.wait()
-    except TimeoutError:
-        return False
-    return True
+    return await wait_until_set(link.up, min(LINK_TIMEOUT_S, left))
--- a/libs/entry/src/clementinebend_entry/following.py
+++ b/libs/entry/src/clementinebend_entry/following.py
@@ -7,7 +7,7 @@
 whether the run took place.
 """
 
-from asyncio import Queue, timeout
+from asyncio import Queue
 from functools import singledispatch
 from time import monotonic
 from typing import Any
@@ -36,6 +36,7 @@
     RunStart,
 )
 from clementinebend_records.reasons import NotRunReason
+from clementinebend_transport.late_waits import wait_until_set
 
 MILLISECONDS = 1000
 FALLBACK_REASON = NotRunReason.CANCELLED
@@ -95,10 +96,7 @@
 
     async def reopen(self, reconnect_timeout: float | None) -> RunResult | None:
         """Wait for a new connection and open the run again there."""
-        try:
-            async with timeout(reconnect_timeout):
-                await self.link.up.wait()
-        except TimeoutError:
+        if not await wait_until_set(self.link.up, reconnect_timeout):
             return SidecarUnreachable()
         peer = self.link.peer
         if peer is None or peer.incarnation != self.incarnation:
--- a/libs/entry/src/clementinebend_entry/ledger.py
+++ b/libs/entry/src/clementinebend_entry/ledger.py
@@ -7,7 +7,7 @@
 are still billed to it.
 """
 
-from asyncio import Event, Future, get_running_loop, timeout, timeout_at
+from asyncio import Event, Future, get_running_loop, timeout
 from collections.abc import Iterable
 from functools import singledispatchmethod
 from logging import getLogger
@@ -55,6 +55,7 @@
 from clementinebend_records.identifiers import Incarnation, RunId
 from clementinebend_records.messages import Receipt
 from clementinebend_records.records import Record
+from clementinebend_transport.late_waits import wait_until_set
 
 logger = getLogger(__name__)
 
@@ -292,12 +293,7 @@
     async def until_changed(self, deadline: float) -> bool:
         """Wait until more of the log is read; false if ``deadline`` passes first."""
         self.changed.clear()
-        try:
-            async with timeout_at(deadline):
-                await self.changed.wait()
-        except TimeoutError:
-            return False
-        return True
+        return await wait_until_set(self.changed, deadline - self.loop.time())
 
     async def until_settled(self) -> None:
         """Wait until nothing is reserved and replay has confirmed all bills."""
--- a/libs/entry/src/clementinebend_entry/message_link.py
+++ b/libs/entry/src/clementinebend_entry/message_link.py
@@ -8,6 +8,7 @@
 
 from clementinebend_entry.backoff import connect_delay
 from clementinebend_records.messages import Hello, Message
+from clementinebend_transport.late_waits import late_waits
 from clementinebend_transport.message_stream import MessageStream, connect_messages
 
 CONNECT_TIMEOUT_S = 2.0
@@ -72,8 +73,7 @@
         """Exchange ``Hello`` on a new connection."""
         stream.post(self.own_hello())
         try:
-            async with timeout(HELLO_TIMEOUT_S):
-                hello = await stream.receive()
+            hello = await stream.receive_within(HELLO_TIMEOUT_S)
         except TimeoutError:
             hello = None
         if not isinstance(hello, Hello):
@@ -88,14 +88,23 @@
         stream = self.stream
         if stream is None:
             return
+        while await self.receive_until_silent(stream):
+            if not await stream.has_next():
+                logger.warning("%s is silent, its connection is given up", self.name)
+                break
+            late_waits.inc()
+        await stream.close()
+
+    async def receive_until_silent(self, stream: MessageStream) -> bool:
+        """Take messages until none comes in time; false if the stream has ended."""
         try:
             async with timeout(self.silence) as limit:
                 while (message := await stream.receive()) is not None:
                     self.extend(limit)
                     self.take(message)
         except TimeoutError:
-            logger.warning("%s is silent, its connection is given up", self.name)
-        await stream.close()
+            return True
+        return False
 
     def extend(self, limit: Timeout) -> None:
         """Let the connection be silent again for its whole time.
--- a/libs/entry/src/clementinebend_entry/peer_link.py
+++ b/libs/entry/src/clementinebend_entry/peer_link.py
@@ -1,6 +1,6 @@
 """The connection to one peer entry: questions, each with one answer."""
 
-from asyncio import Future, get_running_loop, timeout
+from asyncio import Future, get_running_loop
 from collections.abc import Callable
 from functools import singledispatch
 from itertools import count
@@ -22,6 +22,7 @@
     TransferReply,
     TransferRequest,
 )
+from clementinebend_transport.late_waits import wait_until_done
 
 Question = PointerPut | ReceiptStoreRequest | ConfigurationRequest | TransferRequest
 Answer = PointerReply | ReceiptStored | ConfigurationReply | TransferReply
@@ -68,12 +69,10 @@
         answer: Future[Answer | None] = get_running_loop().create_future()
         self.waiting[number] = answer
         try:
-            async with timeout(patience):
-                return await answer
-        except TimeoutError:
-            return None
+            is_answered = await wait_until_done(answer, patience)
         finally:
             del self.waiting[number]
+        return answer.result() if is_answered else None
 
     def answer(self, answer: Answer) -> None:
         """Take the answer to a question."""
--- a/libs/transport/src/clementinebend_transport/late_waits.py
+++ b/libs/transport/src/clementinebend_transport/late_waits.py
@@ -47,8 +47,11 @@
     return future.done()
 
 
-async def wait_until_set(event: Event, seconds: float) -> bool:
-    """Wait up to some seconds for an event; return whether it is set."""
+async def wait_until_set(event: Event, seconds: float | None) -> bool:
+    """Wait up to some seconds for an event; return whether it is set.
+
+    ``None`` sets no limit.
+    """
     try:
         async with timeout(seconds):
             await event.wait()
--- a/libs/transport/src/clementinebend_transport/message_stream.py
+++ b/libs/transport/src/clementinebend_transport/message_stream.py
@@ -9,7 +9,7 @@
 that read slowly.
 """
 
-from asyncio import Server, Task, create_task, get_running_loop, wait
+from asyncio import Server, Task, create_task, get_running_loop, sleep, wait
 from asyncio import timeout as time_limit
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -30,7 +30,8 @@
 
 from clementinebend_records.codec import DecodeFailure, decode_message, encode_message
 from clementinebend_records.messages import MESSAGE_TYPES, Message
-from clementinebend_transport.channel import Channel
+from clementinebend_transport.channel import ARRIVAL_PASSES, Channel
+from clementinebend_transport.late_waits import late_waits, set_up_within
 from clementinebend_transport.metrics import counter
 
 logger = getLogger(__name__)
@@ -121,6 +122,13 @@
             self._resume()
         return message
 
+    async def has_next(self) -> bool:
+        """Return whether a message or the end is here, also if still in the socket."""
+        if not self.inbox and not self.ended and self.has_arrivals():
+            for _ in range(ARRIVAL_PASSES):
+                await sleep(0)
+        return bool(self.inbox) or self.ended
+
     def _take(self, fields: Any) -> None:
         message = decode_message(fields)
         if not isinstance(message, DecodeFailure):
@@ -179,6 +187,28 @@
         """Return the next message; ``None`` means that the stream is closed."""
         return await self.channel.next_message()
 
+    async def receive_within(self, seconds: float) -> Message | None:
+        """Return the next message, or ``None`` if the stream is closed.
+
+        Raises ``TimeoutError`` if none has come after some seconds.
+        """
+        try:
+            async with time_limit(seconds):
+                return await self.receive()
+        except TimeoutError:
+            if not await self.has_next():
+                raise
+        late_waits.inc()
+        return await self.receive()
+
+    async def has_next(self) -> bool:
+        """Return whether ``receive`` returns at once.
+
+        After a late iteration of the event loop, a timeout and the message that it
+        waits for are due at once.
+        """
+        return await self.channel.has_next()
+
     async def close(self) -> None:
         """Send what was posted, then close."""
         await self.channel.close(CLOSE_SECONDS)
@@ -243,10 +273,10 @@
     host: str, port: int, timeout: float
 ) -> Result[MessageStream, str]:
     """Open a stream, within ``timeout`` seconds."""
-    loop = get_running_loop()
     try:
-        async with time_limit(timeout):
-            _, channel = await loop.create_connection(MessageChannel, host, port)
+        channel = await set_up_within(
+            _open_channel(host, port), timeout, MessageChannel.abort
+        )
     except TimeoutError:
         return Error(f"no connection to {host}:{port} within {timeout} s")
     except OSError as error:
@@ -254,6 +284,12 @@
     return Ok(MessageStream(channel))
 
 
+async def _open_channel(host: str, port: int) -> MessageChannel:
+    loop = get_running_loop()
+    _, channel = await loop.create_connection(MessageChannel, host, port)
+    return channel
+
+
 async def _serve(handler: StreamHandler, stream: MessageStream) -> None:
     try:
         await handler(stream)
