Merge waits that return what comes as their timeout expires

Joined: the functions of late_waits have one wait for a future, with the number of iterations of the event loop after its timeout. An attempt that is accompanied by a second one is a class of the hand-over's module, which ends a circle of imports (test_import_circles failed on the parts joined).

--- a/libs/relay/src/clementinebend_relay/handovers.py
+++ b/libs/relay/src/clementinebend_relay/handovers.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from logging import getLogger
 
-from clementinebend_relay.attempts import Attempts
+from clementinebend_relay.attempts import Attempts, OpenAttempt
 from clementinebend_relay.decisions import log_decision
 from clementinebend_relay.event_reader import EventReader
 from clementinebend_relay.events import StreamEvent, are_next_events, is_empty
@@ -216,6 +216,27 @@
         self.attempts.dispatcher.endpoints.on_end(state, ok=False)
 
 
+class AccompaniedReader(EventReader):
+    """The response of an attempt, and a second one that was begun before its head."""
+
+    def __init__(
+        self, running: OpenAttempt, clock: Callable[[], float], second: SecondAttempt
+    ) -> None:
+        super().__init__(running, clock)
+        self.second: SecondAttempt | None = second
+
+    def take_second(self) -> SecondAttempt | None:
+        """Return the second attempt, which the caller ends from then on."""
+        second, self.second = self.second, None
+        return second
+
+    def close(self) -> None:
+        """Stop reading, and end both attempts."""
+        if self.second is not None:
+            self.second.close()
+        super().close()
+
+
 def has_content(events: list[StreamEvent]) -> bool:
     """Return whether there is an event with data or a number."""
     return not all(is_empty(event) for event in events)
@@ -252,7 +273,9 @@
         self.progress = progress
         self.first = first
         self.on_broken = on_broken
-        self.second, first.beside = first.beside, None
+        self.second: SecondAttempt | None = None
+        if isinstance(first, AccompaniedReader):
+            self.second = first.take_second()
         self.pause = HANDOVER_PAUSE_SECONDS
         self.held: list[StreamEvent] = []
         self.reading = self._read_on()
--- a/libs/relay/src/clementinebend_relay/openings.py
+++ b/libs/relay/src/clementinebend_relay/openings.py
@@ -7,6 +7,7 @@
 from clementinebend_relay.handovers import (
     ENDED,
     HANDOVER_PAUSE_SECONDS,
+    AccompaniedReader,
     SecondAttempt,
     can_hand_over,
 )
@@ -115,9 +116,10 @@
         )
 
     def _reader(self, running: OpenAttempt) -> EventReader:
-        reader = EventReader(running, self.clock)
-        reader.beside, self.second = self.second, None
-        return reader
+        second, self.second = self.second, None
+        if second is None:
+            return EventReader(running, self.clock)
+        return AccompaniedReader(running, self.clock, second)
 
     async def _second_alone(self, second: SecondAttempt) -> EventReader | None:
         """Return the second attempt once it has a head: the first one has ended."""
--- a/libs/relay/src/clementinebend_relay/streams.py
+++ b/libs/relay/src/clementinebend_relay/streams.py
@@ -14,6 +14,7 @@
 from clementinebend_relay.events import StreamEvent, is_empty, is_next_event
 from clementinebend_relay.handovers import (
     SILENCE_CHECK_SECONDS,
+    AccompaniedReader,
     Events,
     Handover,
     StreamBroken,
@@ -298,7 +299,7 @@
 
         A resumable stream whose endpoint is silent may go on with another attempt.
         """
-        if reader.beside is not None:
+        if isinstance(reader, AccompaniedReader) and reader.second is not None:
             return await self._hand_over(reader, progress)
         can_resume = progress.admitted.route.is_resumable and progress.attempts_left > 0
         while self.clock() < progress.deadline:
--- a/libs/transport/src/clementinebend_transport/late_waits.py
+++ b/libs/transport/src/clementinebend_transport/late_waits.py
@@ -5,33 +5,81 @@
 missing.
 """
 
-from asyncio import Future, get_running_loop, sleep, wait
-from typing import Any
+from asyncio import Event, Future, Task, create_task, get_running_loop, sleep, wait
+from asyncio import timeout as time_limit
+from collections.abc import Callable, Coroutine
+from functools import partial
+from typing import Any, TypeVar
 
 from clementinebend_transport.metrics import counter
 
+T = TypeVar("T")
+
 SETTLE_ITERATIONS = 4
 """Iterations of the event loop in which a task ends that has got what it waits for."""
 
+SETUP_ITERATIONS = 8
+"""Iterations of the event loop in which a connection that stands has been set up."""
+
 late_waits = counter(
     "clementinebend_late_waits_total",
     "Waits that found what they waited for only after their timeout had expired.",
 )
 
 
-async def wait_until_done(future: Future[Any], seconds: float) -> bool:
+async def wait_until_done(
+    future: Future[Any], seconds: float, iterations: int = SETTLE_ITERATIONS
+) -> bool:
     """Wait up to some seconds for a future or task; return whether it is done.
 
-    It is not cancelled, neither by the timeout nor with the caller.
+    After the timeout, the event loop runs some more iterations. The future is not
+    cancelled, neither by the timeout nor with the caller.
     """
     if future.done():
         return True
     loop = get_running_loop()
     until = loop.time() + seconds
     await wait((future,), timeout=seconds)
-    for _ in range(SETTLE_ITERATIONS):
+    for _ in range(iterations):
         if not future.done():
             await sleep(0.0)
     if future.done() and loop.time() >= until:
         late_waits.inc()
     return future.done()
+
+
+async def wait_until_set(event: Event, seconds: float | None) -> bool:
+    """Wait up to some seconds for an event; return whether it is set."""
+    try:
+        async with time_limit(seconds):
+            await event.wait()
+    except TimeoutError:
+        if not event.is_set():
+            return False
+        late_waits.inc()
+    return True
+
+
+async def set_up_within(
+    setup: Coroutine[Any, Any, T], seconds: float, discard: Callable[[T], object]
+) -> T:
+    """Return the connection that ``setup`` opens, within some seconds.
+
+    Raises ``TimeoutError``, or what ``setup`` raises. A connection that stands as the
+    time expires is returned. One that is complete after it was given up, or with the
+    caller cancelled, goes to ``discard``.
+    """
+    task = create_task(setup)
+    try:
+        if not await wait_until_done(task, seconds, SETUP_ITERATIONS):
+            raise TimeoutError("no connection in time")
+    except BaseException:
+        task.cancel()
+        task.add_done_callback(partial(_discard_result, discard))
+        raise
+    return task.result()
+
+
+def _discard_result(discard: Callable[[T], object], task: Task[T]) -> None:
+    if not task.cancelled() and task.exception() is None:
+        discard(task.result())
