--- a/libs/admission/src/clementinebend_admission/retry_window.py
+++ b/libs/admission/src/clementinebend_admission/retry_window.py
@@ -42,8 +42,8 @@
         self.retries.append(now)
         return True
 
-    def give_back(self, since: float) -> None:
-        """Remove the first retry counted at or after ``since``: it was not sent."""
+    def refund_retry(self, since: float) -> None:
+        """Remove the first retry counted at or after ``since``, which was not sent."""
         counted = next((at for at in self.retries if at >= since), None)
         if counted is not None:
             self.retries.remove(counted)
--- a/libs/bench/src/clementinebend_bench/models/mark_fleet.py
+++ b/libs/bench/src/clementinebend_bench/models/mark_fleet.py
@@ -47,7 +47,7 @@
         return InvalidRecord("not modelled")
 
     def configuration_steps(self, value: bytes) -> ConfigurationSteps:
-        """Return that there is none, without a step."""
+        """Return that there is none, without yielding."""
         yield from ()
         return self.configuration(value)
 
--- a/libs/entry/src/clementinebend_entry/message_link.py
+++ b/libs/entry/src/clementinebend_entry/message_link.py
@@ -96,7 +96,7 @@
         await stream.close()
 
     async def receive_until_silent(self, stream: MessageStream) -> bool:
-        """Take messages until none comes in time; false if the stream has ended."""
+        """Process messages; true if the peer falls silent, false if the stream ends."""
         try:
             async with timeout(self.silence) as limit:
                 while (message := await stream.receive()) is not None:
--- a/libs/platform_client/src/clementinebend_platform_client/store_calls.py
+++ b/libs/platform_client/src/clementinebend_platform_client/store_calls.py
@@ -19,7 +19,7 @@
 """Time for a whole answer, after which a path that hardly moves is left."""
 
 MAX_STORE_ANSWER_BYTES = 16 * 1024 * 1024
-"""The largest answer of the store. A read returns 1 MB at most, or one record."""
+"""Maximum size of a store answer. A read returns 1 MB at most, or one record."""
 
 REFUSED = frozenset((429, 503))
 """Statuses of a store that turns this host away, or has too much to do."""
--- a/libs/relay/src/clementinebend_relay/bodies.py
+++ b/libs/relay/src/clementinebend_relay/bodies.py
@@ -19,10 +19,10 @@
 """Maximum share of the remaining time that such a body takes."""
 
 MAX_GROWING_BYTES = 256 * 1024
-"""Maximum size of a body of unknown size whose room grows with it.
+"""Maximum size of a body of unknown size whose reservation grows with it.
 
-A larger one takes the room of the largest: else several of them could each hold a part
-of all room and wait for the rest.
+A larger one reserves the maximum size: otherwise several of them could deadlock, each
+holding a part of the room and waiting for the rest.
 """
 
 Reserve = Callable[[int], Awaitable[None]]
@@ -32,8 +32,8 @@
 class BodyFailure(NamedTuple):
     """Why a body is incomplete.
 
-    ``broke_off`` is set if the connection closed early or sent no proper body,
-    ``is_too_large`` if more bytes came than the body may have.
+    ``broke_off`` is set if the connection closed early or the body was malformed,
+    ``is_too_large`` if the body exceeded its maximum size.
     """
 
     problem: str
@@ -42,7 +42,7 @@
 
     @property
     def is_proof(self) -> bool:
-        """Whether it shows a fault of the endpoint, whatever this side's load is."""
+        """Whether it shows a fault of the endpoint, regardless of the load here."""
         return self.broke_off or self.is_too_large
 
 
@@ -56,8 +56,8 @@
 
     ``deadline`` is in the time of the event loop. A response that is not read to its
     end is closed, as its connection can't be reused. With ``reserve`` it is read only
-    as there is room for it. The body of an unsuccessful response must come sooner: it
-    must not keep the call from being sent elsewhere.
+    as there is room for it. The body of an unsuccessful response has a shorter
+    time limit, which leaves time to send the call to another endpoint.
     """
     if reserve is None:
         reserve = _reserve_nothing
@@ -89,7 +89,7 @@
 
 
 def _failure_deadline(deadline: float) -> float:
-    """Return the time by which the body of an unsuccessful response must be whole."""
+    """Return the deadline for the body of an unsuccessful response."""
     now = get_running_loop().time()
     return now + min(FAILURE_BODY_SECONDS, (deadline - now) * FAILURE_BODY_SHARE)
 
@@ -105,7 +105,7 @@
 
 
 def _needed_room(size: int, announced: int, max_bytes: int) -> int:
-    """Return the room that a body of which ``size`` bytes have come may need."""
+    """Return the room to reserve for a body after ``size`` bytes of it."""
     if size <= max(announced, MAX_GROWING_BYTES):
         return size
     return max(size, max_bytes)
--- a/libs/relay/src/clementinebend_relay/budgets.py
+++ b/libs/relay/src/clementinebend_relay/budgets.py
@@ -121,8 +121,8 @@
         for team in configuration.teams.values():
             if team.prepaid is not None:
                 prepaid[self.part(team.name)][team.name] = team.prepaid
-        for manager, of_part in zip(self.managers, prepaid, strict=True):
-            manager.configure(of_part)
+        for manager, part_budgets in zip(self.managers, prepaid, strict=True):
+            manager.configure(part_budgets)
 
     def manager(self, team: str) -> QuotaManager:
         """Return the quota manager of a team; all entries choose the same one."""
@@ -202,7 +202,8 @@
                     )
         finally:
             account.waiting -= amount
-        if not is_reserved and account.reserve(amount):  # came with the timeout
+        # The amount may have been granted as the timeout expired.
+        if not is_reserved and account.reserve(amount):
             late_waits.inc()
             is_reserved = True
         if is_reserved:
--- a/libs/relay/src/clementinebend_relay/configuration.py
+++ b/libs/relay/src/clementinebend_relay/configuration.py
@@ -32,7 +32,7 @@
     def on_record(self, record: KeyedRecord) -> Awaitable[None] | None:
         """Apply a record; anything but a newer configuration is ignored.
 
-        A large one is applied once what is returned has been awaited.
+        A large one is applied by awaiting the returned awaitable.
         """
         if record.key != CONFIGURATION_KEY or not record.value:
             return None
@@ -42,7 +42,7 @@
         return None
 
     async def _apply_in_steps(self, value: bytes) -> None:
-        """Decode a configuration in several iterations of the event loop; apply it."""
+        """Decode a configuration over several event loop iterations and apply it."""
         steps = self.records.configuration_steps(value)
         while True:
             try:
@@ -53,7 +53,7 @@
             await sleep(0.0)
 
     def _apply(self, decoded: Configuration | InvalidRecord, size: int) -> None:
-        """Make a decoded configuration of some bytes the current one if it is newer."""
+        """Make a decoded configuration current if it is newer; ``size`` is in bytes."""
         if isinstance(decoded, InvalidRecord):
             log_decision("configuration refused", problem=decoded.problem)
         elif self.current is None or decoded.version > self.current.version:
--- a/libs/relay/src/clementinebend_relay/datagrams.py
+++ b/libs/relay/src/clementinebend_relay/datagrams.py
@@ -23,7 +23,7 @@
 
 MAX_RECEIVED_AT_ONCE = 200
 """Maximum number of datagrams received in one iteration of the event loop, some 10 ms.
-asyncio receives one, so that answers would wait while their timeouts expire."""
+asyncio receives one, so that queued answers would miss their timeouts."""
 
 MAX_DATAGRAM_BYTES = 65_536
 """Maximum size of a datagram in bytes; source: udp(7)."""
@@ -48,7 +48,7 @@
             self.socket.close()
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
-        """Pass on a datagram, and those that wait behind it."""
+        """Process a datagram and those queued behind it."""
         self._receive(data, addr)
         for _ in range(MAX_RECEIVED_AT_ONCE - 1):
             waiting = self._next_waiting()
@@ -57,7 +57,7 @@
             self._receive(*waiting)
 
     def _next_waiting(self) -> tuple[bytes, Any] | None:
-        """Return the next datagram that the socket holds and its sender, if any."""
+        """Return the next datagram queued in the socket and its sender, if any."""
         if self.socket is None:
             return None
         try:
--- a/libs/relay/src/clementinebend_relay/event_reader.py
+++ b/libs/relay/src/clementinebend_relay/event_reader.py
@@ -8,8 +8,8 @@
 from clementinebend_transport.client_connection import next_piece
 
 LATE_CHECK_SECONDS = 0.1
-"""Seconds after which a check for silence is late. It proves nothing then: bytes may
-have come that the event loop has not read."""
+"""Delay in seconds above which a check for silence is ignored: bytes may have arrived
+that the event loop has not read."""
 
 
 class EventReader:
@@ -30,7 +30,7 @@
         """Return the events that the next chunk completes, or None at the end.
 
         Raises ``TruncatedAnswer`` if the response breaks off, and ``TimeoutError`` if
-        nothing has come by ``until``; it may be read on then.
+        nothing has arrived by ``until``; reading can continue after that.
         """
         if self.ready:
             events, self.ready = self.ready, []
@@ -47,7 +47,7 @@
     def is_silent(self, due: float) -> bool:
         """Return whether the endpoint is silent, at a check that was ``due``.
 
-        While this entry is overloaded or late the bytes may wait in it.
+        While this entry is overloaded or late, received bytes may still be unread.
         """
         now, state = self.clock(), self.running.state
         if now - due > LATE_CHECK_SECONDS or state.is_overloaded():
@@ -57,9 +57,9 @@
         return now - state.heard_at > SILENT_SECONDS
 
     def incomplete_end(self, has_events: bool) -> str | None:
-        """Return why a stream that has ended is not whole, None if it may be.
+        """Return why a stream that has ended is incomplete, None if it may be whole.
 
-        The end of a channel alone does not say that there is no event to come.
+        The end of the connection alone does not show that no event is missing.
         """
         if self.splitter.rest:
             return "the stream ended within an event"
--- a/libs/relay/src/clementinebend_relay/events.py
+++ b/libs/relay/src/clementinebend_relay/events.py
@@ -26,7 +26,7 @@
 """Maximum number of digits of an event's ID, those of a 64-bit integer."""
 
 EVENT_END_BYTES = 4
-"""Maximum size of what ends an event."""
+"""Maximum size in bytes of the separator after an event."""
 
 
 class StreamEvent(NamedTuple):
@@ -39,8 +39,8 @@
 class EventSplitter:
     """Splits chunks into complete events, and buffers the incomplete ``rest``.
 
-    Each byte is searched once, however small the chunks are. ``empty`` counts the last
-    events in a row that carry nothing.
+    Each byte is scanned once, however small the chunks are. ``empty`` is the number of
+    consecutive empty events at the end.
     """
 
     def __init__(self) -> None:
@@ -50,7 +50,7 @@
     def is_too_large(self) -> bool:
         """Return whether the buffered, incomplete event is too large.
 
-        So are empty events that come without end.
+        Too many consecutive empty events count as too large, too.
         """
         is_endless = self.empty > MAX_EMPTY_EVENTS
         return is_endless or len(self.rest) > MAX_EVENT_BYTES
@@ -58,7 +58,7 @@
     def feed(self, chunk: bytes) -> list[StreamEvent]:
         """Add a chunk and return the events that it completes.
 
-        None are returned after the first one that makes the stream too large.
+        Stops after the first event that makes the stream too large.
         """
         position = max(0, len(self.rest) - EVENT_END_BYTES + 1)
         self.rest += chunk
--- a/libs/relay/src/clementinebend_relay/handovers.py
+++ b/libs/relay/src/clementinebend_relay/handovers.py
@@ -1,8 +1,8 @@
-"""Second attempts of streams whose endpoint is silent, beside the first ones.
+"""Second attempts of streams whose endpoint is silent, concurrent with the first ones.
 
-The first attempt stays open: its endpoint may go on. Whichever attempt brings the next
-event goes on, and the other one is closed. Events with neither data nor a number do not
-count: they are held until another one comes.
+The first attempt stays open, as its endpoint may resume. The attempt that returns the
+next event first continues the stream, and the other one is closed. Events with neither
+data nor a number do not count: they are buffered until another one arrives.
 """
 
 from asyncio import FIRST_COMPLETED, Task, create_task, wait
@@ -26,19 +26,19 @@
 """
 
 HANDOVER_PAUSE_SECONDS = 0.5
-"""Seconds after a second attempt that came to nothing until another one is made.
+"""Seconds between a failed second attempt and another one.
 
-Doubled after each one that was sent to no endpoint, up to the maximum.
+Doubled after each attempt that was sent to no endpoint, up to the maximum.
 """
 
 MAX_HANDOVER_PAUSE_SECONDS = 4.0
 
 TAKEN_OVER = "taken over"
-SPOKE_AGAIN = "endpoint spoke again"
+FIRST_CONTINUED = "endpoint spoke again"
 REFUSED = "refused"
 FAILED = "failed"
 ENDED = "ended"
-"""Outcome of a second attempt that was under way as the call ended."""
+"""Outcome of a second attempt that was in progress as the call ended."""
 
 UNSENT_RETRIES = (Obstacle.NO_ENDPOINT, Obstacle.NOT_ALLOWED)
 """Obstacles to an attempt that has been counted as a retry."""
@@ -59,11 +59,11 @@
 
 
 class SecondAttempt:
-    """An attempt beside one whose endpoint is silent, with a progress of its own.
+    """An attempt concurrent with one whose endpoint is silent; has its own progress.
 
     ``silent_since`` is when the silent endpoint was heard last, or sent the call.
-    ``reader`` reads its response once it has a head. With ``is_alone`` the first
-    attempt has ended: the second one need not have brought an event to go on.
+    ``reader`` reads its response once it has a head. Once ``first_has_ended``
+    is set, the second attempt may continue the stream before it returns an event.
     """
 
     def __init__(
@@ -76,13 +76,13 @@
         self.attempts = attempts
         self.clock = attempts.clock
         self.first_progress = progress
-        self.progress = progress.beside()
+        self.progress = progress.for_second_attempt()
         self.silent_endpoint = silent_endpoint
         self.silent_since = silent_since
         progress.has_second = True
         self.tried_before = len(progress.tried)
         self.reader: EventReader | None = None
-        self.is_alone = False
+        self.first_has_ended = False
         self.has_failed = False
         self.began_at = self.clock()
         self.task: Task[None] = create_task(self._run())
@@ -90,11 +90,11 @@
     def take_reader(self) -> EventReader | None:
         """Return the reader of the response if the stream can go on with it.
 
-        The first attempt's progress is that of this one from then on.
+        The progress of the call then describes this attempt.
         """
         reader, self.reader = self.reader, None
         if reader is None:
-            self.give_back()
+            self.refund_retry()
             self.end(self.failure())
             return None
         self.end(TAKEN_OVER)
@@ -130,13 +130,13 @@
         return self.progress.tried[self.tried_before :]
 
     def failure(self) -> str:
-        """Return why the attempt came to nothing."""
+        """Return the outcome of an attempt that failed."""
         if self.has_failed:
             return FAILED
         return REFUSED if self.endpoints_tried() else str(self.progress.obstacle)
 
-    def give_back(self) -> None:
-        """Give a retry back that was counted and not sent, if there is one.
+    def refund_retry(self) -> None:
+        """Remove a retry from the retry window if it was counted and not sent.
 
         Retries are counted before an endpoint is chosen.
         """
@@ -144,10 +144,10 @@
             return
         service = self.progress.admitted.service.name
         window = self.attempts.dispatcher.retry_window(service)
-        window.give_back(self.began_at)
+        window.refund_retry(self.began_at)
 
     async def _run(self) -> None:
-        """Make attempts; an unexpected error ends them, and not the first attempt."""
+        """Make attempts; an unexpected error does not end the first attempt."""
         try:
             await self._make_attempts()
         except Exception:
@@ -162,18 +162,18 @@
             reader.close()
 
     async def _make_attempts(self) -> None:
-        """Make attempts until one goes on, or no more can be made."""
+        """Make attempts until one can continue the stream, or none is left."""
         while (running := await self.attempts.next(self.progress)) is not None:
             reader = EventReader(running, self.clock)
             self.reader = reader
-            if await self._goes_on(reader):
+            if await self._await_first_events(reader):
                 return
             self._drop_reader()
 
-    async def _goes_on(self, reader: EventReader) -> bool:
-        """Wait for the first events; return whether the stream can go on with them."""
+    async def _await_first_events(self, reader: EventReader) -> bool:
+        """Wait for the first events; return whether they can continue the stream."""
         held: list[StreamEvent] = []
-        while not (has_content(held) or reader.is_ended or self.is_alone):
+        while not (has_content(held) or reader.is_ended or self.first_has_ended):
             until = min(self.progress.deadline, self.clock() + SILENCE_CHECK_SECONDS)
             try:
                 events = await reader.read(until)
@@ -193,7 +193,7 @@
         return True
 
     def _problem(self, reader: EventReader, events: Events) -> str | None:
-        """Return why the stream can't go on with what was read, if it can't."""
+        """Return why what was read can't continue the stream, None if it can."""
         if events is None:
             return reader.incomplete_end(has_events=False)
         if reader.splitter.is_too_large():
@@ -206,7 +206,7 @@
         """Return whether another endpoint is tried instead of one that is silent."""
         if self.clock() >= self.progress.deadline:
             return True
-        if self.is_alone:
+        if self.first_has_ended:
             return False
         return reader.is_silent(due) and can_hand_over(self.attempts, self.progress)
 
@@ -216,8 +216,8 @@
         self.attempts.dispatcher.endpoints.on_end(state, ok=False)
 
 
-class AccompaniedReader(EventReader):
-    """The response of an attempt, and a second one that was begun before its head."""
+class HedgedReader(EventReader):
+    """The response of an attempt, and a second attempt begun before its head."""
 
     def __init__(
         self, running: OpenAttempt, clock: Callable[[], float], second: SecondAttempt
@@ -226,7 +226,7 @@
         self.second: SecondAttempt | None = second
 
     def take_second(self) -> SecondAttempt | None:
-        """Return the second attempt, which the caller ends from then on."""
+        """Return the second attempt and pass its ownership to the caller."""
         second, self.second = self.second, None
         return second
 
@@ -274,7 +274,7 @@
         self.first = first
         self.on_broken = on_broken
         self.second: SecondAttempt | None = None
-        if isinstance(first, AccompaniedReader):
+        if isinstance(first, HedgedReader):
             self.second = first.take_second()
         self.pause = HANDOVER_PAUSE_SECONDS
         self.held: list[StreamEvent] = []
@@ -283,8 +283,8 @@
     async def run(self) -> Events:
         """Return the next events of the first attempt, or None at its end.
 
-        Raises ``StreamTakenOver`` if a second attempt goes on, ``StreamBroken`` if the
-        first one breaks off and there is no second one that does.
+        Raises ``StreamTakenOver`` if a second attempt continues the stream, and
+        ``StreamBroken`` if the first one breaks off and no second one can.
         """
         if self.second is None:
             self._begin_second()
@@ -308,7 +308,7 @@
             self._end_second(self._outcome_of_first())
 
     async def _wait(self) -> float:
-        """Wait for either attempt; return until when at most."""
+        """Wait for either attempt; return the time at which the wait was to end."""
         due = self.clock() + self.pause
         if self.second is None:
             await wait([self.reading], timeout=self.pause)
@@ -333,7 +333,7 @@
         )
 
     async def _first_result(self) -> Events:
-        """Return what the first attempt has brought."""
+        """Return the result of the read of the first attempt."""
         try:
             events = self.reading.result()
         except TimeoutError as error:
@@ -350,7 +350,7 @@
         return events
 
     def _problem(self, events: Events) -> str | None:
-        """Return why the first attempt can't go on with what was read, if it can't."""
+        """Return why the first attempt can't continue the stream, None if it can."""
         if events is None:
             has_events = self.progress.attempt_event_at is not None
             return self.first.incomplete_end(has_events)
@@ -362,25 +362,25 @@
         return None
 
     async def _on_first_broken(self, problem: str) -> None:
-        """Go on with the second attempt, if there is one that gets a head."""
+        """Continue with the second attempt, if it receives the head of a response."""
         self.on_broken(problem)
         self.first.close()
         second = self.second
         if second is None:
             return
-        second.is_alone = True
+        second.first_has_ended = True
         await wait([second.task])
         self._go_on_with(second, problem)
 
     def _on_second_done(self, second: SecondAttempt) -> None:
-        """Go on with the second attempt if it has brought an event."""
+        """Continue with the second attempt if it has returned an event."""
         problem = "the endpoint has gone silent"
         if second.reader is not None:
             self.on_broken(problem)
         self._go_on_with(second, problem)
 
     def _go_on_with(self, second: SecondAttempt, problem: str) -> None:
-        """Raise ``StreamTakenOver`` if the second attempt can go on."""
+        """Raise ``StreamTakenOver`` if the second attempt can continue the stream."""
         self.second = None
         reader = second.take_reader()
         if reader is not None:
@@ -388,17 +388,17 @@
         self._adapt_pause(second)
 
     def _adapt_pause(self, second: SecondAttempt) -> None:
-        """Double the pause after a second attempt that was sent nowhere."""
+        """Double the pause after a second attempt that was sent to no endpoint."""
         if second.endpoints_tried():
             self.pause = HANDOVER_PAUSE_SECONDS
         else:
             self.pause = min(2 * self.pause, MAX_HANDOVER_PAUSE_SECONDS)
 
     def _outcome_of_first(self) -> str:
-        """Return the outcome of a second attempt that is under way at the end."""
+        """Return the outcome of a second attempt that is in progress at the end."""
         done = self.reading
-        has_spoken = done.done() and not done.cancelled() and done.exception() is None
-        return SPOKE_AGAIN if has_spoken else ENDED
+        has_result = done.done() and not done.cancelled() and done.exception() is None
+        return FIRST_CONTINUED if has_result else ENDED
 
     def _end_second(self, outcome: str) -> None:
         second, self.second = self.second, None
--- a/libs/relay/src/clementinebend_relay/loop_delay.py
+++ b/libs/relay/src/clementinebend_relay/loop_delay.py
@@ -1,7 +1,7 @@
 """Observes how late the event loop of this process runs.
 
-While it is late, answers that have arrived are not read. Their absence says nothing of
-the processes that were asked.
+While it is late, answers that have arrived are not read, so that missing answers are
+no evidence against the processes that were asked.
 """
 
 from asyncio import sleep
@@ -18,7 +18,7 @@
 """Delay in seconds above which the event loop counts as late."""
 
 SETTLE_SECONDS = 0.05
-"""Seconds after a late iteration in which what arrived meanwhile may still be read."""
+"""Seconds after a late iteration in which answers that arrived during it are read."""
 
 LOG_INTERVAL = 1.0
 """Minimum seconds between two log lines."""
--- a/libs/relay/src/clementinebend_relay/openings.py
+++ b/libs/relay/src/clementinebend_relay/openings.py
@@ -1,4 +1,4 @@
-"""Opens attempts of resumable streams, a second one beside one without a head."""
+"""Opens attempts of resumable streams, and a second one if the head is late."""
 
 from asyncio import FIRST_COMPLETED, Task, create_task, wait
 
@@ -7,7 +7,7 @@
 from clementinebend_relay.handovers import (
     ENDED,
     HANDOVER_PAUSE_SECONDS,
-    AccompaniedReader,
+    HedgedReader,
     SecondAttempt,
     can_hand_over,
 )
@@ -17,8 +17,8 @@
 class Opening:
     """The wait for the head of a stream's response.
 
-    The attempt whose endpoint sends none in time stays open until another one has
-    brought an event. ``look_at`` is when a second attempt may be made at the earliest.
+    An attempt whose endpoint sends no head in time stays open until another one has
+    returned an event. ``next_check_at`` is the earliest time of a second attempt.
     """
 
     def __init__(self, attempts: Attempts, progress: CallProgress) -> None:
@@ -28,15 +28,15 @@
         progress.waits_for_head = True
         route = progress.admitted.route
         self.head_seconds = STREAM_HEAD_TARGETS * route.latency_target
-        self.look_at = self.clock()
+        self.next_check_at = self.clock()
         self.second: SecondAttempt | None = None
         self.silent_endpoint = ""
         self.first = self._open()
 
     async def run(self) -> EventReader | None:
-        """Return the attempt with which the stream goes on, or None if there is none.
+        """Return the attempt that continues the stream, or None if there is none.
 
-        A second attempt that is under way is beside the one that is returned.
+        If a second attempt is in progress, the returned reader owns it.
         """
         try:
             while True:
@@ -54,7 +54,7 @@
                 elif self.second is not None and self.second.task.done():
                     reader = self._on_second_done(self.second)
                     if reader is not None:
-                        self._leave_first()
+                        self._abandon_first()
                         return reader
                 elif self.second is None and self._is_due(due):
                     self._begin_second()
@@ -63,7 +63,7 @@
             raise
 
     def _close(self) -> None:
-        """End both attempts at once, also one whose head has just come."""
+        """End both attempts at once, also one whose head has just arrived."""
         first = self.first
         first.cancel()
         if first.done() and not first.cancelled() and first.exception() is None:
@@ -73,7 +73,7 @@
         if self.second is not None:
             self.second.end(ENDED)
 
-    def _leave_first(self) -> None:
+    def _abandon_first(self) -> None:
         """End the first attempt: its endpoint has sent no head in time."""
         self.first.cancel()
         endpoints = self.attempts.dispatcher.endpoints
@@ -85,13 +85,13 @@
         return create_task(self.attempts.next(self.progress))
 
     async def _wait(self) -> float:
-        """Wait for either attempt; return until when at most.
+        """Wait for either attempt; return the time at which the wait was to end.
 
-        An attempt that is sent meanwhile is not due before the end of the wait.
+        An attempt sent during the wait is not checked before the wait ends.
         """
         now = self.clock()
         until = min(self.progress.head_due_at, now + self.head_seconds)
-        due = max(until, self.look_at)
+        due = max(until, self.next_check_at)
         if self.second is None:
             await wait([self.first], timeout=max(0.0, due - now))
         else:
@@ -100,11 +100,11 @@
         return due
 
     def _is_due(self, due: float) -> bool:
-        """Return whether a second attempt is made; a late look proves nothing."""
+        """Return whether to make a second attempt; late checks are ignored."""
         now = self.clock()
         if now < self.progress.head_due_at:
             return False
-        self.look_at = now + HANDOVER_PAUSE_SECONDS
+        self.next_check_at = now + HANDOVER_PAUSE_SECONDS
         is_late = now - due > LATE_CHECK_SECONDS
         return not is_late and can_hand_over(self.attempts, self.progress)
 
@@ -119,17 +119,17 @@
         second, self.second = self.second, None
         if second is None:
             return EventReader(running, self.clock)
-        return AccompaniedReader(running, self.clock, second)
+        return HedgedReader(running, self.clock, second)
 
     async def _second_alone(self, second: SecondAttempt) -> EventReader | None:
         """Return the second attempt once it has a head: the first one has ended."""
-        second.is_alone = True
+        second.first_has_ended = True
         await wait([second.task])
         return self._on_second_done(second)
 
     def _on_second_done(self, second: SecondAttempt) -> EventReader | None:
-        """Return the second attempt if the stream can go on with it."""
+        """Return the second attempt if it can continue the stream."""
         second.task.result()
         self.second = None
-        self.look_at = self.clock() + HANDOVER_PAUSE_SECONDS
+        self.next_check_at = self.clock() + HANDOVER_PAUSE_SECONDS
         return second.take_reader()
--- a/libs/relay/src/clementinebend_relay/partition_reader.py
+++ b/libs/relay/src/clementinebend_relay/partition_reader.py
@@ -49,7 +49,7 @@
     """Receiver of the records that a reader reads."""
 
     def on_record(self, record: KeyedRecord) -> Awaitable[None] | None:
-        """Apply a record; return what is to be awaited first if that takes long."""
+        """Apply a record; return an awaitable to await if that takes long."""
         ...
 
     def on_snapshot(self, keys: frozenset[str], end: int) -> None:
--- a/libs/relay/src/clementinebend_relay/plain.py
+++ b/libs/relay/src/clementinebend_relay/plain.py
@@ -70,9 +70,9 @@
         return Response(running.answer.status, headers, body.ok)
 
     def _body_deadline(self, running: OpenAttempt, progress: CallProgress) -> float:
-        """Return the time by which the body of a response must be whole.
+        """Return the deadline for the body of a response.
 
-        One of unknown size may have no end: it leaves time for another attempt.
+        A body of unknown size may be endless: time is kept for another attempt.
         """
         may_follow = progress.admitted.route.may_repeat and progress.attempts_left > 0
         if not may_follow or "content-length" in running.answer.headers:
--- a/libs/relay/src/clementinebend_relay/process.py
+++ b/libs/relay/src/clementinebend_relay/process.py
@@ -237,7 +237,7 @@
         self._attach_load(prompt_queues)
 
     def _attach_load(self, prompt_queues: PromptQueues) -> None:
-        """Let this entry's load act on the parts that depend on it."""
+        """Connect the load monitor to the components that depend on it."""
         self.load.on_rotation = lambda is_out: self.servers[0].move_callers(is_out)
         self.load.while_out = lambda seconds: close_some_idle(self.servers[0], seconds)
         prompt_queues.is_overloaded = self.load.is_saturated
--- a/libs/relay/src/clementinebend_relay/progress.py
+++ b/libs/relay/src/clementinebend_relay/progress.py
@@ -63,8 +63,8 @@
     ``parts_sound_at`` when that was last known of the parts of its prompt.
 
     ``waits_for_head`` is set if an attempt without the head of a response stays open to
-    the time limit; ``head_due_at`` is when another one may be made beside it, infinity
-    while none waits. ``has_second`` is set while there is one.
+    the time limit; ``head_due_at`` is when a concurrent one may be made, infinity if
+    none waits. ``has_second`` is set while there is one.
 
     ``tried`` and ``software_versions`` are the names of the endpoints that the call was
     sent to and the versions of their software. ``is_origin_uncertain`` is set once that
@@ -124,10 +124,10 @@
         """How many more attempts the call may make."""
         return self.admitted.route.max_attempts - self.attempts
 
-    def beside(self) -> "CallProgress":
-        """Return the progress of another attempt that runs beside the last one.
+    def for_second_attempt(self) -> "CallProgress":
+        """Return the progress of an attempt that runs concurrently with the last one.
 
-        It has the same lists of endpoints tried and of their software versions.
+        The lists of endpoints tried and of their software versions are shared.
         """
         other = copy(self)
         other.answer = None
@@ -140,7 +140,7 @@
         return other
 
     def add_attempts(self, other: "CallProgress") -> None:
-        """Count the attempts made beside the last one; that remains the last one."""
+        """Count attempts made concurrently with the last one, which stays the last."""
         self.attempts = max(self.attempts, other.attempts)
         self.missing_endpoints = max(self.missing_endpoints, other.missing_endpoints)
         self.sent = max(self.sent, other.sent)
@@ -150,7 +150,7 @@
         self.failure = other.failure or self.failure
 
     def adopt_attempt(self, other: "CallProgress") -> None:
-        """Go on with the last attempt of ``other`` as the call's last attempt."""
+        """Make the last attempt of ``other`` the last attempt of the call."""
         self.sent_at = other.sent_at
         self.head_due_at = inf
         self.ahead = other.ahead
--- a/libs/relay/src/clementinebend_relay/run_outcomes.py
+++ b/libs/relay/src/clementinebend_relay/run_outcomes.py
@@ -33,8 +33,8 @@
 """Seconds after the end of an endpoint in which bytes that it sent before are read."""
 
 SETTLE_ITERATIONS = 6
-"""Iterations of the event loop after which the end of a connection that had arrived
-before the first one has been handled."""
+"""Event loop iterations after which the end of a connection has been handled that
+arrived before the first one."""
 
 
 class BareEnd(NamedTuple):
@@ -137,7 +137,9 @@
         pause = max(0.0, PART_SOUND_SECONDS - written)
         boot = boot_name(state.endpoint)
         clear = partial(self._clear_if_alive, parts, boot)
-        get_running_loop().call_later(pause, _call_settled, clear, SETTLE_ITERATIONS)
+        get_running_loop().call_later(
+            pause, _call_after_iterations, clear, SETTLE_ITERATIONS
+        )
 
     def _clear_if_alive(self, parts: tuple[str, ...], boot: str) -> None:
         if not self._may_have_ended(boot):
@@ -197,12 +199,12 @@
             )
 
 
-def _call_settled(callback: Callable[[], None], iterations: int) -> None:
+def _call_after_iterations(callback: Callable[[], None], iterations: int) -> None:
     """Call back after some iterations of the event loop.
 
-    If it was late, what has arrived meanwhile is handled first.
+    After a late iteration, data that arrived during it is handled first.
     """
     if iterations:
-        get_running_loop().call_soon(_call_settled, callback, iterations - 1)
+        get_running_loop().call_soon(_call_after_iterations, callback, iterations - 1)
     else:
         callback()
--- a/libs/relay/src/clementinebend_relay/streams.py
+++ b/libs/relay/src/clementinebend_relay/streams.py
@@ -14,9 +14,9 @@
 from clementinebend_relay.events import StreamEvent, is_empty, is_next_event
 from clementinebend_relay.handovers import (
     SILENCE_CHECK_SECONDS,
-    AccompaniedReader,
     Events,
     Handover,
+    HedgedReader,
     StreamBroken,
     StreamTakenOver,
     can_hand_over,
@@ -188,7 +188,7 @@
         """Yield the events of one attempt.
 
         Raises ``StreamBroken`` if it breaks off, ``StreamTakenOver`` if another one
-        goes on in its place.
+        continues the stream.
         """
         running, splitter = reader.running, reader.splitter
         progress.answer = running.answer
@@ -297,9 +297,9 @@
     async def _next_events(self, reader: EventReader, progress: CallProgress) -> Events:
         """Return the next events of an attempt's response, or None at its end.
 
-        A resumable stream whose endpoint is silent may go on with another attempt.
+        A resumable stream whose endpoint is silent may continue with another attempt.
         """
-        if isinstance(reader, AccompaniedReader) and reader.second is not None:
+        if isinstance(reader, HedgedReader) and reader.second is not None:
             return await self._hand_over(reader, progress)
         can_resume = progress.admitted.route.is_resumable and progress.attempts_left > 0
         while self.clock() < progress.deadline:
@@ -318,7 +318,7 @@
         raise StreamBroken("the time limit has passed")
 
     async def _hand_over(self, reader: EventReader, progress: CallProgress) -> Events:
-        """Return the next events of a silent endpoint, unless another goes on first."""
+        """Return the next events of a silent endpoint, or hand the stream over."""
 
         def on_broken(problem: str) -> None:
             self._break_stream(reader.running, progress, problem)
@@ -334,9 +334,9 @@
 
 
 def _is_too_long(progress: CallProgress) -> bool:
-    """Return whether a stream goes on beyond the output that its call allows.
+    """Return whether a stream exceeds the output that its call allows.
 
-    An event has a token at least; a call need not name how many it allows.
+    Each event has at least one token; the limit of a call is optional.
     """
     allowed = progress.admitted.call.max_output_tokens
     return 0 < allowed < progress.content_events - MAX_EXTRA_EVENTS
--- a/libs/transport/src/clementinebend_transport/channel.py
+++ b/libs/transport/src/clementinebend_transport/channel.py
@@ -33,8 +33,8 @@
 READ_BUFFER_BYTES = 128 * 1024
 WRITE_BUFFER_BYTES = 64 * 1024
 
-ARRIVAL_PASSES = 2
-"""Event loop iterations after which bytes that the socket holds have been received."""
+RECEIVE_ITERATIONS = 2
+"""Event loop iterations after which the bytes held by the socket are received."""
 
 RESET_ON_CLOSE = pack("ii", 1, 0)
 """The ``struct linger`` that makes close send a reset; source: socket(7)."""
@@ -59,8 +59,8 @@
         """When the last byte came, by ``time.monotonic``."""
         self.discarded_bytes = 0
         """Bytes that were dropped unread so far."""
-        self.untaken_bytes = 0
-        """Bytes that were dropped as the connection was closed at once."""
+        self.dropped_unsent_bytes = 0
+        """Unsent bytes that were dropped as the connection was aborted."""
         self.parsing_bytes = 0
         """Upper bound of the bytes that a parser has been given and not returned."""
         self.written_bytes = 0
@@ -131,7 +131,7 @@
         """Return the bytes that have come, at least one; none at the end.
 
         Raises ``TimeoutError`` if nothing has come by ``until``, in the time of the
-        event loop. If that runs late, bytes that are here by then are returned.
+        event loop. If the loop is late, bytes that have arrived by then are returned.
         """
         while not self.received and not self.ended:
             self.readable.clear()
@@ -239,7 +239,7 @@
     async def close(self, limit: float) -> bool:
         """Send what was posted and close; after ``limit`` seconds, drop it.
 
-        Returns whether it was not dropped by that.
+        Returns whether the connection ended within the limit.
         """
         self.flush()
         self.transport.close()
@@ -254,7 +254,7 @@
     def abort(self) -> None:
         """Close at once; what is buffered is dropped."""
         if not self.lost.is_set():
-            self.untaken_bytes += self.unsent_bytes()
+            self.dropped_unsent_bytes += self.unsent_bytes()
         self.outgoing.clear()
         self.outgoing_bytes = 0
         self.transport.abort()
@@ -267,13 +267,13 @@
         self.abort()
 
     async def _take_arrivals(self) -> bool:
-        """Receive what the socket holds; return whether there is anything to read.
+        """Receive what the socket holds; return whether there is data or the end.
 
         After a late iteration of the event loop, a timeout and the bytes that it waits
         for are due at once.
         """
         if not self.received and not self.ended and self.has_arrivals():
-            for _ in range(ARRIVAL_PASSES):
+            for _ in range(RECEIVE_ITERATIONS):
                 await sleep(0)
         return bool(self.received) or self.ended
 
--- a/libs/transport/src/clementinebend_transport/client_connection.py
+++ b/libs/transport/src/clementinebend_transport/client_connection.py
@@ -28,28 +28,28 @@
 from clementinebend_transport.http_events import is_cycle_done, next_event, post_event
 
 MAX_ANSWER_HEADER_BYTES = 64 * 1024
-"""The largest head, chunk header or trailer of an answer."""
+"""Maximum size in bytes of the head, a chunk header or the trailer of an answer."""
 
 MAX_INFORMATIONAL_ANSWERS = 16
-"""The most informational answers (1xx) before the final one."""
+"""Maximum number of informational answers (1xx) before the final one."""
 
 MAX_OVERHEAD_BYTES = 128 * 1024
-"""The most bytes of heads, chunk headers and trailers of an answer, beside as many as
-its body has."""
+"""Maximum size in bytes of the heads, chunk headers and trailers of an answer, plus the
+size of its body."""
 
 MAX_SMALL_PIECES = 2048
 LEAST_PIECE_BYTES = 8
-"""The most chunks of a body whose mean size in bytes is below the least one."""
+"""Maximum number of chunks of a body whose mean size in bytes is below the minimum."""
 
 MAX_JOINED_CHUNKS = 32
-"""The most chunks that are returned as one piece, if they are here."""
+"""Maximum number of received chunks that are joined into one piece."""
 
 EVENTS_PER_TURN = 4
 """Pieces of one read after which the event loop runs other tasks."""
 
 LATE_READ_SECONDS = 0.2
-"""Time in which what has come is read on after the time for it has passed: a server
-that always sends would not be late otherwise."""
+"""Seconds after a read timeout in which received bytes are still read. Without this
+bound, a server that sends continuously would never time out."""
 
 KEEP_ALIVE_TIMEOUT = compile(rb"timeout\s*=\s*(\d{1,9})", IGNORECASE)
 """The seconds a server keeps an idle connection; source: RFC 2068, 19.7.1."""
@@ -155,9 +155,9 @@
         self.channel.abort()
 
     def _joined(self, first: Data) -> bytes:
-        """Return a piece together with those behind it that have come.
+        """Return a piece joined with those already received after it.
 
-        What ends them is kept for the next read.
+        The event that ends them is kept for the next read.
         """
         self._on_piece(len(first.data))
         chunks = [bytes(first.data)]
@@ -199,9 +199,9 @@
             raise TruncatedAnswer("the answer comes in too many small pieces")
 
     def _on_read(self, size: int) -> None:
-        """Count bytes; raise ``TruncatedAnswer`` if those before are mostly no body.
+        """Count bytes; raise ``TruncatedAnswer`` if earlier ones are mostly overhead.
 
-        At most an incomplete header of them is not parsed yet.
+        Of the earlier bytes, at most an incomplete header is not parsed yet.
         """
         if self.received_bytes > MAX_OVERHEAD_BYTES + 2 * self.body_bytes:
             raise TruncatedAnswer("the answer has too little body for its size")
@@ -211,7 +211,7 @@
     def _check_lateness(self, until: float | None) -> None:
         """Raise ``TimeoutError`` if bytes have been read for too long after ``until``.
 
-        It counts from the first read after it, as the event loop may run late.
+        The time starts with the first read after ``until``, as the loop may be late.
         """
         now = get_running_loop().time()
         if until is None or now <= until:
@@ -251,7 +251,7 @@
 
         Raises ``TruncatedAnswer`` if the body ends before it is whole, and
         ``TimeoutError`` if nothing more has come by ``until``, in the time of the event
-        loop; it may be read on then.
+        loop; reading can continue after that.
         """
         if self.is_ended:
             return None
@@ -295,9 +295,9 @@
     """Return the next piece of an answer's body; ``None`` at its end.
 
     Raises ``TimeoutError`` if none has come by ``until``, in the time of the event
-    loop, and ``TruncatedAnswer`` if the body ends before it is whole. Of an answer
-    from a connection, a piece that is here by then is returned although the event loop
-    runs late.
+    loop, and ``TruncatedAnswer`` if the body ends before it is whole. For an
+    answer from a connection, a piece that has arrived by then is returned even if the
+    event loop is late.
     """
     async with timeout_at(until):
         return await anext(chunks, None)
--- a/libs/transport/src/clementinebend_transport/connection_ends.py
+++ b/libs/transport/src/clementinebend_transport/connection_ends.py
@@ -1,4 +1,4 @@
-"""Counters and log lines that tell why connections of callers end."""
+"""Counters and log lines for the reasons why connections of callers end."""
 
 from enum import StrEnum
 from logging import getLogger
@@ -8,8 +8,8 @@
 
 logger = getLogger(__name__)
 
-MAX_LINES_PER_SECOND = 20
-"""Lines of this module in one second; the counters count all ends."""
+MAX_LOG_LINES_PER_SECOND = 20
+"""Maximum log lines of this module per second; the counters include all ends."""
 
 UNANSWERED = "clementinebend_http_requests_unanswered_total"
 LATE_READS = "clementinebend_http_late_reads_total"
@@ -23,43 +23,43 @@
     IDLE_LIMIT = "idle_limit"
     CALLER_LEFT = "caller_left"
     LAST_ANSWER = "last_answer"
-    """The answer told the caller to connect anew."""
+    """The answer had a ``Connection: close`` header."""
     PLANNED_STOP = "planned_stop"
     LEFT_ROTATION = "left_rotation"
     UNREADABLE_REQUEST = "unreadable_request"
-    """It was refused with a status that says why."""
+    """It was rejected with an error status."""
     SLOW_READER = "slow_reader"
     MEMORY = "memory"
-    """The room for answers that are not read was needed."""
+    """Memory held by answers that were not read was needed."""
     SOURCE_CUT = "source_cut"
     OVERRUN = "overrun"
     """Too many bytes came while a request was being answered."""
     TOO_MANY = "too_many"
     """There were too many connections; it was refused."""
     FAULT = "fault"
-    """An exception that nothing else explains."""
+    """An unexpected exception."""
     PROCESS_CLOSING = "process_closing"
 
 
 class EndedConnection(NamedTuple):
-    """What is known of a connection as it ends.
+    """The state of a connection as it ends.
 
-    ``quiet_seconds`` is the time since its last byte came, ``unread_bytes`` what has
-    come and belongs to no request that was answered, and ``late_seconds`` how much
+    ``seconds_since_receive`` is the time since its last byte came, ``unread_bytes`` the
+    received bytes that belong to no answered request, and ``late_seconds`` how much
     later than due the event loop noticed the idle limit, 0.0 for other reasons.
-    ``untaken_bytes`` are those of a whole answer that were dropped.
+    ``dropped_unsent_bytes`` are those of a complete answer that were dropped.
     """
 
     reason: EndReason
     peer: str
-    quiet_seconds: float
+    seconds_since_receive: float
     unread_bytes: int
     late_seconds: float
-    untaken_bytes: int = 0
+    dropped_unsent_bytes: int = 0
 
 
-class LineLimit:
-    """Limits log lines to ``MAX_LINES_PER_SECOND``."""
+class LogRateLimit:
+    """Limits log lines to ``MAX_LOG_LINES_PER_SECOND``."""
 
     def __init__(self) -> None:
         self.second = 0
@@ -71,10 +71,10 @@
             self.second = int(now)
             self.lines = 0
         self.lines += 1
-        return self.lines <= MAX_LINES_PER_SECOND
+        return self.lines <= MAX_LOG_LINES_PER_SECOND
 
 
-_limit = LineLimit()
+_limit = LogRateLimit()
 
 _ended = counter(
     "clementinebend_http_connections_ended_total",
@@ -98,8 +98,8 @@
     buckets=LATE_BUCKETS,
 )
 
-WITHOUT_LINE = frozenset((EndReason.CALLER_LEFT, EndReason.UNREADABLE_REQUEST))
-"""Reasons for which bytes that are not read mean nothing to the caller."""
+UNLOGGED_REASONS = frozenset((EndReason.CALLER_LEFT, EndReason.UNREADABLE_REQUEST))
+"""Reasons for which unread bytes do not affect the caller, and are not logged."""
 
 
 def on_refused() -> None:
@@ -123,7 +123,7 @@
     _ended.labels(end.reason).inc()
     if end.reason is EndReason.IDLE_LIMIT:
         _late.observe(end.late_seconds)
-    if not end.unread_bytes or end.reason in WITHOUT_LINE:
+    if not end.unread_bytes or end.reason in UNLOGGED_REASONS:
         return
     _unread.labels(end.reason).inc()
     if _limit.allows(now):
@@ -134,8 +134,8 @@
     return {
         "reason": end.reason.value,
         "peer": end.peer,
-        "quiet_s": round(end.quiet_seconds, 4),
+        "quiet_s": round(end.seconds_since_receive, 4),
         "unread": end.unread_bytes,
         "late_s": round(end.late_seconds, 4),
-        "untaken": end.untaken_bytes,
+        "untaken": end.dropped_unsent_bytes,
     }
--- a/libs/transport/src/clementinebend_transport/http_client.py
+++ b/libs/transport/src/clementinebend_transport/http_client.py
@@ -237,7 +237,7 @@
     ) -> ClientConnection | HttpFailure:
         """Return a fresh idle connection or a new one, or why there is none.
 
-        ``allowed`` seconds bound the setting up of a new one.
+        ``allowed`` is the timeout in seconds for opening a new one.
         """
         if self.is_closed:
             return HttpFailure(False, "the client is closed")
@@ -314,8 +314,8 @@
     """Return the whole of an open answer, within ``timeout`` seconds.
 
     Each piece of the body must come within ``piece_timeout`` seconds of the one
-    before; ``None`` sets no such limit. More than ``max_bytes`` of it prove that
-    something is wrong with the other side.
+    before; ``None`` sets no such limit. A larger body than ``max_bytes`` counts
+    as a fault of the other side.
     """
     body = _Body(max_bytes)
     deadline = get_running_loop().time() + timeout
@@ -331,7 +331,7 @@
 
 
 class _Body:
-    """What has come of an answer's body, which has ``max_bytes`` at most."""
+    """The received part of an answer's body, of at most ``max_bytes``."""
 
     def __init__(self, max_bytes: int) -> None:
         self.max_bytes = max_bytes
--- a/libs/transport/src/clementinebend_transport/http_connection.py
+++ b/libs/transport/src/clementinebend_transport/http_connection.py
@@ -53,20 +53,20 @@
 """How long a quiet connection stays open in a planned stop, for a request that
 is on its way."""
 
-STOPPING = error_response(
+STOPPING_RESPONSE = error_response(
     503, "not_run", "this process stops; connect to another one", retry_after=0
 )
-"""The answer to a request that comes after the last one that is taken."""
+"""The answer to a request that arrives after the last one accepted."""
 
-CLOSING = error_response(
+CLOSING_RESPONSE = error_response(
     504, "outcome_unknown", "this process ended before the request did"
 )
 """The answer to a request that is in progress as the process ends."""
 
 CLOSE_SECONDS = 0.2
-"""How long that answer may take to be sent."""
+"""Maximum time in seconds to send ``CLOSING_RESPONSE``."""
 
-LINGERING = frozenset(
+LINGER_REASONS = frozenset(
     (
         EndReason.LAST_ANSWER,
         EndReason.OVERRUN,
@@ -161,32 +161,32 @@
         self.abort(EndReason.MEMORY)
 
     def abort(self, reason: EndReason) -> None:
-        """Close at once for ``reason``, and drop what the caller has not taken."""
-        self.end_as(reason)
+        """Close at once for ``reason``, and drop what the caller has not received."""
+        self.set_end_reason(reason)
         self.channel.abort()
 
     def close_now(self) -> None:
         """Prepare for the end of the process: the task is to be cancelled after this.
 
-        A request that has no part of an answer yet gets ``CLOSING``; else the
+        A request that has no part of an answer yet gets ``CLOSING_RESPONSE``; else the
         connection is closed at once.
         """
         if self.request is None or self.is_head_sent:
             self.abort(EndReason.PROCESS_CLOSING)
         else:
-            self.end_as(EndReason.PROCESS_CLOSING)
+            self.set_end_reason(EndReason.PROCESS_CLOSING)
             self.is_closing = True
 
     def close_quiet(self, reason: EndReason) -> None:
         """Close a connection that ``may_close`` for ``reason``."""
-        self.end_as(reason)
+        self.set_end_reason(reason)
         self.channel.transport.close()
 
-    def end_as(self, reason: EndReason) -> None:
-        """Note why the connection ends, unless it is known or the caller has left."""
+    def set_end_reason(self, reason: EndReason) -> None:
+        """Set why the connection ends, if unset: the caller has left, or ``reason``."""
         if self.end_reason is None:
-            is_left = self.channel.ended
-            self.end_reason = EndReason.CALLER_LEFT if is_left else reason
+            has_caller_left = self.channel.ended
+            self.end_reason = EndReason.CALLER_LEFT if has_caller_left else reason
 
     def may_close(self) -> bool:
         """Return whether it is open and idle, and no request has arrived."""
@@ -224,11 +224,11 @@
             _slow.inc()
             self.abort(EndReason.SLOW_READER)
         finally:
-            self.end_as(EndReason.FAULT)
+            self.set_end_reason(EndReason.FAULT)
             await self._close()
 
     def _must_linger(self) -> bool:
-        return self.is_last or self.end_reason in LINGERING
+        return self.is_last or self.end_reason in LINGER_REASONS
 
     async def _close(self) -> None:
         unread = self._unread_bytes()
@@ -237,15 +237,15 @@
             if not is_sent and self.end_reason is not EndReason.CALLER_LEFT:
                 self.end_reason = EndReason.SLOW_READER
         finally:
-            self._tell_end(unread)
+            self._report_end(unread)
 
     def _unread_bytes(self) -> int:
-        """Return how many bytes have come that belong to no request."""
+        """Return how many received bytes belong to no request."""
         return len(self.parser.trailing_data[0]) + self.channel.unread_bytes()
 
-    def _tell_end(self, unread: int) -> None:
+    def _report_end(self, unread: int) -> None:
         end = self._ended(unread)
-        is_taken = not end.untaken_bytes or end.reason is EndReason.CALLER_LEFT
+        is_taken = not end.dropped_unsent_bytes or end.reason is EndReason.CALLER_LEFT
         if self.last_target and not is_taken:
             on_unanswered(end, self.last_target, None, monotonic())
         on_ended(end, monotonic())
@@ -259,7 +259,7 @@
             monotonic() - self.channel.received_at,
             unread,
             self.reader.late_seconds if is_idle_end else 0.0,
-            self.channel.untaken_bytes,
+            self.channel.dropped_unsent_bytes,
         )
 
     async def _serve_one(self, task: Task[None]) -> bool:
@@ -267,10 +267,12 @@
         request = await self.reader.read(self._idle_limit)
         if isinstance(request, ConnectionEnd):
             is_stopping = self.is_last or self.is_draining
-            self.end_as(EndReason.PLANNED_STOP if is_stopping else EndReason.IDLE_LIMIT)
+            self.set_end_reason(
+                EndReason.PLANNED_STOP if is_stopping else EndReason.IDLE_LIMIT
+            )
             return False
         if isinstance(request, Refusal):
-            self.end_as(EndReason.UNREADABLE_REQUEST)
+            self.set_end_reason(EndReason.UNREADABLE_REQUEST)
             await self._refuse(request)
             return False
         if self.channel.ended:
@@ -280,9 +282,9 @@
 
     def _may_go_on(self) -> bool:
         if self.channel.overrun:
-            self.end_as(EndReason.OVERRUN)
+            self.set_end_reason(EndReason.OVERRUN)
         elif not is_cycle_done(self.parser):
-            self.end_as(EndReason.LAST_ANSWER)
+            self.set_end_reason(EndReason.LAST_ANSWER)
         elif not self.channel.ended:
             return True
         return False
@@ -307,7 +309,7 @@
             )
             return is_whole
         except SlowReaderError:
-            self.end_as(EndReason.SLOW_READER)
+            self.set_end_reason(EndReason.SLOW_READER)
             raise
         finally:
             self.request = None
@@ -316,11 +318,11 @@
             if is_whole:
                 self.last_target = request.target
             else:
-                self._leave_unanswered(request)
+                self._record_unanswered(request)
 
-    def _leave_unanswered(self, request: Request) -> None:
+    def _record_unanswered(self, request: Request) -> None:
         """Count a request without a whole answer, by whether its caller has left."""
-        self.end_as(EndReason.FAULT)
+        self.set_end_reason(EndReason.FAULT)
         if self.end_reason is EndReason.CALLER_LEFT:
             _abandoned.inc()
             return
@@ -330,13 +332,13 @@
 
     async def _ask_handler(self, request: Request, task: Task[None]) -> Response:
         if self.is_last:
-            return STOPPING
+            return STOPPING_RESPONSE
         try:
             return await self.handler(request)
         except CancelledError:
             if self.is_closing and not self.channel.ended:
                 task.uncancel()
-                return CLOSING
+                return CLOSING_RESPONSE
             if task.cancelling():
                 raise
             logger.exception("handler cancelled itself")
@@ -413,14 +415,14 @@
     def _cut(self) -> None:
         """End the connection so that no caller takes the answer for whole."""
         _cut.inc()
-        self.end_as(EndReason.SOURCE_CUT)
+        self.set_end_reason(EndReason.SOURCE_CUT)
         if self.parser.their_http_version == b"1.0":
             self.channel.reset()
 
     def _send_head(self, response: Response, framing: Framing) -> bool:
         """Send the head; return whether the body may follow.
 
-        In place of a head that cannot be sent, a failure without a body is sent.
+        If the head is invalid, sends a 500 response without a body instead.
         """
         is_valid = True
         try:
@@ -437,7 +439,7 @@
     def _head(self, response: Response, framing: Framing) -> HttpResponse:
         """Return the head.
 
-        Raises ``LocalProtocolError`` or ``UnicodeEncodeError`` if it is no HTTP.
+        Raises ``LocalProtocolError`` or ``UnicodeEncodeError`` if it is invalid.
         """
         is_last = self._is_last_answer(response)
         own = (
@@ -461,7 +463,7 @@
 async def linger(channel: Channel) -> None:
     """End our side and drop what still comes, for a short time.
 
-    It begins anew while the other side takes what was sent before.
+    The time is extended while the other side acknowledges earlier bytes.
     """
     if channel.ended or channel.transport.is_closing():
         return
@@ -483,7 +485,7 @@
 
 
 async def _start_iterator(body: AsyncIterator[bytes]) -> None:
-    """Take the first piece: what is not started does not clean up as it is closed."""
+    """Read the first piece: closing an unstarted generator runs no cleanup."""
     with suppress(Exception):
         await anext(body, None)
 
--- a/libs/transport/src/clementinebend_transport/http_events.py
+++ b/libs/transport/src/clementinebend_transport/http_events.py
@@ -27,7 +27,7 @@
     connection failed, which is no proper end of a body without length, and
     ``TimeoutError`` if more bytes are needed than have come by ``until``, in the time
     of the event loop. ``on_read`` is called with the number of bytes that have come,
-    before they are parsed; what it raises ends the reading.
+    before they are parsed; its exceptions are propagated.
     """
     while (event := parser.next_event()) is NEED_DATA:
         channel.parsing_bytes = 0
--- a/libs/transport/src/clementinebend_transport/http_reader.py
+++ b/libs/transport/src/clementinebend_transport/http_reader.py
@@ -48,7 +48,7 @@
     ) -> Request | Refusal | ConnectionEnd:
         """Return the next request, if it begins within ``idle_limit`` seconds.
 
-        The limit may change while nothing comes.
+        The limit may change during the wait.
         """
         if not await self._wait_for_first_byte(idle_limit):
             return ConnectionEnd()
--- a/libs/transport/src/clementinebend_transport/http_server.py
+++ b/libs/transport/src/clementinebend_transport/http_server.py
@@ -142,7 +142,7 @@
         """Stop accepting, and let requests in progress end whole.
 
         Waits at most ``timeout`` seconds; returns whether all ended, but for
-        connections that are still open for what comes after the last answer.
+        connections that linger after their last answer.
         """
         loop = get_running_loop()
         deadline = loop.time() + timeout
@@ -157,8 +157,8 @@
     async def close(self) -> None:
         """Stop at once: requests in progress are cancelled.
 
-        Those that have no part of an answer yet are answered that their outcome is
-        unknown; other answers are cut off.
+        Those without a partial answer get a response that their outcome is unknown;
+        other answers are cut off.
         """
         await self._stop_listening()
         tasks = (*self.connections, *self.refusals)
@@ -189,10 +189,10 @@
         listener.close()
 
     def _end_connections(self) -> None:
-        """Close quiet connections, and those that are answered after their answer.
+        """Close idle connections, and busy ones after their current answer.
 
         The head of that answer may have gone out before the stop began: its caller
-        takes the connection for one that stays. A request that comes then is rejected.
+        expects it to stay open. A request that arrives after that is rejected.
         """
         for connection in self.connections.values():
             if connection.request is not None:
--- a/libs/transport/src/clementinebend_transport/idle_limit.py
+++ b/libs/transport/src/clementinebend_transport/idle_limit.py
@@ -1,10 +1,10 @@
-"""How long connections may be idle, as a configuration changes it."""
+"""The idle limit of connections, which a configuration may change."""
 
 from typing import NamedTuple
 
 
 class EarlierLimit(NamedTuple):
-    """A longer limit that callers may still go by; ``until`` is when they don't."""
+    """A longer limit that callers may still rely on, until ``until``."""
 
     seconds: float
     until: float
@@ -15,7 +15,7 @@
 
     A caller may send on a connection for as long as the limit that it knows allows. A
     longer limit holds at once. After a change to a shorter one the earlier limit holds
-    for as long as it is, so that callers learn of the change before connections end
+    for its own length, so that callers learn of the change before connections end
     earlier than they expect. No caller knows the limit before the first change: after
     that one a shorter limit holds at once.
     """
--- a/libs/transport/src/clementinebend_transport/late_waits.py
+++ b/libs/transport/src/clementinebend_transport/late_waits.py
@@ -1,8 +1,8 @@
-"""Waits with a timeout that return what has come when the timeout expires.
+"""Waits with a timeout that return a result that is ready when the timeout expires.
 
 After a late iteration of the event loop, a timeout and what it waits for are due in the
-same iteration. ``asyncio.timeout`` raises ``TimeoutError`` then, though nothing is
-missing.
+same iteration. ``asyncio.timeout`` raises ``TimeoutError`` then, although the result is
+ready.
 """
 
 from asyncio import Event, Future, Task, create_task, get_running_loop, sleep, wait
@@ -16,10 +16,10 @@
 T = TypeVar("T")
 
 SETTLE_ITERATIONS = 4
-"""Iterations of the event loop in which a task ends that has got what it waits for."""
+"""Event loop iterations that a task needs to end once its result is available."""
 
 SETUP_ITERATIONS = 8
-"""Iterations of the event loop in which a connection that stands has been set up."""
+"""Event loop iterations that an established connection needs to be set up."""
 
 late_waits = counter(
     "clementinebend_late_waits_total",
@@ -65,9 +65,9 @@
 ) -> T:
     """Return the connection that ``setup`` opens, within some seconds.
 
-    Raises ``TimeoutError``, or what ``setup`` raises. A connection that stands as the
-    time expires is returned. One that is complete after it was given up, or with the
-    caller cancelled, goes to ``discard``.
+    Raises ``TimeoutError``, or what ``setup`` raises. A connection that is established
+    as the time expires is returned. One that completes after the timeout, or after the
+    caller was cancelled, is passed to ``discard``.
     """
     task = create_task(setup)
     try:
--- a/libs/transport/src/clementinebend_transport/lifecycle.py
+++ b/libs/transport/src/clementinebend_transport/lifecycle.py
@@ -24,9 +24,9 @@
     """Run ``main`` to its end and return its exit code.
 
     A signal asks for a planned stop by setting the event; further signals
-    change nothing, so that no request in progress is cut off. What has been
-    imported by then stays until the end, and garbage collections skip it: else
-    each of all objects would hold up the event loop.
+    change nothing, so that no request in progress is cut off. Objects that
+    exist before the start are excluded from garbage collection: otherwise each
+    full collection would delay the event loop.
     """
     freeze()
     return run(_run_with_signals(main))
--- a/libs/transport/src/clementinebend_transport/message_stream.py
+++ b/libs/transport/src/clementinebend_transport/message_stream.py
@@ -30,7 +30,7 @@
 
 from clementinebend_records.codec import DecodeFailure, decode_message, encode_message
 from clementinebend_records.messages import MESSAGE_TYPES, Message
-from clementinebend_transport.channel import ARRIVAL_PASSES, Channel
+from clementinebend_transport.channel import RECEIVE_ITERATIONS, Channel
 from clementinebend_transport.late_waits import late_waits, set_up_within
 from clementinebend_transport.metrics import counter
 
@@ -123,9 +123,9 @@
         return message
 
     async def has_next(self) -> bool:
-        """Return whether a message or the end is here, also if still in the socket."""
+        """Return whether a message or the end has arrived, also if in the socket."""
         if not self.inbox and not self.ended and self.has_arrivals():
-            for _ in range(ARRIVAL_PASSES):
+            for _ in range(RECEIVE_ITERATIONS):
                 await sleep(0)
         return bool(self.inbox) or self.ended
 
--- a/tests/unit/admission/test_retry_window.py
+++ b/tests/unit/admission/test_retry_window.py
@@ -16,7 +16,7 @@
         True,
         False,
     ]
-    window.give_back(3.0)
+    window.refund_retry(3.0)
     assert list(window.retries) == [0.0, 1.0, 2.0]
     assert window.may_retry(LIMITS, 1, 5.0)
 
@@ -25,5 +25,5 @@
     """Guards against a larger budget by retries that others have sent."""
     window = RetryWindow()
     window.may_retry(LIMITS, 1, 1.0)
-    window.give_back(2.0)
+    window.refund_retry(2.0)
     assert list(window.retries) == [1.0]
--- a/tests/unit/relay/test_openings.py
+++ b/tests/unit/relay/test_openings.py
@@ -57,7 +57,7 @@
 def test_a_failure_is_kept_as_an_attempt_beside_it_is_turned_away() -> None:
     """Guards against an endpoint's own failure that is replaced by a rejection."""
     progress = stream_progress()
-    second = progress.beside()
+    second = progress.for_second_attempt()
     progress.failure = Response(500, (), b"failed")
     progress.add_attempts(second)
     assert progress.failure is not None
@@ -67,7 +67,7 @@
     """Guards against reports on one endpoint that tell of another one's run."""
     progress = stream_progress()
     progress.sent_at, progress.ahead, progress.attempts = 1.0, 100.0, 1
-    second = progress.beside()
+    second = progress.for_second_attempt()
     second.sent_at, second.ahead, second.attempts = 2.0, 7.0, 2
     progress.add_attempts(second)
     assert (progress.sent_at, progress.ahead, progress.attempts) == (1.0, 100.0, 2)
@@ -79,4 +79,4 @@
     """Guards against a second attempt that counts as the first, beside a late head."""
     progress = stream_progress()
     assert progress.sent == 0
-    assert progress.beside().sent == 1
+    assert progress.for_second_attempt().sent == 1
--- a/tests/unit/transport/test_connection_ends.py
+++ b/tests/unit/transport/test_connection_ends.py
@@ -10,10 +10,10 @@
 
 from clementinebend_transport.connection_ends import (
     LATE_READS,
-    MAX_LINES_PER_SECOND,
+    MAX_LOG_LINES_PER_SECOND,
     UNANSWERED,
     EndReason,
-    LineLimit,
+    LogRateLimit,
 )
 from clementinebend_transport.exceptions import AnswerCutError
 from clementinebend_transport.http_server import (
@@ -259,7 +259,7 @@
 
 
 def test_lines_are_bounded_in_each_second() -> None:
-    limit = LineLimit()
-    allowed = [limit.allows(10.0) for _ in range(MAX_LINES_PER_SECOND + 5)]
-    assert sum(allowed) == MAX_LINES_PER_SECOND
+    limit = LogRateLimit()
+    allowed = [limit.allows(10.0) for _ in range(MAX_LOG_LINES_PER_SECOND + 5)]
+    assert sum(allowed) == MAX_LOG_LINES_PER_SECOND
     assert limit.allows(11.0)
