Use bytes and connections that come as a gateway's timeout expires

Cause: after a late iteration of the event loop, a timeout is due together with what it waits for. A gateway closed tunnels as idle with bytes in them and took a store that listens for out of reach; the end detector took a refused connection for no answer.

Change: the gateway and the end detector set connections up by set_up_within; the gateway reads what is here before it closes an idle tunnel.

--- a/libs/relay/src/clementinebend_relay/gateway.py
+++ b/libs/relay/src/clementinebend_relay/gateway.py
@@ -15,6 +15,7 @@
     gather,
     get_running_loop,
     open_connection,
+    sleep,
     start_server,
     timeout,
     wait,
@@ -30,7 +31,9 @@
 from clementinebend_relay.origin_keeper import OriginKeeper
 from clementinebend_relay.origin_messages import OriginRequestMessage, OriginsMessage
 from clementinebend_relay.queue_keeper import QueueKeeper
+from clementinebend_transport.channel import ARRIVAL_PASSES
 from clementinebend_transport.client_connection import Address
+from clementinebend_transport.late_waits import late_waits, set_up_within
 from clementinebend_transport.lifecycle import EXIT_OK
 
 CHUNK_BYTES = 64 * 1024
@@ -70,8 +73,9 @@
     async def serve(self, reader: StreamReader, writer: StreamWriter) -> None:
         """Copy bytes in both directions until one side closes its connection."""
         try:
-            async with timeout(CONNECT_TIMEOUT):
-                store_reader, store_writer = await open_connection(*self.store)
+            store_reader, store_writer = await set_up_within(
+                open_connection(*self.store), CONNECT_TIMEOUT, _discard
+            )
         except (OSError, TimeoutError) as error:
             logger.warning("store not reached", extra={"problem": str(error)})
             writer.transport.abort()
@@ -89,18 +93,38 @@
             store_writer.transport.abort()
 
 
+def _discard(connection: tuple[StreamReader, StreamWriter]) -> None:
+    """Close a connection that was given up."""
+    connection[1].transport.abort()
+
+
 async def _copy(reader: StreamReader, writer: StreamWriter) -> None:
     """Copy until the end of the stream, a connection error or the idle timeout."""
     with suppress(OSError, TimeoutError):
         while True:
-            async with timeout(IDLE_TIMEOUT):
-                chunk = await reader.read(CHUNK_BYTES)
+            chunk = await _read(reader)
             if not chunk:
                 return
             writer.write(chunk)
             await writer.drain()
 
 
+async def _read(reader: StreamReader) -> bytes:
+    """Return the next bytes, none at the end; raise ``TimeoutError`` if idle.
+
+    After a late iteration of the event loop, the timeout and bytes are due at once.
+    """
+    with suppress(TimeoutError):
+        async with timeout(IDLE_TIMEOUT):
+            return await reader.read(CHUNK_BYTES)
+    for _ in range(ARRIVAL_PASSES):
+        await sleep(0)
+    async with timeout(0):
+        chunk = await reader.read(CHUNK_BYTES)
+    late_waits.inc()
+    return chunk
+
+
 async def _open_entry_socket(boot: str, address: Address) -> DatagramSocket:
     """Return a socket that receives entries' messages about queues and origins."""
 
--- a/libs/relay/src/clementinebend_relay/quarantine/end_detector.py
+++ b/libs/relay/src/clementinebend_relay/quarantine/end_detector.py
@@ -5,7 +5,7 @@
 announcement of another boot.
 """
 
-from asyncio import Task, create_task, open_connection, sleep, timeout
+from asyncio import Task, create_task, open_connection, sleep
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from contextlib import AbstractContextManager, ExitStack
@@ -18,6 +18,7 @@
 from clementinebend_relay.models import Endpoint, boot_name
 from clementinebend_relay.prompt_parts import logged_names
 from clementinebend_routing.fatal_runs import FatalRun
+from clementinebend_transport.late_waits import set_up_within
 
 CONNECT_DELAYS = (0.02, 0.4)
 """Seconds before the first connection to the address, and between the first and the
@@ -111,8 +112,11 @@
 async def is_refused(endpoint: Endpoint) -> bool:
     """Return whether an endpoint's address refuses connections."""
     try:
-        async with timeout(CONNECT_TIMEOUT):
-            _, writer = await open_connection(*endpoint.address)
+        _, writer = await set_up_within(
+            open_connection(*endpoint.address),
+            CONNECT_TIMEOUT,
+            lambda connection: connection[1].close(),
+        )
     except ConnectionRefusedError:
         return True
     except (OSError, TimeoutError) as error:
