--- a/libs/relay/src/clementinebend_relay/quarantine/end_detector.py
+++ b/libs/relay/src/clementinebend_relay/quarantine/end_detector.py
@@ -18,7 +18,7 @@
 from clementinebend_relay.models import Endpoint, boot_name
 from clementinebend_relay.prompt_parts import logged_names
 from clementinebend_routing.fatal_runs import FatalRun
-from clementinebend_transport.late_waits import wait_until_done
+from clementinebend_transport.late_waits import set_up_within
 
 CONNECT_DELAYS = (0.02, 0.4)
 """Seconds before the first connection to the address, and between the first and the
@@ -111,16 +111,12 @@
 
 async def is_refused(endpoint: Endpoint) -> bool:
     """Return whether an endpoint's address refuses connections."""
-    connecting = create_task(open_connection(*endpoint.address))
     try:
-        is_done = await wait_until_done(connecting, CONNECT_TIMEOUT)
-    finally:
-        connecting.cancel()
-    if not is_done:
-        log_decision("endpoint end not proved", problem="no answer")
-        return False
-    try:
-        _, writer = connecting.result()
+        _, writer = await set_up_within(
+            open_connection(*endpoint.address),
+            CONNECT_TIMEOUT,
+            lambda connection: connection[1].close(),
+        )
     except ConnectionRefusedError:
         return True
     except OSError as error:
