Reset the connections of stand-in engines that crash

Cause: a stand-in engine crashed by HttpServer.close, which has answered 504 to requests in progress since; the entries rightly took that for an answer. The stand-in now aborts its connections first, as its docstring says. No check or bound changed.

--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -7,6 +7,7 @@
 
 from msgspec.json import encode
 
+from clementinebend_transport.connection_ends import EndReason
 from clementinebend_transport.exceptions import AnswerCutError
 from clementinebend_transport.http_server import HttpServer, serve_http
 from clementinebend_transport.http_types import Request, Response
@@ -86,6 +87,8 @@
     async def stop(self) -> None:
         """Stop at once, as in a crash."""
         if self.server is not None:
+            for connection in self.server.connections.values():
+                connection.abort(EndReason.PROCESS_CLOSING)
             await self.server.close()
 
     async def crash(self) -> None:
