Stop stand-in engines of other servers as before

Only connections of the usual server are aborted. test_bare_answers, test_platform_entry, test_crashing_part and test_endpoint_notices: passed, without errors.

--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -86,10 +86,12 @@
 
     async def stop(self) -> None:
         """Stop at once, as in a crash."""
-        if self.server is not None:
+        if self.server is None:
+            return
+        if isinstance(self.server, HttpServer):
             for connection in self.server.connections.values():
                 connection.abort(EndReason.PROCESS_CLOSING)
-            await self.server.close()
+        await self.server.close()
 
     async def crash(self) -> None:
         """End by itself, and say so."""
