Relay no gap after an attempt that has too many events

What callers would have seen: a stream with an event missing. Cause: the event that showed an attempt to be too long was counted as relayed before the attempt was broken off, so that the stream was resumed after it. Found by reading the change again.

Change: the length is checked before an event is recorded, and counted for each attempt, so that a sound endpoint may go on.

--- a/libs/relay/src/clementinebend_relay/event_reader.py
+++ b/libs/relay/src/clementinebend_relay/event_reader.py
@@ -25,6 +25,8 @@
         self.splitter = EventSplitter()
         self.ready: list[StreamEvent] = []
         self.is_ended = False
+        self.content_events = 0
+        """Relayed events that have data or a number."""
 
     async def read(self, until: float) -> list[StreamEvent] | None:
         """Return the events that the next chunk completes, or None at the end.
--- a/libs/relay/src/clementinebend_relay/progress.py
+++ b/libs/relay/src/clementinebend_relay/progress.py
@@ -70,9 +70,6 @@
     sent to and the versions of their software. ``is_origin_uncertain`` is set once that
     of the endpoint that sent events turned out to be outdated.
 
-    ``events`` is the number of events relayed, ``content_events`` that of those with
-    data or a number.
-
     ``answer`` is the response whose stream is being read, ``unrelayed_bytes`` the size
     of what has been read of it and not been sent on.
 
@@ -99,7 +96,6 @@
         self.has_second = False
         self.may_have_run = False
         self.events = 0
-        self.content_events = 0
         self.ahead = 0.0
         self.unread = 0
         self.reports = 0
--- a/libs/relay/src/clementinebend_relay/streams.py
+++ b/libs/relay/src/clementinebend_relay/streams.py
@@ -36,7 +36,7 @@
 from clementinebend_transport.http_types import Response
 
 MAX_EXTRA_EVENTS = 16
-"""Events that a stream may have beyond the tokens that the call asked for."""
+"""Events that an attempt may have beyond the tokens that the call asked for."""
 
 
 class RelayedEvents(AsyncIterator[bytes]):
@@ -199,6 +199,7 @@
                 split_bytes = sum(len(event.data) for event in events)
                 progress.unrelayed_bytes = split_bytes + len(splitter.rest)
                 for event in events:
+                    self._check_length(event, reader, progress)
                     self._record_event(event, running, progress)
                     yield event
                     progress.unrelayed_bytes -= len(event.data)
@@ -240,10 +241,19 @@
             self.attempts.outcomes.on_writing(progress)
         progress.events += 1
         progress.last_event = event.event_id or progress.last_event
-        progress.content_events += not is_empty(event)
-        if _is_too_long(progress):
+
+    def _check_length(
+        self, event: StreamEvent, reader: EventReader, progress: CallProgress
+    ) -> None:
+        """Break an attempt off that has more events than the call allows tokens.
+
+        Each event has at least one token; the limit of a call is optional.
+        """
+        reader.content_events += not is_empty(event)
+        allowed = progress.admitted.call.max_output_tokens
+        if 0 < allowed < reader.content_events - MAX_EXTRA_EVENTS:
             problem = "the stream has more events than the call asked for"
-            raise self._break_stream(running, progress, problem)
+            raise self._break_stream(reader.running, progress, problem)
 
     def _check_boot(self, running: OpenAttempt, progress: CallProgress) -> None:
         """Break a stream off if its endpoint's name belongs to another version now.
@@ -331,12 +341,3 @@
         self.attempts.outcomes.on_broken(progress, running.state, problem)
         self.dispatcher.endpoints.on_end(running.state, ok=False)
         return StreamBroken(problem)
-
-
-def _is_too_long(progress: CallProgress) -> bool:
-    """Return whether a stream exceeds the output that its call allows.
-
-    Each event has at least one token; the limit of a call is optional.
-    """
-    allowed = progress.admitted.call.max_output_tokens
-    return 0 < allowed < progress.content_events - MAX_EXTRA_EVENTS
--- a/tests/unit/relay/test_handover_ends.py
+++ b/tests/unit/relay/test_handover_ends.py
@@ -12,6 +12,7 @@
 from clementinebend_relay.admission import Admitted
 from clementinebend_relay.events import MAX_EMPTY_EVENTS
 from clementinebend_relay.handovers import HANDOVER_PAUSE_SECONDS
+from clementinebend_relay.streams import MAX_EXTRA_EVENTS
 from clementinebend_relay.survey import Survey
 from clementinebend_transport.client_connection import Address
 from clementinebend_transport.exceptions import AnswerCutError
@@ -31,6 +32,9 @@
 
 FAULT = "a fault of the relay"
 
+TOKENS = 24
+"""Output tokens that the calls of ``SilentWorld`` ask for."""
+
 
 def read_stream(
     world_of: Callable[[], SilentWorld],
@@ -336,3 +340,12 @@
     assert reports == []
     assert FAULT in caplog.text
     assert handovers("failed") == before + 1
+
+
+def test_no_event_is_missing_after_an_attempt_that_is_too_long() -> None:
+    """Guards against resuming after an event that was refused, and not relayed."""
+    limit = TOKENS + MAX_EXTRA_EVENTS
+    script = Script(events(1, limit + 5), events(limit + 1, limit + 4))
+    seen = read_script(script)
+    assert not seen.problem
+    assert seen.numbers == [*range(1, limit + 5)]
