Give an event up that takes more than 256 reads

What callers saw: calls that may run once were held to their time limit (504 after 4.03 s) by an endpoint that sends one event without end in chunks of 8 bytes, on a busy machine. Cause: such chunks do not count as small, so that 32,768 of them were parsed until the event had 256 KiB.

The unit test of reads fails without the bound.

--- a/libs/relay/src/clementinebend_relay/events.py
+++ b/libs/relay/src/clementinebend_relay/events.py
@@ -18,6 +18,9 @@
 Typical events have a few hundred bytes.
 """
 
+MAX_EVENT_READS = 256
+"""Maximum number of reads that complete an event."""
+
 MAX_EMPTY_EVENTS = 256
 """Maximum number of events in a row with neither data nor a number, such as comments
 and blank lines."""
@@ -46,13 +49,16 @@
     def __init__(self) -> None:
         self.rest = bytearray()
         self.empty = 0
+        self.reads = 0
+        """Reads since an event was last completed."""
 
     def is_too_large(self) -> bool:
         """Return whether the buffered, incomplete event is too large.
 
-        Too many consecutive empty events count as too large, too.
+        So is one that takes too many reads. Too many consecutive empty events count as
+        too large, too.
         """
-        is_endless = self.empty > MAX_EMPTY_EVENTS
+        is_endless = self.empty > MAX_EMPTY_EVENTS or self.reads > MAX_EVENT_READS
         return is_endless or len(self.rest) > MAX_EVENT_BYTES
 
     def feed(self, chunk: bytes) -> list[StreamEvent]:
@@ -62,6 +68,7 @@
         """
         position = max(0, len(self.rest) - EVENT_END_BYTES + 1)
         self.rest += chunk
+        self.reads += 1
         events = []
         start = 0
         while self.empty <= MAX_EMPTY_EVENTS:
@@ -74,6 +81,8 @@
             start = position
             self.empty = self.empty + 1 if is_empty(event) else 0
         del self.rest[:start]
+        if events:
+            self.reads = 0
         return events
 
 
--- a/tests/unit/relay/test_bounds.py
+++ b/tests/unit/relay/test_bounds.py
@@ -10,6 +10,7 @@
 from clementinebend_relay.events import (
     MAX_EMPTY_EVENTS,
     MAX_EVENT_BYTES,
+    MAX_EVENT_READS,
     EventSplitter,
     is_next_event,
 )
@@ -140,6 +141,23 @@
     assert process_time() - began < SPLIT_SECONDS
 
 
+def test_an_event_without_end_is_too_large_after_some_reads() -> None:
+    """Guards against small chunks that take much processor time for few bytes."""
+    splitter = EventSplitter()
+    for _ in range(MAX_EVENT_READS):
+        splitter.feed(b"x")
+    assert not splitter.is_too_large()
+    splitter.feed(b"x")
+    assert splitter.is_too_large()
+
+
+def test_events_that_each_take_several_reads_are_passed_on() -> None:
+    splitter = EventSplitter()
+    pieces = (b"id: 1\n", b"data: x", b"\n\n") * MAX_EVENT_READS
+    assert sum(len(splitter.feed(piece)) for piece in pieces) == MAX_EVENT_READS
+    assert not splitter.is_too_large()
+
+
 @pytest.mark.parametrize("size", range(1, 12))
 def test_events_are_split_alike_however_their_bytes_arrive(size: int) -> None:
     data = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\n\r\nid: 4\r\n\nid"
