Tell no call as not run whose second attempt may have run

What callers were told: 503 "not run", if the first attempt of a stream was turned away after a second one had run and failed. Cause: the progress of the call kept only whether its own last attempt may have run. Found by reading the change again.

Test: the new test of progress fails before ("not_run"), passes after; its counterpart, where all attempts were turned away, passes before and after. Tests of openings, hand-overs, progress, attempts and versions pass.

--- a/libs/relay/src/clementinebend_relay/progress.py
+++ b/libs/relay/src/clementinebend_relay/progress.py
@@ -64,7 +64,8 @@
 
     ``waits_for_head`` is set if an attempt without the head of a response stays open to
     the time limit; ``head_due_at`` is when a concurrent one may be made, infinity if
-    none waits. ``has_second`` is set while there is one.
+    none waits. ``has_second`` is set while there is one,
+    ``second_may_have_run`` once an earlier one may have run.
 
     ``tried`` and ``software_versions`` are the names of the endpoints that the call was
     sent to and the versions of their software. ``is_origin_uncertain`` is set once that
@@ -95,6 +96,7 @@
         self.head_due_at = inf
         self.has_second = False
         self.may_have_run = False
+        self.second_may_have_run = False
         self.events = 0
         self.ahead = 0.0
         self.unread = 0
@@ -130,6 +132,7 @@
         other.unrelayed_bytes = 0
         other.attempt_event_at = None
         other.sent = max(1, self.sent)
+        other.may_have_run = False
         other.waits_for_head = False
         other.head_due_at = inf
         other.has_second = False
@@ -140,6 +143,7 @@
         self.attempts = max(self.attempts, other.attempts)
         self.missing_endpoints = max(self.missing_endpoints, other.missing_endpoints)
         self.sent = max(self.sent, other.sent)
+        self.second_may_have_run |= other.may_have_run
         self.obstacle = other.obstacle
         self.problem = other.problem
         self.pause = other.pause
@@ -182,7 +186,7 @@
     def rejection(self, now: float) -> Rejection:
         """Return the rejection of a call that got no response from an endpoint."""
         is_late = now >= self.deadline
-        if self.may_have_run:
+        if self.may_have_run or self.second_may_have_run:
             reason = Reason.TIMEOUT_MAY_HAVE_RUN if is_late else Reason.MAY_HAVE_RUN
             return Rejection(reason, self.problem)
         if self.refusal is not None:
--- a/tests/unit/relay/test_openings.py
+++ b/tests/unit/relay/test_openings.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from clementinebend_relay.attempts import OpenAttempt
-from clementinebend_relay.models import RouteKind
+from clementinebend_relay.models import Reason, RouteKind
 from clementinebend_relay.openings import Opening
 from clementinebend_relay.progress import CallProgress
 from clementinebend_transport.http_types import Response
@@ -40,7 +40,7 @@
 
 
 async def test_a_head_that_comes_as_the_caller_leaves_is_closed() -> None:
-    """Guards against a run that stays in flight for nobody (GONE)."""
+    """Guards against a run that stays in flight for nobody."""
     attempts, closed = FakeAttempts(), list[str]()
     sender: Any = attempts
     opening = Opening(sender, stream_progress())
@@ -80,3 +80,23 @@
     progress = stream_progress()
     assert progress.sent == 0
     assert progress.for_second_attempt().sent == 1
+
+
+def test_a_call_is_not_told_as_not_run_if_a_second_attempt_may_have_run() -> None:
+    """Guards against a promise for the first attempt only, which was turned away."""
+    progress = stream_progress()
+    progress.may_have_run = True
+    second = progress.for_second_attempt()
+    second.may_have_run = True
+    progress.add_attempts(second)
+    progress.may_have_run = False
+    assert progress.rejection(progress.deadline - 1.0).reason is Reason.MAY_HAVE_RUN
+
+
+def test_a_call_whose_attempts_were_all_turned_away_is_told_as_not_run() -> None:
+    progress = stream_progress()
+    progress.may_have_run = True
+    progress.attempts = 2
+    progress.add_attempts(progress.for_second_attempt())
+    progress.may_have_run = False
+    assert progress.rejection(progress.deadline - 1.0).reason is Reason.NOT_RUN
