Count a refusal without end as a failure of its endpoint

Cause: the result of reading a refusal's body was dropped, so that an endpoint that refuses and then sends bytes without end got further calls.

Test: a refusal without end fails its endpoint (not recorded before); one of three bytes does not.

--- a/libs/relay/src/clementinebend_relay/attempts.py
+++ b/libs/relay/src/clementinebend_relay/attempts.py
@@ -285,7 +285,7 @@
                 self.dispatcher.endpoints.drop(outcome.state, progress.problem)
             case Verdict.NOT_RUN:
                 progress.problem = "the endpoint had no room"
-                await read_body(outcome.answer, progress.deadline, MAX_FAILURE_BYTES)
+                await self._finish_refusal(outcome, progress)
             case Verdict.FOREIGN:
                 progress.problem = "the answer belongs to another request"
                 outcome.answer.close()
@@ -303,6 +303,18 @@
         )
         return None
 
+    async def _finish_refusal(
+        self, outcome: ResponseStarted, progress: CallProgress
+    ) -> None:
+        """Read a refusal to its end, so that its connection can be reused.
+
+        An endpoint whose refusal has no proper end has failed.
+        """
+        body = await read_body(outcome.answer, progress.deadline, MAX_FAILURE_BYTES)
+        if body.is_error():
+            is_proof = body.error.is_proof
+            self.dispatcher.endpoints.on_failure(outcome.state, is_proof)
+
     async def _read_failure(
         self, answer: OpenAnswer, progress: CallProgress
     ) -> Response | None:
--- a/tests/unit/relay/test_attempts.py
+++ b/tests/unit/relay/test_attempts.py
@@ -1,11 +1,14 @@
 """Which endpoints count as attempts of a call, and when the attempts end."""
 
 from asyncio import get_running_loop
-from collections.abc import Collection, Iterator
+from collections.abc import AsyncIterator, Collection, Iterator
 from contextlib import contextmanager
+from itertools import repeat
 from types import SimpleNamespace
 from typing import Any
 
+import pytest
+
 from clementinebend_relay.admission import Admitted
 from clementinebend_relay.attempts import MAX_MISSING_ENDPOINTS, Attempts
 from clementinebend_relay.dispatch import NotSent, ResponseStarted
@@ -17,6 +20,7 @@
 from clementinebend_relay.quarantine.waits import REPORT_WAIT
 from clementinebend_relay.survey import Placement, Survey
 from clementinebend_routing.fatal_runs import FatalRun
+from clementinebend_transport.http_client import OpenAnswer
 from tests.unit.relay import calls
 from tests.unit.relay.calls import CALL
 
@@ -58,6 +62,28 @@
         return ResponseStarted(state, answer, outcome)  # type: ignore[arg-type]
 
 
+class RefusingDispatcher(FakeDispatcher):
+    """Returns refusals with a body; ``failures`` tells which endpoints have failed."""
+
+    def __init__(self, pieces: int | None) -> None:
+        super().__init__([])
+        self.pieces = pieces
+        self.failures: list[tuple[str, bool]] = []
+        self.endpoints.on_failure = self.on_failure
+
+    def on_failure(self, state: Any, is_proof: bool) -> None:
+        self.failures.append((state.endpoint.name, is_proof))
+
+    async def body(self) -> AsyncIterator[bytes]:
+        endless = repeat(b"x" * 1024)
+        for piece in endless if self.pieces is None else repeat(b"x", self.pieces):
+            yield piece
+
+    async def open(self, admitted: Admitted, state: Any, *times: Any) -> Any:
+        answer = OpenAnswer(503, {}, self.body(), lambda: None)
+        return ResponseStarted(state, answer, Verdict.NOT_RUN)
+
+
 def progress(max_attempts: int) -> CallProgress:
     return calls.progress(calls.route(RouteKind.ONCE, max_attempts, False))
 
@@ -120,3 +146,19 @@
     before = clock()
     assert await quarantine.wait_for_turn("a", before + 4.0) is None
     assert clock() - before < REPORT_WAIT
+
+
+@pytest.mark.parametrize(("pieces", "failures"), [(None, [("e0", True)]), (3, [])])
+async def test_a_refusal_without_end_is_a_failure_of_its_endpoint(
+    pieces: int | None, failures: list[tuple[str, bool]]
+) -> None:
+    """Guards against calls that go on to an endpoint which only sends bytes."""
+    clock = get_running_loop().time
+    dispatcher = RefusingDispatcher(pieces)
+    news = SimpleNamespace(quarantine=Quarantine(clock))
+    sender = Attempts(dispatcher, news, clock)  # type: ignore[arg-type]
+    call_progress = progress(max_attempts=1)
+    call_progress.deadline = clock() + 4.0
+    assert await sender.next(call_progress) is None
+    assert dispatcher.failures == failures
+    assert not call_progress.may_have_run
