Wait for a silent endpoint where a call cannot be sent elsewhere

What callers saw: 502 after half of their time, from a plain call that may repeat, though its endpoint would have answered. Cause: an attempt was given up for another one that no endpoint or no retry budget allowed.

Change: such a call waits for the head of its response to its time limit. If another endpoint and the budget allow one, half of the time, as before: the second endpoint may still refuse it, which stays open.

Tests: 2 of 3 new cases fail without the change. tests/unit/relay whole: passed, with the listed expected failures.

--- a/libs/admission/src/clementinebend_admission/retry_window.py
+++ b/libs/admission/src/clementinebend_admission/retry_window.py
@@ -32,12 +32,16 @@
         """Count a first attempt."""
         self.requests.append(now)
 
-    def may_retry(self, limits: RetryLimits, entries: int, now: float) -> bool:
-        """Return whether a retry is within the budget, and count it if so."""
+    def has_retry(self, limits: RetryLimits, entries: int, now: float) -> bool:
+        """Return whether a retry is within the budget."""
         _drop_before(self.requests, now - limits.window)
         _drop_before(self.retries, now - limits.window)
         earned = limits.ratio * len(self.requests) + limits.slack / max(1, entries)
-        if len(self.retries) + 1 > earned * SAFETY_FACTOR:
+        return len(self.retries) + 1 <= earned * SAFETY_FACTOR
+
+    def may_retry(self, limits: RetryLimits, entries: int, now: float) -> bool:
+        """Return whether a retry is within the budget, and count it if so."""
+        if not self.has_retry(limits, entries, now):
             return False
         self.retries.append(now)
         return True
--- a/libs/relay/src/clementinebend_relay/attempts.py
+++ b/libs/relay/src/clementinebend_relay/attempts.py
@@ -263,8 +263,17 @@
             return min(
                 progress.deadline, now + STREAM_HEAD_TARGETS * route.latency_target
             )
+        if not self._has_alternative(progress):
+            return progress.deadline
         return now + (progress.deadline - now) * RETRYABLE_ATTEMPT_SHARE
 
+    def _has_alternative(self, progress: CallProgress) -> bool:
+        """Return whether the call could be sent to another endpoint instead."""
+        service = progress.admitted.service.name
+        candidates = self.dispatcher.endpoints.candidates(service)
+        is_other = any(each.endpoint.name not in progress.tried for each in candidates)
+        return is_other and self.dispatcher.has_retry(service)
+
     async def _relayable_attempt(
         self,
         progress: CallProgress,
--- a/libs/relay/src/clementinebend_relay/dispatch.py
+++ b/libs/relay/src/clementinebend_relay/dispatch.py
@@ -130,6 +130,12 @@
         window = self.retry_window(service)
         return window.may_retry(self.retry_limits, entries, self.clock())
 
+    def has_retry(self, service: str) -> bool:
+        """Return whether the fleet's retry budget allows a retry now."""
+        entries = self.peers.entry_count()
+        window = self.retry_window(service)
+        return window.has_retry(self.retry_limits, entries, self.clock())
+
     async def survey(self, admitted: Admitted, tried: Collection[str]) -> Survey:
         """Query the queues of some endpoints and choose one of them."""
         return await self.surveyor.survey(admitted, tried)
--- a/tests/unit/relay/test_attempts.py
+++ b/tests/unit/relay/test_attempts.py
@@ -162,3 +162,39 @@
     assert await sender.next(call_progress) is None
     assert dispatcher.failures == failures
     assert not call_progress.may_have_run
+
+
+class TimingDispatcher(FakeDispatcher):
+    """Records until when the head of a response is waited for."""
+
+    def __init__(self, others: int, has_budget: bool) -> None:
+        super().__init__([Verdict.SUCCESS])
+        names = [f"e{number}" for number in range(1 + others)]
+        states = [
+            SimpleNamespace(endpoint=SimpleNamespace(name=name)) for name in names
+        ]
+        self.endpoints.candidates = lambda service: states
+        self.has_budget = has_budget
+        self.head_deadline = 0.0
+
+    def has_retry(self, service: str) -> bool:
+        return self.has_budget
+
+    async def open(self, admitted: Admitted, state: Any, *times: Any) -> Any:
+        self.head_deadline = times[1]
+        return await super().open(admitted, state, *times)
+
+
+@pytest.mark.parametrize(
+    ("others", "has_budget", "head_deadline"),
+    [(1, True, 5.0), (0, True, 10.0), (1, False, 10.0)],
+    ids=["alternative", "no other endpoint", "no retry budget"],
+)
+async def test_a_call_that_cannot_be_sent_elsewhere_waits_for_its_endpoint(
+    others: int, has_budget: bool, head_deadline: float
+) -> None:
+    """Guards against silent endpoints that are given up for nothing."""
+    dispatcher = TimingDispatcher(others, has_budget)
+    call_progress = calls.progress(calls.route(RouteKind.IDEMPOTENT, 2))
+    assert await attempts(dispatcher).next(call_progress) is not None
+    assert dispatcher.head_deadline == head_deadline
