Let the stand-in of a slow link keep its rate while the test is late

Cause: the link, a stand-in that runs in the test's own process, dated each piece of 4 kB from when the event loop had noticed that the one before had passed. 262 pieces make a configuration, so that a loop that is 4 ms late adds a second to an answer that takes 1.7 s at the link's rate. The entries had nothing to do with it.

Change: a piece begins when the link was free, as far as only this loop was late; idle time still saves up nothing.

Conclusion: the test measured its own process. Its bound is unchanged.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -28,18 +28,25 @@
 
 
 class Link:
-    """One direction of a link that carries ``rate`` bytes a second."""
+    """One direction of a link that carries ``rate`` bytes a second.
+
+    It keeps its rate while this event loop is late: the link goes on with the next
+    bytes from when it was free, not from when the loop has noticed that.
+    """
 
     def __init__(self, rate: float) -> None:
         self.rate = rate
         self.free_at = 0.0
+        self.delay = 0.0
 
     async def carry(self, size: int) -> None:
         """Wait until the link has carried ``size`` more bytes."""
-        now = get_running_loop().time()
-        self.free_at = max(now, self.free_at) + size / self.rate
+        clock = get_running_loop().time
+        now = clock()
+        self.free_at = max(now - self.delay, self.free_at) + size / self.rate
         if self.free_at > now:
             await sleep(self.free_at - now)
+        self.delay = max(0.0, clock() - self.free_at)
 
 
 class FaultProxy:
