Deliver answers that arrive within the time limit and are read after it

Callers got 504 "timeout_may_have_run" for an answer that their endpoint had sent in time, if the entry's event loop was late over the end of the time limit.

Cause: the handler's own timeout, around all waits below it, is due in the same iteration as the bytes, and cancels reads that would have found them. A stream did not look for events at all after its time limit.

Change: the handler waits for the relaying task (result_within) and lets the event loop run 16 more iterations after the time limit; then the task is cancelled and ends before the answer 504. A stream reads on after its time limit while bytes are there, 16 times at most, so that a sender that always has more does not extend it.

--- a/libs/relay/src/clementinebend_relay/event_reader.py
+++ b/libs/relay/src/clementinebend_relay/event_reader.py
@@ -11,6 +11,9 @@
 """Delay in seconds above which a check for silence is ignored: bytes may have arrived
 that the event loop has not read."""
 
+MAX_LATE_READS = 16
+"""Reads after the time limit of a call, for events that had arrived by then."""
+
 
 class EventReader:
     """The response of one attempt.
@@ -27,6 +30,18 @@
         self.is_ended = False
         self.content_events = 0
         """Relayed events that have data or a number."""
+        self.late_reads = 0
+
+    def may_read_until(self, deadline: float) -> bool:
+        """Return whether to read once more, which may only find what has arrived.
+
+        After the deadline, this is so a few times: a sender that always has more does
+        not extend it.
+        """
+        if self.clock() < deadline:
+            return True
+        self.late_reads += 1
+        return self.late_reads <= MAX_LATE_READS
 
     async def read(self, until: float) -> list[StreamEvent] | None:
         """Return the events that the next chunk completes, or None at the end.
--- a/libs/relay/src/clementinebend_relay/handler.py
+++ b/libs/relay/src/clementinebend_relay/handler.py
@@ -1,6 +1,6 @@
 """Handles a call: admission, budget reservation, dispatch, relay and settlement."""
 
-from asyncio import Event, timeout, timeout_at
+from asyncio import Event, timeout
 from collections.abc import Callable
 from contextlib import suppress
 from typing import NamedTuple
@@ -28,6 +28,7 @@
 from clementinebend_relay.resumptions import Resumptions
 from clementinebend_relay.streams import StreamRelay
 from clementinebend_transport.http_types import Request, Response
+from clementinebend_transport.late_waits import result_within
 
 BUDGET_BUSY_RETRY_AFTER = 0.5
 """Retry-after delay in seconds when no budget can be reserved."""
@@ -44,6 +45,10 @@
 An entry loads them about 0.1 s after it starts to accept calls, if the store responds.
 """
 
+ANSWER_ITERATIONS = 16
+"""Event loop iterations after the time limit in which a response that has arrived by
+then is read."""
+
 
 class PreparedCall(NamedTuple):
     """A call that may be sent to endpoints, and the budget reserved for it."""
@@ -186,11 +191,13 @@
     async def _answer(
         self, progress: CallProgress, settle: Callable[[], None]
     ) -> Response | None:
+        if progress.admitted.route.kind is RouteKind.STREAM:
+            answering = self.streams.answer(progress, settle)
+        else:
+            answering = self.plain.answer(progress)
+        seconds = progress.deadline - self.clock()
         try:
-            async with timeout_at(progress.deadline):
-                if progress.admitted.route.kind is RouteKind.STREAM:
-                    return await self.streams.answer(progress, settle)
-                return await self.plain.answer(progress)
+            return await result_within(answering, seconds, ANSWER_ITERATIONS)
         except TimeoutError:
             progress.problem = "the time limit has passed"
             return None
--- a/libs/relay/src/clementinebend_relay/streams.py
+++ b/libs/relay/src/clementinebend_relay/streams.py
@@ -312,13 +312,16 @@
         if isinstance(reader, HedgedReader) and reader.second is not None:
             return await self._hand_over(reader, progress)
         can_resume = progress.admitted.route.is_resumable and progress.attempts_left > 0
-        while self.clock() < progress.deadline:
+        while reader.may_read_until(progress.deadline):
+            is_late = self.clock() >= progress.deadline
             until = progress.deadline
             if can_resume:
                 until = min(until, self.clock() + SILENCE_CHECK_SECONDS)
             try:
                 return await reader.read(until)
             except TimeoutError:
+                if is_late:
+                    break
                 if reader.is_silent(until) and can_hand_over(self.attempts, progress):
                     return await self._hand_over(reader, progress)
             except TruncatedAnswer as error:
--- a/libs/transport/src/clementinebend_transport/late_waits.py
+++ b/libs/transport/src/clementinebend_transport/late_waits.py
@@ -48,6 +48,26 @@
     return future.done()
 
 
+async def result_within(
+    work: Coroutine[Any, Any, T], seconds: float, iterations: int = SETTLE_ITERATIONS
+) -> T:
+    """Return what ``work`` returns within some seconds.
+
+    Raises ``TimeoutError``, or what ``work`` raises. After the timeout, the event loop
+    runs some more iterations. Otherwise ``work`` is cancelled, also with the caller,
+    and has ended when this function raises.
+    """
+    task = create_task(work)
+    try:
+        if not await wait_until_done(task, seconds, iterations):
+            raise TimeoutError("no result in time")
+        return task.result()
+    finally:
+        if not task.done():
+            task.cancel()
+            await wait((task,))
+
+
 async def wait_until_set(event: Event, seconds: float | None) -> bool:
     """Wait up to some seconds for an event; return whether it is set."""
     try:
--- a/tests/functional/test_lost_requests.py
+++ b/tests/functional/test_lost_requests.py
@@ -38,6 +38,11 @@
     route(f"/idle-{number}/", "safe", "desk") for number in range(LARGE_ROUTES)
 )
 
+ANSWERED_SECONDS, STOPPED_SECONDS, CONTINUED_SECONDS = 0.9, 0.7, 1.3
+"""When an endpoint answers, and when the entry is stopped and goes on."""
+
+LIMIT_SECONDS = 1.0
+
 Disturbance = Callable[[Fleet, Random], Awaitable[None]]
 
 
@@ -129,3 +134,22 @@
     assert await ended == 0
     await gather(*calling)
     check(callers)
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/safe/x", "/stream-once/x", "/stream/x"])
+async def test_an_answer_that_comes_within_the_time_limit_is_delivered(
+    fleet: Fleet, path: str
+) -> None:
+    """The entry reads it only as its own time limit has passed."""
+    await fleet.start(engines=1)
+    process = fleet.entries[0].process
+    for engine in fleet.engines:
+        engine.reading_seconds = ANSWERED_SECONDS
+    limit = str(int(LIMIT_SECONDS * MILLISECONDS))
+    calling = create_task(fleet.call(path, request_id="r", x_deadline_ms=limit))
+    await until(lambda: fleet.runs("r") == 1)
+    await sleep(STOPPED_SECONDS)
+    process.send_signal(SIGSTOP)
+    await sleep(CONTINUED_SECONDS - STOPPED_SECONDS)
+    process.send_signal(SIGCONT)
+    assert (await calling).ok.status == 200
--- a/tests/unit/relay/test_event_reader.py
+++ b/tests/unit/relay/test_event_reader.py
@@ -7,7 +7,11 @@
 
 from clementinebend_relay.attempts import OpenAttempt
 from clementinebend_relay.endpoint_state import EndpointState
-from clementinebend_relay.event_reader import LATE_CHECK_SECONDS, EventReader
+from clementinebend_relay.event_reader import (
+    LATE_CHECK_SECONDS,
+    MAX_LATE_READS,
+    EventReader,
+)
 from clementinebend_relay.models import Endpoint
 from clementinebend_routing.silence import SILENT_SECONDS
 from clementinebend_transport.client_connection import Address
@@ -54,3 +58,10 @@
 def test_an_endpoint_that_was_heard_lately_is_not_silent(heard_ago: float) -> None:
     now = HEARD_AT + heard_ago
     assert not reader(now).is_silent(now)
+
+
+def test_a_sender_that_always_has_more_extends_no_deadline() -> None:
+    late = reader(DUE)
+    assert all(late.may_read_until(DUE - 1.0) for _ in range(MAX_LATE_READS))
+    assert not late.may_read_until(DUE - 1.0)
+    assert late.may_read_until(DUE + 1.0)
