Run tests that measure how much is served one at a time

Six more tests of capacity are listed as failing in some runs, all beside others on a crowded machine.

That entries use more processor time than before is ruled out: 3.7 to 4.2 ms a plain call and 8.4 to 9.9 a stream, 3.8 to 4.1 and 9.7 to 10.0 on.

Change: these tests have the mark "capacity" and run one at a time while the unit tests use one processor; all others run four at a time as before. No bound changes.

Whether they may leave the list is for the whole runs to show.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SOURCES := $(wildcard libs/*/src) platform/src tests
 STAMP := $(VENV)/.installed
 
-.PHONY: install test lint format demo bench capacity fuzz soak days clean
+.PHONY: install test test-unit test-capacity test-functional lint format demo bench capacity fuzz soak days clean
 
 $(STAMP): requirements.txt requirements-dev.txt $(wildcard libs/*/pyproject.toml) platform/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -15,11 +15,22 @@
 
 install: $(STAMP)
 
-# One process for what is generated, so that its examples are the same each time;
-# several for what waits for processes.
+# What measures how much is served needs processor time to spare: it runs one test at a
+# time beside the unit tests, which use one processor.
 test: install
+	$(MAKE) --no-print-directory -j 2 --output-sync=target test-unit test-capacity
+	$(MAKE) --no-print-directory test-functional
+
+# One process for what is generated, so that its examples are the same each time.
+test-unit: install
 	$(BIN)/python -m pytest tests/unit
-	$(BIN)/python -m pytest tests/functional -n 4 --dist loadfile
+
+test-capacity: install
+	$(BIN)/python -m pytest tests/functional -m capacity
+
+# Several processes for what waits for processes.
+test-functional: install
+	$(BIN)/python -m pytest tests/functional -m "not capacity" -n 4 --dist loadfile
 
 lint: install
 	$(BIN)/ruff format --no-cache --check $(SOURCES)
--- a/tests/functional/test_prompt_order.py
+++ b/tests/functional/test_prompt_order.py
@@ -17,6 +17,8 @@
 )
 from tests.lib.platform_fleet import Fleet
 
+pytestmark = pytest.mark.capacity
+
 REJECTED_AT_ONCE = 0.1
 
 
--- a/tests/functional/test_saturated_entries.py
+++ b/tests/functional/test_saturated_entries.py
@@ -19,6 +19,8 @@
 from tests.lib.zone_client import CallOutcome, ZoneClient
 from tests.soak.proxy import FaultProxy
 
+pytestmark = mark.capacity
+
 ENTRIES = 4
 ENGINES = 4
 LINK_MBPS = 5.0
--- a/tests/functional/test_shared_capacity.py
+++ b/tests/functional/test_shared_capacity.py
@@ -2,6 +2,8 @@
 
 from asyncio import create_task, sleep
 
+import pytest
+
 from tests.lib.busy_engines import CAPACITY, SECONDS, WARM_SECONDS, load, start
 from tests.lib.offered_load import (
     LATE_SECONDS,
@@ -11,6 +13,8 @@
 )
 from tests.lib.platform_fleet import Fleet
 
+pytestmark = pytest.mark.capacity
+
 ENTRIES = 4
 
 
--- a/tests/functional/test_uneven_endpoints.py
+++ b/tests/functional/test_uneven_endpoints.py
@@ -10,6 +10,8 @@
 from tests.lib.platform_fleet import Fleet
 from tests.lib.waiting import ticks
 
+pytestmark = pytest.mark.capacity
+
 ENTRIES = 4
 ENGINES = 8
 SLOW = 2
