Answer callers of an entry that is told to stop while it loads

Callers got a reset connection and no answer, if the entry they had sent a request to was told to stop in the first 0.4 s of its life.

Cause: the port for callers is bound before the program's modules are imported, and connections wait in its backlog; SIGTERM ended the process at once until asyncio handled it.

Change: SIGTERM and SIGINT are held back until their handlers are there, and lead to the planned stop then, which takes in and answers what waits. A program that hangs while it loads is ended by SIGKILL only.

--- a/libs/transport/src/clementinebend_transport/lifecycle.py
+++ b/libs/transport/src/clementinebend_transport/lifecycle.py
@@ -4,7 +4,8 @@
 from collections.abc import Awaitable, Callable
 from gc import freeze
 from logging import getLogger
-from signal import SIGINT, SIGTERM
+
+from clementinebend_transport.stop_signals import STOP_SIGNALS, release_stop_signals
 
 EXIT_OK = 0
 EXIT_FAILURE = 1
@@ -12,8 +13,6 @@
 EXIT_STOP_INCOMPLETE = 3
 """Requests were still in progress when the time for the stop ran out."""
 
-STOP_SIGNALS = (SIGTERM, SIGINT)
-
 logger = getLogger(__name__)
 
 Main = Callable[[Event], Awaitable[int]]
@@ -37,6 +36,7 @@
     loop = get_running_loop()
     for signal in STOP_SIGNALS:
         loop.add_signal_handler(signal, _on_signal, stop, signal.name)
+    release_stop_signals()
     return await main(stop)
 
 
--- a/tests/functional/test_lost_requests.py
+++ b/tests/functional/test_lost_requests.py
@@ -4,7 +4,7 @@
 callers send shortly before the idle limit while something delays the entry.
 """
 
-from asyncio import create_task, gather, get_running_loop, sleep
+from asyncio import create_task, gather, get_running_loop, open_connection, sleep
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from random import Random
@@ -13,7 +13,7 @@
 import pytest
 
 from tests.lib.kept_callers import KeptCallers, describe
-from tests.lib.platform_fleet import ROUTES, Fleet, route
+from tests.lib.platform_fleet import HOST, KEY, ROUTES, Fleet, route
 from tests.lib.waiting import until
 
 CALLERS = 24
@@ -42,6 +42,10 @@
 """When an endpoint answers, and when the entry is stopped and goes on."""
 
 LIMIT_SECONDS = 1.0
+REQUEST = (
+    f"POST /safe/x HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Bearer {KEY}\r\n"
+    "x-request-id: r\r\nx-deadline-ms: 3000\r\ncontent-length: 0\r\n\r\n"
+).encode()
 
 Disturbance = Callable[[Fleet, Random], Awaitable[None]]
 
@@ -153,3 +157,31 @@
     await sleep(CONTINUED_SECONDS - STOPPED_SECONDS)
     process.send_signal(SIGCONT)
     assert (await calling).ok.status == 200
+
+
+async def test_a_request_to_a_program_that_is_stopped_while_it_loads_is_answered(
+    fleet: Fleet,
+) -> None:
+    """A program listens for callers before it has loaded its modules."""
+    await fleet.start()
+    old = fleet.entries[0]
+    old.process.kill()
+    await old.process.wait()
+    await fleet.restart_entry(0)
+    process = fleet.entries[0].process
+    await until(lambda: is_listening(old.port))
+    reader, writer = await open_connection("127.0.0.1", old.port)
+    writer.write(REQUEST)
+    process.send_signal(SIGTERM)
+    assert (await reader.read()).startswith(b"HTTP/1.1 ")
+    writer.close()
+    assert await process.wait() == 0
+
+
+async def is_listening(port: int) -> bool:
+    try:
+        _, writer = await open_connection("127.0.0.1", port)
+    except OSError:
+        return False
+    writer.close()
+    return True
