Split second attempts from the handover, response heads from the connection

Change: SecondAttempt and HedgedReader are in second_attempts.py, the head and the framing of a response in response_head.py. No behaviour changes.

--- a/libs/relay/src/clementinebend_relay/openings.py
+++ b/libs/relay/src/clementinebend_relay/openings.py
@@ -4,14 +4,14 @@
 
 from clementinebend_relay.attempts import STREAM_HEAD_TARGETS, Attempts, OpenAttempt
 from clementinebend_relay.event_reader import LATE_CHECK_SECONDS, EventReader
-from clementinebend_relay.handovers import (
+from clementinebend_relay.handovers import HANDOVER_PAUSE_SECONDS
+from clementinebend_relay.progress import CallProgress
+from clementinebend_relay.second_attempts import (
     ENDED,
-    HANDOVER_PAUSE_SECONDS,
     HedgedReader,
     SecondAttempt,
     can_hand_over,
 )
-from clementinebend_relay.progress import CallProgress
 
 
 class Opening:
--- a/libs/relay/src/clementinebend_relay/streams.py
+++ b/libs/relay/src/clementinebend_relay/streams.py
@@ -12,19 +12,17 @@
 from clementinebend_relay.dispatch import Dispatcher
 from clementinebend_relay.event_reader import EventReader
 from clementinebend_relay.events import StreamEvent, is_empty, is_next_event
-from clementinebend_relay.handovers import (
+from clementinebend_relay.handovers import Handover, StreamBroken, StreamTakenOver
+from clementinebend_relay.metrics import resumed_streams
+from clementinebend_relay.openings import Opening
+from clementinebend_relay.origin_replicas import OriginReplicas
+from clementinebend_relay.progress import CallProgress, Obstacle
+from clementinebend_relay.second_attempts import (
     SILENCE_CHECK_SECONDS,
     Events,
-    Handover,
     HedgedReader,
-    StreamBroken,
-    StreamTakenOver,
     can_hand_over,
 )
-from clementinebend_relay.metrics import resumed_streams
-from clementinebend_relay.openings import Opening
-from clementinebend_relay.origin_replicas import OriginReplicas
-from clementinebend_relay.progress import CallProgress, Obstacle
 from clementinebend_relay.stream_origins import (
     MAX_STREAM_SECONDS,
     RESUME_SLACK_SECONDS,
--- a/libs/transport/src/clementinebend_transport/http_connection.py
+++ b/libs/transport/src/clementinebend_transport/http_connection.py
@@ -42,6 +42,14 @@
 )
 from clementinebend_transport.idle_limit import IdleLimit
 from clementinebend_transport.metrics import counter
+from clementinebend_transport.response_head import (
+    CHUNKED,
+    NO_BODY,
+    Framing,
+    has_body,
+    response_head,
+    sized,
+)
 
 logger = getLogger(__name__)
 
@@ -76,13 +84,6 @@
 )
 """Reasons for which a connection ends right after an answer."""
 
-CLOSE_HEADER = (b"connection", b"close")
-CHUNKED = ((b"transfer-encoding", b"chunked"),)
-NO_BODY = ((b"content-length", b"0"),)
-BODILESS_STATUSES = frozenset((204, 304))
-FRAMING = frozenset(("content-length", "transfer-encoding", "connection"))
-"""Headers that are the connection's own business."""
-
 _answered = counter(
     "clementinebend_http_requests_total", "Requests answered, by status.", ("status",)
 )
@@ -99,8 +100,6 @@
     "Connections closed because the caller did not take its answer.",
 )
 
-Framing = tuple[tuple[bytes, bytes], ...]
-
 
 class HttpConnection:
     """State of one caller's connection, owned by one task."""
@@ -351,8 +350,8 @@
         body = response.body
         if not isinstance(body, bytes):
             return await self._send_stream(method, response, body)
-        framing = ((b"content-length", b"%d" % len(body)),)
-        if self._send_head(response, framing) and _has_body(method, response.status):
+        framing = sized(body)
+        if self._send_head(response, framing) and has_body(method, response.status):
             self._hold(body)
             del body, response
             await self._send_slices()
@@ -383,11 +382,11 @@
         self, method: str, response: Response, body: AsyncIterator[bytes]
     ) -> bool:
         self.source_bytes = getattr(body, "held_bytes", _no_bytes)
-        has_body = _has_body(method, response.status)
+        may_have_body = has_body(method, response.status)
         try:
             if not self._send_head(response, CHUNKED):
                 await _start_iterator(body)
-            elif has_body and not await self._send_pieces(body):
+            elif may_have_body and not await self._send_pieces(body):
                 return False
         finally:
             await _close_iterator(body)
@@ -437,20 +436,7 @@
         return is_valid
 
     def _head(self, response: Response, framing: Framing) -> HttpResponse:
-        """Return the head.
-
-        Raises ``LocalProtocolError`` or ``UnicodeEncodeError`` if it is invalid.
-        """
-        is_last = self._is_last_answer(response)
-        own = (
-            (name.encode("latin-1"), value.encode("latin-1", "replace"))
-            for name, value in response.headers
-            if name.lower() not in FRAMING
-        )
-        framing = () if response.status in BODILESS_STATUSES else framing
-        closing = (CLOSE_HEADER,) if is_last else ()
-        headers = [*own, *framing, *closing]
-        return HttpResponse(status_code=response.status, headers=headers)
+        return response_head(response, framing, self._is_last_answer(response))
 
     def _is_last_answer(self, response: Response) -> bool:
         is_leaving = self.is_draining or self.is_moving or self.is_closing
@@ -496,10 +482,6 @@
         await close()
 
 
-def _has_body(method: str, status: int) -> bool:
-    return method != "HEAD" and status not in BODILESS_STATUSES
-
-
 def _no_bytes() -> int:
     """Return that nothing is held."""
     return 0
