List why harmless calls are refused beside a request that ends endpoints

Traced now, and reproduced without a network.

Cause: fatal and harmless calls of the test share the first part of their prompts. If a harmless call runs beside the fatal request at two of its first three ends, the decision about the request is put off for 1.3 s, as another request shares its ends; the part, with two different requests at three ends, is judged after 0.15 s. Ends that a quarantined part explains then count against nobody else. The trial of the part after 2 s was the fatal request itself in the run that was looked at: it ended one more endpoint, and all calls with the part were refused for 30 s more.

Failures of the functional test now name the reasons of rejections, and an entry that does not start its exit code and log.

--- a/tests/functional/test_crashing_request.py
+++ b/tests/functional/test_crashing_request.py
@@ -1,6 +1,7 @@
 """Requests that end the endpoints that run them, and those that only seem to."""
 
 from asyncio import Task, create_task, gather
+from collections import Counter
 from itertools import chain, count
 from typing import Any
 
@@ -69,7 +70,7 @@
     count = await served(late)
     assert await served(fatal) == 0
     assert engines.arrivals_after_window() <= ALLOWED_LATER
-    assert count == len(late)
+    assert count == len(late), rejection_reasons(fleet)
     await engines.stop()
 
 
@@ -85,6 +86,11 @@
     return [line for line in lines if line["message"] == "call rejected"]
 
 
+def rejection_reasons(fleet: Fleet) -> Counter[str]:
+    """Return how often entries rejected calls, by reason."""
+    return Counter(line["reason"] for line in rejections(fleet))
+
+
 async def test_a_popular_request_is_served_on_while_endpoints_are_killed_in_turn(
     fleet: Fleet,
 ) -> None:
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -35,6 +35,7 @@
 CALL_SECONDS = 5.0
 MILLISECONDS = 1000
 COLD_SECONDS = 3.0
+LOG_TAIL_CHARACTERS = 1_000
 BODY = b"{}"
 
 SETTINGS = """
@@ -111,6 +112,11 @@
     process: Process
     output: Path
 
+    def state(self) -> str:
+        """Return its exit code, None while it runs, and the end of its log."""
+        log = self.output.read_text(errors="replace")
+        return f"exit code {self.process.returncode}, {log[-LOG_TAIL_CHARACTERS:]}"
+
     def lines(self) -> list[dict[str, Any]]:
         """Return what the program has logged."""
         return [loads(line) for line in self.output.read_text().splitlines()]
@@ -250,7 +256,10 @@
         )
         entry = await self._launch(name, settings, ports)
         self.entries.append(entry)
-        await until(lambda: self.is_ready(entry), READY_SECONDS)
+        try:
+            await until(lambda: self.is_ready(entry), READY_SECONDS)
+        except TimeoutError as error:
+            raise TimeoutError(f"{name} is not ready: {entry.state()}") from error
         return entry
 
     async def restart_entry(self, number: int) -> None:
--- a/tests/unit/relay/test_part_verdicts.py
+++ b/tests/unit/relay/test_part_verdicts.py
@@ -46,10 +46,12 @@
 
 PART = part_subject("5c1e07a2")
 SHARED = part_subject("aa")
+REPEATED, BYSTANDER = "d" * 24, "e" * 24
 GAP = 0.5
 DECIDED_SECONDS = 0.5
 SPREAD_SECONDS = 2.0
 RUN_SECONDS = 0.1
+STREAMED_SECONDS = 0.01
 PACKET_BYTES = 1_400
 
 Scenario = Callable[[QuarantineWorld], Coroutine[Any, Any, None]]
@@ -138,6 +140,47 @@
     play(scenario)
 
 
+async def end_beside_each_other(world: PartWorld) -> None:
+    """End three endpoints under one request, two of them beside a harmless one."""
+    for number, is_shared in enumerate((True, True, False)):
+        ended = endpoint(next(world.numbers))
+        now = get_running_loop().time()
+        run = FatalRun(boot_name(ended), now - RUN_SECONDS, now, now - STREAMED_SECONDS)
+        at = world.all()[number % 2]
+        at.sync.on_ended(ended, [EndedRun(REPEATED, run, (PART,))])
+        if is_shared:
+            at = world.all()[2]
+            at.sync.on_ended(ended, [EndedRun(BYSTANDER, run, (PART,))])
+        await sleep(GAP / 2)
+    await sleep(DECIDED_SECONDS)
+
+
+def test_a_request_at_all_ends_condemns_none_of_its_parts() -> None:
+    """Guards against harmless calls that are refused for a part they share with it."""
+
+    async def scenario(world: PartWorld) -> None:
+        await end_beside_each_other(world)
+        await sleep(SPREAD_SECONDS)
+        assert not any(is_refused(entry, PART) for entry in world.all())
+        assert all(REPEATED in entry.quarantine.quarantined for entry in world.all())
+
+    play(scenario)
+
+
+def test_a_part_is_tried_without_a_request_that_was_at_all_of_its_ends() -> None:
+    """Guards against a trial that ends its endpoint under that request."""
+
+    async def scenario(world: PartWorld) -> None:
+        await end_beside_each_other(world)
+        await sleep(PART_TRIAL_DELAYS[0] + 1.0)
+        refusals = [
+            entry.quarantine.refusal(REPEATED, (PART,)) for entry in world.all()
+        ]
+        assert all(refusals)
+
+    play(scenario)
+
+
 def test_ends_under_a_single_request_make_no_suspect_of_its_parts() -> None:
     async def scenario(world: PartWorld) -> None:
         for number in range(2):
