--- a/tests/lib/offered_load.py
+++ b/tests/lib/offered_load.py
@@ -2,7 +2,7 @@
 
 from asyncio import Task, create_task, get_running_loop, sleep
 from collections.abc import Callable, Coroutine, Sequence
-from random import Random, choice
+from random import Random
 from typing import NamedTuple
 
 from clementinebend_transport.http_client import Answer
@@ -51,7 +51,7 @@
     at = clock()
     answer = await fleet.call(
         "/stream/x",
-        choice(load.entries),
+        Random(request_id).choice(load.entries),
         (PROMPT_TOKENS, 24),
         request_id=request_id,
         authorization=f"Bearer key-{load.team}",
