Bound the chunks of an event and of a plain body, not only their bytes

Plain calls beside the same bytes got 504. Cause: up to 32 chunks are joined into one read, and the bound of 256 reads counts these. A plain body had no bound at all but its 4 MiB, half a million such chunks. Change: an answer counts its chunks; an event has 1,024 and a plain body 4,096 at most. Both bounds are of the processor time that one call may cost.

--- a/libs/relay/src/clementinebend_relay/bodies.py
+++ b/libs/relay/src/clementinebend_relay/bodies.py
@@ -25,6 +25,9 @@
 holding a part of the room and waiting for the rest.
 """
 
+MAX_BODY_CHUNKS = 4096
+"""Maximum number of chunks of a body: each one takes processor time."""
+
 Reserve = Callable[[int], Awaitable[None]]
 """Returns once there is room for so many bytes of an answer in all."""
 
@@ -33,7 +36,7 @@
     """Why a body is incomplete.
 
     ``broke_off`` is set if the connection closed early or the body was malformed,
-    ``is_too_large`` if the body exceeded its maximum size.
+    ``is_too_large`` if the body exceeded its maximum size or number of chunks.
     """
 
     problem: str
@@ -54,6 +57,7 @@
 ) -> Result[bytes, BodyFailure]:
     """Return the body of a response, of at most ``max_bytes``, or why it can't be read.
 
+    A body of more than ``MAX_BODY_CHUNKS`` chunks is not read either.
     ``deadline`` is in the time of the event loop. A response that is not read to its
     end is closed, as its connection can't be reused. With ``reserve`` it is read only
     as there is room for it. The body of an unsuccessful response has a shorter
@@ -72,9 +76,9 @@
         await _within(deadline, reserve(announced))
         while (chunk := await next_piece(answer.chunks, deadline)) is not None:
             body += chunk
-            if len(body) > max_bytes:
-                problem = f"the answer is larger than {max_bytes} bytes"
-                return Error(BodyFailure(problem, is_too_large=True))
+            excess = _excess(answer, len(body), max_bytes)
+            if excess is not None:
+                return Error(BodyFailure(excess, is_too_large=True))
             needed = _needed_room(len(body), announced, max_bytes)
             await _within(deadline, reserve(needed))
         is_whole = True
@@ -88,6 +92,15 @@
     return Ok(bytes(body))
 
 
+def _excess(answer: OpenAnswer, size: int, max_bytes: int) -> str | None:
+    """Return in what respect a body is too large after ``size`` bytes, if it is."""
+    if size > max_bytes:
+        return f"the answer is larger than {max_bytes} bytes"
+    if answer.chunk_count() > MAX_BODY_CHUNKS:
+        return f"the answer has more than {MAX_BODY_CHUNKS} chunks"
+    return None
+
+
 def _failure_deadline(deadline: float) -> float:
     """Return the deadline for the body of an unsuccessful response."""
     now = get_running_loop().time()
--- a/libs/relay/src/clementinebend_relay/event_reader.py
+++ b/libs/relay/src/clementinebend_relay/event_reader.py
@@ -28,6 +28,8 @@
         self.splitter = EventSplitter()
         self.ready: list[StreamEvent] = []
         self.is_ended = False
+        self.chunk_count = 0
+        """Chunks of the response that have been read."""
         self.content_events = 0
         """Relayed events that have data or a number."""
         self.late_reads = 0
@@ -59,7 +61,12 @@
             self.is_ended = True
             return None
         self.running.state.on_heard(self.clock())
-        return self.splitter.feed(chunk)
+        return self.splitter.feed(chunk, self._new_chunks())
+
+    def _new_chunks(self) -> int:
+        """Return how many chunks the last read joined."""
+        before, self.chunk_count = self.chunk_count, self.running.answer.chunk_count()
+        return self.chunk_count - before
 
     def is_silent(self, due: float) -> bool:
         """Return whether the endpoint is silent, at a check that was ``due``.
--- a/libs/relay/src/clementinebend_relay/events.py
+++ b/libs/relay/src/clementinebend_relay/events.py
@@ -21,6 +21,9 @@
 MAX_EVENT_READS = 256
 """Maximum number of reads that complete an event."""
 
+MAX_EVENT_CHUNKS = 1024
+"""Maximum number of chunks that complete an event; one read may join several."""
+
 MAX_EMPTY_EVENTS = 256
 """Maximum number of events in a row with neither data nor a number, such as comments
 and blank lines."""
@@ -40,7 +43,7 @@
 
 
 class EventSplitter:
-    """Splits chunks into complete events, and buffers the incomplete ``rest``.
+    """Splits what is read into complete events, and buffers the incomplete ``rest``.
 
     Each byte is scanned once, however small the chunks are. ``empty`` is the number of
     consecutive empty events at the end.
@@ -50,25 +53,28 @@
         self.rest = bytearray()
         self.empty = 0
         self.reads = 0
-        """Reads since an event was last completed."""
+        self.chunks = 0
+        """Reads, and chunks in them, since an event was last completed."""
 
     def is_too_large(self) -> bool:
         """Return whether the buffered, incomplete event is too large.
 
-        So is one that takes too many reads. Too many consecutive empty events count as
-        too large, too.
+        So is one that takes too many reads or chunks. Too many consecutive empty events
+        count as too large, too.
         """
-        is_endless = self.empty > MAX_EMPTY_EVENTS or self.reads > MAX_EVENT_READS
+        is_split = self.reads > MAX_EVENT_READS or self.chunks > MAX_EVENT_CHUNKS
+        is_endless = self.empty > MAX_EMPTY_EVENTS or is_split
         return is_endless or len(self.rest) > MAX_EVENT_BYTES
 
-    def feed(self, chunk: bytes) -> list[StreamEvent]:
-        """Add a chunk and return the events that it completes.
+    def feed(self, data: bytes, chunks: int = 1) -> list[StreamEvent]:
+        """Add what was read, of some chunks, and return the events that it completes.
 
         Stops after the first event that makes the stream too large.
         """
         position = max(0, len(self.rest) - EVENT_END_BYTES + 1)
-        self.rest += chunk
+        self.rest += data
         self.reads += 1
+        self.chunks += chunks
         events = []
         start = 0
         while self.empty <= MAX_EMPTY_EVENTS:
@@ -82,7 +88,7 @@
             self.empty = self.empty + 1 if is_empty(event) else 0
         del self.rest[:start]
         if events:
-            self.reads = 0
+            self.reads = self.chunks = 0
         return events
 
 
--- a/libs/transport/src/clementinebend_transport/client_connection.py
+++ b/libs/transport/src/clementinebend_transport/client_connection.py
@@ -272,6 +272,13 @@
         channel = self.connection.channel
         return channel.received_bytes + channel.parsing_bytes
 
+    def chunk_count(self) -> int:
+        """Return how many chunks of the body have been read, 0 after its end.
+
+        Of a body without chunks, the pieces in which it came count.
+        """
+        return 0 if self.is_ended else self.connection.pieces
+
     def pause(self, is_paused: bool) -> None:
         """Receive nothing more while the body is not read, or go on."""
         if not self.is_ended:
--- a/libs/transport/src/clementinebend_transport/http_client.py
+++ b/libs/transport/src/clementinebend_transport/http_client.py
@@ -66,6 +66,8 @@
     chunks: that it has ended does not prove that it is whole. ``buffered_bytes``
     returns how many bytes of it have arrived and are not read yet, at most, and
     ``pause`` sets whether any more are received; whoever pauses does not read.
+    ``chunk_count`` returns how many chunks of it have been read, each of which takes
+    processor time, or 0 if that is not known.
     """
 
     status: int
@@ -75,6 +77,7 @@
     ends_with_channel: bool = False
     buffered_bytes: Callable[[], int] = lambda: 0
     pause: Callable[[bool], None] = lambda is_paused: None
+    chunk_count: Callable[[], int] = lambda: 0
 
 
 class HttpFailure(NamedTuple):
@@ -229,6 +232,7 @@
                 ends_with_channel=has_body and not is_framed,
                 buffered_bytes=chunks.buffered_bytes,
                 pause=chunks.pause,
+                chunk_count=chunks.chunk_count,
             )
         )
 
--- a/tests/lib/endless_engine.py
+++ b/tests/lib/endless_engine.py
@@ -43,6 +43,7 @@
     "slow body": Way(b"x", pause=TRICKLE),
     "chunks": Way(b"400\r\n" + b"x" * 1024 + b"\r\n", start=CHUNKED + LINE_END),
     "small chunks": Way(b"1\r\nx\r\n" * 5000, start=CHUNKED + LINE_END),
+    "chunks of eight bytes": Way(b"8\r\nxxxxxxxx\r\n" * 2000, start=CHUNKED + LINE_END),
     "chunk header": Way(FILLING, start=CHUNKED + LINE_END + b"1;x="),
     "trailer": Way(b"x-field: value\r\n" * 1000, start=CHUNKED + LINE_END + b"0\r\n"),
     "refusal": Way(FILLING, REFUSED_LINE),
--- a/tests/unit/relay/test_bounds.py
+++ b/tests/unit/relay/test_bounds.py
@@ -2,14 +2,20 @@
 
 from asyncio import get_running_loop, sleep
 from collections.abc import AsyncIterator
+from itertools import count
 from time import process_time
 
 import pytest
 
-from clementinebend_relay.bodies import FAILURE_BODY_SECONDS, read_body
+from clementinebend_relay.bodies import (
+    FAILURE_BODY_SECONDS,
+    MAX_BODY_CHUNKS,
+    read_body,
+)
 from clementinebend_relay.events import (
     MAX_EMPTY_EVENTS,
     MAX_EVENT_BYTES,
+    MAX_EVENT_CHUNKS,
     MAX_EVENT_READS,
     EventSplitter,
     is_next_event,
@@ -53,6 +59,12 @@
     await sleep(60)
 
 
+async def endless_chunks() -> AsyncIterator[bytes]:
+    """Yield small chunks without end and without a pause."""
+    while True:
+        yield b"x"
+
+
 async def trickling_chunks() -> AsyncIterator[bytes]:
     """Yield small chunks without end."""
     while True:
@@ -85,6 +97,17 @@
     assert recorder.is_closed
 
 
+async def test_a_body_of_too_many_chunks_is_refused_and_closed() -> None:
+    """Guards against small chunks that take much processor time for few bytes."""
+    recorder, read = CloseRecorder(), count(1)
+    endless = answer(endless_chunks(), recorder)
+    counted = endless._replace(chunk_count=lambda: next(read))
+    body = await read_body(counted, distant_deadline(), 2 * MAX_BODY_CHUNKS)
+    assert "chunks" in body.error.problem
+    assert body.error.is_proof
+    assert recorder.is_closed
+
+
 async def test_a_body_that_is_announced_above_its_bound_is_not_read() -> None:
     recorder = CloseRecorder()
     announced = answer(stalled_chunks(), recorder)._replace(
@@ -151,6 +174,22 @@
     assert splitter.is_too_large()
 
 
+def test_an_event_of_many_chunks_is_too_large_after_few_reads() -> None:
+    """Guards against small chunks that are joined before they are counted."""
+    splitter = EventSplitter()
+    splitter.feed(b"x" * MAX_EVENT_CHUNKS, MAX_EVENT_CHUNKS)
+    assert not splitter.is_too_large()
+    splitter.feed(b"x")
+    assert splitter.is_too_large()
+
+
+def test_chunks_of_completed_events_do_not_count() -> None:
+    splitter = EventSplitter()
+    for _ in range(3):
+        assert splitter.feed(b"id: 1\ndata: x\n\n", MAX_EVENT_CHUNKS)
+    assert not splitter.is_too_large()
+
+
 def test_events_that_each_take_several_reads_are_passed_on() -> None:
     splitter = EventSplitter()
     pieces = (b"id: 1\n", b"data: x", b"\n\n") * MAX_EVENT_READS
--- a/tests/unit/relay/test_event_reader.py
+++ b/tests/unit/relay/test_event_reader.py
@@ -21,6 +21,12 @@
 DUE = HEARD_AT + SILENT_SECONDS + 0.2
 
 
+async def pieces(*parts: bytes) -> AsyncIterator[bytes]:
+    """Yield the pieces of a body."""
+    for part in parts:
+        yield part
+
+
 async def nothing() -> AsyncIterator[bytes]:
     """Yield no byte."""
     yield b""
@@ -60,6 +66,20 @@
     assert not reader(now).is_silent(now)
 
 
+async def test_the_chunks_of_each_read_are_counted_once() -> None:
+    """Guards against many small chunks in few reads."""
+    counted = reader(HEARD_AT)
+    totals = iter((32, 40))
+    counted.running = counted.running._replace(
+        answer=counted.running.answer._replace(
+            chunks=pieces(b"data: a", b"b"), chunk_count=lambda: next(totals)
+        )
+    )
+    for chunks in (32, 40):
+        assert await counted.read(HEARD_AT) == []
+        assert counted.splitter.chunks == chunks
+
+
 def test_a_sender_that_always_has_more_extends_no_deadline() -> None:
     late = reader(DUE)
     assert all(late.may_read_until(DUE - 1.0) for _ in range(MAX_LATE_READS))
--- a/tests/unit/transport/test_endless_answers.py
+++ b/tests/unit/transport/test_endless_answers.py
@@ -124,6 +124,16 @@
     assert failure.sent
 
 
+async def test_the_chunks_that_are_joined_are_counted() -> None:
+    chunks = b"8\r\nxxxxxxxx\r\n" * 100 + b"0\r\n\r\n"
+    async with client_of(once(CHUNKED + chunks)) as (client, url):
+        opened = (await client.open("GET", url)).ok
+        piece = await anext(opened.chunks)
+        assert opened.chunk_count() == len(piece) / 8
+        assert len([each async for each in opened.chunks]) < 100
+        assert opened.chunk_count() == 0
+
+
 async def test_small_pieces_without_end_are_given_up_at_once() -> None:
     """Guards against taking each of the bytes that an answer may have by itself."""
     script = endless(CHUNKED, b"1\r\nx\r\n" * 1000)
