--- a/libs/relay/src/clementinebend_relay/bodies.py
+++ b/libs/relay/src/clementinebend_relay/bodies.py
@@ -6,7 +6,7 @@
 
 from expression import Error, Ok, Result
 
-from clementinebend_transport.client_connection import next_piece
+from clementinebend_transport.answer_chunks import next_piece
 from clementinebend_transport.exceptions import TruncatedAnswer
 from clementinebend_transport.http_client import OpenAnswer
 
--- a/libs/relay/src/clementinebend_relay/event_reader.py
+++ b/libs/relay/src/clementinebend_relay/event_reader.py
@@ -5,7 +5,7 @@
 from clementinebend_relay.attempts import OpenAttempt
 from clementinebend_relay.events import EventSplitter, StreamEvent
 from clementinebend_routing.silence import SILENT_SECONDS
-from clementinebend_transport.client_connection import next_piece
+from clementinebend_transport.answer_chunks import next_piece
 
 LATE_CHECK_SECONDS = 0.1
 """Delay in seconds above which a check for silence is ignored: bytes may have arrived
--- a/libs/transport/src/clementinebend_transport/http_client.py
+++ b/libs/transport/src/clementinebend_transport/http_client.py
@@ -16,12 +16,11 @@
 from h11 import Request as HttpRequest
 from h11 import Response as HttpResponse
 
+from clementinebend_transport.answer_chunks import AnswerChunks, next_piece
 from clementinebend_transport.client_connection import (
     Address,
-    AnswerChunks,
     ClientConnection,
     connect,
-    next_piece,
 )
 from clementinebend_transport.exceptions import TruncatedAnswer
 from clementinebend_transport.http_events import headers_by_name
