Close the attempt of a caller that leaves as its first event is ready

An endpoint went on with a stream whose caller had left in the iteration of the event loop in which its first event was read, until the stream's generator was finalized; nothing of the call was in progress for its caller any more.

Cause: result_within ran the work in a task of its own. A caller that was cancelled between the end of that task and its own next step dropped the result. So did a time limit that the work did not stop at.

Change: the work runs in the caller's task, which is cancelled some iterations after the time limit. No result is passed between tasks, so that none can be lost; a cancelled caller reaches the work itself, which closes what it has opened.

--- a/libs/transport/src/clementinebend_transport/late_waits.py
+++ b/libs/transport/src/clementinebend_transport/late_waits.py
@@ -5,9 +5,19 @@
 ready.
 """
 
-from asyncio import Event, Future, Task, create_task, get_running_loop, sleep, wait
+from asyncio import (
+    Event,
+    Future,
+    Handle,
+    Task,
+    Timeout,
+    create_task,
+    get_running_loop,
+    sleep,
+    wait,
+)
 from asyncio import timeout as time_limit
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from functools import partial
 from typing import Any, TypeVar
 
@@ -49,23 +59,45 @@
 
 
 async def result_within(
-    work: Coroutine[Any, Any, T], seconds: float, iterations: int = SETTLE_ITERATIONS
+    work: Awaitable[T], seconds: float, iterations: int = SETTLE_ITERATIONS
 ) -> T:
     """Return what ``work`` returns within some seconds.
 
     Raises ``TimeoutError``, or what ``work`` raises. After the timeout, the event loop
-    runs some more iterations. Otherwise ``work`` is cancelled, also with the caller,
-    and has ended when this function raises.
+    runs some more iterations before ``work`` is cancelled. It runs in the caller's
+    task, so that no result can be lost if the caller is cancelled.
     """
-    task = create_task(work)
-    try:
-        if not await wait_until_done(task, seconds, iterations):
-            raise TimeoutError("no result in time")
-        return task.result()
-    finally:
-        if not task.done():
-            task.cancel()
-            await wait((task,))
+    until = get_running_loop().time() + seconds
+    async with time_limit(None) as limit:
+        expiry = LateExpiry(limit, until, iterations)
+        try:
+            result = await work
+        finally:
+            expiry.cancel()
+    if get_running_loop().time() >= until:
+        late_waits.inc()
+    return result
+
+
+class LateExpiry:
+    """Lets a time limit expire some iterations of the event loop after its time."""
+
+    def __init__(self, limit: Timeout, at: float, iterations: int) -> None:
+        self.limit = limit
+        self.iterations_left = iterations
+        self.loop = get_running_loop()
+        self.next_call: Handle = self.loop.call_at(at, self._count_iteration)
+
+    def cancel(self) -> None:
+        """Let the time limit expire no more."""
+        self.next_call.cancel()
+
+    def _count_iteration(self) -> None:
+        if self.iterations_left == 0:
+            self.limit.reschedule(self.loop.time())
+            return
+        self.iterations_left -= 1
+        self.next_call = self.loop.call_soon(self._count_iteration)
 
 
 async def wait_until_set(event: Event, seconds: float | None) -> bool:
