Wait for bills whose read-back arrives in a late iteration

A planned stop of the product's own entry still said "flushed: false" for bills whose read-back had arrived as the wait for them expired.

Cause: the ledger was asked in the iteration of the event loop after the timeout. Bytes that arrive in a late iteration take more iterations to become settled bills; only those that had settled in the late iteration itself were counted.

Change: the wait goes on for 16 iterations after the timeout (result_within).

Evidence: a new test, in which bills settle 10 iterations after the late one, failed before and passes. tests/unit/entry passed whole; make lint passes.

--- a/libs/entry/src/clementinebend_entry/stopping.py
+++ b/libs/entry/src/clementinebend_entry/stopping.py
@@ -1,12 +1,13 @@
 """The planned stop: requests in progress end whole, then bills, then the holder."""
 
-from asyncio import timeout, wait
+from asyncio import wait
 from contextlib import suppress
 from logging import getLogger
 
 from clementinebend_entry.fleet import Fleet
 from clementinebend_entry.settings import EntrySettings
 from clementinebend_transport.http_server import HttpServer
+from clementinebend_transport.late_waits import result_within
 from clementinebend_transport.lifecycle import EXIT_OK, EXIT_STOP_INCOMPLETE
 
 logger = getLogger(__name__)
@@ -14,6 +15,9 @@
 FLUSH_PATIENCE_S = 10.0
 """How long bills may take to be read back after the last request has ended."""
 
+READ_BACK_ITERATIONS = 16
+"""Event loop iterations in which records that have arrived are applied."""
+
 
 async def stop_in_order(
     settings: EntrySettings, fleet: Fleet, http_server: HttpServer
@@ -45,6 +49,6 @@
 async def flush(fleet: Fleet) -> bool:
     """Wait until all bills and claims have been read back; return whether they are."""
     with suppress(TimeoutError):
-        async with timeout(FLUSH_PATIENCE_S):
-            await fleet.ledger.until_settled()
+        settling = fleet.ledger.until_settled()
+        await result_within(settling, FLUSH_PATIENCE_S, READ_BACK_ITERATIONS)
     return fleet.ledger.is_settled
