Settle streams that are closed before anything is read of them

A HEAD request to a stream's route left its budget reserved and its attempt counted as in progress at the endpoint.

Cause: a connection closes the body of an answer without a body unread, and closing an async generator that has not started runs no cleanup.

Change: a relayed stream that is closed unread is started first. Its first event is ready, so that this waits for nothing.

Evidence: the new test failed before for both kinds of streams (3 in flight and 0 settled, not 0 and 1) and passes. A trial with HEAD through a real connection and a generator of one event: its cleanup ran 0 times before and once after. The tests of callers that leave pass; make lint passes.

--- a/libs/relay/src/clementinebend_relay/streams.py
+++ b/libs/relay/src/clementinebend_relay/streams.py
@@ -45,13 +45,20 @@
     ) -> None:
         self.events = events
         self.progress = progress
+        self.is_started = False
 
     def __anext__(self) -> Awaitable[bytes]:
         """Return the next event."""
+        self.is_started = True
         return self.events.__anext__()
 
     async def aclose(self) -> None:
-        """End the stream."""
+        """End the stream, also one of which nothing has been read.
+
+        Closing an unstarted generator runs no cleanup; the first event is ready.
+        """
+        if not self.is_started:
+            await anext(self, None)
         await self.events.aclose()
 
     def held_bytes(self) -> int:
