Deliver answers of the own entry that are read after the deadline

The product's own entry answered 504 "outcome_unknown" although the answer had come by the call's deadline, if its event loop was late over the deadline.

Change: the timer ends the call 16 iterations after the deadline (LateTimer, which result_within uses as well).

--- a/libs/entry/src/clementinebend_entry/responder.py
+++ b/libs/entry/src/clementinebend_entry/responder.py
@@ -4,8 +4,8 @@
 that was not dispatched is withdrawn, and a dispatched one is still billed.
 """
 
-from asyncio import get_running_loop
 from collections.abc import AsyncIterator, Callable
+from functools import partial
 
 from clementinebend_entry.answers import error_event, error_response
 from clementinebend_entry.budget_waits import budget_busy_refusal
@@ -22,16 +22,21 @@
 from clementinebend_entry.pieces import Begun, Part, Whole
 from clementinebend_records.reasons import NotRunReason, RequestOutcome
 from clementinebend_transport.http_server import Response
+from clementinebend_transport.late_waits import LateTimer
 
 DEADLINE_RETRY_MS = 1_000
 
+ANSWER_ITERATIONS = 16
+"""Event loop iterations after the deadline in which an answer that has arrived by then
+is read."""
+
 OnEnd = Callable[[], None]
 
 
 async def respond(execution: Execution, on_end: OnEnd) -> Response:
     """Return the response to a call; ``on_end`` is called when it has ended."""
-    loop = get_running_loop()
-    timer = loop.call_at(execution.call.deadline, on_deadline, execution)
+    end = partial(on_deadline, execution)
+    timer = LateTimer(execution.call.deadline, ANSWER_ITERATIONS, end)
     execution.output.on_finish = timer.cancel
     try:
         piece = await execution.output.pieces.get()
--- a/libs/transport/src/clementinebend_transport/late_waits.py
+++ b/libs/transport/src/clementinebend_transport/late_waits.py
@@ -10,7 +10,6 @@
     Future,
     Handle,
     Task,
-    Timeout,
     create_task,
     get_running_loop,
     sleep,
@@ -67,34 +66,41 @@
     runs some more iterations before ``work`` is cancelled. It runs in the caller's
     task, so that no result can be lost if the caller is cancelled.
     """
-    until = get_running_loop().time() + seconds
+    loop = get_running_loop()
+    until = loop.time() + seconds
     async with time_limit(None) as limit:
-        expiry = LateExpiry(limit, until, iterations)
+        timer = LateTimer(until, iterations, lambda: limit.reschedule(loop.time()))
         try:
             result = await work
         finally:
-            expiry.cancel()
-    if get_running_loop().time() >= until:
+            timer.cancel()
+    if loop.time() >= until:
         late_waits.inc()
     return result
 
 
-class LateExpiry:
-    """Lets a time limit expire some iterations of the event loop after its time."""
+class LateTimer:
+    """Calls a function some iterations of the event loop after a time has come.
+
+    What arrives by that time is handled first, also in a late iteration. The time is
+    in that of the event loop.
+    """
 
-    def __init__(self, limit: Timeout, at: float, iterations: int) -> None:
-        self.limit = limit
+    def __init__(
+        self, at: float, iterations: int, function: Callable[[], object]
+    ) -> None:
+        self.function = function
         self.iterations_left = iterations
         self.loop = get_running_loop()
         self.next_call: Handle = self.loop.call_at(at, self._count_iteration)
 
     def cancel(self) -> None:
-        """Let the time limit expire no more."""
+        """Do not call the function any more."""
         self.next_call.cancel()
 
     def _count_iteration(self) -> None:
         if self.iterations_left == 0:
-            self.limit.reschedule(self.loop.time())
+            self.function()
             return
         self.iterations_left -= 1
         self.next_call = self.loop.call_soon(self._count_iteration)
