Blame a repeated request before the parts that it shares

Callers saw 503 part_quarantined for up to 32 s on harmless calls whose prompts share a part with a request that ends endpoints again and again.

Cause: if a harmless request was at two of the ends, the decision about the repeated one waits 1.3 s, while the part, with two different requests at three ends, was judged after 0.15 s. The part's trial 2 s later could be that same request, which failed it; the next one is 30 s away.

Change: a part is no cause while one suspected request was at all of its ends; from the fifth end on it waits only for a decision that is due about that request, and from the tenth for none. A trial of a part is not of a request that was at two or more of the ends, or under which a trial failed, unless no other has come for 30 s. Entries that were only told of the verdict learn such a request from its first failed trial; messages and records are unchanged.

Ruled out: waiting for requests whose runs all overlap, which are never judged (a part beside one is quarantined at its third end as before).

--- a/libs/relay/src/clementinebend_relay/quarantine/evidence.py
+++ b/libs/relay/src/clementinebend_relay/quarantine/evidence.py
@@ -101,9 +101,13 @@
 
     def sharing(self, subject: str, min_ends: int) -> Iterator[str]:
         """Yield the subjects that were present at so many ends of another one."""
-        own = endpoints_of(self.get(subject))
+        present = self.present_at(endpoints_of(self.get(subject)), min_ends)
+        return (name for name in present if name != subject)
+
+    def present_at(self, endpoints: frozenset[str], min_ends: int) -> Iterator[str]:
+        """Yield the subjects that were present at so many ends of some endpoints."""
         for name, evidence in self.runs.items():
-            if name != subject and len(own & endpoints_of(evidence)) >= min_ends:
+            if len(endpoints & endpoints_of(evidence)) >= min_ends:
                 yield name
 
     def is_suspected(self, subject: str) -> bool:
--- a/libs/relay/src/clementinebend_relay/quarantine/state.py
+++ b/libs/relay/src/clementinebend_relay/quarantine/state.py
@@ -24,11 +24,11 @@
 from clementinebend_relay.quarantine.runs import RunsInProgress
 from clementinebend_relay.quarantine.subjects import is_part
 from clementinebend_relay.quarantine.trials import (
-    PART_TRIAL_DELAYS,
     TRIAL_DELAYS,
     TRIAL_SECONDS,
     QuarantinedRequest,
     is_on_trial,
+    quarantined_part,
     quarantined_request,
     retry_delay,
     with_end,
@@ -91,7 +91,7 @@
         if not self.quarantined:
             return None
         known = [each for each in (fingerprint, *parts) if each in self.quarantined]
-        refused = (each for each in known if self._is_refused(each, parts))
+        refused = (each for each in known if self._is_refused(each, fingerprint, parts))
         return next(map(self.rejection, refused), None)
 
     def refusal_since(
@@ -104,10 +104,14 @@
         later = (each for each in known if self.quarantined[each].since > since)
         return next(map(self.rejection, later), None)
 
-    def _is_refused(self, subject: str, parts: Collection[str]) -> bool:
+    def _is_refused(
+        self, subject: str, fingerprint: str, parts: Collection[str]
+    ) -> bool:
         """Return whether a call with ``parts`` does not try a quarantined subject."""
-        quarantined = self.quarantined[subject]
-        if self.runs.in_flight[subject] or not is_on_trial(quarantined, self.clock()):
+        quarantined, now = self.quarantined[subject], self.clock()
+        if self.runs.in_flight[subject]:
+            return True
+        if not is_on_trial(quarantined, now, fingerprint):
             return True
         if not quarantined.companions.isdisjoint(parts):
             return True
@@ -341,16 +345,9 @@
             return
         table = self.verdicts.table(subject)
         self.turns.report_due_at.pop(subject, None)
-        companions: frozenset[str] = frozenset()
-        delays: tuple[float, ...] = PART_TRIAL_DELAYS
-        if is_part(subject):
-            companions = self.verdicts.companions(subject)
-        else:
-            delays = TRIAL_DELAYS if table.history.has_run_well(subject) else ()
-        ended = endpoints_of(table.pop(subject)).union(endpoints)
-        self.quarantined[subject] = quarantined_request(
-            ended, self.clock(), delays, companions
-        )
+        ended = endpoints_of(table.get(subject)).union(endpoints)
+        self.quarantined[subject] = self._quarantined(subject, ended)
+        table.pop(subject)
         if len(self.quarantined) > MAX_QUARANTINED:
             del self.quarantined[next(iter(self.quarantined))]
         self._log("quarantined", subject, ended, reason)
@@ -358,6 +355,15 @@
         self._drop_endpoints(ended)
         self.runs.notify()
 
+    def _quarantined(self, subject: str, ended: frozenset[str]) -> QuarantinedRequest:
+        """Return a subject that is quarantined now, with what its trials must avoid."""
+        now, verdicts = self.clock(), self.verdicts
+        if is_part(subject):
+            companions = verdicts.companions(subject)
+            return quarantined_part(ended, now, companions, verdicts.requests_at(ended))
+        has_run_well = verdicts.requests.history.has_run_well(subject)
+        return quarantined_request(ended, now, TRIAL_DELAYS if has_run_well else ())
+
     def _drop_endpoints(self, ended: Collection[str]) -> None:
         """Remove ends that are explained, or did not happen, from all evidence."""
         self.requests.drop_endpoints(ended)
@@ -380,7 +386,7 @@
 
     def _on_end_in_quarantine(self, subject: str, run: FatalRun) -> None:
         before = self.quarantined[subject]
-        after = with_end(before, run.endpoint, run.sent_at, self.clock())
+        after = with_end(before, run, self.clock())
         self.quarantined[subject] = after
         self._drop_endpoints((run.endpoint,))
         if after.failed_trials > before.failed_trials:
--- a/libs/relay/src/clementinebend_relay/quarantine/trials.py
+++ b/libs/relay/src/clementinebend_relay/quarantine/trials.py
@@ -11,6 +11,8 @@
 from math import inf
 from typing import NamedTuple
 
+from clementinebend_routing.fatal_runs import FatalRun
+
 TRIAL_DELAYS = (3.0, 30.0)
 """Seconds from a quarantine, or from a failed trial, to the next trial."""
 
@@ -22,6 +24,10 @@
 TRIAL_SECONDS = 1.5
 """Seconds in which a trial usually shows whether the request is harmless."""
 
+UNTRIED_SECONDS = 30.0
+"""Seconds for which a due trial of a part waits for a request other than those that may
+be the cause. They may be the only ones that have the part."""
+
 LATE_RUN_SECONDS = 1.5
 """Seconds after a quarantine in which entries may send a run that have not heard of it,
 as its datagrams were lost."""
@@ -34,7 +40,8 @@
     quarantine, or its last trial, began. ``trial_at`` is when a run may be tried, or
     infinity. ``failed_trials`` is the number of trials that ended an endpoint, and
     ``delays`` are the seconds before each trial. A trial run of a part must have none
-    of its ``companions``, parts that may have been the cause of the same ends.
+    of its ``companions``, parts that may have been the cause of the same ends, and
+    should be of none of the ``requests`` that may have been.
     """
 
     endpoints: frozenset[str]
@@ -43,42 +50,55 @@
     failed_trials: int = 0
     delays: tuple[float, ...] = ()
     companions: frozenset[str] = frozenset()
+    requests: frozenset[str] = frozenset()
 
 
 def quarantined_request(
+    endpoints: Iterable[str], now: float, delays: tuple[float, ...] = ()
+) -> QuarantinedRequest:
+    """Return a request that is quarantined from now on, with the delays of trials."""
+    trial_at = now + delays[0] if delays else inf
+    return QuarantinedRequest(frozenset(endpoints), now, trial_at, delays=delays)
+
+
+def quarantined_part(
     endpoints: Iterable[str],
     now: float,
-    delays: tuple[float, ...] = (),
-    companions: frozenset[str] = frozenset(),
+    companions: frozenset[str],
+    requests: frozenset[str],
 ) -> QuarantinedRequest:
-    """Return a subject that is quarantined from now on, with the delays of trials."""
-    trial_at = now + delays[0] if delays else inf
-    return QuarantinedRequest(
-        frozenset(endpoints), now, trial_at, delays=delays, companions=companions
-    )
+    """Return a part that is quarantined from now on."""
+    part = quarantined_request(endpoints, now, PART_TRIAL_DELAYS)
+    return part._replace(companions=companions, requests=requests)
 
 
-def is_on_trial(request: QuarantinedRequest, now: float) -> bool:
-    """Return whether a run of a quarantined request may be tried."""
-    return now >= request.trial_at
+def is_on_trial(request: QuarantinedRequest, now: float, fingerprint: str) -> bool:
+    """Return whether a quarantined subject may be tried by a run of ``fingerprint``."""
+    is_spared = fingerprint in request.requests
+    return now >= request.trial_at + is_spared * UNTRIED_SECONDS
 
 
 def with_end(
-    request: QuarantinedRequest, endpoint: str, sent_at: float, now: float
+    request: QuarantinedRequest, run: FatalRun, now: float
 ) -> QuarantinedRequest:
-    """Return the request after another endpoint ended under a run of it.
+    """Return the subject after another endpoint ended under a run of it.
 
-    A run that was sent well after the beginning of the quarantine was a trial.
+    A run that was sent well after the beginning of the quarantine was a trial. The next
+    one should be of another request.
     """
-    endpoints = request.endpoints | {endpoint}
-    is_trial = sent_at > request.since + LATE_RUN_SECONDS
-    if endpoint in request.endpoints or not is_trial:
+    endpoints = request.endpoints | {run.endpoint}
+    is_trial = run.sent_at > request.since + LATE_RUN_SECONDS
+    if run.endpoint in request.endpoints or not is_trial:
         return request._replace(endpoints=endpoints)
     failed = request.failed_trials + 1
     delays = request.delays
     trial_at = inf if failed >= len(delays) else now + delays[failed]
     return request._replace(
-        endpoints=endpoints, since=now, trial_at=trial_at, failed_trials=failed
+        endpoints=endpoints,
+        since=now,
+        trial_at=trial_at,
+        failed_trials=failed,
+        requests=request.requests | {run.request},
     )
 
 
--- a/libs/relay/src/clementinebend_relay/quarantine/verdicts.py
+++ b/libs/relay/src/clementinebend_relay/quarantine/verdicts.py
@@ -7,7 +7,12 @@
 from clementinebend_relay.quarantine.evidence import EvidenceTable
 from clementinebend_relay.quarantine.runs import RunsInProgress
 from clementinebend_relay.quarantine.subjects import is_part
-from clementinebend_routing.fatal_runs import MIN_FATAL_ENDS, MIN_SUSPECT_ENDS
+from clementinebend_routing.fatal_runs import (
+    CONCLUSIVE_ENDS,
+    MIN_FATAL_ENDS,
+    MIN_SUSPECT_ENDS,
+    endpoints_of,
+)
 
 DECISION_DELAY = 0.15
 """Seconds between the report of an end and the decision about quarantines. Entries
@@ -19,7 +24,7 @@
 report of the last end may have to be repeated, or its proof is the next boot."""
 
 MAX_DEFERRED_ENDS = 10
-"""Ends after which a part no longer waits for the decision about another one."""
+"""Ends after which a part no longer waits for the decision about another subject."""
 
 DECISION_JITTER = 0.1
 """Maximum random addition to that delay in seconds: the first entry to decide informs
@@ -84,14 +89,14 @@
         """Return whether a subject crashes endpoints.
 
         A part explains ends better than one that more runs had, which waits for the
-        decision about it.
+        decision about it. A request explains the ends of its parts better than these.
         """
         table = self.table(subject)
         if not table.get(subject):
             return False
         if not is_part(subject):
             return table.is_fatal(subject)
-        if self._has_narrower_suspect(subject):
+        if self._has_narrower_suspect(subject) or self._is_explained(subject):
             return False
         begun = self.runs.begun
         return table.is_fatal(subject, lambda other: begun[other] <= begun[subject])
@@ -109,6 +114,24 @@
         fewer_than = max(1, self.runs.begun[part])
         return any(self.runs.begun[name] < fewer_than for name in suspects)
 
+    def _is_explained(self, part: str) -> bool:
+        """Return whether a suspected request was at all of a part's ends.
+
+        Once these are conclusive, only if the decision about the request is due.
+        """
+        ends = endpoints_of(self.parts.get(part))
+        if len(ends) >= MAX_DEFERRED_ENDS:
+            return False
+        present = self.requests.present_at(ends, len(ends))
+        suspects = filter(self.requests.is_suspected, present)
+        if len(ends) < CONCLUSIVE_ENDS:
+            return any(suspects)
+        return any(name in self.due_at for name in suspects)
+
+    def requests_at(self, endpoints: frozenset[str]) -> frozenset[str]:
+        """Return the requests that were at two or more ends of some endpoints."""
+        return frozenset(self.requests.present_at(endpoints, MIN_SUSPECT_ENDS))
+
     def companions(self, part: str) -> frozenset[str]:
         """Return the parts that fewer runs had and that were at an end of a part."""
         begun = self.runs.begun
