Name the iterations of a late answer once

Cause: four modules had their own constant of 16 event loop iterations for an answer that has arrived, and run_outcomes.py its own timer that runs some iterations late. Change: ANSWER_ITERATIONS and LateTimer of late_waits.py are used by all; the two branches of is_on_trial are written out.

--- a/libs/entry/src/clementinebend_entry/responder.py
+++ b/libs/entry/src/clementinebend_entry/responder.py
@@ -26,17 +26,12 @@
 
 DEADLINE_RETRY_MS = 1_000
 
-ANSWER_ITERATIONS = 16
-"""Event loop iterations after the deadline in which an answer that has arrived by then
-is read."""
-
 OnEnd = Callable[[], None]
 
 
 async def respond(execution: Execution, on_end: OnEnd) -> Response:
     """Return the response to a call; ``on_end`` is called when it has ended."""
-    end = partial(on_deadline, execution)
-    timer = LateTimer(execution.call.deadline, ANSWER_ITERATIONS, end)
+    timer = LateTimer(execution.call.deadline, partial(on_deadline, execution))
     execution.output.on_finish = timer.cancel
     try:
         piece = await execution.output.pieces.get()
--- a/libs/entry/src/clementinebend_entry/stopping.py
+++ b/libs/entry/src/clementinebend_entry/stopping.py
@@ -15,9 +15,6 @@
 FLUSH_PATIENCE_S = 10.0
 """How long bills may take to be read back after the last request has ended."""
 
-READ_BACK_ITERATIONS = 16
-"""Event loop iterations in which records that have arrived are applied."""
-
 
 async def stop_in_order(
     settings: EntrySettings, fleet: Fleet, http_server: HttpServer
@@ -49,6 +46,5 @@
 async def flush(fleet: Fleet) -> bool:
     """Wait until all bills and claims have been read back; return whether they are."""
     with suppress(TimeoutError):
-        settling = fleet.ledger.until_settled()
-        await result_within(settling, FLUSH_PATIENCE_S, READ_BACK_ITERATIONS)
+        await result_within(fleet.ledger.until_settled(), FLUSH_PATIENCE_S)
     return fleet.ledger.is_settled
--- a/libs/relay/src/clementinebend_relay/handler.py
+++ b/libs/relay/src/clementinebend_relay/handler.py
@@ -45,10 +45,6 @@
 An entry loads them about 0.1 s after it starts to accept calls, if the store responds.
 """
 
-ANSWER_ITERATIONS = 16
-"""Event loop iterations after the time limit in which a response that has arrived by
-then is read."""
-
 
 class PreparedCall(NamedTuple):
     """A call that may be sent to endpoints, and the budget reserved for it."""
@@ -197,7 +193,7 @@
             answering = self.plain.answer(progress)
         seconds = progress.deadline - self.clock()
         try:
-            return await result_within(answering, seconds, ANSWER_ITERATIONS)
+            return await result_within(answering, seconds)
         except TimeoutError:
             progress.problem = "the time limit has passed"
             return None
--- a/libs/relay/src/clementinebend_relay/quarantine/trials.py
+++ b/libs/relay/src/clementinebend_relay/quarantine/trials.py
@@ -74,8 +74,9 @@
 
 def is_on_trial(request: QuarantinedRequest, now: float, fingerprint: str) -> bool:
     """Return whether a quarantined subject may be tried by a run of ``fingerprint``."""
-    is_spared = fingerprint in request.requests
-    return now >= request.trial_at + is_spared * UNTRIED_SECONDS
+    if fingerprint in request.requests:
+        return now >= request.trial_at + UNTRIED_SECONDS
+    return now >= request.trial_at
 
 
 def with_end(
--- a/libs/relay/src/clementinebend_relay/run_outcomes.py
+++ b/libs/relay/src/clementinebend_relay/run_outcomes.py
@@ -17,6 +17,7 @@
 from clementinebend_relay.quarantine.news import QuarantineSync
 from clementinebend_routing.fatal_runs import PART_SOUND_SECONDS, counts_as_evidence
 from clementinebend_transport.http_client import OpenAnswer
+from clementinebend_transport.late_waits import LateTimer
 
 SOUND_INTERVAL = 1.0
 """Seconds between two records that a long answer still runs well."""
@@ -137,9 +138,7 @@
         pause = max(0.0, PART_SOUND_SECONDS - written)
         boot = boot_name(state.endpoint)
         clear = partial(self._clear_if_alive, parts, boot)
-        get_running_loop().call_later(
-            pause, _call_after_iterations, clear, SETTLE_ITERATIONS
-        )
+        LateTimer(get_running_loop().time() + pause, clear, SETTLE_ITERATIONS)
 
     def _clear_if_alive(self, parts: tuple[str, ...], boot: str) -> None:
         if not self._may_have_ended(boot):
@@ -197,14 +196,3 @@
                 streamed_from,
                 admitted.part_subjects,
             )
-
-
-def _call_after_iterations(callback: Callable[[], None], iterations: int) -> None:
-    """Call back after some iterations of the event loop.
-
-    After a late iteration, data that arrived during it is handled first.
-    """
-    if iterations:
-        get_running_loop().call_soon(_call_after_iterations, callback, iterations - 1)
-    else:
-        callback()
--- a/libs/transport/src/clementinebend_transport/http_server.py
+++ b/libs/transport/src/clementinebend_transport/http_server.py
@@ -34,6 +34,7 @@
     no_id,
 )
 from clementinebend_transport.idle_limit import IdleLimit
+from clementinebend_transport.late_waits import ANSWER_ITERATIONS
 from clementinebend_transport.metrics import counter
 
 __all__ = [
@@ -51,10 +52,6 @@
 ACCEPT_PASSES = 4
 """Event loop iterations that a connection takes from its accept to its task."""
 
-ANSWER_ITERATIONS = 16
-"""Event loop iterations after the time for requests in progress, in which an answer
-that has arrived by then is sent."""
-
 DEFAULT_LIMITS = ServerLimits()
 
 TOO_MANY_BODY = (
--- a/libs/transport/src/clementinebend_transport/late_waits.py
+++ b/libs/transport/src/clementinebend_transport/late_waits.py
@@ -30,6 +30,9 @@
 SETUP_ITERATIONS = 8
 """Event loop iterations that an established connection needs to be set up."""
 
+ANSWER_ITERATIONS = 16
+"""Event loop iterations in which an answer whose bytes have arrived is passed on."""
+
 late_waits = counter(
     "clementinebend_late_waits_total",
     "Waits that found what they waited for only after their timeout had expired.",
@@ -58,7 +61,7 @@
 
 
 async def result_within(
-    work: Awaitable[T], seconds: float, iterations: int = SETTLE_ITERATIONS
+    work: Awaitable[T], seconds: float, iterations: int = ANSWER_ITERATIONS
 ) -> T:
     """Return what ``work`` returns within some seconds.
 
@@ -69,7 +72,7 @@
     loop = get_running_loop()
     until = loop.time() + seconds
     async with time_limit(None) as limit:
-        timer = LateTimer(until, iterations, lambda: limit.reschedule(loop.time()))
+        timer = LateTimer(until, lambda: limit.reschedule(loop.time()), iterations)
         try:
             result = await work
         finally:
@@ -87,7 +90,10 @@
     """
 
     def __init__(
-        self, at: float, iterations: int, function: Callable[[], object]
+        self,
+        at: float,
+        function: Callable[[], object],
+        iterations: int = ANSWER_ITERATIONS,
     ) -> None:
         self.function = function
         self.iterations_left = iterations
