--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -118,8 +118,10 @@
         return f"exit code {self.process.returncode}, {log[-LOG_TAIL_CHARACTERS:]}"
 
     def lines(self) -> list[dict[str, Any]]:
-        """Return what the program has logged."""
-        return [loads(line) for line in self.output.read_text().splitlines()]
+        """Return what the program has logged, but for a line that it is writing."""
+        written = self.output.read_text()
+        whole = written[: written.rfind("\n") + 1]
+        return [loads(line) for line in whole.splitlines()]
 
 
 class Fleet:
