--- a/tests/unit/transport/test_endless_answers.py
+++ b/tests/unit/transport/test_endless_answers.py
@@ -141,6 +141,13 @@
     assert failure.received <= 2 * MAX_SMALL_PIECES
 
 
+async def test_chunks_of_eight_bytes_without_end_are_given_up_at_once() -> None:
+    """Guards against a store that takes an entry's processor time for seconds."""
+    script = endless(CHUNKED, b"8\r\nxxxxxxxx\r\n" * 1000)
+    failure = await failure_of(script, timeout=2 * PATIENCE)
+    assert failure.broke_off
+
+
 async def test_informational_answers_before_an_answer_are_skipped() -> None:
     answer = CONTINUE * MAX_INFORMATIONAL_ANSWERS + OK
     async with client_of(once(answer)) as (client, url):
