--- a/review/stage/stage.py
+++ b/review/stage/stage.py
@@ -270,6 +270,8 @@
         self.writers = set()
         self.is_up = False
         self.on_request = None
+        self.fails = lambda: False
+        """Returns whether the next plain request fails once it has run."""
         self.hold_beat = None
         """Called with each beat; true if the store executes that write itself later."""
 
@@ -367,6 +369,10 @@
         if not self.is_up:
             return False
         self.finished.add(name)
+        if self.fails():
+            self.stage.record.line(f"{self.id} has run {name}, and answers 503")
+            writer.write(answer_bytes(503, said + leaving, b"failed"))
+            return not leaving
         writer.write(answer_bytes(200, said + leaving, b"x" * 800))
         await writer.drain()
         return not leaving
