--- a/review/stage/stage.py
+++ b/review/stage/stage.py
@@ -763,7 +763,7 @@
         try:
             await stage.store.start()
             held, verdict = await play(stage)
-        except (CannotRun, OSError, TimeoutError, asyncio.TimeoutError) as error:
+        except Exception as error:  # else Python's own exit code would be BROKEN
             stage.record.line(f"could not run: {error!r}")
             return NOT_RUN
         finally:
