Ignore heartbeats that the store executes late

Callers: requests that may not be repeated got 502, as entries sent them to an engine that had said that it leaves, and that exited.

Cause: the table of endpoints took the order of offsets for the order in which an engine wrote. A write whose answer is lost may be executed seconds later, so an old heartbeat ("ready", sequence 7) replaced "draining" of sequence 10. The sequence was decoded and not used. The same brought back endpoints whose record was removed, and dropped a running endpoint for an ended one that had its address before.

Change: the newest sequence of each boot is kept, for 30 s after its last announcement; older ones of the same boot change nothing, nor do boots that a later-born one has followed. A new boot is believed at once. Ignored announcements are logged and counted, which no log told before.

--- a/libs/relay/src/clementinebend_relay/endpoints.py
+++ b/libs/relay/src/clementinebend_relay/endpoints.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 
 from clementinebend_platform_client.keyed_log import KeyedRecord
+from clementinebend_relay.announcement_order import AnnouncementOrder, boot_of
 from clementinebend_relay.cold_endpoints import ColdEndpoints
 from clementinebend_relay.decisions import log_decision
 from clementinebend_relay.earlier_boots import is_outdated, on_ignored
@@ -40,6 +41,7 @@
         self.clock = clock
         self.states: dict[str, EndpointState] = {}
         self.offsets: dict[str, int] = {}
+        self.order = AnnouncementOrder()
         self.problems: dict[str, str] = {}
         self.services: frozenset[str] = frozenset()
         self.evacuated_zones: set[str] = set()
@@ -241,16 +243,21 @@
             self.drop(state, "its announcement is invalid")
 
     def _put(self, endpoint: Endpoint) -> None:
+        now = self.clock()
+        if self.order.is_late(endpoint, now):
+            self.order.on_ignored(endpoint, now)
+            return
         state = self.states.get(endpoint.name)
-        if state is not None and is_outdated(state, endpoint, self.clock()):
-            on_ignored(state, endpoint, self.clock())
+        if state is not None and is_outdated(state, endpoint, now):
+            on_ignored(state, endpoint, now)
             return
-        if state is not None and not _is_same_boot(state.endpoint, endpoint):
+        self.order.on_applied(endpoint, now)
+        if state is not None and boot_of(state.endpoint) != boot_of(endpoint):
             self.drop(state, "it restarted")
             state = None
         if state is None:
             self._drop_predecessors(endpoint)
-            state = EndpointState(endpoint, self.clock(), lambda: self.is_overloaded())
+            state = EndpointState(endpoint, now, lambda: self.is_overloaded())
             self.states[endpoint.name] = state
             log_decision(
                 "endpoint added",
@@ -263,7 +270,6 @@
             log_decision("endpoint leaving", endpoint=endpoint.name)
         elif self.on_announced is not None:
             self.on_announced(endpoint)
-        now = self.clock()
         if state.lapsed_at is not None:
             state.available_since = now
         state.endpoint = endpoint
@@ -289,6 +295,7 @@
             self.drop(state, "a later boot has its address")
 
     def _lapse(self, name: str) -> None:
+        self.order.on_removed(name)
         state = self.states.get(name)
         if state is not None and state.lapsed_at is None:
             state.lapsed_at = self.clock()
@@ -307,14 +314,3 @@
         states = self._states_of(service)
         ejected = sum(is_ejected(state.health, now) for state in states)
         return ejection_allowed(ejected, len(states))
-
-
-def _is_same_boot(known: Endpoint, announced: Endpoint) -> bool:
-    """Return whether two announcements under one name are of the same boot.
-
-    An endpoint's software changes only with a restart.
-    """
-    return (
-        known.boot == announced.boot
-        and known.software_version == announced.software_version
-    )
--- a/libs/relay/src/clementinebend_relay/metrics.py
+++ b/libs/relay/src/clementinebend_relay/metrics.py
@@ -65,6 +65,11 @@
     "clementinebend_relay_ignored_announcements_total",
     "Announcements of earlier boots that were ignored while a later one is announced.",
 )
+late_announcements = counter(
+    "clementinebend_relay_late_announcements_total",
+    "Announcements of endpoints that the store executed after newer ones and that were "
+    "ignored.",
+)
 limited_endpoints = gauge(
     "clementinebend_relay_limited_endpoints",
     "Endpoints in need that name a limit of requests a second.",
--- a/libs/relay/src/clementinebend_relay/models.py
+++ b/libs/relay/src/clementinebend_relay/models.py
@@ -105,7 +105,8 @@
 
     ``boot`` distinguishes boots under the same name, if the endpoint announces it.
     ``cold_seconds`` is the remaining time for which the endpoint is cold.
-    ``software_version`` is the version of its software, not of its model.
+    ``software_version`` is the version of its software, not of its model. ``sequence``
+    counts the announcements of a boot, if they are counted.
     """
 
     name: str
@@ -117,6 +118,7 @@
     boot: int | None = None
     cold_seconds: float = 0.0
     software_version: str = ""
+    sequence: int | None = None
 
 
 def boot_name(endpoint: Endpoint) -> str:
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -54,6 +54,7 @@
         self.name = f"i-{next(EngineStandin.numbers)}"
         self.service = service
         self.cold_remaining_ms = 0
+        self.sequence = 0
         self.fault = ""
         self.pause = 0.005
         self.work_seconds = 0.0
@@ -103,7 +104,8 @@
             self.on_end()
 
     def entry(self, state: str = "ready") -> bytes:
-        """Return what the engine writes to the store."""
+        """Return what the engine writes to the store next."""
+        self.sequence += 1
         port = self.announced_port
         if port is None:
             port = 0 if self.server is None else self.server.port
@@ -118,7 +120,7 @@
                 "slots": self.slots,
                 "state": state,
                 "cold_remaining_ms": self.cold_remaining_ms,
-                "sequence": 1,
+                "sequence": self.sequence,
             }
         )
 
