Cover what is used of a reserve with the next epoch

Cause: each append of a holder begins a new epoch, whose reserve is opened anew. A quota was written along only if it had changed by an eighth of what may be spent without witnesses. With many calls in progress what an outage takes of the reserve is less, so the quota stayed under a later epoch that nobody had opened; witnesses proved that one unopened, and the next home lowered the quota below what was spent.

Evidence: in virtual time the dead holder exceeds its quota by just what it had used of the reserve, after one outage and after three, after it ceased to be the home, and for a team whose budget was taken away.

Change: while more is spent or reserved than is allowed without witnesses, the quota is written with the next epoch, whatever the size of the change. What is used then never exceeds the unwitnessed part of an epoch that is not opened, so that the proof is sound. The log line of a reclaimed reserve names the epoch.

Ruled out: an epoch in each quota.

--- a/libs/relay/src/clementinebend_relay/quota_plan.py
+++ b/libs/relay/src/clementinebend_relay/quota_plan.py
@@ -60,13 +60,32 @@
 
     def _due_quotas(self, live: frozenset[str], is_home: bool) -> dict[str, Quota]:
         known = self.view.quota
-        return {
+        due = {
             team: quota
             for team in self.view.prepaid
             if self._is_change_due(
                 team, quota := self._target_quota(team, live), known(team), is_home
             )
         }
+        return due | self._used_without_budget()
+
+    def _used_without_budget(self) -> dict[str, Quota]:
+        """Return quotas that cover reserves in use of teams without a budget now."""
+        view = self.view
+        return {
+            team: view.quota(team)._replace(unwitnessed=account.used)
+            for team, account in view.accounts.items()
+            if team not in view.prepaid and self._is_reserve_used(team)
+        }
+
+    def _is_reserve_used(self, team: str) -> bool:
+        """Return whether more is spent or reserved than is allowed without witnesses.
+
+        The witnesses opened the reserve of the current epoch. They prove the reserve of
+        the next one unopened, so that its append has to raise the unwitnessed part to
+        what is used: others would take the reserve for unspent once this holder dies.
+        """
+        return self.view.account(team).used > self.view.quota(team).unwitnessed
 
     def _target_quota(self, team: str, live: frozenset[str]) -> Quota:
         account = self.view.account(team)
@@ -83,10 +102,12 @@
         """Return whether a change is worth a record.
 
         While closing, any change is except of the rate alone. If waiting calls lack
-        tokens, any increase is, however small.
+        tokens, or a reserve is in use, any increase is, however small.
         """
         if self.is_closing:
             return quota != known._replace(rate=quota.rate)
+        if self._is_reserve_used(team):
+            return True
         account = self.view.account(team)
         lacking = account.waiting + account.requested_now(self.view.clock())
         if lacking > account.free and quota.unwitnessed > known.unwitnessed:
@@ -106,7 +127,12 @@
             if not is_unopened(holder_record, view.witnesses.of(holder)):
                 view.witnesses.fence(holder, holder_record)
                 continue
-            log_decision("reserve reclaimed", holder=holder, teams=len(quotas))
+            log_decision(
+                "reserve reclaimed",
+                holder=holder,
+                epoch=holder_record.epoch,
+                teams=len(quotas),
+            )
             records.extend(
                 (team + SEPARATOR + holder, encode(quota))
                 for team, quota in quotas.items()
--- a/tests/unit/relay/test_quota_manager.py
+++ b/tests/unit/relay/test_quota_manager.py
@@ -4,9 +4,11 @@
 
 import pytest
 
+from clementinebend_ledger.quota_account import SLOW_RATE_SECONDS
 from clementinebend_ledger.quota_requests import TokenRequest
 from clementinebend_relay.budgets import BUDGET_WAIT, MAX_BUDGET_WAIT
 from clementinebend_relay.quota_manager import MIN_POSTPONED_SECONDS, RETURN_INTERVAL
+from clementinebend_relay.quota_plan import REWRITE_SECONDS
 from clementinebend_relay.quota_view import LIVE_SECONDS
 from tests.unit.relay.simulated_fleet import TEAM, SimulatedFleet
 
@@ -319,3 +321,93 @@
     assert given < 124
     fleet.commit(0)
     assert entry.budgets.on_request(TEAM, TokenRequest(124 - given)) == 124 - given
+
+
+def start_calls(fleet: SimulatedFleet, number: int) -> None:
+    """Let many calls be in progress, so that no small change of the quota is due."""
+    entry = fleet.entries[number]
+    entry.account.waiting = 20 * 400
+    fleet.commit(number)
+    entry.account.waiting = 0
+    for _ in range(20):
+        assert entry.call(400)
+    fleet.clock.now += 8 * SLOW_RATE_SECONDS
+    fleet.ping()
+    for other in range(len(fleet.entries)):
+        fleet.commit(other)
+
+
+def use_reserve(fleet: SimulatedFleet, number: int) -> None:
+    """Start calls that need a part of the reserve."""
+    open_reserve(fleet, number)
+    entry = fleet.entries[number]
+    quota = fleet.quotas()[entry.boot]
+    while entry.account.used <= quota.unwitnessed:
+        assert entry.call(40)
+
+
+def reclaim(fleet: SimulatedFleet, number: int) -> None:
+    """Let an entry reclaim the reserves of those that seem dead."""
+    fleet.commit(number)
+    fleet.clock.now += LIVE_SECONDS + 1
+    for _ in range(2):
+        fleet.commit(number)
+        fleet.deliver()
+
+
+@pytest.mark.parametrize("outages", [1, 3])
+def test_a_reserve_in_use_is_not_reclaimed_after_a_later_epoch(
+    fleet: SimulatedFleet, outages: int
+) -> None:
+    """Guards against a budget overspent by the next home of an entry that died."""
+    start_calls(fleet, 0)
+    for _ in range(outages):
+        use_reserve(fleet, 0)
+        fleet.clock.now += REWRITE_SECONDS + 0.1
+        fleet.ping()
+        fleet.commit(0)
+    fleet.restart(0)
+    reclaim(fleet, 1)
+    assert not fleet.over_quotas()
+
+
+def test_a_reserve_in_use_of_a_team_without_a_budget_now_is_not_reclaimed(
+    fleet: SimulatedFleet,
+) -> None:
+    """Guards against the same for a budget that is taken away and given again."""
+    start_calls(fleet, 0)
+    use_reserve(fleet, 0)
+    fleet.entries[0].manager.configure({})
+    fleet.clock.now += REWRITE_SECONDS + 0.1
+    fleet.commit(0)
+    fleet.restart(0)
+    reclaim(fleet, 1)
+    assert not fleet.over_quotas()
+
+
+def test_a_home_that_ceases_to_be_one_keeps_its_reserve_in_use(
+    fleet: SimulatedFleet,
+) -> None:
+    """Guards against the same after a resignation, as it writes others' quotas."""
+    start_calls(fleet, 0)
+    use_reserve(fleet, 0)
+    epoch = fleet.entries[0].manager.view.record().epoch
+    fleet.entries[0].is_home = False
+    reclaim(fleet, 0)
+    assert fleet.entries[0].manager.view.record().epoch > epoch
+    fleet.restart(0)
+    reclaim(fleet, 1)
+    assert not fleet.over_quotas()
+
+
+def test_an_unused_reserve_is_not_written_with_each_epoch(
+    fleet: SimulatedFleet,
+) -> None:
+    """Guards against appends that hold the quotas of thousands of teams."""
+    start_calls(fleet, 0)
+    open_reserve(fleet, 0)
+    fleet.clock.now += REWRITE_SECONDS + 0.1
+    entry = fleet.entries[0]
+    pending = entry.manager.plan.next_append(entry.manager.written_at)
+    assert pending is not None
+    assert not pending.quotas
--- a/tests/unit/relay/test_quotas_stateful.py
+++ b/tests/unit/relay/test_quotas_stateful.py
@@ -2,6 +2,7 @@
 
 import os
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -23,12 +24,14 @@
 amounts = st.integers(1, 400)
 
 
-class QuotasMachine(RuleBasedStateMachine):
-    """Calls, commits, outages, kills and lost messages in any order."""
+class QuotasWorld(RuleBasedStateMachine):
+    """A fleet whose budget and quotas must hold after each step."""
+
+    prepaid = 2000
 
     def __init__(self) -> None:
         super().__init__()
-        self.fleet = SimulatedFleet(ENTRIES, 2000)
+        self.fleet = SimulatedFleet(ENTRIES, self.prepaid)
         self.fleet.ping()
         for number in range(ENTRIES):
             self.fleet.commit(number)
@@ -36,6 +39,23 @@
     def teardown(self) -> None:
         self.fleet.close()
 
+    @invariant()
+    def nothing_is_overspent(self) -> None:
+        assert self.fleet.total() <= self.fleet.prepaid
+
+    @invariant()
+    def no_entry_exceeds_its_quota(self) -> None:
+        assert not self.fleet.over_quotas()
+
+    @invariant()
+    def quotas_fit_the_budget(self) -> None:
+        quotas = self.fleet.quotas().values()
+        assert sum(quota.ceiling for quota in quotas) <= self.fleet.prepaid
+
+
+class QuotasMachine(QuotasWorld):
+    """Calls, commits, outages, kills and lost messages in any order."""
+
     @rule(number=numbers, amount=amounts, calls=st.integers(1, 8))
     def call(self, number: int, amount: int, calls: int) -> None:
         """Spend as much as the entry allows."""
@@ -110,23 +130,66 @@
         self.fleet.commit(number)
         manager.plan.is_closing = False
 
-    @invariant()
-    def nothing_is_overspent(self) -> None:
-        assert self.fleet.total() <= self.fleet.prepaid
 
-    @invariant()
-    def no_entry_exceeds_its_quota(self) -> None:
-        assert not self.fleet.over_quotas()
+class CallsInProgressMachine(QuotasWorld):
+    """Outages and kills with many calls in progress, so that few quotas are written."""
 
-    @invariant()
-    def quotas_fit_the_budget(self) -> None:
-        quotas = self.fleet.quotas().values()
-        assert sum(quota.ceiling for quota in quotas) <= self.fleet.prepaid
+    prepaid = 100_000
+
+    @rule(number=numbers, amount=st.integers(100, 400), calls=st.integers(5, 20))
+    def start_calls(self, number: int, amount: int, calls: int) -> None:
+        """Start calls for which the entry raises its quota, and let demand decay."""
+        entry = self.fleet.entries[number]
+        entry.account.waiting = amount * calls
+        self.fleet.commit(number)
+        entry.account.waiting = 0
+        for _ in range(calls):
+            entry.call(amount)
+        self.fleet.clock.now += 30.0
+        self.fleet.ping()
+        self.fleet.commit(number)
+
+    @rule(number=numbers, part=st.floats(0, 1))
+    def finish(self, number: int, part: float) -> None:
+        entry = self.fleet.entries[number]
+        if entry.outstanding:
+            entry.finish(part)
+
+    @rule(number=numbers, is_home=st.booleans())
+    def change_home(self, number: int, is_home: bool) -> None:
+        self.fleet.entries[number].is_home = is_home
+
+    @rule(giver=numbers, taker=numbers, amount=amounts, arrives=st.booleans())
+    def hand_over(self, giver: int, taker: int, amount: int, arrives: bool) -> None:
+        self.fleet.hand_over(giver, taker, amount, arrives)
+
+    @rule(number=numbers, amount=st.integers(10, 400), epochs=st.integers(1, 3))
+    def outlast_outage(self, number: int, amount: int, epochs: int) -> None:
+        """Use the reserve in an outage of the log; write some records after it."""
+        entry = self.fleet.entries[number]
+        entry.manager.open_reserve()
+        self.fleet.deliver()
+        entry.call(amount)
+        for _ in range(epochs):
+            self.fleet.clock.now += 1.1
+            self.fleet.ping()
+            self.fleet.commit(number)
+
+    @rule(number=numbers, other=numbers)
+    def end_and_reclaim(self, number: int, other: int) -> None:
+        """Kill an entry; another one reclaims what is proved unspent."""
+        self.fleet.restart(number)
+        for _ in range(3):
+            self.fleet.clock.now += 3.0
+            self.fleet.commit(other)
+            self.fleet.deliver()
 
 
-def test_quotas_never_exceed_the_budget() -> None:
+@pytest.mark.parametrize("machine", [QuotasMachine, CallsInProgressMachine])
+def test_quotas_never_exceed_the_budget(machine: type[QuotasWorld]) -> None:
+    """Guards against overspending by any order of calls, outages and kills."""
     run_state_machine_as_test(
-        QuotasMachine,
+        machine,
         settings=settings(
             max_examples=EXAMPLES,
             stateful_step_count=60,
