Show that no head that breaks off is taken for an answer

Asked for by a report of another operator: an engine stopped in the middle of its answer's head and closed, and callers got a 200 with an empty body.

Not reproduced. Tests cut a head after each of its bytes (with a length, an empty body, chunks, until close, of HTTP/1.0, without a body, after an informational answer, with bare line feeds), by an end and by a reset: 16 cases, none an answer. Through an entry process, all four kinds of route, four framings, an end and a reset, 15 lengths each: no 2xx.

A head that is whole, without a length, and ends at once is an empty answer by the protocol ("may have no length and end with its channel"); an entry passes it on as such, for plain requests only.

--- a/tests/lib/bare_engine.py
+++ b/tests/lib/bare_engine.py
@@ -39,12 +39,16 @@
 
     With ``resets`` a channel whose answer is cut, also as the engine ends, is reset
     instead of closed. With ``ends_in_event`` it ends inside an event. With
-    ``is_empty`` the channel ends right after the head.
+    ``is_empty`` the channel ends right after the head. ``head_bytes`` is the number of
+    bytes of the head after which it ends, before the last one; None if it does not.
+    ``framing`` is a field that the head has then.
     """
 
     resets = False
     ends_in_event = False
     is_empty = False
+    head_bytes: int | None = None
+    framing = ""
 
     async def start(self, port: int = 0) -> None:
         """Listen on ``port``, or on a free one."""
@@ -82,7 +86,13 @@
 
     async def _write(self, response: Response, writer: StreamWriter) -> None:
         fields = "".join(f"{name}: {value}\r\n" for name, value in response.headers)
-        writer.write(f"HTTP/1.1 {response.status} OK\r\n{fields}\r\n".encode())
+        head = f"HTTP/1.1 {response.status} OK\r\n{fields}{self.framing}\r\n".encode()
+        if self.head_bytes is not None:
+            writer.write(head[: min(self.head_bytes, len(head) - 1)])
+            await writer.drain()
+            self.cut(writer)
+            return
+        writer.write(head)
         await writer.drain()
         if self.is_empty:
             return
