Let gateways that stop hand their origins of streams over

Callers: after all entries were killed beside a release, streams that could go on at their version were refused (503, origin_unknown) and begun anew.

Cause: a stream's origin is told to three entries and one gateway. Gateways are stopped with the engines beside them, took what they knew along and stayed announced: after one release half of the ring had ended, after two two thirds, and origins were told to, and asked of, these.

Change: a gateway that is stopped sends its origins to the two that follow on the ring, removes its announcement on a condition (a removal that is executed late removes no later boot), and sends them again when others that stop at the same moment have gone. Entries prefer gateways on hosts with an announced endpoint, and ask four instead of two.

--- a/libs/relay/src/clementinebend_relay/discovery.py
+++ b/libs/relay/src/clementinebend_relay/discovery.py
@@ -76,8 +76,7 @@
     def on_record(self, record: KeyedRecord) -> None:
         """Apply an announcement, or the removal of one."""
         if not record.value:
-            self.announcements.pop(record.key, None)
-            self.version += 1
+            self._remove(record.key)
             return
         try:
             announcement = decode(record.value, type=Announcement)
@@ -97,6 +96,13 @@
         if is_new and self.on_new_boot is not None:
             self.on_new_boot(name)
 
+    def _remove(self, name: str) -> None:
+        if self.announcements.pop(name, None) is None:
+            return
+        self.version += 1
+        if self.on_change is not None:
+            self.on_change()
+
     def has_successor(self, boot: str) -> bool:
         """Return whether a different boot of the same process has announced itself."""
         newest = self.announcements.get(process_name_of(Incarnation(boot)))
--- a/libs/relay/src/clementinebend_relay/endpoints.py
+++ b/libs/relay/src/clementinebend_relay/endpoints.py
@@ -1,5 +1,6 @@
 """Table of announced endpoints: which may get calls, and which have been dropped."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 
 from clementinebend_platform_client.keyed_log import KeyedRecord
@@ -43,6 +44,7 @@
         self.offsets: dict[str, int] = {}
         self.order = AnnouncementOrder()
         self.problems: dict[str, str] = {}
+        self.hosts: Counter[str] = Counter()
         self.services: frozenset[str] = frozenset()
         self.evacuated_zones: set[str] = set()
         self.on_drop: Callable[[Endpoint], None] | None = None
@@ -120,6 +122,10 @@
         """
         return median_pace(state.pace for state in self._states_of(service))
 
+    def is_host_used(self, host: str) -> bool:
+        """Return whether an endpoint is announced at an address of ``host``."""
+        return host in self.hosts
+
     def is_current(self, state: EndpointState) -> bool:
         """Return whether no later boot has replaced an endpoint's boot."""
         return self.states.get(state.endpoint.name) is state
@@ -207,11 +213,21 @@
         if self.states.get(name) is not state:
             return
         del self.states[name]
+        self._change_host(state.endpoint.address.host, None)
         log_decision("endpoint dropped", endpoint=name, reason=reason)
         self.cold_endpoints.forget(state.endpoint)
         if self.on_drop is not None:
             self.on_drop(state.endpoint)
 
+    def _change_host(self, before: str | None, after: str | None) -> None:
+        """Count an endpoint on another host; None is no host."""
+        if after is not None:
+            self.hosts[after] += 1
+        if before is not None:
+            self.hosts[before] -= 1
+            if not self.hosts[before]:
+                del self.hosts[before]
+
     def _is_evacuated(self, state: EndpointState) -> bool:
         return state.endpoint.zone in self.evacuated_zones
 
@@ -259,6 +275,7 @@
             self._drop_predecessors(endpoint)
             state = EndpointState(endpoint, now, lambda: self.is_overloaded())
             self.states[endpoint.name] = state
+            self._change_host(None, endpoint.address.host)
             log_decision(
                 "endpoint added",
                 endpoint=endpoint.name,
@@ -272,6 +289,7 @@
             self.on_announced(endpoint)
         if state.lapsed_at is not None:
             state.available_since = now
+        self._change_host(state.endpoint.address.host, endpoint.address.host)
         state.endpoint = endpoint
         state.announced_at = now
         state.lapsed_at = None
--- a/libs/relay/src/clementinebend_relay/gateway.py
+++ b/libs/relay/src/clementinebend_relay/gateway.py
@@ -23,10 +23,12 @@
 from asyncio.tasks import FIRST_COMPLETED
 from contextlib import suppress
 from logging import getLogger
+from typing import NamedTuple
 
 from clementinebend_platform_client.keyed_log import KeyedLog
 from clementinebend_relay.datagrams import DatagramSocket, open_socket
 from clementinebend_relay.discovery import Announcement, announce
+from clementinebend_relay.leaving_gateway import LeavingGateway, hand_over_origins
 from clementinebend_relay.loop_delay import LoopDelay
 from clementinebend_relay.messages import Message, QueueMessage
 from clementinebend_relay.origin_keeper import OriginKeeper
@@ -126,7 +128,14 @@
     return chunk
 
 
-async def _open_entry_socket(boot: str, address: Address) -> DatagramSocket:
+class EntrySocket(NamedTuple):
+    """A socket for messages about queues and origins, and the origins told to it."""
+
+    socket: DatagramSocket
+    origins: OriginKeeper
+
+
+async def _open_entry_socket(boot: str, address: Address) -> EntrySocket:
     """Return a socket that receives entries' messages about queues and origins."""
 
     def send(message: Message, to: Address) -> None:
@@ -142,7 +151,7 @@
             origins.on_message(message, sender)
 
     socket = await open_socket(address, receive)
-    return socket
+    return EntrySocket(socket, origins)
 
 
 async def run_gateway(
@@ -156,12 +165,13 @@
 ) -> int:
     """Serve until ``stop`` is set; return the exit code."""
     server = await start_server(gateway.accept, *address, limit=CHUNK_BYTES)
-    socket = await _open_entry_socket(boot, address)
+    socket, origins = await _open_entry_socket(boot, address)
     logger.info("started", extra={"gateway": name})
     discovery = create_task(announce(log, name, Announcement(boot, zone, *address)))
     sampling = create_task(LoopDelay(get_running_loop().time).run())
     await stop.wait()
     discovery.cancel()
+    await hand_over_origins(LeavingGateway(name, origins, log, socket.send))
     sampling.cancel()
     server.close()
     await gateway.close()
--- a/libs/relay/src/clementinebend_relay/origin_replicas.py
+++ b/libs/relay/src/clementinebend_relay/origin_replicas.py
@@ -19,6 +19,12 @@
 from clementinebend_relay.decisions import log_decision
 from clementinebend_relay.discovery import Announcement, Directory
 from clementinebend_relay.messages import Message
+from clementinebend_relay.origin_batches import (
+    BATCH_INTERVAL,
+    CHECKED_AT_ONCE,
+    origin_batches,
+    ring_key,
+)
 from clementinebend_relay.origin_keeper import OriginKeeper, known_origin
 from clementinebend_relay.origin_messages import (
     OriginAnswerMessage,
@@ -43,8 +49,9 @@
 GATEWAY_REPLICAS = 1
 """Number of gateways that keep the origin of a stream."""
 
-MAX_GATEWAYS_ASKED = 2
-"""Number of gateways that are asked for an origin."""
+MAX_GATEWAYS_ASKED = 4
+"""Number of gateways that are asked for an origin: some of the first ones may have been
+added since the stream began, or have ended."""
 
 ASK_INTERVAL = 0.04
 """Seconds after which entries that have not answered are asked again."""
@@ -55,18 +62,8 @@
 STARTUP_WAIT = 0.3
 """Seconds for which an entry that has just started waits to know the others."""
 
-BATCH_SIZE = 12
-"""Origins in one datagram: it then fits into one packet."""
-
-CHECKED_AT_ONCE = 100
-"""Origins that are checked in a row for an entry that has started: about 1 ms."""
-
-BATCH_INTERVAL = 0.005
-"""Seconds between two such rows."""
-
-KEY_SEPARATOR = "\0"
-"""Cannot occur in the name of a team or in an HTTP header."""
-
+MAX_SEARCHED = 64
+"""Number of gateways among which those beside an announced endpoint are searched."""
 
 Processes = list[Announcement]
 """The announcements of some processes."""
@@ -119,6 +116,8 @@
         self.clock = clock
         self.keeper = OriginKeeper(boot, send, clock)
         self.table = self.keeper.table
+        self.is_host_used: Callable[[str], bool] = lambda host: True
+        """Returns whether an endpoint is announced on a host, so that it runs."""
         self.questions: dict[int, Question] = {}
         self.numbers = count(randrange(2**32))
 
@@ -219,9 +218,8 @@
             if any(item.address == address for item in keepers(key))
             and (report := self.keeper.report(key)) is not None
         ]
-        for start in range(0, len(reports), BATCH_SIZE):
-            batch = tuple(reports[start : start + BATCH_SIZE])
-            self.send(OriginsMessage(self.boot, batch), address)
+        for message in origin_batches(self.boot, reports):
+            self.send(message, address)
 
     def _is_known(self, boot: str, sender: Address) -> bool:
         """Return whether an address is that of a process, in any of its boots."""
@@ -255,11 +253,23 @@
 
     def _ring(self, key: StreamKey, most: int) -> Processes:
         """Return other entries, from the first one that follows a key on."""
-        names = self.directory.members_from(KEY_SEPARATOR.join(key))
+        names = self.directory.members_from(ring_key(key))
         others = (name for name in names if name != self.name)
         return [self.directory.announcements[name] for name in islice(others, most)]
 
     def _gateways(self, key: StreamKey, most: int) -> Processes:
-        """Return gateways, from the first one that follows a key on."""
-        names = self.gateways.members_from(KEY_SEPARATOR.join(key))
-        return [self.gateways.announcements[name] for name in islice(names, most)]
+        """Return gateways, from the first one that follows a key on.
+
+        Those without an endpoint on their host come last: it was probably removed
+        with its endpoint. An announcement of a gateway does not expire.
+        """
+        names = self.gateways.members_from(ring_key(key))
+        announced = self.gateways.announcements
+        searched = (announced[name] for name in islice(names, MAX_SEARCHED))
+        unused: Processes = []
+        chosen: Processes = []
+        for item in searched:
+            if len(chosen) == most:
+                break
+            (chosen if self.is_host_used(item.host) else unused).append(item)
+        return [*chosen, *unused][:most]
--- a/libs/relay/src/clementinebend_relay/process.py
+++ b/libs/relay/src/clementinebend_relay/process.py
@@ -213,6 +213,7 @@
             self._send_all,
             clock,
         )
+        self.origins.is_host_used = self.endpoints.is_host_used
         self.entries.on_new_boot = self.origins.on_new_entry
         self.gateways.on_new_boot = self.origins.on_new_gateway
         self.unread_answers = UnreadAnswers(settings.capacity.memory, protocol, clock)
--- a/tests/functional/test_stream_versions.py
+++ b/tests/functional/test_stream_versions.py
@@ -9,7 +9,13 @@
 from tests.lib.platform_engine import EngineStandin
 from tests.lib.platform_fleet import ROUTES, Fleet
 from tests.lib.resuming_client import LONG_STREAMS, ResumingClients
-from tests.lib.streams_seen import FEWEST_RESUMED, LEAST_SHARE, Verdict, verdict
+from tests.lib.streams_seen import (
+    FEWEST_RESUMED,
+    LEAST_SHARE,
+    StreamSeen,
+    Verdict,
+    verdict,
+)
 from tests.lib.waiting import until
 
 ENTRIES = 4
@@ -121,6 +127,15 @@
     assert result.keeps_order, result
 
 
+def assert_streams_went_on(seen: list[StreamSeen]) -> None:
+    """Check that streams kept their version, and that enough of those resumed go on."""
+    assert not any(stream.is_mixed for stream in seen)
+    tries = [each for stream in seen for each in stream.tries]
+    answered = [each for each in tries if each.is_resumption and each.status]
+    assert len(answered) >= FEWEST_RESUMED
+    assert sum(each.events > 0 for each in answered) >= LEAST_SHARE * len(answered)
+
+
 async def test_streams_go_on_after_all_entries_were_killed_at_once(
     fleet: Fleet,
 ) -> None:
@@ -142,11 +157,30 @@
     await sleep(0.8)
     await kill_all(fleet, clients)
     seen = await gather(*streams)
-    assert not any(stream.is_mixed for stream in seen)
-    tries = [each for stream in seen for each in stream.tries]
-    answered = [each for each in tries if each.is_resumption and each.status]
-    assert len(answered) >= FEWEST_RESUMED
-    assert sum(each.events > 0 for each in answered) >= LEAST_SHARE * len(answered)
+    assert_streams_went_on(seen)
+
+
+async def test_streams_go_on_after_their_gateways_were_stopped_and_all_entries_killed(
+    fleet: Fleet,
+) -> None:
+    """Guards against origins that leave with the hosts of engines that are replaced."""
+    clients = await start(fleet)
+    old = [await fleet.add_gateway(f"side-{number}") for number in range(3)]
+    await until(lambda: knows_gateways(fleet, len(old)))
+    streams = [create_task(clients.stream(each % ENTRIES)) for each in range(STREAMS)]
+    await sleep(0.8)
+    for number in range(ENTRIES):
+        await kill(fleet, number)
+    await fleet.add_gateway("side-new")
+    await until(lambda: knows_gateways(fleet, len(old) + 1))
+    for gateway in old:
+        gateway.process.terminate()
+    for gateway in old:
+        assert await gateway.process.wait() == 0
+    for number in range(ENTRIES):
+        await fleet.restart_entry(number)
+    seen = await gather(*streams)
+    assert_streams_went_on(seen)
 
 
 async def knows_gateways(fleet: Fleet, number: int) -> bool:
--- a/tests/unit/relay/test_endpoints.py
+++ b/tests/unit/relay/test_endpoints.py
@@ -123,6 +123,16 @@
     assert names(table) == {"a", "b"}
 
 
+def test_hosts_are_used_while_an_endpoint_is_announced_there() -> None:
+    """Guards against gateways counted as gone, or as running beside no endpoint."""
+    table = table_of(("a", b"1"), ("b", b"2"), ("a", b"3"))
+    assert table.is_host_used("10.0.0.1")
+    for name in ("a", "b"):
+        assert table.is_host_used("10.0.0.1")
+        table.drop(table.states[name], "test")
+    assert not table.is_host_used("10.0.0.1")
+
+
 def test_an_unknown_service_takes_no_address_over() -> None:
     table = table_of(("a", b"1"), ("foreign", b"1 unheard-of"))
     assert names(table) == {"a"}
--- a/tests/unit/relay/test_origin_replicas.py
+++ b/tests/unit/relay/test_origin_replicas.py
@@ -84,7 +84,7 @@
     def start_gateway(self, number: int) -> None:
         """Start a boot of a gateway without memory; all entries learn of it."""
         boot = self.boots[-number] = self.boots.get(-number, 0) + 1
-        address = Address("10.0.0.2", number)
+        address = Address(f"10.0.1.{number}", 1)
         item = Announcement(f"g{number}#{boot}", "z0", *address)
         self.gateway_keepers[address] = OriginKeeper(
             item.boot,
@@ -264,6 +264,45 @@
     play(main)
 
 
+@pytest.mark.parametrize("ended", [1, 4, 8])
+def test_gateways_whose_hosts_have_gone_keep_no_origins(ended: int) -> None:
+    """Guards against streams told only to gateways that ended without notice."""
+
+    async def main() -> None:
+        fleet = Fleet(5)
+        for number in range(9):
+            fleet.start_gateway(number + 1)
+        gone = {f"10.0.1.{number + 1}" for number in range(ended)}
+        for host in gone:
+            fleet.gateway_keepers.pop(Address(host, 1))
+        for each in fleet.entries.values():
+            each.is_host_used = lambda host: host not in gone
+        keys = [StreamKey("desk", f"r{number}") for number in range(100)]
+        for key in keys:
+            fleet.entry(0).tell(key, ORIGIN, SECONDS)
+        await sleep(2 * DELAY)
+        for number in range(5):
+            fleet.kill(number)
+            fleet.start(number).is_host_used = lambda host: host not in gone
+        lookups = [await fleet.entry(1).find(key, MAX_WAIT) for key in keys]
+        assert {version_of(each) for each in lookups} == {"v1"}
+
+    play(main)
+
+
+def test_gateways_count_though_no_endpoint_is_announced_beside_any() -> None:
+    """Guards against origins that no gateway keeps while the endpoints are unknown."""
+
+    async def main() -> None:
+        fleet = Fleet(1)
+        fleet.start_gateway(1)
+        fleet.entry(0).is_host_used = lambda host: False
+        fleet.entry(0).tell(KEY, ORIGIN, SECONDS)
+        assert [to.host for _, _, to in fleet.sent] == ["10.0.1.1"]
+
+    play(main)
+
+
 def test_an_entry_that_has_just_started_waits_to_know_the_gateways() -> None:
     """Guards against streams that only gateways know, beside load after a restart."""
 
