Remember the order of endpoints that change nothing

The order of announcements was forgotten 30 s after the last one, but the store holds a new record only if more than the sequence changes, so that an endpoint may be announced once in an hour. A late heartbeat after its removal was believed then.

Now the order is remembered while the endpoint has a record, and for 30 s after its removal. 30 s after the last change a lower number is that of an endpoint that counts anew.

--- a/libs/relay/src/clementinebend_relay/announcement_order.py
+++ b/libs/relay/src/clementinebend_relay/announcement_order.py
@@ -11,9 +11,9 @@
 from clementinebend_relay.metrics import late_announcements
 from clementinebend_relay.models import Endpoint
 
-REMEMBERED_SECONDS = 30.0
-"""Seconds after its last announcement for which an endpoint's order is remembered:
-longer than the store takes to execute a write."""
+LATE_SECONDS = 30.0
+"""Seconds after an announcement or its removal in which earlier ones may be executed.
+After that a lower sequence number is that of an endpoint that counts anew."""
 
 MAX_REPLACED_BOOTS = 4
 """Number of replaced boots that are remembered for each endpoint."""
@@ -34,7 +34,7 @@
 
 
 class NewestAnnouncement(NamedTuple):
-    """The newest announcement of an endpoint, applied at ``applied_at``.
+    """The newest announcement of an endpoint, applied or removed at ``changed_at``.
 
     ``is_removed`` is true once its record was removed. ``replaced`` are the times of
     birth of the boots that this one has followed, the last one at the end.
@@ -42,7 +42,7 @@
 
     boot: Boot
     sequence: int | None
-    applied_at: float
+    changed_at: float
     is_removed: bool = False
     replaced: tuple[int, ...] = ()
 
@@ -50,19 +50,21 @@
 class AnnouncementOrder:
     """The newest announcement of each endpoint, by name; times are monotonic seconds.
 
-    Names are kept in the order of ``applied_at``, so that the oldest are forgotten
-    without a search.
+    An endpoint that changes nothing is announced once, however long it lives, so those
+    with a record are always remembered. ``removed_at`` holds the others in the order of
+    their removal, so that the oldest are forgotten without a search.
     """
 
     def __init__(self) -> None:
         self.newest: dict[str, NewestAnnouncement] = {}
+        self.removed_at: dict[str, float] = {}
         self.logged_at: dict[str, float] = {}
 
     def is_late(self, endpoint: Endpoint, now: float) -> bool:
         """Return whether a newer announcement of the endpoint was applied before."""
-        self._forget_old(now)
+        self._forget_removed(now)
         newest = self.newest.get(endpoint.name)
-        if newest is None:
+        if newest is None or now - newest.changed_at > LATE_SECONDS:
             return False
         if boot_of(endpoint) != newest.boot:
             return endpoint.boot in newest.replaced
@@ -74,18 +76,22 @@
 
     def on_applied(self, endpoint: Endpoint, now: float) -> None:
         """Record that an announcement was applied."""
-        before = self.newest.pop(endpoint.name, None)
+        before = self.newest.get(endpoint.name)
+        self.removed_at.pop(endpoint.name, None)
         boot = boot_of(endpoint)
         replaced = () if before is None else _replaced_boots(before, boot)
         self.newest[endpoint.name] = NewestAnnouncement(
             boot, endpoint.sequence, now, replaced=replaced
         )
 
-    def on_removed(self, name: str) -> None:
+    def on_removed(self, name: str, now: float) -> None:
         """Record that the record of an endpoint was removed."""
         newest = self.newest.get(name)
-        if newest is not None:
-            self.newest[name] = newest._replace(is_removed=True)
+        if newest is None:
+            return
+        self.newest[name] = newest._replace(changed_at=now, is_removed=True)
+        self.removed_at.pop(name, None)
+        self.removed_at[name] = now
 
     def on_ignored(self, endpoint: Endpoint, now: float) -> None:
         """Count a late announcement, and log it unless one was logged recently."""
@@ -103,15 +109,16 @@
             is_leaving=endpoint.is_leaving,
             known_boot=newest.boot.born,
             known_sequence=newest.sequence,
-            known_age_s=round(now - newest.applied_at, 3),
+            known_age_s=round(now - newest.changed_at, 3),
             is_removed=newest.is_removed,
         )
 
-    def _forget_old(self, now: float) -> None:
-        while self.newest:
-            name = next(iter(self.newest))
-            if now - self.newest[name].applied_at <= REMEMBERED_SECONDS:
+    def _forget_removed(self, now: float) -> None:
+        while self.removed_at:
+            name = next(iter(self.removed_at))
+            if now - self.removed_at[name] <= LATE_SECONDS:
                 return
+            del self.removed_at[name]
             del self.newest[name]
             self.logged_at.pop(name, None)
 
--- a/libs/relay/src/clementinebend_relay/endpoints.py
+++ b/libs/relay/src/clementinebend_relay/endpoints.py
@@ -313,7 +313,7 @@
             self.drop(state, "a later boot has its address")
 
     def _lapse(self, name: str) -> None:
-        self.order.on_removed(name)
+        self.order.on_removed(name, self.clock())
         state = self.states.get(name)
         if state is not None and state.lapsed_at is None:
             state.lapsed_at = self.clock()
--- a/tests/unit/relay/test_announcement_order.py
+++ b/tests/unit/relay/test_announcement_order.py
@@ -11,8 +11,8 @@
 from clementinebend_platform_client.keyed_log import KeyedRecord
 from clementinebend_relay import announcement_order
 from clementinebend_relay.announcement_order import (
+    LATE_SECONDS,
     LOG_INTERVAL_SECONDS,
-    REMEMBERED_SECONDS,
 )
 from clementinebend_relay.cold_endpoints import ColdEndpoints
 from clementinebend_relay.discovery import Directory
@@ -166,11 +166,29 @@
     for number in range(1_000):
         world.put(Announced(5, port=number + 1), REMOVAL, name=f"i-{number}")
     assert len(world.table.order.newest) == 1_000
-    world.now += REMEMBERED_SECONDS + 1
+    world.now += LATE_SECONDS + 1
     world.put(Announced(1), name="i-1000")
     assert set(world.table.order.newest) == {"i-1000"}
 
 
+def test_an_endpoint_that_changed_nothing_for_long_stays_removed(world: World) -> None:
+    """Guards against an order that is forgotten though the endpoint is announced."""
+    world.put(Announced(9))
+    world.now += 10 * LATE_SECONDS
+    world.put(Announced(1), name="i-2")
+    world.put(REMOVAL, Announced(8), Announced(9))
+    world.forget_lapsed()
+    assert world.open() == {"i-2"}
+
+
+def test_an_endpoint_that_counts_anew_is_believed_after_some_time(world: World) -> None:
+    """Guards against an endpoint that stays out as its counter was reset."""
+    world.put(Announced(9, "draining"))
+    world.now += LATE_SECONDS + 1
+    world.put(Announced(1))
+    assert world.open() == {"i-1"}
+
+
 def test_log_lines_on_late_heartbeats_are_bounded(
     world: World, monkeypatch: pytest.MonkeyPatch
 ) -> None:
