End the last resort of endpoints that left in time

Callers: with all engines of a service taken away at once, requests reached engines up to 2.3 s after the ack of their removal; an engine may have ended after drain_ms, 2.0 s.

Cause: an endpoint without a record was a last resort for 2 s from the reading of its removal, as records that expired in an outage of the store are written again within that time. That of an endpoint that leaves was treated alike.

Change: a removal read within 3 s of a failed read counts as an expiry, as before; any other one means that the endpoint leaves, and it is a last resort for half of drain_ms. The log line says for how long.

Tried first and not kept: telling an outage by a gap between any two records, and an expiry by the age of the announcement.

--- a/libs/relay/src/clementinebend_relay/endpoint_state.py
+++ b/libs/relay/src/clementinebend_relay/endpoint_state.py
@@ -63,6 +63,8 @@
     added; ``answered_at`` is when it last sent bytes, initially minus infinity.
     ``available_since`` is when it was added or became available again: it may be cold
     from then on; ``cold_until`` is the end of the cold time that it announced.
+    ``lapsed_at`` is when its record was removed, and ``last_resort_until`` until when
+    it then gets calls if no other one can.
     ``last_sent_at`` is when this entry last sent it a call, ``sent`` how many calls it
     has sent. ``limit`` is the request limit known since ``limit_since``, before
     which this entry had sent ``sent_before_limit`` calls. ``others_in_flight`` is the
@@ -92,6 +94,7 @@
         self.doubt = Doubt()
         self.unread: dict[str, UnreadCall] = {}
         self.lapsed_at: float | None = None
+        self.last_resort_until = inf
         self.leaving_until = -inf
         self.paused_until = -inf
         self.cold_until = -inf
--- a/libs/relay/src/clementinebend_relay/endpoints.py
+++ b/libs/relay/src/clementinebend_relay/endpoints.py
@@ -10,15 +10,11 @@
 from clementinebend_relay.earlier_boots import is_outdated, on_ignored
 from clementinebend_relay.endpoint_state import EndpointState
 from clementinebend_relay.interfaces import InvalidRecord, RecordDecoder
+from clementinebend_relay.last_resort import RETURN_SECONDS, LastResort
 from clementinebend_relay.models import Endpoint, boot_name, endpoint_name
 from clementinebend_routing.outliers import ejection_allowed, is_ejected, on_result
 from clementinebend_routing.prefill import Pace, median_pace
 
-LAPSED_SECONDS = 2.0
-"""Seconds for which an endpoint without a record is kept as a last resort: records that
-expired while the store was unavailable are written again within this time."""
-
-
 ALL_LEAVING_RETRY_DELAY = 1.0
 """Seconds after which a caller may retry while all endpoints are leaving: their
 replacements take about that long to announce themselves."""
@@ -29,13 +25,17 @@
 
 
 class EndpointTable:
-    """Endpoints by name; shared by the tasks that read the store and dispatch calls."""
+    """Endpoints by name; shared by the tasks that read the store and dispatch calls.
+
+    An endpoint serves for ``leaving_seconds`` after its record was removed.
+    """
 
     def __init__(
         self,
         records: RecordDecoder,
         cold_endpoints: ColdEndpoints,
         clock: Callable[[], float],
+        leaving_seconds: float = RETURN_SECONDS,
     ) -> None:
         self.records = records
         self.cold_endpoints = cold_endpoints
@@ -43,6 +43,7 @@
         self.states: dict[str, EndpointState] = {}
         self.offsets: dict[str, int] = {}
         self.order = AnnouncementOrder()
+        self.last_resort = LastResort(leaving_seconds)
         self.problems: dict[str, str] = {}
         self.hosts: Counter[str] = Counter()
         self.services: frozenset[str] = frozenset()
@@ -60,7 +61,7 @@
         self.offsets[record.key] = record.offset
         if not record.value:
             self.problems.pop(record.key, None)
-            self._lapse(record.key)
+            self._lapse(record.key, self.last_resort.seconds(self.clock()))
             return
         decoded = self.records.endpoint(record.key, record.value)
         if isinstance(decoded, InvalidRecord):
@@ -73,6 +74,10 @@
         """Set the names of the configured services."""
         self.services = frozenset(services)
 
+    def on_read_failed(self) -> None:
+        """Note that the announcements could not be read."""
+        self.last_resort.on_read_failed(self.clock())
+
     def on_snapshot(self, keys: frozenset[str], end: int) -> None:
         """Apply the names of all announced endpoints; ``end`` is the log's end.
 
@@ -85,7 +90,7 @@
         if end <= max(self.offsets.values(), default=-1):
             return
         for name in set(self.states) - keys:
-            self._lapse(name)
+            self._lapse(name, RETURN_SECONDS)
 
     def candidates(
         self, service: str, software_version: str | None = None
@@ -312,18 +317,20 @@
         for state in earlier:
             self.drop(state, "a later boot has its address")
 
-    def _lapse(self, name: str) -> None:
+    def _lapse(self, name: str, seconds: float) -> None:
+        """Keep an endpoint without a record as a last resort for some seconds."""
         self.order.on_removed(name, self.clock())
         state = self.states.get(name)
         if state is not None and state.lapsed_at is None:
             state.lapsed_at = self.clock()
-            log_decision("endpoint lapsed", endpoint=name)
+            state.last_resort_until = state.lapsed_at + seconds
+            log_decision("endpoint lapsed", endpoint=name, last_resort_s=seconds)
 
     def _drop_lapsed(self, now: float) -> None:
         expired = [
             state
             for state in self.states.values()
-            if state.lapsed_at is not None and now > state.lapsed_at + LAPSED_SECONDS
+            if state.lapsed_at is not None and now > state.last_resort_until
         ]
         for state in expired:
             self.drop(state, "its announcement expired")
--- a/libs/relay/src/clementinebend_relay/partition_reader.py
+++ b/libs/relay/src/clementinebend_relay/partition_reader.py
@@ -80,6 +80,7 @@
     The table gets each record, oldest first, and after the records of a snapshot the
     names of all keys. A record must reach the table within ``max_delay`` seconds. With
     ``is_busy`` the partition has many writers, and records are read in batches.
+    ``on_failure`` is called after each failed read.
     """
 
     def __init__(
@@ -90,6 +91,7 @@
         clock: Callable[[], float],
         max_delay: float,
         is_busy: bool = False,
+        on_failure: Callable[[], None] = lambda: None,
     ) -> None:
         self.wait = WAIT_FRACTION * max_delay
         self.pause = BATCH_FRACTION * max_delay if is_busy else 0.0
@@ -102,6 +104,7 @@
         self.read_at: float | None = None
         self.lost_at: float | None = None
         self.failures = 0
+        self.on_failure = on_failure
 
     async def run(self) -> None:
         """Read forever."""
@@ -151,6 +154,7 @@
 
     def _on_failure(self, failure: StoreFailure) -> None:
         self.failures += 1
+        self.on_failure()
         if self.lost_at is None:
             self.lost_at = self.clock()
             log_dependency(self.name, is_lost=True, problem=failure.message)
--- a/libs/relay/src/clementinebend_relay/process.py
+++ b/libs/relay/src/clementinebend_relay/process.py
@@ -100,7 +100,9 @@
         self.client = HttpClient()
         self.entries = Directory()
         self.cold_endpoints = ColdEndpoints(settings.name, self.entries, clock)
-        self.endpoints = EndpointTable(records, self.cold_endpoints, clock)
+        self.endpoints = EndpointTable(
+            records, self.cold_endpoints, clock, settings.max_leaving_delay
+        )
         self.endpoints.on_first_snapshot = self._update_readiness
         self.configuration = ConfigurationTable(records, self._configure)
         self.paths = paths
@@ -170,6 +172,7 @@
                 clock,
                 settings.max_leaving_delay,
                 is_busy=True,
+                on_failure=self.endpoints.on_read_failed,
             ),
             PartitionReader(
                 "entries", logs.entries, self.entries, clock, DIRECTORY_MAX_DELAY
--- a/tests/unit/relay/test_announcement_order.py
+++ b/tests/unit/relay/test_announcement_order.py
@@ -16,7 +16,8 @@
 )
 from clementinebend_relay.cold_endpoints import ColdEndpoints
 from clementinebend_relay.discovery import Directory
-from clementinebend_relay.endpoints import LAPSED_SECONDS, EndpointTable
+from clementinebend_relay.endpoints import EndpointTable
+from clementinebend_relay.last_resort import RETURN_SECONDS
 from clementinebend_transport.metrics import registry
 
 REMOVAL = b""
@@ -71,7 +72,7 @@
 
     def forget_lapsed(self) -> None:
         """Wait until endpoints without a record are no last resort any more."""
-        self.now += LAPSED_SECONDS + 0.1
+        self.now += RETURN_SECONDS + 0.1
 
 
 @pytest.fixture
