Relay no promise of an endpoint that may have run a call

Callers: an order that an engine had run and failed with 503 was answered 503, which promises that nothing has run; clients sent it again and it ran twice.

Cause: an engine's failure was relayed with its status. Only X-Not-Executed and 421 state that a request has not run.

Change: for a call that may run once at most, 408, 429 and 503 of an engine that says nothing else are replaced by the entry's own 502 without a signature. Calls that may be repeated get the engine's answer unchanged.

--- a/libs/relay/src/clementinebend_relay/attempts.py
+++ b/libs/relay/src/clementinebend_relay/attempts.py
@@ -327,12 +327,20 @@
     async def _read_failure(
         self, answer: OpenAnswer, progress: CallProgress
     ) -> Response | None:
+        """Return an endpoint's failure to relay, None if the caller may not see it.
+
+        A status that promises that nothing has run would let the caller repeat a call
+        that may run once at most, though its endpoint may have run it.
+        """
         body = await read_body(answer, progress.deadline, MAX_FAILURE_BYTES)
         if body.is_error():
             return None
         self.outcomes.on_sound(progress)
-        headers = self.dispatcher.protocol.caller_headers(answer.headers)
-        return Response(answer.status, headers, body.ok)
+        protocol = self.dispatcher.protocol
+        may_repeat = progress.admitted.route.may_repeat
+        if not may_repeat and protocol.promises_not_run(answer.status):
+            return None
+        return Response(answer.status, protocol.caller_headers(answer.headers), body.ok)
 
 
 def _is_endpoint_missing(outcome: ResponseStarted | NotSent | ResponseLost) -> bool:
--- a/libs/relay/src/clementinebend_relay/interfaces.py
+++ b/libs/relay/src/clementinebend_relay/interfaces.py
@@ -98,6 +98,10 @@
         """Return what the head of a response says about the call."""
         ...
 
+    def promises_not_run(self, status: int) -> bool:
+        """Return whether a status alone tells callers that a call has not run."""
+        ...
+
     def notice(self, status: int, headers: Mapping[str, str]) -> Notice:
         """Return what the head of a response says about its endpoint."""
         ...
--- a/tests/functional/test_failed_runs.py
+++ b/tests/functional/test_failed_runs.py
@@ -81,3 +81,35 @@
     answers = await gather(*outcomes)
     assert {fleet.runs(name) for name in names} == {1}
     assert {answer.ok.status for answer in answers} == {500 if fault == "fail" else 504}
+
+
+@pytest.mark.parametrize("status", sorted(NOT_RUN_STATUSES - {421}))
+@pytest.mark.parametrize("path", ["/once-more/x", "/novel-more/x", "/stream-once/x"])
+async def test_an_endpoint_that_fails_by_a_promise_is_not_believed(
+    fleet: Fleet, path: str, status: int
+) -> None:
+    """Guards against callers that repeat what has run, as its endpoint failed so.
+
+    The endpoint says nothing of the request not having run but by its status.
+    """
+    await start(fleet)
+    for engine in fleet.engines:
+        engine.fault, engine.failure_status = "fail", status
+    names = [f"run-{number}" for number in range(CALLS)]
+    outcomes = (fleet.call(path, request_id=name) for name in names)
+    answers = await gather(*outcomes)
+    assert {fleet.runs(name) for name in names} == {1}
+    assert {answer.ok.status for answer in answers} == {502}
+    assert not any("x-response-signature" in each.ok.headers for each in answers)
+
+
+async def test_a_failed_call_that_may_be_repeated_keeps_its_status(
+    fleet: Fleet,
+) -> None:
+    """Guards against an endpoint's failure replaced though nothing can run twice."""
+    await start(fleet)
+    for engine in fleet.engines:
+        engine.fault, engine.failure_status = "fail", 503
+    answer = await fleet.call("/safe/x")
+    assert answer.ok.status == 503
+    assert "x-response-signature" in answer.ok.headers
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -22,8 +22,8 @@
 class EngineStandin:
     """One boot of an engine that answers, and remembers what it ran.
 
-    ``fault`` is ``""``, ``"full"`` (not run), ``"fail"`` (500), ``"foreign"``
-    (another request's answer), ``"cut"`` (a stream breaks off half-way),
+    ``fault`` is ``""``, ``"full"`` (not run), ``"fail"`` (500, or ``failure_status``),
+    ``"foreign"`` (another request's answer), ``"cut"`` (a stream breaks off half-way),
     ``"gap"`` (an event is missing) or ``"silent"``. A request with ``fatal_body`` ends
     the engine: at once (``fatal_way`` ``"reset"``), after the head of its answer
     (``"head"``) or after its first event (``"event"``); ``on_end`` is then called. So
@@ -56,6 +56,7 @@
         self.cold_remaining_ms = 0
         self.sequence = 0
         self.fault = ""
+        self.failure_status = 500
         self.pause = 0.005
         self.work_seconds = 0.0
         self.slots = 4
@@ -166,7 +167,7 @@
         echoed = "other" if self.fault == "foreign" else request_id
         headers = (("x-request-id", echoed), ("x-response-signature", self.name))
         if self.fault == "fail":
-            return Response(500, headers, b"failed")
+            return Response(self.failure_status, headers, b"failed")
         if self.fault == "late":
             limit = float(request.headers["x-deadline-ms"]) / 1000
             await self._sleep(max(0.0, limit - LATE_MARGIN), request_id)
