Bound the memory that bodies of requests take together

Callers: with bodies of an allowed size entries exceeded their memory and were ended; streams were cut, and requests that engines had run were never answered.

Cause: a body is kept until its request has been answered, as it may be sent once more. Each body was bounded, all of them together were not.

One that announces more than is left, or grows beyond it, is not read: 503 with Retry-After 1, not run, at once. Bodies of up to 16 KiB are always read.

--- a/libs/relay/src/clementinebend_relay/handler.py
+++ b/libs/relay/src/clementinebend_relay/handler.py
@@ -27,6 +27,7 @@
 from clementinebend_relay.quota_view import Shortfall
 from clementinebend_relay.resumptions import Resumptions
 from clementinebend_relay.streams import StreamRelay
+from clementinebend_transport.body_room import BodyRoom, RequestBodies
 from clementinebend_transport.http_types import Request, Response
 from clementinebend_transport.late_waits import result_within
 
@@ -39,6 +40,9 @@
 Outages last 3 to 5 s, and a caller that retries during one is refused again.
 """
 
+BODY_RETRY_AFTER = 1.0
+"""Retry-after delay in seconds when there is no memory for a body: some calls end."""
+
 STARTUP_WAIT = 0.3
 """Seconds that a call waits for the configuration and endpoints to be loaded.
 
@@ -82,6 +86,7 @@
         self.is_loaded = is_loaded
         self.load = load
         self.clock = clock
+        self.bodies = RequestBodies(BodyRoom(), self.reject_body)
 
     async def handle(self, request: Request) -> Response:
         """Return the response to one request from a caller."""
@@ -95,6 +100,16 @@
             return self._reject(prepared, call.request_id, arrived_at)
         return await self._run(*prepared, arrived_at)
 
+    def reject_body(self, request: Request) -> Response:
+        """Return the response to a request for whose body there is no memory."""
+        arrived_at = self.clock()
+        call = self.protocol.read_call(request)
+        if isinstance(call, Rejection):
+            return self._reject(call, "", arrived_at)
+        message = "there is no memory for the request's body"
+        rejection = Rejection(Reason.BODY_MEMORY, message, BODY_RETRY_AFTER)
+        return self._reject(rejection, call.request_id, arrived_at)
+
     async def _prepare(self, call: Call, arrived_at: float) -> PreparedCall | Rejection:
         """Return a call that may be sent, with its budget reserved."""
         admitted = await self._admit(call)
--- a/libs/relay/src/clementinebend_relay/process.py
+++ b/libs/relay/src/clementinebend_relay/process.py
@@ -5,6 +5,7 @@
 from logging import getLogger
 from typing import Any
 
+from clementinebend_admission.request_bodies import max_bodies
 from clementinebend_membership.rendezvous import rendezvous
 from clementinebend_platform_client.store_paths import Probe, StorePaths
 from clementinebend_platform_client.supervision import stop_process, watch
@@ -283,9 +284,13 @@
         """Listen for callers, readiness checks, metrics scrapes and datagrams."""
         callers, ready = self.settings.callers, self.settings.ready
         self.socket = await open_socket(self.settings.peers, self._on_message)
+        self._limit_memory(self.settings.capacity.memory)
         limits = ServerLimits()
+        handler = self.handler
         self.servers = [
-            await serve_http(self.handler.handle, *callers, limits, self._request_id),
+            await serve_http(
+                handler.handle, *callers, limits, self._request_id, handler.bodies
+            ),
             await serve_http(self._ready, *ready, limits),
             await serve_http(self._metrics, callers.host, metrics_port, limits),
         ]
@@ -294,7 +299,7 @@
         """Apply changed settings; bound addresses keep their old values."""
         bound = self.settings
         self.load.capacity = settings.capacity
-        self.unread_answers.change_memory(settings.capacity.memory)
+        self._limit_memory(settings.capacity.memory)
         self.settings = settings._replace(
             callers=bound.callers, ready=bound.ready, peers=bound.peers
         )
@@ -303,6 +308,11 @@
         self.zone_loads.zone = settings.zone
         self.paths.move(store)
 
+    def _limit_memory(self, memory: int | None) -> None:
+        """Bound what is held for callers by the memory of this entry, in bytes."""
+        self.unread_answers.change_memory(memory)
+        self.handler.bodies.room.limit = max_bodies(memory)
+
     def caller_connections(self) -> Iterable[HttpConnection]:
         """Return the connections of callers, none before the entry listens."""
         return self.servers[0].connections.values() if self.servers else ()
--- /dev/null
+++ b/libs/transport/src/clementinebend_transport/body_room.py
@@ -0,0 +1,61 @@
+"""Room in a server's memory for the bodies of the requests that it holds.
+
+A body is held from its first byte until its request has been answered. Without a bound
+on all of them together, requests of an allowed size can exceed a process's memory.
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from clementinebend_transport.http_types import Request, Response, error_response
+
+SMALL_BODY_BYTES = 16 * 1024
+"""Size up to which a body is read whatever others hold: little more than the connection
+itself takes."""
+
+RETRY_SECONDS = 1
+"""Seconds after which a caller may send a body again for which there was no room."""
+
+
+class BodyRoom:
+    """The bytes of all bodies that a server holds; a ``limit`` of None is no bound."""
+
+    def __init__(self, limit: int | None = None) -> None:
+        self.limit = limit
+        self.held = 0
+
+    def reserve(self, size: int, total: int) -> bool:
+        """Reserve ``size`` more bytes for a body of ``total``; return whether they fit.
+
+        Small bodies always fit, and count towards the sum.
+        """
+        is_small = total <= SMALL_BODY_BYTES
+        if self.limit is not None and not is_small and self.held + size > self.limit:
+            return False
+        self.held += size
+        return True
+
+    def release(self, size: int) -> None:
+        """Release bytes of a body that is no longer held."""
+        self.held -= size
+
+
+class RequestBodies(NamedTuple):
+    """The room for bodies, and the answer to a request whose body finds none.
+
+    The request that ``reject`` gets has no body.
+    """
+
+    room: BodyRoom
+    reject: Callable[[Request], Response]
+
+
+def reject_body(request: Request) -> Response:
+    """Return the answer to a request whose body is not read."""
+    message = "there is no memory for the request's body"
+    return error_response(503, "overloaded", message, RETRY_SECONDS)
+
+
+def unlimited_bodies() -> RequestBodies:
+    """Return that bodies are not bounded together."""
+    return RequestBodies(BodyRoom(), reject_body)
--- a/libs/transport/src/clementinebend_transport/connection_ends.py
+++ b/libs/transport/src/clementinebend_transport/connection_ends.py
@@ -28,6 +28,8 @@
     LEFT_ROTATION = "left_rotation"
     UNREADABLE_REQUEST = "unreadable_request"
     """It was rejected with an error status."""
+    NO_ROOM = "no_room"
+    """There was no memory for the body of a request, which was not read."""
     SLOW_READER = "slow_reader"
     MEMORY = "memory"
     """Memory held by answers that were not read was needed."""
--- a/libs/transport/src/clementinebend_transport/http_connection.py
+++ b/libs/transport/src/clementinebend_transport/http_connection.py
@@ -17,6 +17,7 @@
 from h11 import Event as HttpEvent
 from h11 import Response as HttpResponse
 
+from clementinebend_transport.body_room import RequestBodies, unlimited_bodies
 from clementinebend_transport.channel import WRITE_BUFFER_BYTES, Channel
 from clementinebend_transport.connection_ends import (
     EndedConnection,
@@ -27,6 +28,7 @@
 from clementinebend_transport.exceptions import AnswerCutError, SlowReaderError
 from clementinebend_transport.http_events import is_cycle_done, post_event
 from clementinebend_transport.http_reader import (
+    BodyRejected,
     ConnectionEnd,
     Refusal,
     RequestReader,
@@ -80,6 +82,7 @@
         EndReason.OVERRUN,
         EndReason.SOURCE_CUT,
         EndReason.UNREADABLE_REQUEST,
+        EndReason.NO_ROOM,
     )
 )
 """Reasons for which a connection ends right after an answer."""
@@ -111,14 +114,16 @@
         limits: ServerLimits,
         idle_limit: IdleLimit,
         identify: Identify = no_id,
+        bodies: RequestBodies | None = None,
     ) -> None:
+        self.bodies = bodies or unlimited_bodies()
         self.channel = channel
         self.handler = handler
         self.identify = identify
         self.limits = limits
         self.idle_limit = idle_limit
         self.parser = Parser(SERVER, max_incomplete_event_size=limits.max_header_bytes)
-        self.reader = RequestReader(channel, self.parser, limits)
+        self.reader = RequestReader(channel, self.parser, limits, self.bodies.room)
         self.request: Request | None = None
         """The request that is being answered."""
         self.is_head_sent = False
@@ -224,6 +229,7 @@
             self.abort(EndReason.SLOW_READER)
         finally:
             self.set_end_reason(EndReason.FAULT)
+            self.reader.release()
             await self._close()
 
     def _must_linger(self) -> bool:
@@ -274,6 +280,10 @@
             self.set_end_reason(EndReason.UNREADABLE_REQUEST)
             await self._refuse(request)
             return False
+        if isinstance(request, BodyRejected):
+            self.set_end_reason(EndReason.NO_ROOM)
+            await self._send_last(self.bodies.reject(request.request))
+            return False
         if self.channel.ended:
             _abandoned.inc()
             return False
@@ -290,7 +300,12 @@
 
     async def _refuse(self, refusal: Refusal) -> None:
         """Answer an unreadable request and let the caller read the answer."""
-        response = error_response(refusal.status, "bad_request", refusal.message)
+        await self._send_last(
+            error_response(refusal.status, "bad_request", refusal.message)
+        )
+
+    async def _send_last(self, response: Response) -> None:
+        """Answer a request that has not been read whole."""
         self.is_draining = True
         await self._send_response("GET", response)
 
--- a/libs/transport/src/clementinebend_transport/http_reader.py
+++ b/libs/transport/src/clementinebend_transport/http_reader.py
@@ -11,6 +11,7 @@
 from h11 import Data, InformationalResponse, RemoteProtocolError
 from h11 import Request as HttpRequest
 
+from clementinebend_transport.body_room import BodyRoom
 from clementinebend_transport.channel import Channel
 from clementinebend_transport.exceptions import TruncatedAnswer
 from clementinebend_transport.http_events import (
@@ -28,28 +29,47 @@
     message: str
 
 
+class BodyRejected(NamedTuple):
+    """There is no memory for a request's body; ``request`` has none."""
+
+    request: Request
+
+
 class ConnectionEnd(NamedTuple):
     """The caller sent no further request."""
 
 
 class RequestReader:
-    """Reads one request after another from a caller's connection."""
-
-    def __init__(self, channel: Channel, parser: Parser, limits: ServerLimits) -> None:
+    """Reads one request after another from a caller's connection.
+
+    ``room`` is shared by all connections. The body of a request counts there until the
+    next one is read, or ``release`` is called.
+    """
+
+    def __init__(
+        self,
+        channel: Channel,
+        parser: Parser,
+        limits: ServerLimits,
+        room: BodyRoom | None = None,
+    ) -> None:
         self.channel = channel
         self.parser = parser
         self.limits = limits
+        self.room = room or BodyRoom()
+        self.reserved = 0
         self.is_idle = True
         self.late_seconds = 0.0
         """How much later than due the last idle limit was noticed."""
 
     async def read(
         self, idle_limit: Callable[[], float]
-    ) -> Request | Refusal | ConnectionEnd:
+    ) -> Request | Refusal | BodyRejected | ConnectionEnd:
         """Return the next request, if it begins within ``idle_limit`` seconds.
 
         The limit may change during the wait.
         """
+        self.release()
         if not await self._wait_for_first_byte(idle_limit):
             return ConnectionEnd()
         try:
@@ -61,6 +81,11 @@
                 return ConnectionEnd()
             return Refusal(error.error_status_hint, str(error))
 
+    def release(self) -> None:
+        """Release the room of the body that was read last."""
+        self.room.release(self.reserved)
+        self.reserved = 0
+
     async def _wait_for_first_byte(self, idle_limit: Callable[[], float]) -> bool:
         if self.parser.trailing_data[0]:
             return True
@@ -83,7 +108,7 @@
                     self.late_seconds = late
                     return b""
 
-    async def _read_parts(self) -> Request | Refusal | ConnectionEnd:
+    async def _read_parts(self) -> Request | Refusal | BodyRejected | ConnectionEnd:
         try:
             head = await self._next_event(self._until(self.limits.header_timeout))
         except TimeoutError:
@@ -97,23 +122,25 @@
             go_on = InformationalResponse(status_code=100, headers=[])
             post_event(self.parser, self.channel, go_on)
         try:
-            body = await self._read_body(self._until(self.limits.body_timeout))
+            return await self._read_body(head, self._until(self.limits.body_timeout))
         except TimeoutError:
             return Refusal(408, "the request's body took too long")
-        return _request(head, body) if isinstance(body, bytes) else body
 
     def _until(self, seconds: float) -> float:
         return get_running_loop().time() + seconds
 
-    def _check_head(self, head: HttpRequest) -> Refusal | None:
+    def _check_head(self, head: HttpRequest) -> Refusal | BodyRejected | None:
         size = sum(len(name) + len(value) for name, value in head.headers)
         limit = self.limits.max_header_bytes
         if size + len(head.target) > limit:
             return Refusal(431, f"the headers are larger than {limit} bytes")
         if head.method == b"CONNECT":
             return Refusal(400, "CONNECT is not supported")
-        length = dict(head.headers).get(b"content-length", b"0")
-        return self._check_size(int(length))
+        length = int(dict(head.headers).get(b"content-length", b"0"))
+        refusal = self._check_size(length)
+        if refusal is None and not self._reserve(length):
+            return BodyRejected(_request(head, b""))
+        return refusal
 
     def _check_size(self, size: int) -> Refusal | None:
         limit = self.limits.max_body_bytes
@@ -121,7 +148,18 @@
             return None
         return Refusal(413, f"the body is larger than {limit} bytes")
 
-    async def _read_body(self, until: float) -> bytes | Refusal:
+    def _reserve(self, size: int) -> bool:
+        """Reserve room for ``size`` bytes of a body in all; return whether it fits."""
+        wanted = max(0, size - self.reserved)
+        if not self.room.reserve(wanted, size):
+            return False
+        self.reserved += wanted
+        return True
+
+    async def _read_body(
+        self, head: HttpRequest, until: float
+    ) -> Request | Refusal | BodyRejected:
+        """Return the whole request, or why its body is not read."""
         pieces: list[bytes] = []
         size = 0
         while isinstance(event := await self._next_event(until), Data):
@@ -129,8 +167,10 @@
             refusal = self._check_size(size)
             if refusal is not None:
                 return refusal
+            if not self._reserve(size):
+                return BodyRejected(_request(head, b""))
             pieces.append(bytes(event.data))
-        return b"".join(pieces)
+        return _request(head, b"".join(pieces))
 
     async def _next_event(self, until: float) -> object:
         return await next_event(self.parser, self.channel, until)
--- a/libs/transport/src/clementinebend_transport/http_server.py
+++ b/libs/transport/src/clementinebend_transport/http_server.py
@@ -15,6 +15,7 @@
 from logging import getLogger
 from math import ceil
 
+from clementinebend_transport.body_room import RequestBodies, unlimited_bodies
 from clementinebend_transport.channel import Channel
 from clementinebend_transport.connection_ends import EndReason, on_refused
 from clementinebend_transport.early_binding import BACKLOG, take_bound
@@ -74,8 +75,13 @@
     """A listening server; ``drain`` ends it in order, ``close`` at once."""
 
     def __init__(
-        self, handler: Handler, limits: ServerLimits, identify: Identify = no_id
+        self,
+        handler: Handler,
+        limits: ServerLimits,
+        identify: Identify = no_id,
+        bodies: RequestBodies | None = None,
     ) -> None:
+        self.bodies = bodies or unlimited_bodies()
         self.handler = handler
         self.limits = limits
         self.idle_limit = IdleLimit(limits.idle_timeout)
@@ -214,7 +220,12 @@
             self._refuse(channel)
             return
         connection = HttpConnection(
-            channel, self.handler, self.limits, self.idle_limit, self.identify
+            channel,
+            self.handler,
+            self.limits,
+            self.idle_limit,
+            self.identify,
+            self.bodies,
         )
         connection.is_draining = self.is_draining
         connection.is_moving = self.is_moving
@@ -244,14 +255,16 @@
     port: int,
     limits: ServerLimits = DEFAULT_LIMITS,
     identify: Identify = no_id,
+    bodies: RequestBodies | None = None,
 ) -> HttpServer:
     """Listen on ``host`` and ``port`` (0: a free one) and answer by ``handler``.
 
-    ``identify`` names requests in log lines.
+    ``identify`` names requests in log lines. ``bodies`` bounds the bodies of all
+    requests together; without it they are not bounded.
     A port that ``bind_early`` holds is taken over, with the connections that
     wait there. Raises ``OSError`` if the address cannot be bound.
     """
-    server = HttpServer(handler, limits, identify)
+    server = HttpServer(handler, limits, identify, bodies)
     loop = get_running_loop()
 
     def connected() -> Channel:
