Bound the small chunks of request bodies

Cause: a body was a list of its chunks, parsed in one turn of the event loop as far as its bytes had come, without a bound on their number.

Change: a body in more than 2,048 chunks of less than eight bytes on average is refused (400), which is the bound that answers have; the body is one buffer; the loop runs other tasks after 32 chunks.

--- a/libs/transport/src/clementinebend_transport/client_connection.py
+++ b/libs/transport/src/clementinebend_transport/client_connection.py
@@ -23,7 +23,12 @@
 
 from clementinebend_transport.channel import Channel
 from clementinebend_transport.exceptions import TruncatedAnswer
-from clementinebend_transport.http_events import is_cycle_done, next_event, post_event
+from clementinebend_transport.http_events import (
+    has_too_many_pieces,
+    is_cycle_done,
+    next_event,
+    post_event,
+)
 
 MAX_ANSWER_HEADER_BYTES = 64 * 1024
 """Maximum size in bytes of the head, a chunk header or the trailer of an answer."""
@@ -35,10 +40,6 @@
 """Maximum size in bytes of the heads, chunk headers and trailers of an answer, plus the
 size of its body."""
 
-MAX_SMALL_PIECES = 2048
-LEAST_PIECE_BYTES = 8
-"""Maximum number of chunks of a body whose mean size in bytes is below the minimum."""
-
 MAX_JOINED_CHUNKS = 32
 """Maximum number of received chunks that are joined into one piece."""
 
@@ -192,8 +193,7 @@
         """Count a piece; raise ``TruncatedAnswer`` if there are too many small ones."""
         self.body_bytes += size
         self.pieces += 1
-        least = (self.pieces - MAX_SMALL_PIECES) * LEAST_PIECE_BYTES
-        if self.body_bytes < least:
+        if has_too_many_pieces(self.pieces, self.body_bytes):
             raise TruncatedAnswer("the answer comes in too many small pieces")
 
     def _on_read(self, size: int) -> None:
--- a/libs/transport/src/clementinebend_transport/http_events.py
+++ b/libs/transport/src/clementinebend_transport/http_events.py
@@ -8,6 +8,10 @@
 from clementinebend_transport.channel import Channel
 from clementinebend_transport.exceptions import TruncatedAnswer
 
+MAX_SMALL_PIECES = 2048
+LEAST_PIECE_BYTES = 8
+"""Maximum number of chunks of a body whose mean size in bytes is below the minimum."""
+
 
 def post_event(parser: Connection, channel: Channel, event: Event) -> None:
     """Send the bytes of ``event``."""
@@ -43,6 +47,14 @@
     return event
 
 
+def has_too_many_pieces(pieces: int, size: int) -> bool:
+    """Return whether a body of ``size`` bytes comes in too many small pieces.
+
+    Each piece takes processor time, however small it is.
+    """
+    return size < (pieces - MAX_SMALL_PIECES) * LEAST_PIECE_BYTES
+
+
 def is_cycle_done(parser: Connection) -> bool:
     """Return whether the connection may carry another request."""
     return all(state is DONE for state in parser.states.values())
--- a/libs/transport/src/clementinebend_transport/http_reader.py
+++ b/libs/transport/src/clementinebend_transport/http_reader.py
@@ -3,8 +3,9 @@
 Source: RFC 9112; parsing by ``h11``.
 """
 
-from asyncio import get_running_loop
+from asyncio import get_running_loop, sleep
 from collections.abc import Callable
+from itertools import count
 from typing import NamedTuple
 
 from h11 import Connection as Parser
@@ -15,12 +16,16 @@
 from clementinebend_transport.channel import Channel
 from clementinebend_transport.exceptions import TruncatedAnswer
 from clementinebend_transport.http_events import (
+    has_too_many_pieces,
     headers_by_name,
     next_event,
     post_event,
 )
 from clementinebend_transport.http_types import Request, ServerLimits
 
+EVENTS_PER_TURN = 32
+"""Chunks of a body after which the event loop runs other tasks: some 0.3 ms."""
+
 
 class Refusal(NamedTuple):
     """A request that cannot be read, and the status that says so."""
@@ -160,17 +165,23 @@
         self, head: HttpRequest, until: float
     ) -> Request | Refusal | BodyRejected:
         """Return the whole request, or why its body is not read."""
-        pieces: list[bytes] = []
-        size = 0
-        while isinstance(event := await self._next_event(until), Data):
-            size += len(event.data)
-            refusal = self._check_size(size)
+        is_chunked = b"transfer-encoding" in dict(head.headers)
+        body = bytearray()
+        for number in count(1):
+            event = await self._next_event(until)
+            if not isinstance(event, Data):
+                break
+            body += event.data
+            refusal = self._check_size(len(body))
             if refusal is not None:
                 return refusal
-            if not self._reserve(size):
+            if is_chunked and has_too_many_pieces(number, len(body)):
+                return Refusal(400, "the body comes in too many small chunks")
+            if not self._reserve(len(body)):
                 return BodyRejected(_request(head, b""))
-            pieces.append(bytes(event.data))
-        return _request(head, b"".join(pieces))
+            if number % EVENTS_PER_TURN == 0:
+                await sleep(0)
+        return _request(head, bytes(body))
 
     async def _next_event(self, until: float) -> object:
         return await next_event(self.parser, self.channel, until)
--- a/tests/unit/transport/test_endless_answers.py
+++ b/tests/unit/transport/test_endless_answers.py
@@ -15,10 +15,10 @@
     MAX_INFORMATIONAL_ANSWERS,
     MAX_JOINED_CHUNKS,
     MAX_OVERHEAD_BYTES,
-    MAX_SMALL_PIECES,
 )
 from clementinebend_transport.exceptions import TruncatedAnswer
 from clementinebend_transport.http_client import HttpClient, HttpFailure, read_answer
+from clementinebend_transport.http_events import MAX_SMALL_PIECES
 from tests.unit.transport.loopback import (
     HOST,
     PATIENCE,
