Forget the requests of services whose calls are never repeated

An entry kept 45 bytes for each request of a service without retries, until its memory ended it: old times were dropped only when a retry was asked for.

They are dropped with each request now.

--- a/libs/admission/src/clementinebend_admission/retry_window.py
+++ b/libs/admission/src/clementinebend_admission/retry_window.py
@@ -28,8 +28,9 @@
         self.requests: deque[float] = deque()
         self.retries: deque[float] = deque()
 
-    def on_request(self, now: float) -> None:
-        """Count a first attempt."""
+    def on_request(self, limits: RetryLimits, now: float) -> None:
+        """Count a first attempt, and forget those before the window."""
+        _drop_before(self.requests, now - limits.window)
         self.requests.append(now)
 
     def has_retry(self, limits: RetryLimits, entries: int, now: float) -> bool:
--- a/libs/relay/src/clementinebend_relay/dispatch.py
+++ b/libs/relay/src/clementinebend_relay/dispatch.py
@@ -124,6 +124,10 @@
         """Return this entry's retry window for a service."""
         return self.retries.setdefault(service, RetryWindow())
 
+    def on_request(self, service: str, arrived_at: float) -> None:
+        """Count a request for a service, for the retry budget that it earns."""
+        self.retry_window(service).on_request(self.retry_limits, arrived_at)
+
     def may_retry(self, service: str) -> bool:
         """Return whether the fleet's retry budget allows a retry; count it if so."""
         entries = self.peers.entry_count()
--- a/libs/relay/src/clementinebend_relay/handler.py
+++ b/libs/relay/src/clementinebend_relay/handler.py
@@ -178,7 +178,7 @@
         self, progress: CallProgress, reservation: Reservation, arrived_at: float
     ) -> Response:
         admitted = progress.admitted
-        self.dispatcher.retry_window(admitted.service.name).on_request(arrived_at)
+        self.dispatcher.on_request(admitted.service.name, arrived_at)
         is_stream = False
 
         def settle() -> None:
--- a/tests/unit/admission/test_retry_window.py
+++ b/tests/unit/admission/test_retry_window.py
@@ -27,3 +27,20 @@
     window.may_retry(LIMITS, 1, 1.0)
     window.refund_retry(2.0)
     assert list(window.retries) == [1.0]
+
+
+def test_requests_of_a_service_without_retries_are_forgotten() -> None:
+    """Guards against memory that grows with each request of such a service."""
+    window = RetryWindow()
+    for at in range(100_000):
+        window.on_request(LIMITS, at / 100)
+    assert len(window.requests) <= 100 * LIMITS.window + 1
+
+
+def test_requests_within_the_window_earn_retries() -> None:
+    """Guards against requests that are forgotten too early."""
+    limits = RetryLimits(ratio=0.5, slack=0.0, window=10.0)
+    window = RetryWindow()
+    for at in range(20):
+        window.on_request(limits, float(at))
+    assert [window.may_retry(limits, 1, 19.0) for _ in range(5)] == [True] * 4 + [False]
