--- a/libs/relay/src/clementinebend_relay/origin_replicas.py
+++ b/libs/relay/src/clementinebend_relay/origin_replicas.py
@@ -62,7 +62,7 @@
 STARTUP_WAIT = 0.3
 """Seconds for which an entry that has just started waits to know the others."""
 
-MAX_SEARCHED = 64
+MAX_SEARCHED = 32
 """Number of gateways among which those beside an announced endpoint are searched."""
 
 Processes = list[Announcement]
@@ -263,13 +263,7 @@
         Those without an endpoint on their host come last: it was probably removed
         with its endpoint. An announcement of a gateway does not expire.
         """
-        names = self.gateways.members_from(ring_key(key))
-        announced = self.gateways.announcements
-        searched = (announced[name] for name in islice(names, MAX_SEARCHED))
-        unused: Processes = []
-        chosen: Processes = []
-        for item in searched:
-            if len(chosen) == most:
-                break
-            (chosen if self.is_host_used(item.host) else unused).append(item)
-        return [*chosen, *unused][:most]
+        names = islice(self.gateways.members_from(ring_key(key)), MAX_SEARCHED)
+        items = [self.gateways.announcements[name] for name in names]
+        items.sort(key=lambda item: not self.is_host_used(item.host))
+        return items[:most]
--- a/tests/unit/relay/test_origin_replicas.py
+++ b/tests/unit/relay/test_origin_replicas.py
@@ -95,6 +95,14 @@
         for each in self.entries.values():
             each.on_new_gateway(f"g{number}")
 
+    async def begin_streams(self, number: int) -> list[StreamKey]:
+        """Begin streams at the first entry, and let their origins be known."""
+        keys = [StreamKey("desk", f"r{each}") for each in range(number)]
+        for key in keys:
+            self.entry(0).tell(key, ORIGIN, SECONDS)
+        await sleep(2 * DELAY)
+        return keys
+
     def kill(self, number: int) -> None:
         """Kill an entry."""
         self.entries.pop(Address("10.0.0.1", number), None)
@@ -187,10 +195,7 @@
 
     async def main() -> None:
         fleet = Fleet(30)
-        keys = [StreamKey("desk", f"r{number}") for number in range(100)]
-        for key in keys:
-            fleet.entry(0).tell(key, ORIGIN, SECONDS)
-        await sleep(2 * DELAY)
+        keys = await fleet.begin_streams(100)
         fleet.lost = lambda message, *path: isinstance(message, OriginsMessage)
         for number in range(added):
             fleet.start(30 + number)
@@ -206,10 +211,7 @@
 
     async def main() -> None:
         fleet = Fleet(5)
-        keys = [StreamKey("desk", f"r{number}") for number in range(100)]
-        for key in keys:
-            fleet.entry(0).tell(key, ORIGIN, SECONDS)
-        await sleep(2 * DELAY)
+        keys = await fleet.begin_streams(100)
         for number in range(5):
             fleet.kill(number)
             await sleep(0.2)
@@ -246,10 +248,7 @@
         fleet = Fleet(5)
         for number in range(3):
             fleet.start_gateway(number + 1)
-        keys = [StreamKey("desk", f"r{number}") for number in range(100)]
-        for key in keys:
-            fleet.entry(0).tell(key, ORIGIN, SECONDS)
-        await sleep(2 * DELAY)
+        keys = await fleet.begin_streams(100)
         if is_restarted:
             for number in range(3):
                 fleet.start_gateway(number + 1)
@@ -277,10 +276,7 @@
             fleet.gateway_keepers.pop(Address(host, 1))
         for each in fleet.entries.values():
             each.is_host_used = lambda host: host not in gone
-        keys = [StreamKey("desk", f"r{number}") for number in range(100)]
-        for key in keys:
-            fleet.entry(0).tell(key, ORIGIN, SECONDS)
-        await sleep(2 * DELAY)
+        keys = await fleet.begin_streams(100)
         for number in range(5):
             fleet.kill(number)
             fleet.start(number).is_host_used = lambda host: host not in gone
