Log no closed connection for a rejected body

Traced: each rejected body leaves unread bytes, whose connection is logged as closed with unread bytes, up to the 20 lines a second that lines of requests left unanswered share; the new tests of rejected bodies run just before.

The reason counts now among those whose unread bytes do not affect the caller, as that of other refused requests does. The new test failed before.

--- a/libs/transport/src/clementinebend_transport/connection_ends.py
+++ b/libs/transport/src/clementinebend_transport/connection_ends.py
@@ -100,7 +100,9 @@
     buckets=LATE_BUCKETS,
 )
 
-UNLOGGED_REASONS = frozenset((EndReason.CALLER_LEFT, EndReason.UNREADABLE_REQUEST))
+UNLOGGED_REASONS = frozenset(
+    (EndReason.CALLER_LEFT, EndReason.UNREADABLE_REQUEST, EndReason.NO_ROOM)
+)
 """Reasons for which unread bytes do not affect the caller, and are not logged."""
 
 
--- a/tests/unit/transport/test_body_room.py
+++ b/tests/unit/transport/test_body_room.py
@@ -96,6 +96,21 @@
     await server.stop()
 
 
+async def test_rejected_bodies_take_no_log_lines_of_other_ends(
+    server: Server, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against rejections that use up the lines of requests left unanswered."""
+    port = await server.start()
+    server.room.held = LIMIT
+    for _ in range(CALLS):
+        reader, writer = await send(port, sized(LARGE))
+        assert (await read_all(reader)).startswith(b"HTTP/1.1 503 ")
+        writer.close()
+    await until(lambda: server.server is not None and not server.server.connections)
+    assert not caplog.records
+    await server.stop()
+
+
 async def test_small_bodies_are_read_whatever_others_hold(server: Server) -> None:
     """Guards against all callers refused for a few with large bodies."""
     port = await server.start()
