Keep a connection while a rejected body is on its way

Callers: one that sends its body for longer than a second after it was rejected met a reset in place of the answer, which tells it when to return. So did callers of refused requests (413, 431).

Cause: a connection lingers for 1 s after its last answer, extended only while the caller takes what is left of the answer.

Change: also extended while the caller goes on sending, ten times at most.

The new test failed before (ConnectionResetError); the tests of the transport pass.

--- a/libs/transport/src/clementinebend_transport/http_connection.py
+++ b/libs/transport/src/clementinebend_transport/http_connection.py
@@ -59,6 +59,10 @@
 """How long bytes are still read of a request that is refused, or comes after
 the last answer, so that what was answered is not lost to a reset."""
 
+MAX_LINGERS = 10
+"""How often that time is extended for a caller that goes on sending: a body of the
+largest size then arrives at 400 KB/s."""
+
 DRAIN_GRACE_SECONDS = 0.25
 """How long a quiet connection stays open in a planned stop, for a request that
 is on its way."""
@@ -464,16 +468,22 @@
 async def linger(channel: Channel) -> None:
     """End our side and drop what still comes, for a short time.
 
-    The time is extended while the other side acknowledges earlier bytes.
+    The time is extended while the other side acknowledges earlier bytes, and for a
+    while if it goes on sending: it may read the answer only after that.
     """
     if channel.ended or channel.transport.is_closing():
         return
     channel.discard()
     channel.flush()
     channel.transport.write_eof()
-    unsent = inf
-    while channel.unsent_bytes() < unsent and not channel.lost.is_set():
-        unsent = channel.unsent_bytes()
+    unsent, discarded, lingers = inf, -1, 0
+    while not channel.lost.is_set():
+        is_taking = channel.unsent_bytes() < unsent
+        is_sending = channel.discarded_bytes > discarded and lingers < MAX_LINGERS
+        if not (is_taking or is_sending):
+            return
+        unsent, discarded = channel.unsent_bytes(), channel.discarded_bytes
+        lingers += 1
         with suppress(TimeoutError):
             async with timeout(LINGER_SECONDS):
                 await channel.lost.wait()
--- a/tests/unit/transport/test_body_room.py
+++ b/tests/unit/transport/test_body_room.py
@@ -11,6 +11,7 @@
     RequestBodies,
     reject_body,
 )
+from clementinebend_transport.http_connection import LINGER_SECONDS
 from clementinebend_transport.http_server import HttpServer, serve_http
 from clementinebend_transport.http_types import Request, Response
 from tests.unit.transport.loopback import HOST, connect, read_all, read_until, until
@@ -111,6 +112,24 @@
     await server.stop()
 
 
+async def test_a_caller_that_sends_slowly_gets_its_rejection(server: Server) -> None:
+    """Guards against a reset while a body is on its way, in place of the answer."""
+    port = await server.start()
+    server.room.held = LIMIT
+    request = sized(LARGE)
+    reader, writer = await send(port, request[:1000])
+    pieces = 5
+    size = (len(request) - 1000) // pieces
+    for number in range(pieces):
+        await sleep(0.6 * LINGER_SECONDS)
+        start = 1000 + number * size
+        writer.write(request[start : start + size])
+        await writer.drain()
+    assert (await read_all(reader)).startswith(b"HTTP/1.1 503 ")
+    writer.close()
+    await server.stop()
+
+
 async def test_small_bodies_are_read_whatever_others_hold(server: Server) -> None:
     """Guards against all callers refused for a few with large bodies."""
     port = await server.start()
