Leave more room to bodies of requests

A body that its endpoint does not read is held twice, so that with all room taken by such bodies 150 MB would not suffice.

--- a/libs/admission/src/clementinebend_admission/request_bodies.py
+++ b/libs/admission/src/clementinebend_admission/request_bodies.py
@@ -1,8 +1,8 @@
 """Decides how much memory the bodies of requests may take. No I/O."""
 
-BODY_FRACTION = 0.25
-"""Part of the entry's memory that bodies of requests may take: as much as the answers
-that callers have not read, beside the process itself."""
+BODY_FRACTION = 0.4
+"""Part of the entry's memory that bodies of requests may take. A quarter is left to the
+answers that callers have not read, and the rest to the process itself."""
 
 
 def max_bodies(memory: int | None) -> int | None:
--- a/tests/functional/test_large_bodies.py
+++ b/tests/functional/test_large_bodies.py
@@ -41,9 +41,8 @@
         *(fleet.call("/stream/x", body=BODY + b"%d" % each) for each in range(CALLS))
     )
     watching.cancel()
-    statuses = [answer.ok.status for answer in answers if answer.is_ok()]
-    assert len(statuses) == CALLS
-    assert set(statuses) == {200, 503}
+    assert not [answer.error for answer in answers if answer.is_error()]
+    assert {answer.ok.status for answer in answers} == {200, 503}
     rejected = [each.ok for each in answers if each.ok.status == 503]
     assert all("retry-after" in each.headers for each in rejected)
     assert all(each.headers["x-request-id"] for each in rejected)
