Show what clients that keep to no limit do to an entry

Callers: in a trial such clients ended a process, which ran out of memory.

The crowd is a process of its own: 200 clients (600 where descriptors are few) at an entry of 120 MiB, or of 500 descriptors, which the system enforces. What they send: bodies far over the limit, announced or sent; bodies in large, small and tiny chunks that stop short of their end; extensions, trailers, partial heads, heads with 1,990 fields; nothing at all. They stay, trickle, or return at once, also beside a planned stop, a reload and a freeze, at the ports for readiness and metrics, and at a gateway. Bounds: memory with the queues of the sockets within the machine's, fewer descriptors than it has, ordinary calls served beside the crowd; and single requests inside the limits served in calm.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SOURCES := $(wildcard libs/*/src) platform/src tests
 STAMP := $(VENV)/.installed
 
-.PHONY: install test test-beside test-unit test-capacity test-functional lint format demo bench capacity fuzz soak days clean
+.PHONY: install test test-beside test-unit test-capacity test-functional test-crowd lint format demo bench capacity fuzz soak days clean
 
 $(STAMP): requirements.txt requirements-dev.txt $(wildcard libs/*/pyproject.toml) platform/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -17,9 +17,10 @@
 
 # What measures how much is served needs processor time to spare: it runs one test at a
 # time beside the unit tests, which use one processor.
+# Crowds of clients run one at a time, with nothing beside them.
 # Each part runs even if another one fails.
 test: install
-	$(MAKE) --no-print-directory --keep-going test-beside test-functional
+	$(MAKE) --no-print-directory --keep-going test-beside test-functional test-crowd
 
 test-beside: install
 	$(MAKE) --no-print-directory -j 2 --output-sync=target test-unit test-capacity
@@ -33,7 +34,10 @@
 
 # Several processes for what waits for processes.
 test-functional: install
-	$(BIN)/python -m pytest tests/functional -m "not capacity" -n 4 --dist loadfile
+	$(BIN)/python -m pytest tests/functional -m "not capacity and not crowd" -n 4 --dist loadfile
+
+test-crowd: install
+	$(BIN)/python -m pytest tests/functional -m crowd
 
 lint: install
 	$(BIN)/ruff format --no-cache --check $(SOURCES)
