Count what is received of requests, and their heads

Callers: 200 clients whose bodies came in small chunks took an entry of 120 MiB to 208, so that it would have been ended with all that it answers.

Cause: only decoded bytes of bodies counted. A connection held up to 384 KiB that were received and as much in the parser, and a head within the limit takes 25 times its size (1,990 fields: 350 KB; trial, 1,000 connections).

All connections receive into one shared buffer, of which they get 1 KiB while there is no room; a request that holds more than 4 KiB then is rejected (503, not run).

Ruled out: smaller receives for all. With 32 KiB several chunked bodies grew at the same time and all were rejected (test_what_is_held_stays_bounded failed).

The tests of the transport pass.

--- a/libs/relay/src/clementinebend_relay/process.py
+++ b/libs/relay/src/clementinebend_relay/process.py
@@ -5,7 +5,7 @@
 from logging import getLogger
 from typing import Any
 
-from clementinebend_admission.request_bodies import max_bodies
+from clementinebend_admission.request_memory import max_bodies, max_received
 from clementinebend_membership.rendezvous import rendezvous
 from clementinebend_platform_client.store_paths import Probe, StorePaths
 from clementinebend_platform_client.supervision import stop_process, watch
@@ -311,7 +311,9 @@
     def _limit_memory(self, memory: int | None) -> None:
         """Bound what is held for callers by the memory of this entry, in bytes."""
         self.unread_answers.change_memory(memory)
-        self.handler.bodies.room.limit = max_bodies(memory)
+        bodies = self.handler.bodies
+        bodies.room.limit = max_bodies(memory)
+        bodies.received.limit = max_received(memory)
 
     def caller_connections(self) -> Iterable[HttpConnection]:
         """Return the connections of callers, none before the entry listens."""
--- a/libs/transport/src/clementinebend_transport/body_room.py
+++ b/libs/transport/src/clementinebend_transport/body_room.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from clementinebend_transport.http_types import Request, Response, error_response
+from clementinebend_transport.received_room import ReceivedRoom
 
 SMALL_BODY_BYTES = 16 * 1024
 """Size up to which a body is read whatever others hold: little more than the connection
@@ -41,13 +42,15 @@
 
 
 class RequestBodies(NamedTuple):
-    """The room for bodies, and the answer to a request whose body finds none.
+    """The room for requests, and the answer to a request that finds none.
 
-    The request that ``reject`` gets has no body.
+    ``received`` is the room for all but bodies. The request that ``reject`` gets has no
+    body.
     """
 
     room: BodyRoom
     reject: Callable[[Request], Response]
+    received: ReceivedRoom
 
 
 def reject_body(request: Request) -> Response:
@@ -57,5 +60,5 @@
 
 
 def unlimited_bodies() -> RequestBodies:
-    """Return that bodies are not bounded together."""
-    return RequestBodies(BodyRoom(), reject_body)
+    """Return that requests are not bounded together."""
+    return RequestBodies(BodyRoom(), reject_body, ReceivedRoom())
--- a/libs/transport/src/clementinebend_transport/channel.py
+++ b/libs/transport/src/clementinebend_transport/channel.py
@@ -31,6 +31,9 @@
 from clementinebend_transport.traffic import traffic
 
 READ_BUFFER_BYTES = 128 * 1024
+"""Bytes received and not read, above which reading pauses; while a caller's request is
+being answered, the connection ends instead."""
+
 WRITE_BUFFER_BYTES = 64 * 1024
 
 RECEIVE_ITERATIONS = 2
@@ -149,6 +152,10 @@
         self.received_bytes = 0
         return data
 
+    def set_parsing(self, size: int) -> None:
+        """Set how many bytes a parser has been given and not returned, at most."""
+        self.parsing_bytes = size
+
     def post(self, data: bytes) -> None:
         """Send ``data`` at the end of this iteration of the event loop."""
         self.outgoing.append(data)
--- a/libs/transport/src/clementinebend_transport/exceptions.py
+++ b/libs/transport/src/clementinebend_transport/exceptions.py
@@ -21,6 +21,10 @@
     """The other side took nothing of what was sent for too long."""
 
 
+class NoRoomError(TransportError):
+    """There is no memory for what a caller sends, of which nothing more is read."""
+
+
 class SettingsError(NamedTuple):
     """Why a settings file cannot be used: every problem found in it."""
 
--- a/libs/transport/src/clementinebend_transport/http_connection.py
+++ b/libs/transport/src/clementinebend_transport/http_connection.py
@@ -17,7 +17,12 @@
 from h11 import Event as HttpEvent
 from h11 import Response as HttpResponse
 
-from clementinebend_transport.body_room import RequestBodies, unlimited_bodies
+from clementinebend_transport.body_room import (
+    RETRY_SECONDS,
+    RequestBodies,
+    unlimited_bodies,
+)
+from clementinebend_transport.caller_channel import CallerChannel
 from clementinebend_transport.channel import WRITE_BUFFER_BYTES, Channel
 from clementinebend_transport.connection_ends import (
     EndedConnection,
@@ -77,6 +82,11 @@
 )
 """The answer to a request that is in progress as the process ends."""
 
+CROWDED_RESPONSE = error_response(
+    503, "not_run", "there is no memory for the request; retry later", RETRY_SECONDS
+)
+"""The answer to a request whose head is not read for want of memory."""
+
 CLOSE_SECONDS = 0.2
 """Maximum time in seconds to send ``CLOSING_RESPONSE``."""
 
@@ -113,7 +123,7 @@
 
     def __init__(
         self,
-        channel: Channel,
+        channel: CallerChannel,
         handler: Handler,
         limits: ServerLimits,
         idle_limit: IdleLimit,
@@ -286,7 +296,7 @@
             return False
         if isinstance(request, BodyRejected):
             self.set_end_reason(EndReason.NO_ROOM)
-            await self._send_last(self.bodies.reject(request.request))
+            await self._send_last(self._rejection(request))
             return False
         if self.channel.ended:
             _abandoned.inc()
@@ -302,6 +312,11 @@
             return True
         return False
 
+    def _rejection(self, rejected: BodyRejected) -> Response:
+        if rejected.request is None:
+            return CROWDED_RESPONSE
+        return self.bodies.reject(rejected.request)
+
     async def _refuse(self, refusal: Refusal) -> None:
         """Answer an unreadable request and let the caller read the answer."""
         await self._send_last(
--- a/libs/transport/src/clementinebend_transport/http_events.py
+++ b/libs/transport/src/clementinebend_transport/http_events.py
@@ -34,16 +34,17 @@
     before they are parsed; its exceptions are propagated.
     """
     while (event := parser.next_event()) is NEED_DATA:
-        channel.parsing_bytes = 0
+        unparsed = len(parser.trailing_data[0])
+        channel.set_parsing(unparsed)
         data = await channel.read(until)
-        channel.parsing_bytes = len(data)
+        channel.set_parsing(unparsed + len(data))
         if on_read is not None:
             on_read(len(data))
         if not data and channel.failure is not None:
             raise TruncatedAnswer(f"the connection failed: {channel.failure}")
         parser.receive_data(data)
     if isinstance(event, Data):
-        channel.parsing_bytes = max(0, channel.parsing_bytes - len(event.data))
+        channel.set_parsing(max(0, channel.parsing_bytes - len(event.data)))
     return event
 
 
--- a/libs/transport/src/clementinebend_transport/http_reader.py
+++ b/libs/transport/src/clementinebend_transport/http_reader.py
@@ -13,8 +13,8 @@
 from h11 import Request as HttpRequest
 
 from clementinebend_transport.body_room import BodyRoom
-from clementinebend_transport.channel import Channel
-from clementinebend_transport.exceptions import TruncatedAnswer
+from clementinebend_transport.caller_channel import CallerChannel
+from clementinebend_transport.exceptions import NoRoomError, TruncatedAnswer
 from clementinebend_transport.http_events import (
     has_too_many_pieces,
     headers_by_name,
@@ -27,6 +27,15 @@
 """Chunks of a body after which the event loop runs other tasks: some 0.3 ms."""
 
 
+FIELD_BYTES = 200
+"""Memory that a field of a head takes beside its bytes, in the parser's event and in
+the request."""
+
+USUAL_REQUEST_BYTES = 4 * 1024
+"""What a connection may hold, beside the body of its request, while there is no room:
+a usual head, as the parser keeps it."""
+
+
 class Refusal(NamedTuple):
     """A request that cannot be read, and the status that says so."""
 
@@ -35,9 +44,12 @@
 
 
 class BodyRejected(NamedTuple):
-    """There is no memory for a request's body; ``request`` has none."""
+    """There is no memory for a request, which is given here without its body.
 
-    request: Request
+    ``request`` is None if its head has not come.
+    """
+
+    request: Request | None
 
 
 class ConnectionEnd(NamedTuple):
@@ -48,12 +60,13 @@
     """Reads one request after another from a caller's connection.
 
     ``room`` is shared by all connections. The body of a request counts there until the
-    next one is read, or ``release`` is called.
+    next one is read, or ``release`` is called; its head counts in the room of
+    ``channel`` for as long.
     """
 
     def __init__(
         self,
-        channel: Channel,
+        channel: CallerChannel,
         parser: Parser,
         limits: ServerLimits,
         room: BodyRoom | None = None,
@@ -63,6 +76,7 @@
         self.limits = limits
         self.room = room or BodyRoom()
         self.reserved = 0
+        self.head: HttpRequest | None = None
         self.is_idle = True
         self.late_seconds = 0.0
         """How much later than due the last idle limit was noticed."""
@@ -81,15 +95,21 @@
             return await self._read_parts()
         except TruncatedAnswer:
             return ConnectionEnd()
+        except NoRoomError:
+            return self._rejected()
         except RemoteProtocolError as error:
             if self.channel.ended:
                 return ConnectionEnd()
             return Refusal(error.error_status_hint, str(error))
+        finally:
+            self.head = None
+            self.channel.set_parsing(len(self.parser.trailing_data[0]))
 
     def release(self) -> None:
-        """Release the room of the body that was read last."""
+        """Release the room of the request that was read last."""
         self.room.release(self.reserved)
         self.reserved = 0
+        self.channel.set_head(0)
 
     async def _wait_for_first_byte(self, idle_limit: Callable[[], float]) -> bool:
         if self.parser.trailing_data[0]:
@@ -98,6 +118,7 @@
         data = await self._read_first_bytes(idle_limit)
         self.is_idle = False
         self.parser.receive_data(data)
+        self.channel.set_parsing(len(data))
         return bool(data)
 
     async def _read_first_bytes(self, idle_limit: Callable[[], float]) -> bytes:
@@ -123,6 +144,10 @@
         refusal = self._check_head(head)
         if refusal is not None:
             return refusal
+        self.head = head
+        self._check_room()
+        if not self._reserve(_announced_size(head)):
+            return self._rejected()
         if self.parser.they_are_waiting_for_100_continue:
             go_on = InformationalResponse(status_code=100, headers=[])
             post_event(self.parser, self.channel, go_on)
@@ -134,18 +159,27 @@
     def _until(self, seconds: float) -> float:
         return get_running_loop().time() + seconds
 
-    def _check_head(self, head: HttpRequest) -> Refusal | BodyRejected | None:
+    def _check_head(self, head: HttpRequest) -> Refusal | None:
         size = sum(len(name) + len(value) for name, value in head.headers)
         limit = self.limits.max_header_bytes
         if size + len(head.target) > limit:
             return Refusal(431, f"the headers are larger than {limit} bytes")
         if head.method == b"CONNECT":
             return Refusal(400, "CONNECT is not supported")
-        length = int(dict(head.headers).get(b"content-length", b"0"))
-        refusal = self._check_size(length)
-        if refusal is None and not self._reserve(length):
-            return BodyRejected(_request(head, b""))
-        return refusal
+        self.channel.set_head(size + len(head.headers) * FIELD_BYTES)
+        return self._check_size(_announced_size(head))
+
+    def _check_room(self, size: int = 0) -> None:
+        """Raise ``NoRoomError`` if there is no room, and the caller takes much of it.
+
+        ``size`` bytes have come that are not parsed yet.
+        """
+        held = self.channel.counted_bytes + size
+        if self.channel.room.is_full() and held > USUAL_REQUEST_BYTES:
+            raise NoRoomError
+
+    def _rejected(self) -> BodyRejected:
+        return BodyRejected(None if self.head is None else _request(self.head, b""))
 
     def _check_size(self, size: int) -> Refusal | None:
         limit = self.limits.max_body_bytes
@@ -178,13 +212,18 @@
             if is_chunked and has_too_many_pieces(number, len(body)):
                 return Refusal(400, "the body comes in too many small chunks")
             if not self._reserve(len(body)):
-                return BodyRejected(_request(head, b""))
+                return self._rejected()
             if number % EVENTS_PER_TURN == 0:
                 await sleep(0)
         return _request(head, bytes(body))
 
     async def _next_event(self, until: float) -> object:
-        return await next_event(self.parser, self.channel, until)
+        return await next_event(self.parser, self.channel, until, self._check_room)
+
+
+def _announced_size(head: HttpRequest) -> int:
+    """Return the size of the body that a head names, 0 if it names none."""
+    return int(dict(head.headers).get(b"content-length", b"0"))
 
 
 def _request(head: HttpRequest, body: bytes) -> Request:
--- a/libs/transport/src/clementinebend_transport/http_server.py
+++ b/libs/transport/src/clementinebend_transport/http_server.py
@@ -16,6 +16,7 @@
 from math import ceil
 
 from clementinebend_transport.body_room import RequestBodies, unlimited_bodies
+from clementinebend_transport.caller_channel import CallerChannel
 from clementinebend_transport.channel import Channel
 from clementinebend_transport.connection_ends import EndReason, on_refused
 from clementinebend_transport.early_binding import BACKLOG, take_bound
@@ -216,6 +217,7 @@
                 connection.close_quiet(EndReason.PLANNED_STOP)
 
     def _on_connected(self, channel: Channel) -> None:
+        assert isinstance(channel, CallerChannel)
         if len(self.connections) >= self.limits.max_connections:
             self._refuse(channel)
             return
@@ -267,8 +269,8 @@
     server = HttpServer(handler, limits, identify, bodies)
     loop = get_running_loop()
 
-    def connected() -> Channel:
-        return Channel(server._on_connected)
+    def connected() -> CallerChannel:
+        return CallerChannel(server.bodies.received, server._on_connected)
 
     bound = take_bound(host, port)
     if bound is None:
