Let unfinished requests give way to others

Callers: beside clients that stopped short of their end an ordinary body of 1 MiB was refused for 30 s, the time that a body may take.

Cause: room that was taken by a body which no longer grows was not given back before that time limit. A refused request kept its room, and what the parser held of it, for up to ten seconds more, while its connection lingered.

A request that has been read whole never gives way.

Weighed: time since the last byte (a byte now and then gets around it), mean rate (high for long, if a client sends fast and stops).

--- a/libs/transport/src/clementinebend_transport/body_room.py
+++ b/libs/transport/src/clementinebend_transport/body_room.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from clementinebend_transport.http_types import Request, Response, error_response
-from clementinebend_transport.received_room import ReceivedRoom
+from clementinebend_transport.room import Room, UnfinishedRequest
 
 SMALL_BODY_BYTES = 16 * 1024
 """Size up to which a body is read whatever others hold: little more than the connection
@@ -18,20 +18,19 @@
 """Seconds after which a caller may send a body again for which there was no room."""
 
 
-class BodyRoom:
-    """The bytes of all bodies that a server holds; a ``limit`` of None is no bound."""
+class BodyRoom(Room):
+    """The bytes of all bodies that a server holds."""
 
-    def __init__(self, limit: int | None = None) -> None:
-        self.limit = limit
-        self.held = 0
-
-    def reserve(self, size: int, total: int) -> bool:
+    def reserve(
+        self, size: int, total: int, request: UnfinishedRequest | None = None
+    ) -> bool:
         """Reserve ``size`` more bytes for a body of ``total``; return whether they fit.
 
-        Small bodies always fit, and count towards the sum.
+        Other requests than ``request`` give way. Small bodies always fit, and count
+        towards the sum.
         """
-        is_small = total <= SMALL_BODY_BYTES
-        if self.limit is not None and not is_small and self.held + size > self.limit:
+        is_fitting = self.make(size, request)
+        if not is_fitting and total > SMALL_BODY_BYTES:
             return False
         self.held += size
         return True
@@ -50,7 +49,7 @@
 
     room: BodyRoom
     reject: Callable[[Request], Response]
-    received: ReceivedRoom
+    received: Room
 
 
 def reject_body(request: Request) -> Response:
@@ -61,4 +60,4 @@
 
 def unlimited_bodies() -> RequestBodies:
     """Return that requests are not bounded together."""
-    return RequestBodies(BodyRoom(), reject_body, ReceivedRoom())
+    return RequestBodies(BodyRoom(), reject_body, Room())
--- a/libs/transport/src/clementinebend_transport/caller_channel.py
+++ b/libs/transport/src/clementinebend_transport/caller_channel.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from clementinebend_transport.channel import READ_BUFFER_BYTES, Channel
-from clementinebend_transport.received_room import ReceivedRoom
+from clementinebend_transport.room import Room
 
 SHORT_RECEIVE_BYTES = 1024
 """Most bytes of one receive while there is no room: a usual request without body."""
@@ -23,7 +23,7 @@
     """
 
     def __init__(
-        self, room: ReceivedRoom, on_connected: Callable[[Channel], None] | None = None
+        self, room: Room, on_connected: Callable[[Channel], None] | None = None
     ) -> None:
         super().__init__(on_connected)
         self.room = room
@@ -33,7 +33,7 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return where the next bytes are received: little if there is no room."""
-        size = SHORT_RECEIVE_BYTES if self.room.is_full() else READ_BUFFER_BYTES
+        size = READ_BUFFER_BYTES if self.room.has(1) else SHORT_RECEIVE_BYTES
         return _buffer[:size]
 
     def buffer_updated(self, nbytes: int) -> None:
--- a/libs/transport/src/clementinebend_transport/http_connection.py
+++ b/libs/transport/src/clementinebend_transport/http_connection.py
@@ -153,6 +153,8 @@
         """What is left of the whole body that is being sent, and its size."""
         self.source_bytes: Callable[[], int] = _no_bytes
         """Returns what the source of the streamed body that is being sent holds."""
+        self.dropped_bytes = 0
+        """Received bytes that were dropped before they were parsed."""
         self.is_draining = False
         self.is_moving = False
         """Whether the next answer tells the caller to connect anew."""
@@ -237,6 +239,8 @@
                 await sleep(0)  # pipelined requests take turns with other tasks
             if not self.is_closing and self._must_linger():
                 self.is_lingering = True
+                self.reader.release()
+                self._drop_unparsed()
                 await linger(self.channel)
         except SlowReaderError:
             _slow.inc()
@@ -260,7 +264,8 @@
 
     def _unread_bytes(self) -> int:
         """Return how many received bytes belong to no request."""
-        return len(self.parser.trailing_data[0]) + self.channel.unread_bytes()
+        unparsed = len(self.parser.trailing_data[0])
+        return self.dropped_bytes + unparsed + self.channel.unread_bytes()
 
     def _report_end(self, unread: int) -> None:
         end = self._ended(unread)
@@ -328,6 +333,12 @@
         self.is_draining = True
         await self._send_response("GET", response)
 
+    def _drop_unparsed(self) -> None:
+        """Drop what the parser holds, as nothing more of it is read."""
+        self.dropped_bytes += len(self.parser.trailing_data[0])
+        self.parser = self.reader.parser = Parser(SERVER)
+        self.channel.set_parsing(0)
+
     async def _answer_while_present(self, request: Request, task: Task[None]) -> bool:
         """Answer; the caller's leaving cancels ``task``."""
         self.channel.on_end = task.cancel
--- a/libs/transport/src/clementinebend_transport/http_reader.py
+++ b/libs/transport/src/clementinebend_transport/http_reader.py
@@ -3,7 +3,7 @@
 Source: RFC 9112; parsing by ``h11``.
 """
 
-from asyncio import get_running_loop, sleep
+from asyncio import CancelledError, Task, current_task, get_running_loop, sleep
 from collections.abc import Callable
 from itertools import count
 from typing import NamedTuple
@@ -77,6 +77,9 @@
         self.room = room or BodyRoom()
         self.reserved = 0
         self.head: HttpRequest | None = None
+        self.task: Task[None] | None = None
+        """The task that reads the request."""
+        self.has_given_way = False
         self.is_idle = True
         self.late_seconds = 0.0
         """How much later than due the last idle limit was noticed."""
@@ -91,19 +94,19 @@
         self.release()
         if not await self._wait_for_first_byte(idle_limit):
             return ConnectionEnd()
+        self.task = current_task()
+        self.channel.room.add(self)
         try:
-            return await self._read_parts()
+            return await self._read_within_room()
         except TruncatedAnswer:
             return ConnectionEnd()
-        except NoRoomError:
-            return self._rejected()
         except RemoteProtocolError as error:
             if self.channel.ended:
                 return ConnectionEnd()
             return Refusal(error.error_status_hint, str(error))
         finally:
+            self._end_reading()
             self.head = None
-            self.channel.set_parsing(len(self.parser.trailing_data[0]))
 
     def release(self) -> None:
         """Release the room of the request that was read last."""
@@ -111,6 +114,35 @@
         self.reserved = 0
         self.channel.set_head(0)
 
+    def give_way(self) -> None:
+        """End the request that is read, whose caller is told to return."""
+        self._end_reading()
+        self.release()
+        self.channel.discard()
+        self.has_given_way = True
+        assert self.task is not None
+        self.task.cancel()
+
+    async def _read_within_room(
+        self,
+    ) -> Request | Refusal | BodyRejected | ConnectionEnd:
+        """Return the next request, or that it was rejected for want of room."""
+        try:
+            return await self._read_parts()
+        except NoRoomError:
+            return self._rejected()
+        except CancelledError:
+            if not self.has_given_way or self.task is None:
+                raise
+            self.task.uncancel()
+            return self._rejected()
+
+    def _end_reading(self) -> None:
+        """Let the request give way no longer, and count what is not parsed."""
+        self.channel.room.remove(self)
+        self.room.remove(self)
+        self.channel.set_parsing(len(self.parser.trailing_data[0]))
+
     async def _wait_for_first_byte(self, idle_limit: Callable[[], float]) -> bool:
         if self.parser.trailing_data[0]:
             return True
@@ -169,13 +201,14 @@
         self.channel.set_head(size + len(head.headers) * FIELD_BYTES)
         return self._check_size(_announced_size(head))
 
-    def _check_room(self, size: int = 0) -> None:
+    def _check_room(self, received: int = 0) -> None:
         """Raise ``NoRoomError`` if there is no room, and the caller takes much of it.
 
-        ``size`` bytes have come that are not parsed yet.
+        The bytes ``received`` last have been counted.
         """
-        held = self.channel.counted_bytes + size
-        if self.channel.room.is_full() and held > USUAL_REQUEST_BYTES:
+        if self.channel.room.make(0, self):
+            return
+        if self.channel.counted_bytes > USUAL_REQUEST_BYTES:
             raise NoRoomError
 
     def _rejected(self) -> BodyRejected:
@@ -189,8 +222,10 @@
 
     def _reserve(self, size: int) -> bool:
         """Reserve room for ``size`` bytes of a body in all; return whether it fits."""
+        if size:
+            self.room.add(self)
         wanted = max(0, size - self.reserved)
-        if not self.room.reserve(wanted, size):
+        if not self.room.reserve(wanted, size, self):
             return False
         self.reserved += wanted
         return True
--- a/tests/unit/transport/test_body_room.py
+++ b/tests/unit/transport/test_body_room.py
@@ -14,7 +14,7 @@
 from clementinebend_transport.http_connection import LINGER_SECONDS
 from clementinebend_transport.http_server import HttpServer, serve_http
 from clementinebend_transport.http_types import Request, Response
-from clementinebend_transport.received_room import ReceivedRoom
+from clementinebend_transport.room import Room
 from tests.unit.transport.loopback import HOST, connect, read_all, read_until, until
 
 KIB = 1024
@@ -39,7 +39,7 @@
         return Response(200, (), str(len(request.body)).encode())
 
     async def start(self) -> int:
-        bodies = RequestBodies(self.room, reject_body, ReceivedRoom())
+        bodies = RequestBodies(self.room, reject_body, Room())
         self.server = await serve_http(self.handle, HOST, 0, bodies=bodies)
         return self.server.port
 
