Serve bodies in tiny chunks, in turns

Callers: a body of 100 kB in chunks of a byte was refused (400), although it is inside the limits; so were chunks of two and seven bytes.

Cause: the number of small chunks of one body was bounded, as they take 10 us of processor time each. The cost is time of the event loop, for all together.

Change: 32 chunks are parsed in an iteration of the event loop, of one body; all connections wait for turns in one queue. The time limit of a body also ends one whose bytes always come. The bound of answers from endpoints stays.

--- a/libs/relay/src/clementinebend_relay/handler.py
+++ b/libs/relay/src/clementinebend_relay/handler.py
@@ -27,10 +27,9 @@
 from clementinebend_relay.quota_view import Shortfall
 from clementinebend_relay.resumptions import Resumptions
 from clementinebend_relay.streams import StreamRelay
-from clementinebend_transport.body_room import BodyRoom, RequestBodies
+from clementinebend_transport.body_room import BodyRoom, request_bodies
 from clementinebend_transport.http_types import Request, Response
 from clementinebend_transport.late_waits import result_within
-from clementinebend_transport.room import Room
 
 BUDGET_BUSY_RETRY_AFTER = 0.5
 """Retry-after delay in seconds when no budget can be reserved."""
@@ -87,7 +86,7 @@
         self.is_loaded = is_loaded
         self.load = load
         self.clock = clock
-        self.bodies = RequestBodies(BodyRoom(), self.reject_body, Room())
+        self.bodies = request_bodies(BodyRoom(), self.reject_body)
 
     async def handle(self, request: Request) -> Response:
         """Return the response to one request from a caller."""
--- a/libs/transport/src/clementinebend_transport/body_room.py
+++ b/libs/transport/src/clementinebend_transport/body_room.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from clementinebend_transport.http_types import Request, Response, error_response
+from clementinebend_transport.parsing_turns import ParsingTurns
 from clementinebend_transport.room import Room, UnfinishedRequest
 
 SMALL_BODY_BYTES = 16 * 1024
@@ -43,13 +44,21 @@
 class RequestBodies(NamedTuple):
     """The room for requests, and the answer to a request that finds none.
 
-    ``received`` is the room for all but bodies. The request that ``reject`` gets has no
-    body.
+    ``received`` is the room for all but bodies, and ``turns`` orders the parsing of
+    small chunks. The request that ``reject`` gets has no body.
     """
 
     room: BodyRoom
     reject: Callable[[Request], Response]
     received: Room
+    turns: ParsingTurns
+
+
+def request_bodies(
+    room: BodyRoom, reject: Callable[[Request], Response]
+) -> RequestBodies:
+    """Return ``room`` with nothing in the room for all else, which is not bounded."""
+    return RequestBodies(room, reject, Room(), ParsingTurns())
 
 
 def reject_body(request: Request) -> Response:
@@ -60,4 +69,4 @@
 
 def unlimited_bodies() -> RequestBodies:
     """Return that requests are not bounded together."""
-    return RequestBodies(BodyRoom(), reject_body, Room())
+    return request_bodies(BodyRoom(), reject_body)
--- a/libs/transport/src/clementinebend_transport/http_connection.py
+++ b/libs/transport/src/clementinebend_transport/http_connection.py
@@ -137,7 +137,9 @@
         self.limits = limits
         self.idle_limit = idle_limit
         self.parser = Parser(SERVER, max_incomplete_event_size=limits.max_header_bytes)
-        self.reader = RequestReader(channel, self.parser, limits, self.bodies.room)
+        self.reader = RequestReader(
+            channel, self.parser, limits, self.bodies.room, self.bodies.turns
+        )
         self.request: Request | None = None
         """The request that is being answered."""
         self.is_head_sent = False
--- a/libs/transport/src/clementinebend_transport/http_reader.py
+++ b/libs/transport/src/clementinebend_transport/http_reader.py
@@ -3,7 +3,7 @@
 Source: RFC 9112; parsing by ``h11``.
 """
 
-from asyncio import CancelledError, Task, current_task, get_running_loop, sleep
+from asyncio import CancelledError, Task, current_task, get_running_loop
 from collections.abc import Callable
 from itertools import count
 from typing import NamedTuple
@@ -16,15 +16,15 @@
 from clementinebend_transport.caller_channel import CallerChannel
 from clementinebend_transport.exceptions import NoRoomError, TruncatedAnswer
 from clementinebend_transport.http_events import (
-    has_too_many_pieces,
     headers_by_name,
     next_event,
     post_event,
 )
 from clementinebend_transport.http_types import Request, ServerLimits
+from clementinebend_transport.parsing_turns import ParsingTurns
 
 EVENTS_PER_TURN = 32
-"""Chunks of a body after which the event loop runs other tasks: some 0.3 ms."""
+"""Chunks of a body after which other connections have their turn: some 0.3 ms."""
 
 
 FIELD_BYTES = 200
@@ -59,7 +59,7 @@
 class RequestReader:
     """Reads one request after another from a caller's connection.
 
-    ``room`` is shared by all connections. The body of a request counts there until the
+    ``room`` and ``turns`` are shared by all connections. The body of a request counts there until the
     next one is read, or ``release`` is called; its head counts in the room of
     ``channel`` for as long.
     """
@@ -70,11 +70,13 @@
         parser: Parser,
         limits: ServerLimits,
         room: BodyRoom | None = None,
+        turns: ParsingTurns | None = None,
     ) -> None:
         self.channel = channel
         self.parser = parser
         self.limits = limits
         self.room = room or BodyRoom()
+        self.turns = turns or ParsingTurns()
         self.reserved = 0
         self.head: HttpRequest | None = None
         self.task: Task[None] | None = None
@@ -234,7 +236,6 @@
         self, head: HttpRequest, until: float
     ) -> Request | Refusal | BodyRejected:
         """Return the whole request, or why its body is not read."""
-        is_chunked = b"transfer-encoding" in dict(head.headers)
         body = bytearray()
         for number in count(1):
             event = await self._next_event(until)
@@ -244,14 +245,18 @@
             refusal = self._check_size(len(body))
             if refusal is not None:
                 return refusal
-            if is_chunked and has_too_many_pieces(number, len(body)):
-                return Refusal(400, "the body comes in too many small chunks")
             if not self._reserve(len(body)):
                 return self._rejected()
             if number % EVENTS_PER_TURN == 0:
-                await sleep(0)
+                await self._take_turn(until)
         return _request(head, bytes(body))
 
+    async def _take_turn(self, until: float) -> None:
+        """Let others go on; raise ``TimeoutError`` if that takes until ``until``."""
+        await self.turns.take()
+        if get_running_loop().time() > until:
+            raise TimeoutError
+
     async def _next_event(self, until: float) -> object:
         return await next_event(self.parser, self.channel, until, self._check_room)
 
