Bound callers' connections by the machine's memory and descriptors

Callers: 600 connections took all 500 descriptors of an entry. Nothing was left for endpoints, and accepting paused for a second at a time.

Cause: 10,000 connections were taken on any machine, and as many again to answer that there are too many; up to 1,024 were accepted at once.

Change: connections are bounded by a part of the memory and by 0.6 of the descriptors that files leave. At the bound the one that has waited longest for a whole request, 0.5 s or more, is closed for the new one; first those that linger, then those that had no answer. Only if there is none, the new one is refused; 64 refused ones stay open. The event loop accepts few at once, the kernel's queue keeps its length, and a planned stop takes all in that wait there.

--- a/libs/admission/src/clementinebend_admission/request_memory.py
+++ b/libs/admission/src/clementinebend_admission/request_memory.py
@@ -1,4 +1,6 @@
-"""Decides how much memory may be taken by what callers send. No I/O."""
+"""Decides what callers may take of an entry's memory and descriptors. No I/O."""
+
+from clementinebend_admission.entry_load import EntryCapacity
 
 BODY_FRACTION = 0.38
 """Part of the entry's memory that bodies of requests may take. A quarter is left to the
@@ -9,6 +11,33 @@
 may take."""
 
 
+CONNECTION_FRACTION = 0.08
+CONNECTION_BYTES = 12 * 1024
+"""Part of the entry's memory that connections of callers may take, and what each takes
+beside the bytes of its request."""
+
+FILE_DESCRIPTORS = 200
+"""Descriptors that are kept for files; source: the platform's page on machines."""
+
+CALLER_FRACTION = 0.6
+"""Part of the other descriptors that callers may take. A call in progress has another
+connection, to its endpoint."""
+
+MAX_CONNECTIONS = 10_000
+MIN_CONNECTIONS = 16
+
+
+def max_connections(capacity: EntryCapacity) -> int:
+    """Return how many connections of callers an entry takes."""
+    limits = [MAX_CONNECTIONS]
+    if capacity.memory is not None:
+        limits.append(int(capacity.memory * CONNECTION_FRACTION) // CONNECTION_BYTES)
+    if capacity.descriptors is not None:
+        sockets = capacity.descriptors - FILE_DESCRIPTORS
+        limits.append(int(sockets * CALLER_FRACTION))
+    return max(MIN_CONNECTIONS, min(limits))
+
+
 def max_bodies(memory: int | None) -> int | None:
     """Return the bound on the bytes of all bodies, None if memory is unlimited."""
     return _part(memory, BODY_FRACTION)
--- a/libs/relay/src/clementinebend_relay/process.py
+++ b/libs/relay/src/clementinebend_relay/process.py
@@ -5,7 +5,12 @@
 from logging import getLogger
 from typing import Any
 
-from clementinebend_admission.request_memory import max_bodies, max_received
+from clementinebend_admission.entry_load import EntryCapacity
+from clementinebend_admission.request_memory import (
+    max_bodies,
+    max_connections,
+    max_received,
+)
 from clementinebend_membership.rendezvous import rendezvous
 from clementinebend_platform_client.store_paths import Probe, StorePaths
 from clementinebend_platform_client.supervision import stop_process, watch
@@ -284,8 +289,8 @@
         """Listen for callers, readiness checks, metrics scrapes and datagrams."""
         callers, ready = self.settings.callers, self.settings.ready
         self.socket = await open_socket(self.settings.peers, self._on_message)
-        self._limit_memory(self.settings.capacity.memory)
-        limits = ServerLimits()
+        self._limit_callers(self.settings.capacity)
+        limits = ServerLimits(max_connections=max_connections(self.settings.capacity))
         handler = self.handler
         self.servers = [
             await serve_http(
@@ -299,7 +304,7 @@
         """Apply changed settings; bound addresses keep their old values."""
         bound = self.settings
         self.load.capacity = settings.capacity
-        self._limit_memory(settings.capacity.memory)
+        self._limit_callers(settings.capacity)
         self.settings = settings._replace(
             callers=bound.callers, ready=bound.ready, peers=bound.peers
         )
@@ -308,12 +313,17 @@
         self.zone_loads.zone = settings.zone
         self.paths.move(store)
 
-    def _limit_memory(self, memory: int | None) -> None:
-        """Bound what is held for callers by the memory of this entry, in bytes."""
+    def _limit_callers(self, capacity: EntryCapacity) -> None:
+        """Bound what callers take of this entry."""
+        memory = capacity.memory
         self.unread_answers.change_memory(memory)
         bodies = self.handler.bodies
         bodies.room.limit = max_bodies(memory)
         bodies.received.limit = max_received(memory)
+        if self.servers:
+            server, connections = self.servers[0], max_connections(capacity)
+            limits = server.limits._replace(max_connections=connections)
+            server.change_limits(limits)
 
     def caller_connections(self) -> Iterable[HttpConnection]:
         """Return the connections of callers, none before the entry listens."""
--- a/libs/transport/src/clementinebend_transport/early_binding.py
+++ b/libs/transport/src/clementinebend_transport/early_binding.py
@@ -30,3 +30,12 @@
 def take_bound(host: str, port: int) -> socket.socket | None:
     """Return the socket that was bound to an address early, once."""
     return _bound.pop((host, port), None)
+
+
+def extend_backlog(listening: int) -> None:
+    """Have the kernel hold ``BACKLOG`` connections for a listening descriptor.
+
+    An event loop that is told of a backlog accepts as many connections at once.
+    """
+    with socket.fromfd(listening, socket.AF_INET, socket.SOCK_STREAM) as duplicate:
+        duplicate.listen(BACKLOG)
--- a/libs/transport/src/clementinebend_transport/http_connection.py
+++ b/libs/transport/src/clementinebend_transport/http_connection.py
@@ -162,6 +162,8 @@
         """Whether the next answer tells the caller to connect anew."""
         self.idle_since = inf
         """When the last answer was whole; infinite before the first one."""
+        self.waiting_since = get_running_loop().time()
+        """When the last answer was whole, or the connection was made."""
         self.is_last = False
         """Whether further requests are rejected; the caller may not have been told."""
         self.is_lingering = False
@@ -171,6 +173,24 @@
         """Return whether no part of a request is here and no answer is going out."""
         return self.reader.is_idle and self.channel.is_quiet()
 
+    def has_ended(self) -> bool:
+        """Return whether the connection is being closed."""
+        return self.channel.transport.is_closing()
+
+    def may_give_way(self, latest: float) -> bool:
+        """Return whether the connection may be closed for another one.
+
+        It has waited for a whole request since ``latest`` or before, or lingers after
+        its last answer.
+        """
+        is_waiting = self.request is None and self.waiting_since <= latest
+        return self.is_lingering or is_waiting
+
+    def place(self) -> tuple[bool, bool, float]:
+        """Return the place among those that may give way; the least is the first."""
+        has_answered = self.idle_since < inf
+        return not self.is_lingering, has_answered, self.waiting_since
+
     def held_bytes(self) -> int:
         """Return how many bytes of answers wait here until the caller takes them.
 
@@ -237,7 +257,7 @@
         try:
             while await self._serve_one(task):
                 self.parser.start_next_cycle()
-                self.idle_since = get_running_loop().time()
+                self.idle_since = self.waiting_since = get_running_loop().time()
                 await sleep(0)  # pipelined requests take turns with other tasks
             if not self.is_closing and self._must_linger():
                 self.is_lingering = True
--- a/libs/transport/src/clementinebend_transport/http_server.py
+++ b/libs/transport/src/clementinebend_transport/http_server.py
@@ -14,12 +14,17 @@
 )
 from logging import getLogger
 from math import ceil
+from select import POLLIN, poll
 
 from clementinebend_transport.body_room import RequestBodies, unlimited_bodies
 from clementinebend_transport.caller_channel import CallerChannel
 from clementinebend_transport.channel import Channel
 from clementinebend_transport.connection_ends import EndReason, on_refused
-from clementinebend_transport.early_binding import BACKLOG, take_bound
+from clementinebend_transport.early_binding import (
+    BACKLOG,
+    extend_backlog,
+    take_bound,
+)
 from clementinebend_transport.http_connection import (
     CLOSE_SECONDS,
     DRAIN_GRACE_SECONDS,
@@ -38,6 +43,7 @@
 from clementinebend_transport.idle_limit import IdleLimit
 from clementinebend_transport.late_waits import ANSWER_ITERATIONS
 from clementinebend_transport.metrics import counter
+from clementinebend_transport.room import GRACE_SECONDS
 
 __all__ = [
     "Handler",
@@ -54,6 +60,13 @@
 ACCEPT_PASSES = 4
 """Event loop iterations that a connection takes from its accept to its task."""
 
+ACCEPTS_PER_ITERATION = 64
+"""Most connections that are accepted at once: so many may exceed the limit until they
+are refused, each with a descriptor."""
+
+MAX_REFUSALS = 64
+"""Most refused connections that stay open until their answer has been taken."""
+
 DEFAULT_LIMITS = ServerLimits()
 
 TOO_MANY_BODY = (
@@ -199,6 +212,10 @@
             return
         listener, self.listener = self.listener, None
         await _pass_loop()
+        for _ in range(BACKLOG // ACCEPTS_PER_ITERATION):
+            if not any(_has_arrivals(socket.fileno()) for socket in listener.sockets):
+                break
+            await sleep(0)
         for socket in listener.sockets:
             get_running_loop().remove_reader(socket.fileno())
         await _pass_loop()
@@ -218,7 +235,7 @@
 
     def _on_connected(self, channel: Channel) -> None:
         assert isinstance(channel, CallerChannel)
-        if len(self.connections) >= self.limits.max_connections:
+        if not self._has_place():
             self._refuse(channel)
             return
         connection = HttpConnection(
@@ -235,6 +252,24 @@
         self.connections[task] = connection
         task.add_done_callback(self._on_done)
 
+    def _has_place(self) -> bool:
+        """Return whether one more connection may be taken, closing another if needed.
+
+        Of those that wait for a request, the one that has waited for longest is closed;
+        first those that have had their last answer, then those without any.
+        """
+        if len(self.connections) < self.limits.max_connections:
+            return True
+        latest = get_running_loop().time() - GRACE_SECONDS
+        open_ones = [each for each in self.connections.values() if not each.has_ended()]
+        if len(open_ones) < self.limits.max_connections:
+            return True
+        waiting = [each for each in open_ones if each.may_give_way(latest)]
+        if not waiting:
+            return False
+        min(waiting, key=HttpConnection.place).abort(EndReason.TOO_MANY)
+        return True
+
     def _on_done(self, task: Task[None]) -> None:
         del self.connections[task]
         if not task.cancelled() and task.exception() is not None:
@@ -243,7 +278,7 @@
     def _refuse(self, channel: Channel) -> None:
         _refused.inc()
         on_refused()
-        if len(self.refusals) >= self.limits.max_connections:
+        if len(self.refusals) >= MAX_REFUSALS:
             channel.abort()
             return
         task = create_task(_send_refusal(channel))
@@ -273,15 +308,25 @@
         return CallerChannel(server.bodies.received, server._on_connected)
 
     bound = take_bound(host, port)
+    backlog = ACCEPTS_PER_ITERATION
     if bound is None:
-        listener = await loop.create_server(connected, host, port, backlog=BACKLOG)
+        listener = await loop.create_server(connected, host, port, backlog=backlog)
     else:
-        listener = await loop.create_server(connected, sock=bound, backlog=BACKLOG)
+        listener = await loop.create_server(connected, sock=bound, backlog=backlog)
+    for each in listener.sockets:
+        extend_backlog(each.fileno())
     server.listener = listener
     server.host, server.port = listener.sockets[0].getsockname()[:2]
     return server
 
 
+def _has_arrivals(listening: int) -> bool:
+    """Return whether connections wait to be accepted at a descriptor."""
+    poller = poll()
+    poller.register(listening, POLLIN)
+    return bool(poller.poll(0))
+
+
 async def _pass_loop() -> None:
     for _ in range(ACCEPT_PASSES):
         await sleep(0)
