Bound what readiness checks and scrapes may send

Callers: 600 bodies of 4 MiB at the port for metrics took 2.2 GiB.

Cause: these ports had the limits of callers for one request, and none for all.

Change: 16 KiB, three seconds, 64 connections each, and the room of callers.

--- a/libs/relay/src/clementinebend_relay/process.py
+++ b/libs/relay/src/clementinebend_relay/process.py
@@ -57,6 +57,7 @@
 from clementinebend_relay.witnesses import Witnesses
 from clementinebend_relay.zone_loads import ZoneLoads
 from clementinebend_routing.sessions import SessionTracker
+from clementinebend_transport.body_room import reject_body
 from clementinebend_transport.client_connection import Address
 from clementinebend_transport.http_client import HttpClient
 from clementinebend_transport.http_connection import (
@@ -64,7 +65,7 @@
     HttpConnection,
 )
 from clementinebend_transport.http_server import HttpServer, serve_http
-from clementinebend_transport.http_types import Request, Response, ServerLimits
+from clementinebend_transport.http_types import KIB, Request, Response, ServerLimits
 from clementinebend_transport.lifecycle import EXIT_OK, EXIT_STOP_INCOMPLETE
 from clementinebend_transport.metrics import render_metrics
 
@@ -81,6 +82,15 @@
 FINAL_WRITE_SECONDS = 0.3
 """Seconds for the final write of spent budgets."""
 
+OWN_LIMITS = ServerLimits(
+    max_header_bytes=16 * KIB,
+    max_body_bytes=16 * KIB,
+    max_connections=64,
+    header_timeout=3.0,
+    body_timeout=3.0,
+)
+"""The limits for readiness checks and metrics scrapes, which have no bodies."""
+
 
 class RelayProcess:
     """An entry with all its parts."""
@@ -292,12 +302,15 @@
         self._limit_callers(self.settings.capacity)
         limits = ServerLimits(max_connections=max_connections(self.settings.capacity))
         handler = self.handler
+        own = handler.bodies._replace(reject=reject_body)
         self.servers = [
             await serve_http(
                 handler.handle, *callers, limits, self._request_id, handler.bodies
             ),
-            await serve_http(self._ready, *ready, limits),
-            await serve_http(self._metrics, callers.host, metrics_port, limits),
+            await serve_http(self._ready, *ready, OWN_LIMITS, bodies=own),
+            await serve_http(
+                self._metrics, callers.host, metrics_port, OWN_LIMITS, bodies=own
+            ),
         ]
 
     def reload(self, settings: RelaySettings, store: Address) -> None:
