Bound a gateway's connections

Callers: 600 idle connections took all 500 descriptors of a gateway, and entries that are cut from the store would have lost their way to it.

Cause: any number of connections was taken, each with one to the store.

Change: a bound; beyond it the connection without data for longest, 0.5 s or more, is closed for the new one, else the new one is refused. A connection that is given up before it has reached the store is closed, too.

--- a/libs/relay/src/clementinebend_relay/gateway.py
+++ b/libs/relay/src/clementinebend_relay/gateway.py
@@ -21,7 +21,9 @@
     wait,
 )
 from asyncio.tasks import FIRST_COMPLETED
+from collections.abc import Callable
 from contextlib import suppress
+from functools import partial
 from logging import getLogger
 from typing import NamedTuple
 
@@ -38,6 +40,7 @@
 from clementinebend_transport.client_connection import Address
 from clementinebend_transport.late_waits import late_waits, set_up_within
 from clementinebend_transport.lifecycle import EXIT_OK
+from clementinebend_transport.metrics import counter
 
 CHUNK_BYTES = 64 * 1024
 CONNECT_TIMEOUT = 0.4
@@ -47,8 +50,36 @@
 """Seconds after which a connection without data is closed; entries' reads wait a few
 seconds for records."""
 
+MAX_CONNECTIONS = 128
+"""Most connections of entries, which keep some twelve each. With what waits in both
+directions they take 90 MB."""
+
+MIN_IDLE_SECONDS = 0.5
+"""Shortest time without data after which a connection is closed for another one."""
+
 logger = getLogger(__name__)
 
+_closed = counter(
+    "clementinebend_gateway_connections_closed_total",
+    "Connections closed, or refused, as there were too many.",
+)
+
+
+class Copying:
+    """A connection that is forwarded; ``used_at`` is when data last came."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self.clock = clock
+        self.used_at = clock()
+
+    async def copy(self, reader: StreamReader, writer: StreamWriter) -> None:
+        """Copy until the end of the stream, a connection error or the idle timeout."""
+        with suppress(OSError, TimeoutError):
+            while chunk := await _read(reader):
+                self.used_at = self.clock()
+                writer.write(chunk)
+                await writer.drain()
+
 
 class Gateway:
     """Forwards each connection from an entry over a connection of its own to the store.
@@ -58,13 +89,38 @@
 
     def __init__(self, store: Address) -> None:
         self.store = store
-        self.connections: set[Task[None]] = set()
+        self.connections: dict[Task[None], Copying] = {}
 
     def accept(self, reader: StreamReader, writer: StreamWriter) -> None:
-        """Serve a connection in a separate task, which ``close`` cancels."""
-        task = create_task(self.serve(reader, writer))
-        self.connections.add(task)
-        task.add_done_callback(self.connections.discard)
+        """Serve a connection in a separate task, which ``close`` cancels.
+
+        Beyond ``MAX_CONNECTIONS``, the one that has been idle for longest is closed for
+        it, or it is refused.
+        """
+        if not self._make_place():
+            writer.transport.abort()
+            return
+        copying = Copying(get_running_loop().time)
+        task = create_task(self.serve(reader, writer, copying))
+        self.connections[task] = copying
+        task.add_done_callback(partial(self._on_done, writer))
+
+    def _make_place(self) -> bool:
+        """Return whether one more connection may be taken."""
+        if len(self.connections) < MAX_CONNECTIONS:
+            return True
+        _closed.inc()
+        idlest = min(self.connections, key=lambda each: self.connections[each].used_at)
+        latest = get_running_loop().time() - MIN_IDLE_SECONDS
+        if self.connections[idlest].used_at > latest:
+            return False
+        del self.connections[idlest]
+        idlest.cancel()
+        return True
+
+    def _on_done(self, writer: StreamWriter, task: Task[None]) -> None:
+        writer.transport.abort()
+        self.connections.pop(task, None)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -73,7 +129,9 @@
             task.cancel()
         await gather(*tasks, return_exceptions=True)
 
-    async def serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+    async def serve(
+        self, reader: StreamReader, writer: StreamWriter, copying: Copying
+    ) -> None:
         """Copy bytes in both directions until one side closes its connection."""
         try:
             store_reader, store_writer = await set_up_within(
@@ -84,8 +142,8 @@
             writer.transport.abort()
             return
         copy_tasks = (
-            create_task(_copy(reader, store_writer)),
-            create_task(_copy(store_reader, writer)),
+            create_task(copying.copy(reader, store_writer)),
+            create_task(copying.copy(store_reader, writer)),
         )
         try:
             await wait(copy_tasks, return_when=FIRST_COMPLETED)
@@ -101,17 +159,6 @@
     connection[1].transport.abort()
 
 
-async def _copy(reader: StreamReader, writer: StreamWriter) -> None:
-    """Copy until the end of the stream, a connection error or the idle timeout."""
-    with suppress(OSError, TimeoutError):
-        while True:
-            chunk = await _read(reader)
-            if not chunk:
-                return
-            writer.write(chunk)
-            await writer.drain()
-
-
 async def _read(reader: StreamReader) -> bytes:
     """Return the next bytes, none at the end; raise ``TimeoutError`` if idle.
 
