Bound what callers send to the product's own entry

Cause: bodies, heads and bytes not parsed had no bound on all of them there.

Change: the setting memory_mb, 1024 unless it is set, with the parts that an entry on the users' platform has. Not shown by a crowd of its own.

--- a/libs/entry/src/clementinebend_entry/process.py
+++ b/libs/entry/src/clementinebend_entry/process.py
@@ -6,6 +6,7 @@
 from sys import stdout
 from typing import Any
 
+from clementinebend_admission.request_memory import max_bodies, max_received
 from clementinebend_entry.exceptions import ListenError
 from clementinebend_entry.fleet import Fleet
 from clementinebend_entry.handler import Handler
@@ -14,11 +15,18 @@
 from clementinebend_entry.stopping import stop_in_order
 from clementinebend_platform_client.supervision import stop_process, watch
 from clementinebend_records.identifiers import Incarnation
+from clementinebend_transport.body_room import (
+    BodyRoom,
+    RequestBodies,
+    reject_body,
+    request_bodies,
+)
 from clementinebend_transport.http_server import (
     HttpServer,
     ServerLimits,
     serve_http,
 )
+from clementinebend_transport.http_types import MIB
 from clementinebend_transport.message_stream import MessageServer, serve_messages
 
 logger = getLogger(__name__)
@@ -71,12 +79,20 @@
         idle_timeout=settings.idle_timeout_s,
     )
     host, port = settings.host, settings.port
+    bodies = bounded_bodies(settings.memory_mb * MIB)
     try:
-        return await serve_http(handler.handle, host, port, limits)
+        return await serve_http(handler.handle, host, port, limits, bodies=bodies)
     except OSError as error:
         raise ListenError("port", host, port, str(error)) from error
 
 
+def bounded_bodies(memory: int) -> RequestBodies:
+    """Return the room for requests in a process with ``memory`` bytes."""
+    bodies = request_bodies(BodyRoom(max_bodies(memory)), reject_body)
+    bodies.received.limit = max_received(memory)
+    return bodies
+
+
 def announce(http_server: HttpServer, peer_server: MessageServer) -> None:
     """Print the ports as one JSON line."""
     ports = {"port": http_server.port, "peer_port": peer_server.port}
--- a/libs/entry/src/clementinebend_entry/settings.py
+++ b/libs/entry/src/clementinebend_entry/settings.py
@@ -25,7 +25,8 @@
     ``host`` and ``port`` are the callers' side (HTTP), ``peer_host`` and
     ``peer_port`` the side of other entries (message streams); port 0 takes a
     free one. ``hosts_url`` may be empty: then only direct sight counts.
-    ``schema_version`` is the newest schema of declarations it may read.
+    ``memory_mb`` is the memory that the process may take, in 2^20 bytes: what callers
+    send is bounded by it. ``schema_version`` is the newest schema of declarations it may read.
     """
 
     name: str
@@ -49,6 +50,7 @@
     log_level: LogLevel = LogLevel.INFO
     max_header_bytes: int = 16_384
     max_connections: int = 4096
+    memory_mb: int = 1024
     header_timeout_s: float = 10.0
     body_timeout_s: float = 30.0
     write_timeout_s: float = 30.0
