--- a/libs/entry/src/clementinebend_entry/settings.py
+++ b/libs/entry/src/clementinebend_entry/settings.py
@@ -26,7 +26,8 @@
     ``peer_port`` the side of other entries (message streams); port 0 takes a
     free one. ``hosts_url`` may be empty: then only direct sight counts.
     ``memory_mb`` is the memory that the process may take, in 2^20 bytes: what callers
-    send is bounded by it. ``schema_version`` is the newest schema of declarations it may read.
+    send is bounded by it. ``schema_version`` is the newest schema of declarations it
+    may read.
     """
 
     name: str
