Receive nothing while there is no room and nothing is read

Callers: connections that wait for their turn to parse small chunks went on receiving, 1 KiB at a time, up to 128 KiB each; so did those that send behind a request that is being answered.

Change: without room, a connection that has 1 KiB unread receives nothing until it is read; behind a request that is answered, what follows is dropped and the connection ends after the answer, as it did beyond 128 KiB.

--- a/libs/transport/src/clementinebend_transport/caller_channel.py
+++ b/libs/transport/src/clementinebend_transport/caller_channel.py
@@ -28,6 +28,8 @@
         super().__init__(on_connected)
         self.room = room
         self.counted_bytes = 0
+        self.is_waiting_for_room = False
+        """Whether nothing is received until something is read."""
         self.head_bytes = 0
         """What the head takes of the request that is read or answered."""
 
@@ -40,11 +42,14 @@
         """Take what has been received."""
         self.data_received(bytes(_buffer[:nbytes]))
         self.count()
+        if self.received_bytes >= SHORT_RECEIVE_BYTES and not self.room.has(1):
+            self._wait_for_room()
 
     async def read(self, until: float | None = None) -> bytes:
         """Return the bytes that have come, as ``Channel.read`` does."""
         data = await super().read(until)
         self.count()
+        self._go_on()
         return data
 
     def set_parsing(self, size: int) -> None:
@@ -61,6 +66,7 @@
         """Drop everything that was received and all that will be."""
         super().discard()
         self.count()
+        self._go_on()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Release what was received, and everyone who waits on this connection."""
@@ -74,5 +80,22 @@
         self.room.held += held - self.counted_bytes
         self.counted_bytes = held
 
+    def _wait_for_room(self) -> None:
+        """Receive nothing until something is read.
+
+        While a request is being answered, its caller's leaving must be noticed: what
+        follows is dropped then, and the connection ends after the answer.
+        """
+        if self.on_end is not None:
+            self._overrun()
+        elif not self.transport.is_closing():
+            self.is_waiting_for_room = True
+            self.transport.pause_reading()
+
+    def _go_on(self) -> None:
+        if self.is_waiting_for_room and not self.transport.is_closing():
+            self.transport.resume_reading()
+        self.is_waiting_for_room = False
+
     def _held_bytes(self) -> int:
         return self.received_bytes + self.parsing_bytes + self.head_bytes
--- a/libs/transport/src/clementinebend_transport/http_reader.py
+++ b/libs/transport/src/clementinebend_transport/http_reader.py
@@ -59,9 +59,9 @@
 class RequestReader:
     """Reads one request after another from a caller's connection.
 
-    ``room`` and ``turns`` are shared by all connections. The body of a request counts there until the
-    next one is read, or ``release`` is called; its head counts in the room of
-    ``channel`` for as long.
+    ``room`` and ``turns`` are shared by all connections. The body of a request counts
+    in ``room`` until the next one is read, or ``release`` is called; its head counts in
+    the room of ``channel`` for as long.
     """
 
     def __init__(
