Let bodies of unknown size end, and smaller ones go first

Callers: many chunked bodies all grew until each found no room, and none was served; an ordinary body had no chance beside large ones that always return.

Cause: room was given byte by byte. A growing buffer takes an eighth more than it holds, and a whole body was copied beside it: 126 to 129 MB of 126.

Change: above 256 KiB a body of unknown size takes the room of the largest, and gives back what is left as it ends. A body whose size is announced displaces those of twice its size.

--- a/libs/transport/src/clementinebend_transport/body_room.py
+++ b/libs/transport/src/clementinebend_transport/body_room.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from clementinebend_transport.http_types import Request, Response, error_response
 from clementinebend_transport.parsing_turns import ParsingTurns
@@ -19,27 +19,57 @@
 """Seconds after which a caller may send a body again for which there was no room."""
 
 
-class BodyRoom(Room):
+LARGER = 2
+"""How many times as large as a body another one is, at least, that gives way to it."""
+
+
+class BodyRequest(UnfinishedRequest, Protocol):
+    """A request whose body is being read, with the bytes ``reserved`` for it."""
+
+    reserved: int
+
+
+class Reservation(NamedTuple):
+    """``size`` more bytes for a body of ``total`` that ``request`` has begun.
+
+    The size of a body that ``is_announced`` is known before it is read.
+    """
+
+    size: int
+    total: int
+    is_announced: bool = False
+    request: BodyRequest | None = None
+
+
+class BodyRoom(Room[BodyRequest]):
     """The bytes of all bodies that a server holds."""
 
-    def reserve(
-        self, size: int, total: int, request: UnfinishedRequest | None = None
-    ) -> bool:
-        """Reserve ``size`` more bytes for a body of ``total``; return whether they fit.
+    def reserve(self, wanted: Reservation) -> bool:
+        """Reserve room; return whether it fits.
 
-        Other requests than ``request`` give way. Small bodies always fit, and count
-        towards the sum.
+        Others give way: those that were begun long ago, and to a body whose size is
+        announced also larger ones. Small bodies always fit, and count towards the sum.
         """
-        is_fitting = self.make(size, request)
-        if not is_fitting and total > SMALL_BODY_BYTES:
+        is_fitting = self.make(wanted.size, wanted.request) or (
+            wanted.is_announced and self._make_from_larger(wanted)
+        )
+        if not is_fitting and wanted.total > SMALL_BODY_BYTES:
             return False
-        self.held += size
+        self.held += wanted.size
         return True
 
     def release(self, size: int) -> None:
         """Release bytes of a body that is no longer held."""
         self.held -= size
 
+    def _make_from_larger(self, wanted: Reservation) -> bool:
+        larger = [
+            request
+            for request in self.unfinished
+            if request.reserved >= LARGER * wanted.total
+        ]
+        return self.make_from(larger, wanted.size, wanted.request)
+
 
 class RequestBodies(NamedTuple):
     """The room for requests, and the answer to a request that finds none.
@@ -50,7 +80,7 @@
 
     room: BodyRoom
     reject: Callable[[Request], Response]
-    received: Room
+    received: Room[UnfinishedRequest]
     turns: ParsingTurns
 
 
--- a/libs/transport/src/clementinebend_transport/caller_channel.py
+++ b/libs/transport/src/clementinebend_transport/caller_channel.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from clementinebend_transport.channel import READ_BUFFER_BYTES, Channel
-from clementinebend_transport.room import Room
+from clementinebend_transport.room import Room, UnfinishedRequest
 
 SHORT_RECEIVE_BYTES = 1024
 """Most bytes of one receive while there is no room: a usual request without body."""
@@ -23,7 +23,9 @@
     """
 
     def __init__(
-        self, room: Room, on_connected: Callable[[Channel], None] | None = None
+        self,
+        room: Room[UnfinishedRequest],
+        on_connected: Callable[[Channel], None] | None = None,
     ) -> None:
         super().__init__(on_connected)
         self.room = room
--- a/libs/transport/src/clementinebend_transport/http_reader.py
+++ b/libs/transport/src/clementinebend_transport/http_reader.py
@@ -12,7 +12,8 @@
 from h11 import Data, InformationalResponse, RemoteProtocolError
 from h11 import Request as HttpRequest
 
-from clementinebend_transport.body_room import BodyRoom
+from clementinebend_transport.body_buffer import BodyBuffer
+from clementinebend_transport.body_room import BodyRoom, Reservation
 from clementinebend_transport.caller_channel import CallerChannel
 from clementinebend_transport.exceptions import NoRoomError, TruncatedAnswer
 from clementinebend_transport.http_events import (
@@ -27,6 +28,12 @@
 """Chunks of a body after which other connections have their turn: some 0.3 ms."""
 
 
+LARGE_HEAD_BYTES = 4 * 1024
+"""Size from which on a head is parsed in turn: one with many fields takes some ms."""
+
+MAX_GROWING_BYTES = 256 * 1024
+"""Size up to which a body of unknown size takes no more room than has come of it."""
+
 FIELD_BYTES = 200
 """Memory that a field of a head takes beside its bytes, in the parser's event and in
 the request."""
@@ -169,8 +176,11 @@
                     return b""
 
     async def _read_parts(self) -> Request | Refusal | BodyRejected | ConnectionEnd:
+        until = self._until(self.limits.header_timeout)
         try:
-            head = await self._next_event(self._until(self.limits.header_timeout))
+            if self.channel.parsing_bytes > LARGE_HEAD_BYTES:
+                await self._take_turn(until)
+            head = await self._next_event(until)
         except TimeoutError:
             return Refusal(408, "the request's headers took too long")
         if not isinstance(head, HttpRequest):
@@ -180,7 +190,7 @@
             return refusal
         self.head = head
         self._check_room()
-        if not self._reserve(_announced_size(head)):
+        if not self._reserve(_announced_size(head), is_announced=True):
             return self._rejected()
         if self.parser.they_are_waiting_for_100_continue:
             go_on = InformationalResponse(status_code=100, headers=[])
@@ -222,34 +232,53 @@
             return None
         return Refusal(413, f"the body is larger than {limit} bytes")
 
-    def _reserve(self, size: int) -> bool:
+    def _reserve(self, size: int, is_announced: bool) -> bool:
         """Reserve room for ``size`` bytes of a body in all; return whether it fits."""
         if size:
             self.room.add(self)
         wanted = max(0, size - self.reserved)
-        if not self.room.reserve(wanted, size, self):
+        reservation = Reservation(wanted, size, is_announced, self)
+        if not self.room.reserve(reservation):
             return False
         self.reserved += wanted
         return True
 
+    def _reserve_growing(self, size: int) -> bool:
+        """Reserve room for a body that has grown to ``size`` bytes.
+
+        One that is not small takes the room of the largest, so that those that are read
+        at the same time do not each hold a part and wait for the rest.
+        """
+        if size <= self.reserved:
+            return True
+        if size > MAX_GROWING_BYTES:
+            size = max(size, self.limits.max_body_bytes)
+        return self._reserve(size, is_announced=False)
+
     async def _read_body(
         self, head: HttpRequest, until: float
     ) -> Request | Refusal | BodyRejected:
         """Return the whole request, or why its body is not read."""
-        body = bytearray()
+        body = BodyBuffer()
         for number in count(1):
             event = await self._next_event(until)
             if not isinstance(event, Data):
                 break
-            body += event.data
-            refusal = self._check_size(len(body))
+            body.add(event.data)
+            refusal = self._check_size(body.size)
             if refusal is not None:
                 return refusal
-            if not self._reserve(len(body)):
+            if not self._reserve_growing(body.size):
                 return self._rejected()
             if number % EVENTS_PER_TURN == 0:
                 await self._take_turn(until)
-        return _request(head, bytes(body))
+        self._release_surplus(body.size)
+        return _request(head, body.whole())
+
+    def _release_surplus(self, size: int) -> None:
+        """Keep the room that a whole body takes."""
+        self.room.release(self.reserved - size)
+        self.reserved = size
 
     async def _take_turn(self, until: float) -> None:
         """Let others go on; raise ``TimeoutError`` if that takes until ``until``."""
--- a/libs/transport/src/clementinebend_transport/room.py
+++ b/libs/transport/src/clementinebend_transport/room.py
@@ -5,10 +5,10 @@
 stopping short of its end, or by sending a byte now and then.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from itertools import takewhile
 from time import monotonic
-from typing import Protocol
+from typing import Generic, Protocol, TypeVar
 
 from clementinebend_transport.metrics import counter
 
@@ -29,7 +29,10 @@
         """Release what is held of the request, and end it."""
 
 
-class Room:
+Unfinished = TypeVar("Unfinished", bound=UnfinishedRequest)
+
+
+class Room(Generic[Unfinished]):
     """Bytes that a server holds; a ``limit`` of None is no bound.
 
     ``unfinished`` holds the requests that may give way, with the time at which each was
@@ -42,13 +45,13 @@
         self.limit = limit
         self.clock = clock
         self.held = 0
-        self.unfinished: dict[UnfinishedRequest, float] = {}
+        self.unfinished: dict[Unfinished, float] = {}
 
     def has(self, size: int) -> bool:
         """Return whether ``size`` more bytes fit."""
         return self.limit is None or self.held + size <= self.limit
 
-    def make(self, size: int, beneficiary: UnfinishedRequest | None = None) -> bool:
+    def make(self, size: int, beneficiary: Unfinished | None = None) -> bool:
         """Have unfinished requests give way to ``size`` bytes; return whether they fit.
 
         The request that the bytes belong to does not give way to itself. A size that
@@ -58,7 +61,16 @@
             return True
         if size > self.limit:
             return False
-        for request in self._oldest():
+        return self.make_from(self._oldest(), size, beneficiary)
+
+    def make_from(
+        self,
+        requests: Iterable[Unfinished],
+        size: int,
+        beneficiary: Unfinished | None = None,
+    ) -> bool:
+        """Have ``requests`` give way in turn until ``size`` bytes fit, as ``make``."""
+        for request in requests:
             if request is beneficiary:
                 continue
             request.give_way()
@@ -67,15 +79,15 @@
                 return True
         return False
 
-    def add(self, request: UnfinishedRequest) -> None:
+    def add(self, request: Unfinished) -> None:
         """Let a request give way from now on, unless it may already."""
         self.unfinished.setdefault(request, self.clock())
 
-    def remove(self, request: UnfinishedRequest) -> None:
+    def remove(self, request: Unfinished) -> None:
         """Let a request no longer give way: it has been read whole, or has ended."""
         self.unfinished.pop(request, None)
 
-    def _oldest(self) -> list[UnfinishedRequest]:
+    def _oldest(self) -> list[Unfinished]:
         """Return the requests that may give way now, the oldest first."""
         latest = self.clock() - GRACE_SECONDS
         old = takewhile(lambda each: each[1] <= latest, self.unfinished.items())
--- a/tests/unit/transport/test_request_room.py
+++ b/tests/unit/transport/test_request_room.py
@@ -10,7 +10,7 @@
 from clementinebend_transport.http_reader import FIELD_BYTES
 from clementinebend_transport.http_server import HttpServer, serve_http
 from clementinebend_transport.http_types import Request, Response, ServerLimits
-from clementinebend_transport.room import GRACE_SECONDS, Room
+from clementinebend_transport.room import GRACE_SECONDS, Room, UnfinishedRequest
 from tests.unit.transport.loopback import (
     GET,
     HOST,
@@ -41,7 +41,9 @@
     def __init__(self) -> None:
         self.clock_time = 0.0
         self.bodies = BodyRoom(BODY_LIMIT, lambda: self.clock_time)
-        self.received = Room(RECEIVED_LIMIT, lambda: self.clock_time)
+        self.received: Room[UnfinishedRequest] = Room(
+            RECEIVED_LIMIT, lambda: self.clock_time
+        )
         self.may_answer = Event()
         self.requests: list[Request] = []
         self.server: HttpServer
@@ -131,6 +133,17 @@
     writer.close()
 
 
+async def test_a_body_gives_way_to_one_of_half_its_size(server: Server) -> None:
+    """Guards against large bodies that always return, and keep smaller ones out."""
+    await server.start()
+    server.may_answer.set()
+    stopping, _ = await server.send(sized(BODY)[:-1])
+    await until(lambda: server.bodies.held >= len(BODY))
+    other, _ = await server.send(sized(BODY[: len(BODY) // 2]))
+    assert (await read_until(other, b"whole")).startswith(b"HTTP/1.1 200 ")
+    assert (await read_all(stopping)).startswith(b"HTTP/1.1 503 ")
+
+
 async def test_a_request_that_is_answered_does_not_give_way(server: Server) -> None:
     """Guards against answers that are lost for a body that comes later."""
     await server.start()
