--- a/libs/transport/src/clementinebend_transport/http_connection.py
+++ b/libs/transport/src/clementinebend_transport/http_connection.py
@@ -523,7 +523,10 @@
         return
     channel.discard()
     channel.flush()
-    channel.transport.write_eof()
+    try:
+        channel.transport.write_eof()
+    except OSError:  # the other side has reset the connection
+        return
     unsent, discarded, lingers = inf, -1, 0
     while not channel.lost.is_set():
         is_taking = channel.unsent_bytes() < unsent
