Reject no body for received bytes for which it has room

Cause: bytes of a body count as received until they are parsed, and the room of the body counts them, too. Beside a crowd an ordinary body of 1 MiB was rejected for its first 128 KiB.

Change: room for the body is reserved first, and its bytes do not speak against it.

--- a/libs/transport/src/clementinebend_transport/http_reader.py
+++ b/libs/transport/src/clementinebend_transport/http_reader.py
@@ -189,9 +189,9 @@
         if refusal is not None:
             return refusal
         self.head = head
-        self._check_room()
         if not self._reserve(_announced_size(head), is_announced=True):
             return self._rejected()
+        self._check_room()
         if self.parser.they_are_waiting_for_100_continue:
             go_on = InformationalResponse(status_code=100, headers=[])
             post_event(self.parser, self.channel, go_on)
@@ -216,11 +216,12 @@
     def _check_room(self, received: int = 0) -> None:
         """Raise ``NoRoomError`` if there is no room, and the caller takes much of it.
 
-        The bytes ``received`` last have been counted.
+        The bytes ``received`` last have been counted; those of a body for which there is
+        room are held once only.
         """
         if self.channel.room.make(0, self):
             return
-        if self.channel.counted_bytes > USUAL_REQUEST_BYTES:
+        if self.channel.counted_bytes > USUAL_REQUEST_BYTES + self.reserved:
             raise NoRoomError
 
     def _rejected(self) -> BodyRejected:
