Receive a body for which there is room at full speed

Cause: without room for received bytes, an ordinary body of 1 MiB came in 1,024 receives, was the oldest after half a second, and gave way.

Change: a connection with room for the body that it is sending receives up to 128 KiB, as what comes takes that room.

--- a/libs/transport/src/clementinebend_transport/caller_channel.py
+++ b/libs/transport/src/clementinebend_transport/caller_channel.py
@@ -32,13 +32,15 @@
         self.counted_bytes = 0
         self.is_waiting_for_room = False
         """Whether nothing is received until something is read."""
+        self.expected_bytes = 0
+        """For how many bytes of the body that is being read there is room."""
         self.head_bytes = 0
         """What the head takes of the request that is read or answered."""
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return where the next bytes are received: little if there is no room."""
-        size = READ_BUFFER_BYTES if self.room.has(1) else SHORT_RECEIVE_BYTES
-        return _buffer[:size]
+        has_room = self.room.has(1) or self.expected_bytes >= READ_BUFFER_BYTES
+        return _buffer if has_room else _buffer[:SHORT_RECEIVE_BYTES]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Take what has been received."""
--- a/libs/transport/src/clementinebend_transport/http_reader.py
+++ b/libs/transport/src/clementinebend_transport/http_reader.py
@@ -120,7 +120,7 @@
     def release(self) -> None:
         """Release the room of the request that was read last."""
         self.room.release(self.reserved)
-        self.reserved = 0
+        self.reserved = self.channel.expected_bytes = 0
         self.channel.set_head(0)
 
     def give_way(self) -> None:
@@ -216,8 +216,8 @@
     def _check_room(self, received: int = 0) -> None:
         """Raise ``NoRoomError`` if there is no room, and the caller takes much of it.
 
-        The bytes ``received`` last have been counted; those of a body for which there is
-        room are held once only.
+        The bytes ``received`` last have been counted; those of a body for which there
+        is room are held once only.
         """
         if self.channel.room.make(0, self):
             return
@@ -242,6 +242,7 @@
         if not self.room.reserve(reservation):
             return False
         self.reserved += wanted
+        self.channel.expected_bytes = self.reserved
         return True
 
     def _reserve_growing(self, size: int) -> bool:
