--- a/libs/transport/src/clementinebend_transport/http_server.py
+++ b/libs/transport/src/clementinebend_transport/http_server.py
@@ -60,7 +60,7 @@
 ACCEPT_PASSES = 4
 """Event loop iterations that a connection takes from its accept to its task."""
 
-ACCEPTS_PER_ITERATION = 64
+ACCEPTS_PER_ITERATION = 16
 """Most connections that are accepted at once: so many may exceed the limit until they
 are refused, each with a descriptor."""
 
