Let a body with its own room give way to bodies only

Cause: a request whose body is read was also the oldest of those that hold heads and unparsed bytes, and gave way to heads of others.

Change: once there is room for all that may come of a body, and it is more than the head takes, the request gives way in the room of bodies only.

--- a/libs/transport/src/clementinebend_transport/http_reader.py
+++ b/libs/transport/src/clementinebend_transport/http_reader.py
@@ -90,6 +90,8 @@
         self.turns = turns or ParsingTurns()
         self.reserved = 0
         self.head: HttpRequest | None = None
+        self.max_size = 0
+        """The most bytes that the body of the request can have."""
         self.task: Task[None] | None = None
         """The task that reads the request."""
         self.has_given_way = False
@@ -193,7 +195,10 @@
         if refusal is not None:
             return refusal
         self.head = head
-        if not self._reserve(_announced_size(head), is_announced=True):
+        is_chunked = b"transfer-encoding" in dict(head.headers)
+        size = _announced_size(head)
+        self.max_size = self.limits.max_body_bytes if is_chunked else size
+        if not self._reserve(size, is_announced=True):
             return self._rejected()
         self._check_room()
         if self.parser.they_are_waiting_for_100_continue:
@@ -247,6 +252,9 @@
             return False
         self.reserved += wanted
         self.channel.expected_bytes = self.reserved
+        if self.reserved >= max(self.max_size, self.channel.head_bytes):
+            # What it receives has its own room, and it holds little else.
+            self.channel.room.remove(self)
         return True
 
     def _reserve_growing(self, size: int) -> bool:
--- a/libs/transport/src/clementinebend_transport/room.py
+++ b/libs/transport/src/clementinebend_transport/room.py
@@ -34,7 +34,7 @@
 class Room(Generic[Unfinished]):
     """Bytes that a server holds; a ``limit`` of None is no bound.
 
-    ``unfinished`` holds the requests that may give way, with the time from which on each
+    ``unfinished`` holds the requests that may give way, with the time from which each
     may. ``clock`` returns seconds.
     """
 
