Read a chunked body where the largest exceeds the room

Callers: where an operator allows bodies that are larger than the room of all bodies, a chunked body above 256 KiB was refused (503) even in calm, as it asked for the room of the largest.

Cause: the room of the largest was asked for, whatever room there is.

Change: half of all room at most; beyond it a body takes what has come of it. The time after which it gives way is set once, as it takes that room.

Evidence: the new test failed before (503) and passes; the tests of the transport pass.

--- a/libs/transport/src/clementinebend_transport/http_reader.py
+++ b/libs/transport/src/clementinebend_transport/http_reader.py
@@ -28,7 +28,6 @@
 EVENTS_PER_TURN = 32
 """Chunks of a body after which other connections have their turn: some 0.3 ms."""
 
-
 LARGE_HEAD_BYTES = 4 * 1024
 """Size from which on a head is parsed in turn: one with many fields takes some ms."""
 
@@ -244,7 +243,8 @@
 
     def _reserve(self, size: int, is_announced: bool) -> bool:
         """Reserve room for ``size`` bytes of a body in all; return whether it fits."""
-        if size and (not self.reserved or size > MAX_GROWING_BYTES):
+        is_enlarged = self.reserved <= MAX_GROWING_BYTES < size
+        if size and (is_enlarged or not self.reserved):
             self.room.add(self, GRACE_SECONDS + size / SLOW_BYTES_PER_SECOND)
         wanted = max(0, size - self.reserved)
         reservation = Reservation(wanted, size, is_announced, self)
@@ -260,13 +260,16 @@
     def _reserve_growing(self, size: int) -> bool:
         """Reserve room for a body that has grown to ``size`` bytes.
 
-        One that is not small takes the room of the largest, so that those that are read
-        at the same time do not each hold a part and wait for the rest.
+        One that is not small takes the room of the largest, or half of all, so that
+        those that are read at the same time do not each hold a part and wait for the
+        rest.
         """
         if size <= self.reserved:
             return True
         if size > MAX_GROWING_BYTES:
-            size = max(size, self.limits.max_body_bytes)
+            limit = self.room.limit
+            most = self.limits.max_body_bytes
+            size = max(size, most if limit is None else min(most, limit // 2))
         return self._reserve(size, is_announced=False)
 
     async def _read_body(
--- a/tests/unit/transport/test_request_room.py
+++ b/tests/unit/transport/test_request_room.py
@@ -144,6 +144,19 @@
     assert (await read_all(stopping)).startswith(b"HTTP/1.1 503 ")
 
 
+async def test_a_chunked_body_is_read_in_a_room_smaller_than_the_largest(
+    server: Server,
+) -> None:
+    """Guards against room that is asked for in vain, whatever a body needs."""
+    server.bodies.limit = 8 * len(BODY)
+    await server.start()
+    server.may_answer.set()
+    body = b"%x\r\n%b\r\n" % (len(BODY), BODY) * 2 + b"0\r\n\r\n"
+    reader, _ = await server.send(HEAD + b"transfer-encoding: chunked\r\n\r\n" + body)
+    assert (await read_until(reader, b"\r\n")).startswith(b"HTTP/1.1 200 ")
+    assert [each.body for each in server.requests] == [2 * BODY]
+
+
 async def test_a_request_that_is_answered_does_not_give_way(server: Server) -> None:
     """Guards against answers that are lost for a body that comes later."""
     await server.start()
