--- a/review/stage-2/stage.py
+++ b/review/stage-2/stage.py
@@ -45,7 +45,7 @@
 [limits]
 cpu_share = 0.817
 cores = 1
-memory_mb = 300
+memory_mb = {memory}
 max_fds = 4100
 link_mbps = 1000.0
 disk_mb = 0
@@ -117,7 +117,7 @@
         self.settings.write_text(
             SETTINGS.format(
                 name=name, role=role, ip=ip, zone=zone, first=first, last=first + 15,
-                listen=listen, grace=stage.grace, store=f"127.0.0.1:{stage.store.port}",
+                listen=listen, grace=stage.grace, memory=stage.memory_mb, store=f"127.0.0.1:{stage.store.port}",
             )
         )
         self.process = None
@@ -169,6 +169,17 @@
         self.stage.record.line(f"platform sends {signal.Signals(number).name} to {self.name}")
         self.process.send_signal(number)
 
+    def resident_mb(self):
+        """Return the process's memory in 2^20 bytes, without what the kernel holds."""
+        if self.process is None or self.process.returncode is not None:
+            return 0.0
+        try:
+            lines = Path(f"/proc/{self.process.pid}/status").read_text().splitlines()
+        except OSError:
+            return 0.0
+        values = [line.split()[1] for line in lines if line.startswith("VmRSS:")]
+        return int(values[0]) / 1024 if values else 0.0
+
     async def is_ready(self):
         try:
             async with asyncio.timeout(0.9):
@@ -199,8 +210,10 @@
 class Stage:
     """The whole deployment."""
 
-    def __init__(self, folder, grace=8):
+    def __init__(self, folder, grace=8, memory_mb=300):
         self.record = Record(folder)
+        self.memory_mb = memory_mb
+        self.peak_mb = Counter()
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = Path(self.temporary.name)
         self.deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
@@ -257,6 +270,20 @@
                     self.ready[machine.name] = False
             await asyncio.sleep(1.0)
 
+    async def watch_memory(self):
+        """Kill a process that exceeds ``memory_mb``, as the platform does."""
+        while True:
+            for machine in self.entries:
+                mb = machine.resident_mb()
+                self.peak_mb[machine.name] = max(self.peak_mb[machine.name], mb)
+                if mb > self.memory_mb:
+                    self.record.line(
+                        f"platform kills {machine.name}: {mb:.0f} MB, {self.memory_mb} allowed"
+                    )
+                    machine.process.kill()
+                    await machine.process.wait()
+            await asyncio.sleep(0.05)
+
     def pick(self):
         """Return the entry for a new channel."""
         fit = [each for each in self.entries if self.ready.get(each.name)] or self.entries
@@ -388,11 +415,11 @@
         return True, rest
 
 
-def main(case, folder, limit=110.0):
+def main(case, folder, limit=110.0, **settings):
     """Run a case; exit with 1 if the rule was broken, 0 if it held, 2 if it failed."""
 
     async def run():
-        stage = Stage(folder)
+        stage = Stage(folder, **settings)
         try:
             async with asyncio.timeout(limit):
                 return await case(stage)
