--- a/review/stage-2/stage.py
+++ b/review/stage-2/stage.py
@@ -9,6 +9,7 @@
 import asyncio
 import itertools
 import os
+import random
 import shlex
 import signal
 import socket
@@ -30,6 +31,7 @@
 STABLE_S = 3.0  # stability_window_ms
 RESTART_S = 0.5  # "A process that exits is restarted after a short delay"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+METRICS_PORT = 9464  # in the deploy file
 
 SETTINGS = """
 node_name = "{name}"
@@ -86,6 +88,18 @@
             each.close()
 
 
+def free_network():
+    """Return the first three numbers of loopback addresses that nobody uses."""
+    while True:
+        net = f"127.{random.randint(1, 250)}.{random.randint(1, 250)}"
+        try:
+            with socket.socket() as probe:
+                probe.bind((f"{net}.1", METRICS_PORT))
+            return net
+        except OSError:
+            continue
+
+
 class Record:
     """What was sent, answered and run, with the seconds since the start."""
 
@@ -237,13 +251,14 @@
                 await engine.start()
                 self.engines.append(engine)
                 self.store.put("servers", engine.name, engine.entry())
+        net = free_network()
         for place in range(entries):
             self.entries.append(
-                Machine(self, f"edge-{place}", "entry", f"127.1.0.{place + 1}", f"z{place % 3}")
+                Machine(self, f"edge-{place}", "entry", f"{net}.{place + 1}", f"z{place % 3}")
             )
         for place in range(3):
             self.gateways.append(
-                Machine(self, f"side-{place}", "gateway", f"127.2.0.{place + 1}", f"z{place}")
+                Machine(self, f"side-{place}", "gateway", f"{net}.{place + 101}", f"z{place}")
             )
         for machine in (*self.entries, *self.gateways):
             self.tasks.append(asyncio.create_task(machine.keep()))
