Hold no quota for calls that what is left cannot cover

What callers saw: each team sent one request to each entry that named 2,147,483,647 tokens and was refused; after all entries had been killed once, every request of these teams was answered 429 for good, at 2 % of each budget spent.

Cause: what a home may spend without witnesses is lost with it. That part followed demand, waiting calls and the requests of other entries without a bound, and a call that no holder could serve counted as all three: the home wrote a quota of the whole rest for it. Entries also borrowed and asked for shares of such demand ahead of calls.

Ruled out: reserves that are not reclaimed (1.25 % of a budget at most).

Change: a call that less is left for than it may cost is no demand. Amounts that calls wait for and others request are kept one by one; those beyond what is left raise no quota. A home holds a tenth of what is left at most for calls that it expects; another entry borrows, or asks for beside its call's need, 1.25 % of the budget at most.

--- a/libs/ledger/src/clementinebend_ledger/quota_account.py
+++ b/libs/ledger/src/clementinebend_ledger/quota_account.py
@@ -6,6 +6,7 @@
 Amounts are in tokens, times in seconds on the monotonic clock.
 """
 
+from collections.abc import Iterable
 from math import exp
 
 FAST_RATE_SECONDS = 2.0
@@ -28,15 +29,17 @@
 class QuotaAccount:
     """One team's budget as held by this holder; owned by one task.
 
-    ``limit`` is what may be spent whatever the outcome of pending appends.
+    ``limit`` is what may be spent whatever the outcome of pending appends. ``waiting``
+    is the sum of ``waiting_amounts``, which calls at this holder wait for.
     """
 
     def __init__(self, now: float) -> None:
         self.limit = 0
         self.spent = 0
         self.reserved = 0
+        self.waiting_amounts: list[int] = []
         self.waiting = 0
-        self.requested = 0
+        self.requested_amounts: tuple[int, ...] = ()
         self.request_expires_at = now
         self.largest = 0.0
         self.spent_share = 1.0
@@ -72,7 +75,10 @@
         return True
 
     def record_demand(self, amount: int, now: float) -> None:
-        """Record a call that may cost ``amount``, whether or not it is admitted."""
+        """Record a call that may cost ``amount`` and that the budget may cover.
+
+        It need not be admitted. A call that no holder could admit is no demand.
+        """
         self.largest = max(self.largest * LARGEST_DECAY, amount)
         self._decay(now)
         expected = amount * self.spent_share
@@ -91,14 +97,30 @@
         self.fast_rate = max(self.fast_rate, rate)
         self.slow_rate = max(self.slow_rate, rate)
 
-    def ask(self, amount: int, now: float) -> None:
-        """Record for a short time that other holders request ``amount``."""
-        self.requested = amount
+    def start_waiting(self, amount: int) -> None:
+        """Record that a call waits for ``amount``."""
+        self.waiting_amounts.append(amount)
+        self.waiting += amount
+
+    def stop_waiting(self, amount: int) -> None:
+        """Record that a call no longer waits for ``amount``."""
+        self.waiting_amounts.remove(amount)
+        self.waiting -= amount
+
+    def waiting_within(self, left: int) -> int:
+        """Return the sum that calls wait for of which ``left`` tokens cover each."""
+        return _sum_within(self.waiting_amounts, left)
+
+    def ask(self, amounts: Iterable[int], now: float) -> None:
+        """Record for a short time that other holders request these amounts."""
+        self.requested_amounts = tuple(amounts)
         self.request_expires_at = now + REQUEST_SECONDS
 
-    def requested_now(self, now: float) -> int:
-        """Return the amount that others have requested recently."""
-        return self.requested if now < self.request_expires_at else 0
+    def requested_within(self, left: int, now: float) -> int:
+        """Return the sum of recent requests of which ``left`` tokens cover each."""
+        if now >= self.request_expires_at:
+            return 0
+        return _sum_within(self.requested_amounts, left)
 
     def give(self, amount: int) -> None:
         """Count free tokens transferred to another holder as spent."""
@@ -121,3 +143,7 @@
         self.rated_at = now
         self.fast_rate *= exp(-elapsed / FAST_RATE_SECONDS)
         self.slow_rate *= exp(-elapsed / SLOW_RATE_SECONDS)
+
+
+def _sum_within(amounts: Iterable[int], limit: int) -> int:
+    return sum(amount for amount in amounts if amount <= limit)
--- a/libs/ledger/src/clementinebend_ledger/quota_requests.py
+++ b/libs/ledger/src/clementinebend_ledger/quota_requests.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from clementinebend_ledger.quota_account import QuotaAccount
+from clementinebend_ledger.quota_sizing import MAX_BUDGET_FRACTION
 
 RETAINED_SECONDS = 0.05
 """Seconds of its own demand that a holder retains when others request tokens."""
@@ -24,9 +25,12 @@
     amount: int
 
 
-def token_request(account: QuotaAccount, least: int, now: float) -> TokenRequest:
-    """Return the request of a holder that lacks ``least`` tokens."""
-    return TokenRequest(least + int(EXTRA_REQUEST_SECONDS * account.rate(now)))
+def token_request(
+    account: QuotaAccount, least: int, prepaid: int, now: float
+) -> TokenRequest:
+    """Return the request of a holder that lacks ``least`` tokens of ``prepaid``."""
+    extra = EXTRA_REQUEST_SECONDS * account.rate(now)
+    return TokenRequest(least + int(min(extra, MAX_BUDGET_FRACTION * prepaid)))
 
 
 def transferable_amount(account: QuotaAccount, asked: TokenRequest, now: float) -> int:
--- a/libs/ledger/src/clementinebend_ledger/quota_sizing.py
+++ b/libs/ledger/src/clementinebend_ledger/quota_sizing.py
@@ -17,7 +17,8 @@
 alone has lost its connection reaches the log through a gateway."""
 
 MAX_BUDGET_FRACTION = 0.0125
-"""Maximum fraction of a whole budget kept in reserve. Losses beyond the 3 % of slack
+"""Maximum fraction of a whole budget that a home keeps in reserve, or that another
+entry borrows ahead of calls. Losses beyond the 3 % of slack
 that a budget has are refused to its team for good, so the loss of all holders must stay
 within it."""
 
@@ -25,6 +26,10 @@
 """Maximum fraction of the remaining budget kept in reserve, so that a power loss of all
 holders never loses most of it."""
 
+MAX_EXPECTED_FRACTION = 0.1
+"""Maximum fraction of the remaining budget that a home may spend without witnesses for
+calls that it only expects."""
+
 UNWITNESSED_SECONDS = 0.25
 """Seconds of demand that a home may spend without witnesses, in addition to the demand
 during an append, which counts twice. This is what a dead holder leaves that nobody can
@@ -92,18 +97,19 @@
             account, pool, prepaid, append_seconds, now
         )
     else:
-        free, without_witnesses = _borrower_size(account, own, pool, now)
+        free, without_witnesses = _borrower_size(account, own, pool, prepaid, now)
     ceiling = max(account.used, min(account.used + free, bound))
     unwitnessed = min(ceiling, account.used + without_witnesses)
     return QuotaSize(ceiling, unwitnessed, pool, unspent)
 
 
-def borrow_target(account: QuotaAccount, now: float) -> int:
-    """Return how many tokens a borrower should have available ahead of calls.
+def borrow_target(account: QuotaAccount, prepaid: int, now: float) -> int:
+    """Return how many tokens of ``prepaid`` a borrower should have ahead of calls.
 
     Returns 0 if the amount would not suffice for a call, as it would only lie idle.
     """
-    tokens = int(BORROW_SECONDS * account.peak_rate(now))
+    expected = BORROW_SECONDS * account.peak_rate(now)
+    tokens = int(min(expected, MAX_BUDGET_FRACTION * prepaid))
     return tokens if tokens >= account.largest else 0
 
 
@@ -121,31 +127,38 @@
 def _home_size(
     account: QuotaAccount, pool: int, prepaid: int, append_seconds: float, now: float
 ) -> tuple[int, int]:
-    """Return what a home should have free, and how much of it without witnesses."""
+    """Return what a home should have free, and how much of it without witnesses.
+
+    Calls that need more than the ``pool`` count for nothing: no quota would serve them,
+    and what it holds is lost if the home dies.
+    """
     rate = max(MIN_RATE, account.rate(now))
-    needed = unwitnessed_target(account, append_seconds, now)
-    needed = max(needed + account.requested_now(now), account.waiting)
+    expected = unwitnessed_target(account, append_seconds, now)
+    expected = min(expected, MAX_EXPECTED_FRACTION * max(0, pool))
+    waiting = account.waiting_within(pool)
+    needed = max(expected + account.requested_within(pool, now), waiting)
     wanted = HORIZON_SECONDS * rate + RETAINED_CALLS * account.largest
     wanted = max(wanted, INITIAL_FRACTION * prepaid)
     reserve = min(
         wanted, MAX_RESERVE_FRACTION * max(0, pool), MAX_BUDGET_FRACTION * prepaid
     )
-    free = max(reserve, min(needed, max(pool, account.waiting)))
+    free = max(reserve, min(needed, max(pool, waiting)))
     return int(free), int(needed)
 
 
 def _borrower_size(
-    account: QuotaAccount, own: Quota, pool: int, now: float
+    account: QuotaAccount, own: Quota, pool: int, prepaid: int, now: float
 ) -> tuple[int, int]:
     """Return the same for an entry that is not the home.
 
     It keeps its current quota, so that what it borrowed stays borrowed, returns a large
-    surplus, and takes more only for waiting calls.
+    surplus, and takes more only for waiting calls that the ``pool`` covers.
     """
-    target = borrow_target(account, now)
+    target = borrow_target(account, prepaid, now)
     free = own.ceiling - account.used
-    if account.waiting > free:
-        free = account.waiting + min(target, max(0, pool) // 4)
+    waiting = account.waiting_within(pool)
+    if waiting > free:
+        free = waiting + min(target, max(0, pool) // 4)
     elif free > 3 * target:
-        free = max(target, account.waiting)
+        free = max(target, waiting)
     return free, free
--- a/libs/relay/src/clementinebend_relay/budgets.py
+++ b/libs/relay/src/clementinebend_relay/budgets.py
@@ -2,7 +2,7 @@
 
 from asyncio import Timeout, gather, get_running_loop, timeout
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from contextlib import suppress
 from functools import partial
 from typing import NamedTuple
@@ -184,14 +184,15 @@
             return Reservation(team.name, 0)
         manager = self.manager(team.name)
         account = manager.account(team.name)
-        account.record_demand(amount, self.clock())
         if account.reserve(amount):
+            account.record_demand(amount, self.clock())
             self._borrow(team.name)
             self._raise_before_empty(manager, team.name)
             return Reservation(team.name, amount)
         if (shortfall := self._final_shortfall(manager, team.name, amount)) is not None:
             return shortfall
-        account.waiting += amount
+        account.record_demand(amount, self.clock())
+        account.start_waiting(amount)
         is_reserved = False
         try:
             with suppress(TimeoutError):  # the caller logs why it is refused
@@ -201,7 +202,7 @@
                         manager, team.name, amount, wait_timeout, latest_deadline
                     )
         finally:
-            account.waiting -= amount
+            account.stop_waiting(amount)
         # The amount may have been granted as the timeout expired.
         if not is_reserved and account.reserve(amount):
             late_waits.inc()
@@ -242,11 +243,16 @@
             return
         now = self.clock()
         account = self.manager(team).account(team)
-        target = borrow_target(account, now)
+        target = self._borrow_target(team, now)
         is_low = account.free < target // 2
         if is_low and self.request_pacing[team].may_ask_home(now):
             self.budget_peers.ask(home, team, TokenRequest(target))
 
+    def _borrow_target(self, team: str, now: float) -> int:
+        """Return how many tokens this entry should have borrowed ahead of calls."""
+        view = self.manager(team).view
+        return borrow_target(view.account(team), view.prepaid.get(team, 0), now)
+
     async def _wait_until_reserved(
         self,
         manager: QuotaManager,
@@ -295,7 +301,8 @@
         if home is not None:
             self._ask_home(home, team, amount)
         if is_without_home and request_pacing.may_ask_all(now):
-            asked = token_request(manager.account(team), amount, now)
+            prepaid = manager.view.prepaid.get(team, 0)
+            asked = token_request(manager.account(team), amount, prepaid, now)
             self.budget_peers.ask_others(team, asked)
 
     def _ask_home(self, home: str, team: str, amount: int) -> None:
@@ -308,7 +315,7 @@
         account = self.manager(team).account(team)
         if not self.request_pacing[team].may_ask_home(now):
             return
-        needed = account.waiting + borrow_target(account, now)
+        needed = account.waiting + self._borrow_target(team, now)
         reported = self.home_reports.remaining.get(team)
         if reported is not None and now - reported.at < REMAINING_VALID_SECONDS:
             needed = max(amount, min(needed, reported.remaining.left))
@@ -338,15 +345,15 @@
         is_home = self.is_home_of(team)
         amount = self.transferable(team, asked)
         if amount < asked.amount and is_home:
-            self.record_request(team, asked.amount)
+            self.record_requests(team, (asked.amount,))
             return 0
         self.hand_over(team, amount)
         return amount
 
-    def record_request(self, team: str, amount: int) -> None:
-        """Raise this home's quota by the amount that other entries lack."""
+    def record_requests(self, team: str, amounts: Iterable[int]) -> None:
+        """Raise this home's quota by the amounts that other entries lack."""
         manager = self.manager(team)
-        manager.account(team).ask(amount, self.clock())
+        manager.account(team).ask(amounts, self.clock())
         manager.request_commit()
         if manager.is_stalled():
             manager.open_reserve()
@@ -432,7 +439,7 @@
         if home is None:
             return
         account = manager.account(team)
-        kept = borrow_target(account, self.clock())
+        kept = self._borrow_target(team, self.clock())
         surplus = account.free - kept
         if account.free <= RETURN_FACTOR * kept or surplus <= 0:
             return
--- a/libs/relay/src/clementinebend_relay/peers.py
+++ b/libs/relay/src/clementinebend_relay/peers.py
@@ -204,7 +204,7 @@
         if len(by_boot) > MAX_UNMET_REQUESTS:
             del by_boot[next(iter(by_boot))]
         lacking = (each.message.asked.amount for each in self._unmet_of(message.team))
-        self.budgets.record_request(message.team, sum(lacking))
+        self.budgets.record_requests(message.team, lacking)
 
     def _unmet_of(self, team: str) -> list[UnmetRequest]:
         """Return the recent unmet requests for a team's budget, and drop older ones."""
--- a/libs/relay/src/clementinebend_relay/quota_plan.py
+++ b/libs/relay/src/clementinebend_relay/quota_plan.py
@@ -1,5 +1,7 @@
 """Decides what a holder should append to the log of quotas next."""
 
+from typing import NamedTuple
+
 from msgspec.msgpack import encode
 
 from clementinebend_ledger.quota_witness import is_unopened
@@ -19,6 +21,17 @@
 """The same for changes of the whole quota."""
 
 
+class QuotaTarget(NamedTuple):
+    """The quota that a holder should have of a budget.
+
+    ``lacking`` is how many tokens are missing to the calls that wait here or elsewhere,
+    except those that need more than is left; it is negative if none are.
+    """
+
+    quota: Quota
+    lacking: int
+
+
 class QuotaPlan:
     """Computes the appends of a holder, one at a time."""
 
@@ -60,13 +73,11 @@
         return Pending(view.book.end, record, quotas, records)
 
     def _due_quotas(self, live: frozenset[str], is_home: bool) -> dict[str, Quota]:
-        known = self.view.quota
+        targets = {team: self._target(team, live) for team in self.view.prepaid}
         due = {
-            team: quota
-            for team in self.view.prepaid
-            if self._is_change_due(
-                team, quota := self._target_quota(team, live), known(team), is_home
-            )
+            team: target.quota
+            for team, target in targets.items()
+            if self._is_change_due(team, target, is_home)
         }
         return due | self._used_without_budget()
 
@@ -88,30 +99,30 @@
         """
         return self.view.account(team).used > self.view.quota(team).unwitnessed
 
-    def _target_quota(self, team: str, live: frozenset[str]) -> Quota:
+    def _target(self, team: str, live: frozenset[str]) -> QuotaTarget:
         account = self.view.account(team)
+        now = self.view.clock()
         size = self.view.size_quota(team, live)
         ceiling, unwitnessed = size.ceiling, size.unwitnessed
         if self.is_closing:
             ceiling = unwitnessed = account.used
-        rate = min(MAX_TOKENS, int(account.rate(self.view.clock())))
-        return Quota(ceiling, unwitnessed, account.spent, rate)
+        rate = min(MAX_TOKENS, int(account.rate(now)))
+        requested = account.requested_within(size.pool, now)
+        lacking = account.waiting_within(size.pool) + requested - account.free
+        return QuotaTarget(Quota(ceiling, unwitnessed, account.spent, rate), lacking)
 
-    def _is_change_due(
-        self, team: str, quota: Quota, known: Quota, is_home: bool
-    ) -> bool:
+    def _is_change_due(self, team: str, target: QuotaTarget, is_home: bool) -> bool:
         """Return whether a change is worth a record.
 
         While closing, any change is except of the rate alone. If waiting calls lack
         tokens, or a reserve is in use, any increase is, however small.
         """
+        quota, known = target.quota, self.view.quota(team)
         if self.is_closing:
             return quota != known._replace(rate=quota.rate)
         if self._is_reserve_used(team):
             return True
-        account = self.view.account(team)
-        lacking = account.waiting + account.requested_now(self.view.clock())
-        if lacking > account.free and quota.unwitnessed > known.unwitnessed:
+        if target.lacking > 0 and quota.unwitnessed > known.unwitnessed:
             return True
         return _is_significant(quota, known, is_home)
 
--- a/tests/unit/relay/test_peers.py
+++ b/tests/unit/relay/test_peers.py
@@ -250,7 +250,7 @@
 def test_a_repeated_transfer_is_applied_once() -> None:
     peers, _ = make_peers(Clock(), entries=2)
     account = peers.budgets.managers[0].account(TEAM)
-    account.waiting = 100
+    account.start_waiting(100)
     transfer_message = TransferMessage(
         "entry-1#1", peers.boot, TEAM, Transfer(1, 60), is_home=True
     )
@@ -291,7 +291,7 @@
         peers.on_request(
             TokenRequestMessage(boot, TEAM, TokenRequest(asked)), Address("h", 1)
         )
-    assert account.requested_now(clock()) == 110
+    assert account.requested_within(1_000, clock()) == 110
     account.limit = 60
     sent.messages.clear()
     peers.serve_unmet(0)
--- a/tests/unit/relay/test_quota_manager.py
+++ b/tests/unit/relay/test_quota_manager.py
@@ -214,7 +214,7 @@
     borrower = fleet.entries[1]
     borrower.is_home = False
     borrower.log.seconds = SLOW_ANSWER_SECONDS
-    borrower.account.waiting = 500
+    borrower.account.start_waiting(500)
     assert fleet.commit(1)
     assert borrower.account.free >= 500
 
@@ -299,11 +299,11 @@
     fleet: SimulatedFleet,
 ) -> None:
     account = fleet.entries[0].account
-    account.waiting = 16_000
+    account.start_waiting(16_000)
     fleet.commit(0)
-    account.waiting = 0
+    account.stop_waiting(16_000)
     assert account.reserve(account.free)
-    account.waiting = 600
+    account.start_waiting(600)
     fleet.commit(0)
     assert account.reserve(600)
 
@@ -313,9 +313,9 @@
 ) -> None:
     entry = fleet.entries[0]
     account = entry.account
-    account.waiting = 16_000
+    account.start_waiting(16_000)
     fleet.commit(0)
-    account.waiting = 0
+    account.stop_waiting(16_000)
     assert account.reserve(account.free - 50)
     given = entry.budgets.on_request(TEAM, TokenRequest(124))
     assert given < 124
@@ -326,9 +326,9 @@
 def start_calls(fleet: SimulatedFleet, number: int) -> None:
     """Let many calls be in progress, so that no small change of the quota is due."""
     entry = fleet.entries[number]
-    entry.account.waiting = 20 * 400
+    entry.account.start_waiting(20 * 400)
     fleet.commit(number)
-    entry.account.waiting = 0
+    entry.account.stop_waiting(20 * 400)
     for _ in range(20):
         assert entry.call(400)
     fleet.clock.now += 8 * SLOW_RATE_SECONDS
--- a/tests/unit/relay/test_quotas_stateful.py
+++ b/tests/unit/relay/test_quotas_stateful.py
@@ -140,9 +140,9 @@
     def start_calls(self, number: int, amount: int, calls: int) -> None:
         """Start calls for which the entry raises its quota, and let demand decay."""
         entry = self.fleet.entries[number]
-        entry.account.waiting = amount * calls
+        entry.account.start_waiting(amount * calls)
         self.fleet.commit(number)
-        entry.account.waiting = 0
+        entry.account.stop_waiting(amount * calls)
         for _ in range(calls):
             entry.call(amount)
         self.fleet.clock.now += 30.0
