Name the logger whose lines a test of late event loops counts

Failed once in a run of three folders in four processes: simulated entries set the level of clementinebend_relay to ERROR in their process, and the test set the root's. Red before, after test_channels_at_one_entry.py in one process; green after.

--- a/tests/unit/relay/test_loop_delay.py
+++ b/tests/unit/relay/test_loop_delay.py
@@ -6,6 +6,7 @@
 import pytest
 from msgspec.json import encode
 
+from clementinebend_relay.decisions import logger as decisions
 from clementinebend_relay.discovery import Announcement
 from clementinebend_relay.loop_delay import (
     LATE_SECONDS,
@@ -88,7 +89,7 @@
 ) -> None:
     now = 100.0
     loop_delay = LoopDelay(lambda: now)
-    caplog.set_level("INFO")
+    caplog.set_level("INFO", logger=decisions.name)
     for _ in range(10):
         loop_delay.on_sample(2 * LATE_SECONDS)
     loop_delay.on_sample(LATE_SECONDS / 2)
