Take an early end without a length for whole only once the request is sent

Cause: such an answer ends with its connection. The entry closed its side as the engine ended its own, with the request half sent, and never saw the reset.

Ruled out: a reset taken for an end (a failed connection was never whole).

Change: the connection stays open for sending after the other side's end while something is undelivered; the answer is whole once the other side's system has taken the request, and incomplete after a reset or 1 s. Shared by all that reads answers: engines, store, gateways, sidecars.

A proper early end, after which the server reads on, stays whole.

--- a/libs/transport/src/clementinebend_transport/channel.py
+++ b/libs/transport/src/clementinebend_transport/channel.py
@@ -18,7 +18,7 @@
 )
 from collections.abc import Callable
 from fcntl import ioctl
-from select import POLLIN, poll
+from select import POLLERR, POLLHUP, POLLIN, poll
 from socket import SO_LINGER, SOL_SOCKET
 from struct import calcsize, pack, unpack
 from termios import FIONREAD, TIOCOUTQ
@@ -73,6 +73,8 @@
         self.flushing: Handle | None = None
         self.discarding = False
         self.overrun = False
+        self.keeps_sending = False
+        """Whether the connection outlives the other side's end until all is sent."""
         self.ended = False
         self.failure: Exception | None = None
         self.readable = Event()
@@ -109,9 +111,13 @@
             self._overrun()
 
     def eof_received(self) -> bool:
-        """Take the other side's end as the connection's end."""
+        """Take the other side's end as the connection's end.
+
+        With ``keeps_sending`` it stays open while the other side has not taken all that
+        was sent: whether it does shows if its end was a proper one.
+        """
         self._end()
-        return False
+        return self.keeps_sending and self.undelivered_bytes() > 0
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Release everyone who waits on this connection."""
@@ -193,6 +199,18 @@
         """Return how many bytes wait to be taken by the socket."""
         return self.outgoing_bytes + self.transport.get_write_buffer_size()
 
+    def undelivered_bytes(self) -> int:
+        """Return how many bytes the other side's system has not taken yet."""
+        return self.unsent_bytes() + _queue_bytes(self.transport, TIOCOUTQ)
+
+    def is_reset(self) -> bool:
+        """Return whether the connection has failed, as by a reset."""
+        if self.failure is not None:
+            return True
+        if self.transport.is_closing():
+            return False
+        return bool(self._poll() & (POLLERR | POLLHUP))
+
     def delivered_bytes(self) -> int:
         """Return how many bytes the other side's system has taken so far.
 
@@ -228,11 +246,7 @@
 
     def has_arrivals(self) -> bool:
         """Return whether the socket holds bytes, or an end, not received yet."""
-        if self.transport.is_closing():
-            return False
-        poller = poll()
-        poller.register(self.transport.get_extra_info("socket").fileno(), POLLIN)
-        return bool(poller.poll(0))
+        return not self.transport.is_closing() and self._poll() != 0
 
     def discard(self) -> None:
         """Drop everything that was received and all that will be."""
@@ -273,6 +287,12 @@
             socket.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
         self.abort()
 
+    def _poll(self) -> int:
+        """Return the events of the open socket, as ``select.poll`` names them."""
+        poller = poll()
+        poller.register(self.transport.get_extra_info("socket").fileno(), POLLIN)
+        return next((events for _, events in poller.poll(0)), 0)
+
     async def _take_arrivals(self) -> bool:
         """Receive what the socket holds; return whether there is data or the end.
 
--- a/libs/transport/src/clementinebend_transport/client_connection.py
+++ b/libs/transport/src/clementinebend_transport/client_connection.py
@@ -46,6 +46,15 @@
 EVENTS_PER_TURN = 4
 """Pieces of one read after which the event loop runs other tasks."""
 
+FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
+BODILESS_STATUSES = frozenset((204, 304))
+"""What tells where a body ends; source: RFC 9112, section 6.3."""
+
+DELIVERY_SECONDS = 1.0
+"""Seconds in which a server that has ended its answer must take the whole request."""
+
+DELIVERY_CHECK_SECONDS = 0.005
+
 LATE_READ_SECONDS = 0.2
 """Seconds after a read timeout in which received bytes are still read. Without this
 bound, a server that sends continuously would never time out."""
@@ -76,6 +85,8 @@
         """Whether no request has been sent over it."""
         self.idle_since = 0.0
         self.keep_alive = inf
+        self.ends_with_channel = False
+        """Whether the answer's body has neither a length nor chunks."""
         self.received_bytes = 0
         """Bytes of this exchange that have been given to the parser."""
         self.body_bytes = 0
@@ -121,6 +132,7 @@
         if _size(event) > MAX_ANSWER_HEADER_BYTES:
             raise TruncatedAnswer("the head is too large")
         self.keep_alive = keep_alive_of(event)
+        self.ends_with_channel = _ends_with_channel(event)
         return event
 
     async def read_piece(self, until: float | None = None) -> bytes | None:
@@ -133,9 +145,11 @@
         event = await self._next_event(until)
         if isinstance(event, Data):
             return self._joined(event)
-        if isinstance(event, EndOfMessage):
-            return None
-        raise TruncatedAnswer("the connection ended before the answer was whole")
+        if not isinstance(event, EndOfMessage):
+            raise TruncatedAnswer("the connection ended before the answer was whole")
+        if self.ends_with_channel:
+            await self._confirm_end(until)
+        return None
 
     def is_reusable(self) -> bool:
         """Return whether the exchange left the connection in order."""
@@ -189,6 +203,25 @@
         except (RemoteProtocolError, LocalProtocolError) as error:
             raise TruncatedAnswer(f"the answer is not whole: {error}") from error
 
+    async def _confirm_end(self, until: float | None) -> None:
+        """Return once the server has taken the whole request.
+
+        Raises ``TruncatedAnswer`` if it resets the connection first or takes too long:
+        the end of the connection was not that of the answer then. Raises
+        ``TimeoutError`` if that is not known by ``until``.
+        """
+        clock = get_running_loop().time
+        stops_at = clock() + DELIVERY_SECONDS
+        while self.channel.undelivered_bytes() and not self.channel.is_reset():
+            now = clock()
+            if until is not None and now > until:
+                raise TimeoutError("the request is still on its way")
+            if now > stops_at:
+                raise TruncatedAnswer("the server ended before the request was sent")
+            await sleep(DELIVERY_CHECK_SECONDS)
+        if self.channel.is_reset():
+            raise TruncatedAnswer("the connection was reset as the answer ended")
+
     def _on_piece(self, size: int) -> None:
         """Count a piece; raise ``TruncatedAnswer`` if there are too many small ones."""
         self.body_bytes += size
@@ -227,6 +260,12 @@
     return inf if found is None else int(found[1]) * KEEP_ALIVE_USED
 
 
+def _ends_with_channel(head: HttpResponse) -> bool:
+    """Return whether only the end of the connection ends an answer's body."""
+    is_framed = any(name in FRAMING_HEADERS for name, _ in head.headers)
+    return not is_framed and head.status_code not in BODILESS_STATUSES
+
+
 def _size(head: HttpResponse) -> int:
     """Return the bytes of an answer's fields."""
     return sum(len(name) + len(value) for name, value in head.headers)
@@ -236,4 +275,5 @@
     """Open a connection; raises ``OSError`` if that fails."""
     loop = get_running_loop()
     _, channel = await loop.create_connection(Channel, *address)
+    channel.keeps_sending = True
     return ClientConnection(channel, address)
--- a/libs/transport/src/clementinebend_transport/http_client.py
+++ b/libs/transport/src/clementinebend_transport/http_client.py
@@ -40,10 +40,6 @@
 MAX_IDLE_SECONDS = 30.0
 """Idle connections older than this are closed, before most servers do."""
 
-FRAMING_HEADERS = frozenset(("content-length", "transfer-encoding"))
-BODILESS_STATUSES = frozenset((204, 304))
-"""What tells where a body ends; source: RFC 9112, section 6.3."""
-
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 """The largest body of a whole answer, unless the caller names another size."""
 
@@ -219,16 +215,13 @@
             if head is None:
                 self._drop(connection)
         chunks = AnswerChunks(connection, self._release, self._drop)
-        headers = headers_by_name(head.headers)
-        is_framed = not FRAMING_HEADERS.isdisjoint(headers)
-        has_body = head.status_code not in BODILESS_STATUSES
         return Ok(
             OpenAnswer(
                 head.status_code,
-                headers,
+                headers_by_name(head.headers),
                 chunks,
                 chunks.close,
-                ends_with_channel=has_body and not is_framed,
+                ends_with_channel=connection.ends_with_channel,
                 buffered_bytes=chunks.buffered_bytes,
                 pause=chunks.pause,
                 chunk_count=chunks.chunk_count,
