Treat an answer with a status above 599 as broken

Statuses below 100 and those of other lengths were refused already.

Cause: the parser checks for three digits and 100 or more only; RFC 9110, section 15, ends at 599.

Change: a final answer outside 200 to 599 is a broken one. It may have run, so it is tried elsewhere only if it may be repeated, and the caller gets 502 otherwise.

--- a/libs/transport/src/clementinebend_transport/client_connection.py
+++ b/libs/transport/src/clementinebend_transport/client_connection.py
@@ -46,6 +46,9 @@
 EVENTS_PER_TURN = 4
 """Pieces of one read after which the event loop runs other tasks."""
 
+MIN_STATUS, MAX_STATUS = 200, 599
+"""The valid statuses of a final answer; source: RFC 9110, section 15."""
+
 FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 BODILESS_STATUSES = frozenset((204, 304))
 """What tells where a body ends; source: RFC 9112, section 6.3."""
@@ -118,8 +121,9 @@
     async def read_head(self, until: float | None = None) -> HttpResponse:
         """Return the final head of the answer.
 
-        Raises ``TruncatedAnswer`` if there is none, and ``TimeoutError`` if it has not
-        come by ``until``, in the time of the event loop.
+        Raises ``TruncatedAnswer`` if there is none, or one with a status that is none,
+        and ``TimeoutError`` if it has not come by ``until``, in the time of the event
+        loop.
         """
         for _ in range(MAX_INFORMATIONAL_ANSWERS + 1):
             event = await self._next_event(until)
@@ -131,6 +135,8 @@
             raise TruncatedAnswer("the connection ended before an answer")
         if _size(event) > MAX_ANSWER_HEADER_BYTES:
             raise TruncatedAnswer("the head is too large")
+        if not MIN_STATUS <= event.status_code <= MAX_STATUS:
+            raise TruncatedAnswer(f"the status {event.status_code} is not valid")
         self.keep_alive = keep_alive_of(event)
         self.ends_with_channel = _ends_with_channel(event)
         return event
--- a/tests/functional/test_early_answers.py
+++ b/tests/functional/test_early_answers.py
@@ -1,4 +1,4 @@
-"""Engines that answer a long upload at once, without a length, and break off."""
+"""Engines that answer an upload at once and break off, or with no valid status."""
 
 from asyncio import gather
 
@@ -40,3 +40,13 @@
     assert any(engine.runs for engine in fleet.engines)
     assert {answer.status for answer in whole} <= set(BROKEN_STATUSES)
     assert all(PART not in answer.body for answer in whole)
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/once/x", "/stream/x", "/stream-once/x"])
+async def test_a_status_that_is_none_is_not_passed_on(fleet: Fleet, path: str) -> None:
+    """Guards against an engine in trouble whose status no caller can understand."""
+    await fleet.start()
+    for engine in fleet.engines:
+        engine.fault, engine.failure_status = "fail", 999
+    statuses = {(await fleet.call(path)).ok.status for _ in range(CALLS)}
+    assert statuses <= set(BROKEN_STATUSES)
