Refuse a call that a planned stop would cut, while it has not run

Cause: a request that is being read as the stop begins, or waits in a queue, was handled like any other; nothing compared how long it takes with the time left.

Ruled out: connections taken too late (none after 2.4 s).

In a stop, a call that is not expected to end in time is refused with 503 stopping, Retry-After 0 and a closed connection: as the request is whole, and again before it is first sent. A call that may have run is never refused so.

--- a/libs/relay/src/clementinebend_relay/attempts.py
+++ b/libs/relay/src/clementinebend_relay/attempts.py
@@ -17,6 +17,7 @@
 from clementinebend_relay.endpoint_state import EndpointState
 from clementinebend_relay.interfaces import Verdict
 from clementinebend_relay.models import Rejection, RouteKind
+from clementinebend_relay.planned_stop import PlannedStop
 from clementinebend_relay.progress import CallProgress, Obstacle
 from clementinebend_relay.quarantine.news import QuarantineSync
 from clementinebend_relay.run_outcomes import RunOutcomes
@@ -72,9 +73,11 @@
         self,
         dispatcher: Dispatcher,
         news: QuarantineSync,
+        planned_stop: PlannedStop,
         clock: Callable[[], float],
     ) -> None:
         self.dispatcher = dispatcher
+        self.planned_stop = planned_stop
         self.quarantine = news.quarantine
         self.clock = clock
         self.outcomes = RunOutcomes(dispatcher, news, clock)
@@ -104,9 +107,9 @@
                         progress.admitted.software_version,
                     )
                     return None
-                progress.refusal = self.quarantine.refusal_since(
-                    turn_at, fingerprint, parts
-                )
+                progress.refusal = self._late_refusal(
+                    progress
+                ) or self.quarantine.refusal_since(turn_at, fingerprint, parts)
                 if progress.refusal is not None:
                     progress.obstacle = Obstacle.NOT_ALLOWED
                     return None
@@ -131,6 +134,12 @@
         progress.obstacle = obstacle
         return None
 
+    def _late_refusal(self, progress: CallProgress) -> Rejection | None:
+        """Return the rejection of a call that has waited for too long in a stop."""
+        if progress.may_have_run or progress.second_may_have_run:
+            return None
+        return self.planned_stop.rejection(progress.admitted)
+
     async def _turn(self, progress: CallProgress) -> Rejection | None:
         """Wait until a call may be sent; return its rejection if it may not.
 
--- a/libs/relay/src/clementinebend_relay/handler.py
+++ b/libs/relay/src/clementinebend_relay/handler.py
@@ -21,6 +21,7 @@
 from clementinebend_relay.models import Call, Reason, Rejection, RouteKind
 from clementinebend_relay.plain import PlainRelay
 from clementinebend_relay.plain_choice import PlainChoice
+from clementinebend_relay.planned_stop import PlannedStop
 from clementinebend_relay.progress import CallProgress
 from clementinebend_relay.prompt_parts import logged_names
 from clementinebend_relay.prompt_queues import PromptQueues
@@ -72,6 +73,7 @@
         prompt_queue: PromptQueues,
         is_loaded: Event,
         load: LoadMonitor,
+        planned_stop: PlannedStop,
         clock: Callable[[], float],
     ) -> None:
         self.protocol = protocol
@@ -85,6 +87,7 @@
         self.prompt_queue = prompt_queue
         self.is_loaded = is_loaded
         self.load = load
+        self.planned_stop = planned_stop
         self.clock = clock
         self.bodies = request_bodies(BodyRoom(), self.reject_body)
 
@@ -129,8 +132,10 @@
         admitted = admit(call, self.configuration.current)
         if isinstance(admitted, Rejection):
             return admitted
-        rejection = self.load.rejection(admitted) or self.quarantine.refusal(
-            admitted.fingerprint, admitted.part_subjects
+        rejection = (
+            self.planned_stop.rejection(admitted)
+            or self.load.rejection(admitted)
+            or self.quarantine.refusal(admitted.fingerprint, admitted.part_subjects)
         )
         if rejection is not None:
             return rejection
@@ -220,6 +225,8 @@
         self.budgets.settle(reservation, usage.tokens)
         admitted = progress.admitted
         elapsed = self.clock() - arrived_at
+        if progress.is_whole:
+            self.planned_stop.on_whole(admitted.route.name, elapsed)
         whole_seconds.labels(admitted.service.name).observe(elapsed)
         log_decision(
             "call ended",
--- a/libs/relay/src/clementinebend_relay/models.py
+++ b/libs/relay/src/clementinebend_relay/models.py
@@ -196,6 +196,7 @@
     NO_ENDPOINT = "no_endpoint"
     OVERLOADED = "overloaded"
     BODY_MEMORY = "body_memory"
+    STOPPING = "stopping"
     NOT_RUN = "not_run"
     TIMEOUT_NOT_RUN = "timeout_not_run"
     TIMEOUT_MAY_HAVE_RUN = "timeout_may_have_run"
--- a/libs/relay/src/clementinebend_relay/process.py
+++ b/libs/relay/src/clementinebend_relay/process.py
@@ -41,6 +41,7 @@
 from clementinebend_relay.peers import Peers
 from clementinebend_relay.permit_requests import new_permit_requests
 from clementinebend_relay.plain import PlainRelay
+from clementinebend_relay.planned_stop import PlannedStop
 from clementinebend_relay.prompt_queues import PromptQueues
 from clementinebend_relay.quarantine.end_detector import EndDetector
 from clementinebend_relay.quarantine.news import QuarantineSync
@@ -130,7 +131,6 @@
         self.budgets = Budgets(
             boot, logs.quotas, self.witnesses, self.entries.has_successor, clock
         )
-        sessions = SessionTracker()
         self.peers = Peers(
             settings.name,
             boot,
@@ -211,7 +211,7 @@
             settings.zone,
             self.endpoints,
             self.peers,
-            sessions,
+            SessionTracker(),
             self.probes,
             self.client,
             protocol,
@@ -236,7 +236,8 @@
         self.entries.on_new_boot = self.origins.on_new_entry
         self.gateways.on_new_boot = self.origins.on_new_gateway
         self.unread_answers = UnreadAnswers(settings.capacity.memory, protocol, clock)
-        attempts = Attempts(self.dispatcher, self.sync, clock)
+        self.planned_stop = PlannedStop(clock)
+        attempts = Attempts(self.dispatcher, self.sync, self.planned_stop, clock)
         pace_rates = PaceRates(self.endpoints, self.peers.entry_count)
         prompt_queues = PromptQueues(self.dispatcher, clock, pace_rates.rate)
         self.handler = CallHandler(
@@ -250,6 +251,7 @@
             prompt_queues,
             self.known,
             self.load,
+            self.planned_stop,
             clock,
         )
         self.servers: list[HttpServer] = []
@@ -354,14 +356,15 @@
     async def stop(self) -> int:
         """Stop gracefully; return the exit code."""
         kill_at = self.clock() + self.settings.grace
+        ends_at = kill_at - STOP_MARGIN_SECONDS - FINAL_WRITE_SECONDS
         self.is_stopping = True
+        self.planned_stop.ends_at = ends_at
         self.peers.resign()
         callers = self.servers[0]
         callers.announce_end()
         await sleep(LISTEN_AFTER_STOP_SECONDS)
         get_running_loop().call_later(DRAIN_GRACE_SECONDS, self.budgets.close)
-        remaining = kill_at - STOP_MARGIN_SECONDS - FINAL_WRITE_SECONDS - self.clock()
-        is_drained = await callers.drain(max(0.0, remaining))
+        is_drained = await callers.drain(max(0.0, ends_at - self.clock()))
         await self.budgets.release(FINAL_WRITE_SECONDS)
         for server in self.servers:
             await server.close()
--- a/tests/unit/relay/popular_world.py
+++ b/tests/unit/relay/popular_world.py
@@ -24,6 +24,7 @@
 from clementinebend_relay.endpoint_state import EndpointState, UnreadCall
 from clementinebend_relay.interfaces import Verdict
 from clementinebend_relay.models import Endpoint, Rejection, RouteKind, boot_name
+from clementinebend_relay.planned_stop import PlannedStop
 from clementinebend_relay.progress import CallProgress
 from clementinebend_relay.quarantine.end_detector import EndDetector
 from clementinebend_relay.streams import StreamRelay
@@ -343,7 +344,7 @@
         entry: QuarantineEntry,
         progress: CallProgress,
     ) -> Rejection | None:
-        attempts = Attempts(dispatcher, entry.sync, clock)  # type: ignore[arg-type]
+        attempts = Attempts(dispatcher, entry.sync, PlannedStop(clock), clock)  # type: ignore[arg-type]
         origins: Any = SimpleNamespace(tell=lambda *arguments: None)
         relay = StreamRelay(attempts, dispatcher, origins, clock)  # type: ignore[arg-type]
         response = None
--- a/tests/unit/relay/test_attempts.py
+++ b/tests/unit/relay/test_attempts.py
@@ -14,7 +14,8 @@
 from clementinebend_relay.dispatch import NotSent, ResponseStarted
 from clementinebend_relay.endpoint_state import UnreadCall
 from clementinebend_relay.interfaces import Verdict
-from clementinebend_relay.models import RouteKind
+from clementinebend_relay.models import Reason, RouteKind
+from clementinebend_relay.planned_stop import PlannedStop
 from clementinebend_relay.progress import CallProgress
 from clementinebend_relay.quarantine.state import Quarantine
 from clementinebend_relay.quarantine.waits import REPORT_WAIT
@@ -91,7 +92,7 @@
 def attempts(dispatcher: FakeDispatcher) -> Attempts:
     quarantine = Quarantine(lambda: 0.0)
     news = SimpleNamespace(quarantine=quarantine, on_sound=lambda fingerprint: None)
-    return Attempts(dispatcher, news, lambda: 0.0)  # type: ignore[arg-type]
+    return Attempts(dispatcher, news, PlannedStop(lambda: 0.0), lambda: 0.0)  # type: ignore[arg-type]
 
 
 async def test_an_ended_endpoint_does_not_count_as_attempt() -> None:
@@ -119,13 +120,37 @@
     assert not call_progress.may_have_run
 
 
+def stopping(dispatcher: FakeDispatcher) -> Attempts:
+    """Return attempts of an entry whose planned stop ends now."""
+    sender = attempts(dispatcher)
+    sender.planned_stop.ends_at = 0.0
+    return sender
+
+
+async def test_a_call_that_has_waited_into_the_end_of_a_stop_is_not_sent() -> None:
+    """Guards against a call that waits in a queue and is then cut at an endpoint."""
+    dispatcher = FakeDispatcher([Verdict.SUCCESS])
+    call_progress = progress(max_attempts=2)
+    assert await stopping(dispatcher).next(call_progress) is None
+    assert not call_progress.tried
+    assert call_progress.rejection(0.0).reason is Reason.STOPPING
+
+
+async def test_a_call_that_may_have_run_is_sent_again_in_a_stop() -> None:
+    """Nothing can be promised of it any more, and another attempt may succeed."""
+    dispatcher = FakeDispatcher([Verdict.SUCCESS])
+    call_progress = calls.progress(calls.route(RouteKind.STREAM))
+    call_progress.may_have_run = True
+    assert await stopping(dispatcher).next(call_progress) is not None
+
+
 async def test_a_call_waits_for_the_report_of_an_end_if_its_endpoint_is_gone() -> None:
     """Guards against an endpoint more for each entry that missed the report."""
     clock = get_running_loop().time
     quarantine = Quarantine(clock)
     news = SimpleNamespace(quarantine=quarantine, on_sound=lambda fingerprint: None)
     dispatcher = FakeDispatcher([None, Verdict.SUCCESS])
-    sender = Attempts(dispatcher, news, clock)  # type: ignore[arg-type]
+    sender = Attempts(dispatcher, news, PlannedStop(clock), clock)  # type: ignore[arg-type]
     call_progress = progress(max_attempts=1)
     call_progress.deadline = clock() + 4.0
     fingerprint = call_progress.admitted.fingerprint
@@ -156,7 +181,7 @@
     clock = get_running_loop().time
     dispatcher = RefusingDispatcher(pieces)
     news = SimpleNamespace(quarantine=Quarantine(clock))
-    sender = Attempts(dispatcher, news, clock)  # type: ignore[arg-type]
+    sender = Attempts(dispatcher, news, PlannedStop(clock), clock)  # type: ignore[arg-type]
     call_progress = progress(max_attempts=1)
     call_progress.deadline = clock() + 4.0
     assert await sender.next(call_progress) is None
