Let no stream go on by a view of the endpoints that may be outdated

An engine started again under its name and address with other software while one entry could not read the store. That entry told others the earlier version of streams that it began, and took streams of the earlier version up at the later boot.

Cause: what an entry knows of endpoints was used however old it was, and X-Expect-Instance names the engine, not its boot.

Ruled out: resuming without a known version (503 already).

Change: an entry is in step while its last read of the endpoints succeeded, 2.7 s ago at most (the bound for a leaving engine and a slow answer). Out of step it takes up no stream (503 out_of_step, Retry-After 0.1), lets none go on at another engine, and tells nobody where streams begin until it is in step and the boot is still the same.

Simulated entries, whose tables are fed directly, count as in step.

--- a/libs/relay/src/clementinebend_relay/endpoints.py
+++ b/libs/relay/src/clementinebend_relay/endpoints.py
@@ -40,6 +40,8 @@
         self.records = records
         self.cold_endpoints = cold_endpoints
         self.clock = clock
+        self.is_in_step: Callable[[], bool] = lambda: True
+        """Returns whether later boots of endpoints would be known by now."""
         self.states: dict[str, EndpointState] = {}
         self.offsets: dict[str, int] = {}
         self.order = AnnouncementOrder()
--- a/libs/relay/src/clementinebend_relay/models.py
+++ b/libs/relay/src/clementinebend_relay/models.py
@@ -204,4 +204,5 @@
     QUARANTINED = "quarantined"
     PART_QUARANTINED = "part_quarantined"
     ORIGIN_UNKNOWN = "origin_unknown"
+    OUT_OF_STEP = "out_of_step"
     VERSION_GONE = "version_gone"
--- a/libs/relay/src/clementinebend_relay/partition_reader.py
+++ b/libs/relay/src/clementinebend_relay/partition_reader.py
@@ -27,6 +27,10 @@
 second by each entry. Up to five reads may fail before a leaving endpoint gets a call
 too many."""
 
+ANSWER_SECONDS = 0.7
+"""Seconds that a slow store takes for an answer, beyond the maximum delay of a record
+while it is fast."""
+
 DIRECTORY_MAX_DELAY = 8.0
 """Maximum delay in seconds until an added entry or gateway is known. One that has
 stopped is noticed sooner, by its unanswered messages."""
@@ -93,6 +97,7 @@
         is_busy: bool = False,
         on_failure: Callable[[], None] = lambda: None,
     ) -> None:
+        self.max_delay = max_delay
         self.wait = WAIT_FRACTION * max_delay
         self.pause = BATCH_FRACTION * max_delay if is_busy else 0.0
         self.name = name
@@ -115,6 +120,15 @@
         """Return whether the last read of the partition has failed."""
         return self.lost_at is not None
 
+    def is_current(self) -> bool:
+        """Return whether the table holds what the partition held shortly before.
+
+        The last read has succeeded, no longer ago than reads usually take.
+        """
+        if self.lost_at is not None or self.read_at is None:
+            return False
+        return self.clock() - self.read_at <= self.max_delay + ANSWER_SECONDS
+
     async def step(self) -> None:
         """Read once; after a failure, pause."""
         if self.offset is None:
--- a/libs/relay/src/clementinebend_relay/process.py
+++ b/libs/relay/src/clementinebend_relay/process.py
@@ -204,6 +204,7 @@
                 DIRECTORY_MAX_DELAY,
             ),
         )
+        self.endpoints.is_in_step = self.readers[1].is_current
         self.budgets.is_store_lost = lambda: any(
             reader.is_lost() for reader in self.readers
         )
@@ -238,8 +239,11 @@
         self.unread_answers = UnreadAnswers(settings.capacity.memory, protocol, clock)
         self.planned_stop = PlannedStop(clock)
         attempts = Attempts(self.dispatcher, self.sync, self.planned_stop, clock)
-        pace_rates = PaceRates(self.endpoints, self.peers.entry_count)
-        prompt_queues = PromptQueues(self.dispatcher, clock, pace_rates.rate)
+        prompt_queues = PromptQueues(
+            self.dispatcher,
+            clock,
+            PaceRates(self.endpoints, self.peers.entry_count).rate,
+        )
         self.handler = CallHandler(
             protocol,
             self.configuration,
--- a/libs/relay/src/clementinebend_relay/progress.py
+++ b/libs/relay/src/clementinebend_relay/progress.py
@@ -69,7 +69,8 @@
 
     ``tried`` and ``software_versions`` are the names of the endpoints that the call was
     sent to and the versions of their software. ``is_origin_uncertain`` is set once that
-    of the endpoint that sent events turned out to be outdated.
+    of the endpoint that sent events turned out to be outdated. ``is_origin_told`` is
+    set once others have been told where the stream began.
 
     ``answer`` is the response whose stream is being read, ``unrelayed_bytes`` the size
     of what has been read of it and not been sent on.
@@ -92,6 +93,7 @@
         self.tried: list[str] = []
         self.software_versions: list[str] = []
         self.is_origin_uncertain = False
+        self.is_origin_told = False
         self.waits_for_head = False
         self.head_due_at = inf
         self.has_second = False
@@ -122,6 +124,13 @@
         """How many more attempts the call may make."""
         return self.admitted.route.max_attempts - self.attempts
 
+    @property
+    def is_version_certain(self) -> bool:
+        """Whether another endpoint of the version that began may go on, if any did."""
+        return not self.is_origin_uncertain and (
+            self.events == 0 or self.is_origin_told
+        )
+
     def for_second_attempt(self) -> "CallProgress":
         """Return the progress of an attempt that runs concurrently with the last one.
 
--- a/libs/relay/src/clementinebend_relay/resumptions.py
+++ b/libs/relay/src/clementinebend_relay/resumptions.py
@@ -25,6 +25,10 @@
 new stream at once."""
 
 
+OTHER_ENTRY_DELAY = 0.1
+"""Retry-after delay in seconds of a caller whose stream may go on at another entry."""
+
+
 class Resumptions:
     """Finds the origin of streams that callers resume."""
 
@@ -48,6 +52,10 @@
         call = admitted.call
         if admitted.route.kind is not RouteKind.STREAM or not call.is_resumption:
             return admitted
+        if not self.endpoints.is_in_step():
+            self._record(admitted, Lookup(None), "out of step")
+            message = "this entry may not know the endpoints' versions: try another"
+            return Rejection(Reason.OUT_OF_STEP, message, OTHER_ENTRY_DELAY, True)
         lookup = await self._find(admitted)
         known = lookup.known
         if known is None or known.origin is None:
--- a/libs/relay/src/clementinebend_relay/second_attempts.py
+++ b/libs/relay/src/clementinebend_relay/second_attempts.py
@@ -225,7 +225,7 @@
     admitted = progress.admitted
     if progress.attempts_left <= 0 or not admitted.route.is_resumable:
         return False
-    if progress.is_origin_uncertain:
+    if not progress.is_version_certain:
         return False
     candidates = attempts.dispatcher.endpoints.candidates(
         admitted.service.name, admitted.software_version
--- a/libs/relay/src/clementinebend_relay/streams.py
+++ b/libs/relay/src/clementinebend_relay/streams.py
@@ -114,6 +114,14 @@
         return progress.failure
 
     async def _next_reader(self, progress: CallProgress) -> EventReader | None:
+        """Return the next attempt, None if there is none.
+
+        A stream that has begun goes on only while the versions of endpoints are known.
+        """
+        if progress.admitted.origin is not None and not self._is_in_step():
+            progress.obstacle = Obstacle.VERSION_UNCERTAIN
+            progress.problem = "the versions of endpoints are not known for certain now"
+            return None
         if progress.admitted.route.is_resumable:
             return await Opening(self.attempts, progress).run()
         running = await self.attempts.next(progress)
@@ -152,7 +160,7 @@
         reader = None
         if not progress.admitted.route.is_resumable:
             progress.obstacle = Obstacle.NOT_RESUMABLE
-        elif progress.is_origin_uncertain:
+        elif not progress.is_version_certain:
             progress.obstacle = Obstacle.VERSION_UNCERTAIN
         else:
             reader = await self._next_reader(progress)
@@ -236,8 +244,10 @@
             self.dispatcher.on_first_token(progress.admitted, running.state)
             progress.first_event_at = self.clock()
             progress.begin(running.state.endpoint.software_version)
-            self._tell_origin(progress, running.state.endpoint.software_version)
             self._record_resumption(running, progress)
+        if not progress.is_origin_told and self._is_in_step():
+            progress.is_origin_told = True
+            self._tell_origin(progress, running.state.endpoint.software_version)
         if progress.attempt_event_at is None:
             progress.attempt_event_at = self.clock()
         if not counts_as_evidence(self.clock() - progress.attempt_event_at):
@@ -276,6 +286,14 @@
         problem = "the endpoint runs another version than it had announced"
         raise self._break_stream(running, progress, problem)
 
+    def _is_in_step(self) -> bool:
+        """Return whether the versions of endpoints are those announced shortly before.
+
+        An entry that was cut off from the store, or stood still, may take an endpoint
+        that has started again for the boot before.
+        """
+        return self.dispatcher.endpoints.is_in_step()
+
     def _tell_origin(self, progress: CallProgress, software_version: str) -> None:
         """Tell other entries where the stream began, before its first event leaves.
 
--- a/tests/lib/resuming_client.py
+++ b/tests/lib/resuming_client.py
@@ -90,7 +90,7 @@
             self.on_attempt(request_id)
             headers = {"x-prefix-hash": session, **record.headers(names_origin)}
             is_judged = self._is_judged(entry, record.version)
-            attempt = await self._attempt(entry, request_id, headers, body, deadline)
+            attempt = await self.attempt(entry, request_id, headers, body, deadline)
             begins_anew = attempt.retry_after == 0.0
             status, data = attempt.status, attempt.data
             record.add(request_id, is_judged, status, data, begins_anew)
@@ -132,7 +132,7 @@
         """Record that an entry was started just now."""
         self.started_at[entry.output.name] = self.clock()
 
-    async def _attempt(
+    async def attempt(
         self,
         entry: int,
         request_id: str,
--- a/tests/unit/relay/entry_world.py
+++ b/tests/unit/relay/entry_world.py
@@ -187,6 +187,8 @@
             process.endpoints.on_record(KeyedRecord(offset, endpoint, value))
         names = frozenset(endpoint for endpoint, _ in records)
         process.endpoints.on_snapshot(names, len(records))
+        # Nothing is read here: what endpoints announce reaches the table at once.
+        process.endpoints.is_in_step = lambda: True
         for other, item in self.announcements.items():
             process.entries.put(other, item)
         for gateway, item in self.gateways.items():
--- a/tests/unit/relay/popular_world.py
+++ b/tests/unit/relay/popular_world.py
@@ -159,6 +159,7 @@
             on_failure=lambda *args: None,
             retry_delay=lambda service, software_version: None,
             replacement=lambda state: None,
+            is_in_step=lambda: True,
             candidates=lambda service, software_version: self.states.values(),
         )
         self.protocol = SimpleNamespace(caller_headers=lambda headers: ())
