Test fifty endless answers to calls that may run once at the smallest entry

An operator's report: a faulty engine's bytes without end filled the memory of a machine that called it. Not reproduced here: five ways, in a head and in bodies, with no sound engine; all calls get 502 or 503, the entry keeps within 128 MB and closes all channels.

--- a/tests/functional/test_endless_answers.py
+++ b/tests/functional/test_endless_answers.py
@@ -130,6 +130,20 @@
     check_bounds(fleet.entries[0])
 
 
+@pytest.mark.parametrize("way", ["fields", "no answer", "body", "chunks", "failure"])
+async def test_many_calls_that_may_run_once_keep_within_the_memory(
+    fleet: Fleet, way: str
+) -> None:
+    """Guards against an entry that keeps endless bytes and ends with all its calls."""
+    engines = await start(fleet, PLAIN_WAYS[way], sound=0)
+    once = await call_at_once(fleet, "/once/x", CALLS)
+    await all_closed(engines)
+    assert engines[1].runs
+    assert set(statuses(once)) <= {502, 503}
+    assert max(engines[1].runs.values()) == 1
+    check_bounds(fleet.entries[0])
+
+
 @pytest.mark.parametrize("way", STREAM_WAYS)
 async def test_streams_go_on_beside_an_engine_without_end(
     fleet: Fleet, way: str
