--- a/tests/unit/relay/test_call_sizes.py
+++ b/tests/unit/relay/test_call_sizes.py
@@ -13,8 +13,9 @@
     RouteKind,
     Team,
 )
+from clementinebend_relay.quota_view import Shortfall
 from tests.unit.relay.calls import CALL, SERVICE, route
-from tests.unit.relay.simulated_fleet import SimulatedFleet
+from tests.unit.relay.simulated_fleet import TEAM, SimulatedFleet
 
 BUDGET = 1000
 LIMITS = CallerLimits(1, 1, 1.0, 1.0)
@@ -71,3 +72,17 @@
             fleet.restart(number)
     finally:
         fleet.close()
+
+
+def test_a_refused_call_is_no_demand() -> None:
+    """Guards against a forecast that follows calls which nothing left could serve."""
+    fleet = SimulatedFleet(1, BUDGET)
+    try:
+        fleet.commit(0)
+        entry = fleet.entries[0]
+        reserving = entry.budgets.reserve(Team(TEAM, BUDGET, None), BUDGET + 1, 1.0)
+        assert isinstance(fleet.loop.run_until_complete(reserving), Shortfall)
+        assert entry.account.rate(fleet.clock()) == 0.0
+        assert entry.account.largest == 0.0
+    finally:
+        fleet.close()
